--- a/internal/cell/convert.go
+++ b/internal/cell/convert.go
@@ -21,6 +21,8 @@
 			Name:        schedule.Endpoint(e.Name),
 			Concurrency: (e.Concurrency + c.share - 1) / c.share,
 			CanPreempt:  e.CanCancel && e.CanResume,
+			Memory:      e.MemoryTokens / c.share,
+			Zone:        e.Zone,
 			Draining:    c.draining[e.Name],
 		})
 		cfg.MaxWaiting += waitingPerPlace * e.Concurrency
@@ -57,6 +59,8 @@
 		PromptTokens:    int(r.GetPromptTokens()),
 		EstimatedTokens: int(r.GetEstimatedTokens()),
 		Prefix:          r.GetPrefix(),
+		Parts:           parts(r.GetParts()),
+		Zone:            r.GetZone(),
 		Waited:          time.Duration(r.GetWaitedMs()) * time.Millisecond,
 	}
 	for _, name := range r.GetExcluded() {
@@ -72,9 +76,23 @@
 		Account:         schedule.Account(h.GetAccount()),
 		Endpoint:        schedule.Endpoint(h.GetEndpoint()),
 		EstimatedTokens: int(h.GetEstimatedTokens()),
+		PromptTokens:    int(h.GetPromptTokens()),
+		Parts:           parts(h.GetParts()),
+		Begun:           h.GetBegun(),
 	}
 }
 
+func parts(ps []*peerv1.PromptPart) []schedule.Part {
+	if len(ps) == 0 {
+		return nil
+	}
+	all := make([]schedule.Part, 0, len(ps))
+	for _, p := range ps {
+		all = append(all, schedule.Part{ID: p.GetId(), Tokens: int(p.GetTokens())})
+	}
+	return all
+}
+
 func report(r *peerv1.Release) schedule.Report {
 	return schedule.Report{
 		FirstToken: time.Duration(r.GetFirstTokenUs()) * time.Microsecond,
--- a/internal/daemon/tick_test.go
+++ b/internal/cellhost/cellhost_test.go
@@ -1,4 +1,4 @@
-package daemon
+package cellhost
 
 import (
 	"context"
@@ -13,15 +13,15 @@
 // it grants places as the coordinator that it no longer is.
 func TestBatchesWaitAfterPause(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	d := &Daemon{clock: clock}
-	d.pauses.tick(clock)
+	h := &Host{Clock: clock, Interval: 100 * time.Millisecond}
+	h.Ticked()
 	clock.Advance(pausedAfter)
-	d.awaitTick(context.Background())
+	h.awaitTick(context.Background())
 	clock.Advance(time.Millisecond)
 	passed := make(chan struct{})
 	go func() {
 		defer close(passed)
-		d.awaitTick(context.Background())
+		h.awaitTick(context.Background())
 	}()
 	if err := clock.BlockUntilContext(context.Background(), 1); err != nil {
 		t.Fatal(err)
@@ -31,7 +31,7 @@
 		t.Fatal("a batch passed before the tick")
 	default:
 	}
-	d.pauses.tick(clock)
-	clock.Advance(tickInterval)
+	h.Ticked()
+	clock.Advance(h.Interval)
 	<-passed
 }
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -10,13 +10,14 @@
 	"syscall"
 
 	"github.com/beechhead/beechhead/internal/daemon"
+	"github.com/beechhead/beechhead/internal/gateway"
 	"github.com/beechhead/beechhead/internal/settings"
 )
 
 // serveCommand runs the daemon.
 type serveCommand struct {
 	output
-	Settings string `long:"settings" required:"true" value-name:"FILE" description:"Settings file (JSON)"`
+	Settings string `long:"settings" env:"BEECHHEAD_SETTINGS" required:"true" value-name:"FILE" description:"Settings file (JSON)"`
 	Check    bool   `long:"check" description:"Check the settings and the files that they name, and exit"`
 }
 
@@ -30,10 +31,14 @@
 		fmt.Fprintln(c.out, "the settings are valid")
 		return nil
 	}
-	logger := slog.New(slog.NewJSONHandler(os.Stderr, nil))
-	d := daemon.New(s, secrets, logger)
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
+	if s.Gateway != nil {
+		g := gateway.New(s, slog.New(slog.NewJSONHandler(os.Stdout, nil)))
+		context.AfterFunc(stop, g.Drain)
+		return g.Run(context.Background())
+	}
+	d := daemon.New(s, secrets, slog.New(slog.NewJSONHandler(os.Stderr, nil)))
 	context.AfterFunc(stop, d.Drain)
 	return d.Run(context.Background())
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/beechhead/beechhead/internal/attainment"
 	"github.com/beechhead/beechhead/internal/caller"
 	"github.com/beechhead/beechhead/internal/cell"
+	"github.com/beechhead/beechhead/internal/cellhost"
 	"github.com/beechhead/beechhead/internal/claim"
 	"github.com/beechhead/beechhead/internal/control"
 	"github.com/beechhead/beechhead/internal/dispatch"
@@ -59,7 +60,7 @@
 	beats       *heartbeat.Exchanger
 	spreader    *tablesync.Spreader
 	hostList    hostList
-	pauses      pauses
+	cells       *cellhost.Host
 	owner       *limit.Owner
 	limits      *limit.Keeper
 
@@ -108,7 +109,16 @@
 	d.keeper.FromPeers = d.fetchFromPartner
 	d.buildPeers()
 	d.buildSpreader()
-	d.placer = placement.NewPlacer(d.clock, d.view, d.dial, d.metrics, size, s.Policy)
+	d.cells = &cellhost.Host{
+		Clock:       d.clock,
+		View:        d.view,
+		Peers:       d.peers,
+		Coordinator: d.coordinator,
+		Metrics:     d.metrics,
+		Interval:    tickInterval,
+		Refresh:     d.beats.Refresh,
+	}
+	d.placer = placement.NewPlacer(d.clock, d.view, d.cells.Dial, d.metrics, size, s.Policy)
 	d.placer.OnAlone = d.coordinator.SetShare
 	d.owner = limit.NewOwner(d.clock, d.view.Self().ID)
 	d.limits = limit.NewKeeper(d.clock, d.view, d.askOwner, d.metrics)
@@ -296,7 +306,7 @@
 func (d *Daemon) peerServer() *peer.Server {
 	return &peer.Server{
 		Welcome:      d.welcome,
-		Attach:       d.attach,
+		Attach:       d.cells.Attach,
 		OnHeartbeat:  d.beats.Answer,
 		OnPushTable:  d.onPushTable,
 		OnFetchTable: d.onFetchTable,
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -9,6 +9,7 @@
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
 	"github.com/beechhead/beechhead/internal/placement"
 	"github.com/beechhead/beechhead/internal/service"
+	"github.com/beechhead/beechhead/internal/retrybudget"
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
@@ -47,7 +48,7 @@
 type callRun struct {
 	d      *Dispatcher
 	call   *Call
-	budget *budget
+	budget *retrybudget.Budget
 	// failed lists the endpoints that failed this call.
 	failed []table.EndpointName
 	// sent says that an endpoint may have executed the call.
@@ -108,7 +109,7 @@
 		return r.refusal(reason, err.Error())
 	case attempt+1 >= maxAttempts:
 		return r.refusal(reason, "every attempt failed: "+err.Error())
-	case !r.budget.take():
+	case !r.budget.Take():
 		r.d.metrics.Inc("retryBudget.exhausted")
 		return r.refusal(outcome.ReasonRetryBudget, "too many requests of the class fail at the moment: "+err.Error())
 	}
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -12,6 +12,7 @@
 	"github.com/beechhead/beechhead/internal/engine"
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
+	"github.com/beechhead/beechhead/internal/retrybudget"
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
@@ -30,7 +31,7 @@
 	d      *Dispatcher
 	chat   *Chat
 	sink   Sink
-	budget *budget
+	budget *retrybudget.Budget
 	began  time.Time
 
 	// answer is what the caller has of the answer.
@@ -101,7 +102,7 @@
 		return nil
 	case r.attempts >= maxAttempts+r.preempted:
 		return r.refusal(reason, "every attempt failed: "+err.Error())
-	case !r.budget.take():
+	case !r.budget.Take():
 		r.d.metrics.Inc("retryBudget.exhausted")
 		return r.refusal(outcome.ReasonRetryBudget, "too many requests of the class fail at the moment: "+err.Error())
 	}
@@ -160,7 +161,7 @@
 			hedge = r.hedgeTimer()
 		case <-hedge:
 			hedge = nil
-			if !r.budget.take() {
+			if !r.budget.Take() {
 				r.d.metrics.Inc("retryBudget.exhausted")
 				continue
 			}
--- a/internal/endpoint/transport.go
+++ b/internal/endpoint/transport.go
@@ -39,7 +39,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
-		Control: func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, userTimeout) },
+		Control: func(_, _ string, c syscall.RawConn) error { return SetUserTimeout(c, userTimeout) },
 	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/endpoint/usertimeout_linux.go
+++ b/internal/endpoint/usertimeout_linux.go
@@ -7,9 +7,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// setUserTimeout bounds how long sent bytes may stay unacknowledged
+// SetUserTimeout bounds how long sent bytes may stay unacknowledged
 // (TCP_USER_TIMEOUT, RFC 5482).
-func setUserTimeout(c syscall.RawConn, d time.Duration) (err error) {
+func SetUserTimeout(c syscall.RawConn, d time.Duration) (err error) {
 	controlErr := c.Control(func(fd uintptr) {
 		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
--- a/internal/endpoint/usertimeout_other.go
+++ b/internal/endpoint/usertimeout_other.go
@@ -7,6 +7,6 @@
 	"time"
 )
 
-// setUserTimeout does nothing where the system has no such option; keepalives
+// SetUserTimeout does nothing where the system has no such option; keepalives
 // and progress deadlines remain.
-func setUserTimeout(syscall.RawConn, time.Duration) error { return nil }
+func SetUserTimeout(syscall.RawConn, time.Duration) error { return nil }
--- /dev/null
+++ b/internal/forward/run.go
@@ -0,0 +1,262 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/beechhead/beechhead/internal/http1"
+	"github.com/beechhead/beechhead/internal/outcome"
+	"github.com/beechhead/beechhead/internal/peer/peerv1"
+	"github.com/beechhead/beechhead/internal/placement"
+	"github.com/beechhead/beechhead/pkg/table"
+)
+
+const (
+	// maxRefused bounds the sends of one request that end before it runs:
+	// endpoints that can't be reached, or that refuse it.
+	maxRefused = 4
+	// placeRetry is the pause before a place is asked for again when the
+	// coordinator named an endpoint that this daemon does not know yet.
+	placeRetry = 40 * time.Millisecond
+	// maxUnknown bounds that.
+	maxUnknown = 4
+	// defaultRetry is what callers are told to wait where nothing is known.
+	defaultRetry = 500 * time.Millisecond
+)
+
+// run is the progress of one request over its attempts.
+type run struct {
+	f      *Forwarder
+	r      *Request
+	sink   Sink
+	budget Budget
+
+	// ran counts the endpoints that may have run the request, refused those
+	// that certainly have not.
+	ran, refused int
+	// unknown counts the places on endpoints that are not known here.
+	unknown int
+	failed  []table.EndpointName
+	// begun says that the head of an answer was passed on.
+	begun bool
+	// lastEvent is the id of the last event that the caller has.
+	lastEvent string
+	events    int
+	// answer is an endpoint's own failure, to be passed on if nothing better
+	// comes.
+	answer *answer
+}
+
+// answer is a whole answer.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// end is how an attempt ended.
+type end struct {
+	// err is nil if the answer was passed on whole.
+	err    error
+	reason outcome.Reason
+	// ran says that the endpoint may have run the request.
+	ran bool
+	// report tells the coordinator.
+	report peerv1.ReleaseOutcome
+}
+
+func (r *run) do(ctx context.Context) error {
+	for {
+		grant, err := r.reserve(ctx)
+		if err != nil {
+			return r.noPlace(ctx, err)
+		}
+		began := r.f.Clock.Now()
+		e := r.attempt(ctx, grant)
+		grant.Release(placement.Report{Outcome: e.report, Duration: r.f.Clock.Since(began), Tokens: r.events})
+		if e.err == nil {
+			return nil
+		}
+		r.count(grant, e)
+		if !r.mayGoOn(ctx, e) {
+			return r.final(ctx, e)
+		}
+	}
+}
+
+// count books a failed attempt.
+func (r *run) count(grant *placement.Grant, e end) {
+	r.failed = append(r.failed, grant.Endpoint.Name)
+	if e.ran {
+		r.ran++
+	} else {
+		r.refused++
+	}
+	r.f.Metrics.Inc("attempts." + string(e.reason))
+	r.f.Logger.Info("attempt failed", "request", r.r.ID, "class", r.r.Class, "endpoint", grant.Endpoint.Name,
+		"reason", e.reason, "mayHaveRun", e.ran, "events", r.events, "cause", e.err.Error())
+}
+
+// reserve asks for a place on an endpoint that this daemon knows to take work.
+func (r *run) reserve(ctx context.Context) (*placement.Grant, error) {
+	for {
+		grant, err := r.f.Reserve(ctx, placement.Request{
+			Pool:            r.r.Pool,
+			Class:           r.r.Class,
+			Account:         r.r.Account,
+			PromptTokens:    r.r.PromptTokens,
+			EstimatedTokens: r.r.OutputTokens,
+			Parts:           r.r.Parts,
+			Waited:          r.f.Boot.Now() - r.r.Began,
+			Excluded:        r.failed,
+			Attempt:         r.ran + r.refused,
+		})
+		if err != nil {
+			if !r.awaitEndpoint(ctx, err) {
+				return nil, err
+			}
+			continue
+		}
+		if refusal := r.r.MaySend(); refusal != nil {
+			grant.Release(placement.Report{Outcome: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE})
+			return nil, refusal
+		}
+		if r.f.Usable(&grant.Endpoint) {
+			return grant, nil
+		}
+		grant.Release(placement.Report{Outcome: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE})
+		r.failed = append(r.failed, grant.Endpoint.Name)
+		r.f.Metrics.Inc("places.unusable")
+	}
+}
+
+// awaitEndpoint pauses before a place is asked for again, if the refusal may
+// come from knowledge that differs between daemons for a moment.
+func (r *run) awaitEndpoint(ctx context.Context, err error) bool {
+	refusal, ok := errors.Into[*outcome.Refusal](err)
+	if !ok || refusal.Reason != outcome.ReasonNoEndpoint || r.unknown >= maxUnknown {
+		return false
+	}
+	r.unknown++
+	select {
+	case <-ctx.Done():
+		return false
+	case <-r.f.Clock.After(placeRetry):
+		return true
+	}
+}
+
+// mayGoOn decides whether another endpoint may be asked after a failure.
+func (r *run) mayGoOn(ctx context.Context, e end) bool {
+	switch {
+	case ctx.Err() != nil:
+		return false
+	case e.ran && !r.r.repeatable():
+		return false
+	case r.ran >= r.r.Attempts || r.refused >= maxRefused:
+		return false
+	case e.reason == outcome.ReasonConnect:
+		// Nothing arrived anywhere, so that nothing is repeated.
+	case !r.budget.Take():
+		r.f.Metrics.Inc("retryBudget.exhausted")
+		return false
+	}
+	r.f.Metrics.Retried(e.reason)
+	return true
+}
+
+// final ends a request that no endpoint has answered.
+func (r *run) final(ctx context.Context, e end) error {
+	switch {
+	case r.begun:
+		return errors.Wrap(ErrBroken, e.err.Error())
+	case r.answer != nil && ctx.Err() == nil:
+		return r.passAnswer(r.answer)
+	}
+	return r.refusal(ctx, e.reason, e.err.Error())
+}
+
+// noPlace ends a request that got no place.
+func (r *run) noPlace(ctx context.Context, err error) error {
+	refusal, ok := errors.Into[*outcome.Refusal](err)
+	switch {
+	case r.begun:
+		return errors.Wrap(ErrBroken, err.Error())
+	case r.answer != nil && ctx.Err() == nil:
+		return r.passAnswer(r.answer)
+	case !ok:
+		return r.refusal(ctx, outcome.ReasonOverloaded, err.Error())
+	case r.ran > 0:
+		refusal.Outcome = outcome.Unknown
+	}
+	return refusal
+}
+
+func (r *run) refusal(ctx context.Context, reason outcome.Reason, message string) *outcome.Refusal {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		reason = outcome.ReasonDeadline
+	case ctx.Err() != nil:
+		reason = outcome.ReasonCallerGone
+	}
+	if r.ran > 0 {
+		return outcome.UnknownError(reason, message)
+	}
+	refusal := outcome.NotRunError(reason, message)
+	refusal.RetryAfter = defaultRetry
+	return refusal
+}
+
+// passAnswer passes on an endpoint's own failure unchanged. A status that
+// promises that the request was not run is not the endpoint's to give unless
+// it says so; the caller would repeat what may have run.
+func (r *run) passAnswer(a *answer) error {
+	if r.f.Wire.Promises(a.status) {
+		return outcome.UnknownError(outcome.ReasonEndpointFailed, "the endpoint failed the request")
+	}
+	r.sink.Head(a.status, a.header, int64(len(a.body)))
+	if err := r.sink.Body(a.body); err != nil {
+		return errors.Wrap(ErrBroken, err.Error())
+	}
+	return nil
+}
+
+// attempt sends the request to one endpoint and passes the answer on.
+func (r *run) attempt(ctx context.Context, grant *placement.Grant) end {
+	left := r.r.End - r.f.Boot.Now()
+	endpoint := &grant.Endpoint
+	x, err := r.f.Pool.Send(ctx, address(endpoint), &http1.Request{
+		Method: r.r.Method,
+		Target: r.r.Target,
+		Host:   r.r.Host,
+		Header: r.f.Wire.Header(r.r, endpoint, left, r.lastEvent),
+		Body:   r.r.Body,
+		Mine:   func(h http.Header) bool { return r.f.Wire.Mine(r.r, h) },
+	})
+	if err != nil {
+		return end{err: err, reason: outcome.ReasonConnect, report: peerv1.ReleaseOutcome_RELEASE_OUTCOME_ENDPOINT_FAILED}
+	}
+	stop := context.AfterFunc(ctx, x.Abort)
+	defer stop()
+	e := r.exchange(ctx, x, grant)
+	if e.err != nil {
+		x.Abort()
+		if ctx.Err() != nil && e.ran {
+			e.report = peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE
+		} else if e.reason == outcome.ReasonSilent || e.reason == outcome.ReasonConnectionLost {
+			r.f.Pool.Drop(address(endpoint))
+		}
+	}
+	return e
+}
+
+// address returns where an endpoint listens.
+func address(e *table.Endpoint) string {
+	_, address, _ := strings.Cut(e.URL, "://")
+	return address
+}
+
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,295 @@
+// Package gateway puts the parts of an entry daemon together whose operators
+// and endpoints keep what they have to say in the platform's store, and whose
+// callers' requests are passed on without being looked into.
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/beechhead/beechhead/internal/beacon"
+	"github.com/beechhead/beechhead/internal/boottime"
+	"github.com/beechhead/beechhead/internal/cell"
+	"github.com/beechhead/beechhead/internal/cellhost"
+	"github.com/beechhead/beechhead/internal/endpoint"
+	"github.com/beechhead/beechhead/internal/facts"
+	"github.com/beechhead/beechhead/internal/forward"
+	"github.com/beechhead/beechhead/internal/framing"
+	"github.com/beechhead/beechhead/internal/heartbeat"
+	"github.com/beechhead/beechhead/internal/http1"
+	"github.com/beechhead/beechhead/internal/membership"
+	"github.com/beechhead/beechhead/internal/metric"
+	"github.com/beechhead/beechhead/internal/peer"
+	"github.com/beechhead/beechhead/internal/placement"
+	"github.com/beechhead/beechhead/internal/platform"
+	"github.com/beechhead/beechhead/internal/retrybudget"
+	"github.com/beechhead/beechhead/internal/settings"
+	"github.com/beechhead/beechhead/internal/storetime"
+	"github.com/beechhead/beechhead/pkg/table"
+
+	wire "github.com/beechhead/beechhead/platform"
+)
+
+// tickInterval is how often links and hosts are looked at. A coordinator that
+// is silent costs its requests about that much on top of the time after which
+// it is suspected.
+const tickInterval = 50 * time.Millisecond
+
+// Gateway is one entry daemon.
+type Gateway struct {
+	settings *settings.Settings
+	logger   *slog.Logger
+	clock    clockwork.Clock
+	boot     boottime.Clock
+	metrics  *metric.Registry
+	// started is the local time at which the daemon was made.
+	started time.Duration
+
+	store     *platform.Client
+	storeTime *storetime.Clock
+	holder    *facts.Holder
+	reader    *facts.Reader
+	beacons   *beacon.Conn
+	heard     heard
+	// fetching has room for the one fetch under way.
+	fetching chan struct{}
+	// adopting orders the adoptions of new facts.
+	adopting sync.Mutex
+
+	view        *membership.View
+	peers       *peer.Pool
+	beats       *heartbeat.Exchanger
+	cells       *cellhost.Host
+	coordinator *cell.Coordinator
+	placer      *placement.Placer
+	forwarder   *forward.Forwarder
+
+	listedMu sync.Mutex
+	// listed has the peer addresses that the store listed.
+	listed []string
+
+	budgetMu sync.Mutex
+	budgets  map[table.Pool]*retrybudget.Budget
+
+	inProgress atomic.Int64
+	// refusing is set when the graceful stop takes no more requests.
+	refusing atomic.Bool
+	callers  *http.Server
+	inner    *http.Server
+	answers  *peer.Server
+	// draining is closed when the graceful stop begins.
+	draining  chan struct{}
+	drainOnce sync.Once
+}
+
+// New returns a daemon that is not running yet.
+func New(s *settings.Settings, logger *slog.Logger) *Gateway {
+	g := &Gateway{
+		settings: s,
+		logger:   logger.With("host", s.Host),
+		clock:    clockwork.NewRealClock(),
+		boot:     boottime.System{},
+		metrics:  metric.NewRegistry(),
+		fetching: make(chan struct{}, 1),
+		budgets:  map[table.Pool]*retrybudget.Budget{},
+		draining: make(chan struct{}),
+	}
+	g.started = g.boot.Now()
+	g.view = membership.NewView(g.clock, membership.Host{
+		ID:            membership.HostID(s.Host),
+		Incarnation:   membership.NewIncarnation(g.clock.Now().UnixMilli(), rand.Uint64()),
+		State:         membership.Starting,
+		Region:        s.Region,
+		Zone:          s.Zone,
+		CallerAddress: s.CallerAddress,
+		PeerAddress:   s.PeerAddress,
+	})
+	g.view.OnGone = g.hostGone
+	g.view.Count = g.metrics.Inc
+	g.buildFacts()
+	g.buildPeers()
+	g.buildPlacing()
+	g.buildServers()
+	return g
+}
+
+func (g *Gateway) buildFacts() {
+	client := platform.NewClientWith(g.clock, g.settings.Platform.URL, endpoint.NewTransport(), g.settings.Platform.Timeout.Std(), g.metrics)
+	g.store = client.WithWire(wire.StoreWire())
+	g.storeTime = storetime.NewClock(g.boot)
+	g.holder = facts.NewHolder(g.storeTime, wire.ParseConfig)
+	g.holder.OnChange = g.adopt
+	g.reader = &facts.Reader{
+		Clock:          g.clock,
+		Boot:           g.boot,
+		Store:          g.storeTime,
+		Holder:         g.holder,
+		Logger:         g.logger,
+		Metrics:        g.metrics,
+		Config:         wire.ConfigFeed(g.store),
+		Endpoints:      wire.EngineFeed(g.store),
+		DecodeConfig:   wire.DecodeConfig,
+		DecodeEndpoint: wire.DecodeEngine,
+		OnDuty:         g.onDuty,
+		Told:           g.tell,
+	}
+}
+
+func (g *Gateway) buildPlacing() {
+	size := g.settings.CellSize
+	if size == 0 {
+		size = cell.DefaultSize
+	}
+	g.coordinator = cell.NewCoordinator(g.clock, g.view.Self().ID, size, g.settings.Policy)
+	g.cells = &cellhost.Host{
+		Clock:       g.clock,
+		View:        g.view,
+		Peers:       g.peers,
+		Coordinator: g.coordinator,
+		Metrics:     g.metrics,
+		Interval:    tickInterval,
+		Refresh:     g.beats.Refresh,
+	}
+	g.placer = placement.NewPlacer(g.clock, g.view, g.cells.Dial, g.metrics, size, g.settings.Policy)
+	g.placer.OnAlone = g.coordinator.SetShare
+	g.forwarder = &forward.Forwarder{
+		Clock:   g.clock,
+		Boot:    g.boot,
+		Logger:  g.logger,
+		Metrics: g.metrics,
+		Pool:    http1.NewPool(g.clock, http1.Dial),
+		Wire:    wire.EngineWire(),
+		Reserve: g.placer.Reserve,
+		Usable:  g.usable,
+		Budget:  g.budget,
+	}
+}
+
+// callerIdle is how long callers may leave a connection idle. It exceeds what
+// operators allow them, so that a request never crosses a close of ours.
+const callerIdle = 2 * time.Minute
+
+// Limits of the callers' server.
+const (
+	readHeaderTimeout = 10 * time.Second
+	maxHeaderRead     = 64 << 10
+)
+
+func (g *Gateway) buildServers() {
+	g.callers = &http.Server{
+		Handler:           http.HandlerFunc(g.serveCaller),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       callerIdle,
+		MaxHeaderBytes:    maxHeaderRead,
+		ConnContext:       withConn,
+		ErrorLog:          slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug),
+	}
+	g.answers = g.peerServer()
+	g.inner = peer.NewHTTPServer(g.answers.Handler(), nil)
+	g.inner.ErrorLog = slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug)
+}
+
+// hostGone forgets what an incarnation that is gone held.
+func (g *Gateway) hostGone(h membership.Host) {
+	g.logger.Warn("host gone", "gone", h.ID)
+	g.metrics.Inc("hosts.gone")
+	g.peers.Replace(h.PeerAddress)
+	g.answers.DropStreams(string(h.ID), h.Incarnation)
+	g.coordinator.DropHost(string(h.ID), h.Incarnation)
+}
+
+// Run serves until ctx ends or a graceful stop is complete.
+func (g *Gateway) Run(ctx context.Context) (err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	self, err := netip.ParseAddrPort(g.settings.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "peer address")
+	}
+	g.beacons, err = beacon.Listen(self.Addr().String(), g.settings.Gateway.BeaconPort)
+	if err != nil {
+		return err
+	}
+	grp, ctx := errgroup.WithContext(ctx)
+	if err := g.listen(ctx, grp); err != nil {
+		return err
+	}
+	g.logger.Info("started", "incarnation", g.view.Self().Incarnation)
+	grp.Go(func() error { g.beacons.Receive(ctx, g.onBeacon); return nil })
+	grp.Go(func() error { g.reader.Run(ctx); return nil })
+	grp.Go(func() error { g.beats.Run(ctx); return nil })
+	grp.Go(func() error { g.tick(ctx); return nil })
+	grp.Go(func() error { g.keepFresh(ctx); return nil })
+	grp.Go(func() error { g.register(ctx); return nil })
+	grp.Go(func() error {
+		defer cancel()
+		return g.leave(ctx)
+	})
+	return grp.Wait()
+}
+
+// listen opens the daemon's addresses and serves them.
+func (g *Gateway) listen(ctx context.Context, grp *errgroup.Group) error {
+	asked := g.interfaces()
+	for _, one := range []struct {
+		server  *http.Server
+		address string
+	}{
+		{g.callers, g.settings.CallerAddress},
+		{g.inner, g.settings.PeerAddress},
+		{&http.Server{Handler: asked, ReadHeaderTimeout: readHeaderTimeout}, g.settings.Gateway.ReadyAddress},
+		{&http.Server{Handler: asked, ReadHeaderTimeout: readHeaderTimeout}, g.settings.Gateway.DirectoryAddress},
+		{&http.Server{Handler: g.figures(), ReadHeaderTimeout: readHeaderTimeout}, g.settings.OperatorAddress},
+	} {
+		l, err := net.Listen("tcp", one.address)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", one.address)
+		}
+		if one.server == g.callers {
+			l = framing.Listener{Listener: l}
+		}
+		grp.Go(func() error { return serve(ctx, one.server, l) })
+	}
+	return nil
+}
+
+func serve(ctx context.Context, s *http.Server, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve")
+}
+
+// tick drives what depends on time only.
+func (g *Gateway) tick(ctx context.Context) {
+	ticker := g.clock.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		g.cells.Ticked()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			if g.cells.RefreshAfterPause(ctx) {
+				g.logger.Warn("this daemon was paused")
+			}
+			g.view.Sweep()
+			g.coordinator.Tick(g.view.Ready(), g.placer.Suspects())
+			g.placer.Tick()
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/beechhead/beechhead/internal/catalog"
+	"github.com/beechhead/beechhead/internal/forward"
+	"github.com/beechhead/beechhead/internal/heartbeat"
+	"github.com/beechhead/beechhead/internal/membership"
+	"github.com/beechhead/beechhead/internal/peer"
+	"github.com/beechhead/beechhead/internal/peer/peerv1"
+	"github.com/beechhead/beechhead/internal/retrybudget"
+	"github.com/beechhead/beechhead/pkg/table"
+
+	wire "github.com/beechhead/beechhead/platform"
+)
+
+// registerTimeout bounds a call to the store about the list of daemons, and
+// registerPause is the time between two tries.
+const (
+	registerTimeout = time.Second
+	registerPause   = 2 * time.Second
+)
+
+// buildPeers prepares the calls to other daemons.
+func (g *Gateway) buildPeers() {
+	g.peers = peer.NewPool(nil, func(*http.Transport) {})
+	g.beats = &heartbeat.Exchanger{
+		Clock: g.clock,
+		View:  g.view,
+		Call: func(ctx context.Context, address string, req *peerv1.HeartbeatRequest) (*peerv1.HeartbeatResponse, error) {
+			return g.peers.Client(address).Heartbeat(ctx, req)
+		},
+		Replace:  g.peers.Replace,
+		Heard:    g.heardPeer,
+		StoreAge: func() time.Duration { return 0 },
+		Seeds:    g.seeds,
+		Load:     func() uint32 { return uint32(g.inProgress.Load()) },
+		Count:    g.metrics.Inc,
+	}
+}
+
+func (g *Gateway) peerServer() *peer.Server {
+	return &peer.Server{
+		Welcome: func() *peerv1.Welcome {
+			self := g.view.Self()
+			return &peerv1.Welcome{Host: string(self.ID), Incarnation: self.Incarnation}
+		},
+		Attach:      g.cells.Attach,
+		OnHeartbeat: g.beats.Answer,
+		OnFacts:     g.onFacts,
+	}
+}
+
+// heardPeer takes in what a daemon says that answered a heartbeat.
+func (g *Gateway) heardPeer(n membership.News, _ time.Time, _ time.Duration) {
+	if n.Status == membership.Alive && catalog.Version(n.Host.TableVersion) > g.holder.Summary().Config {
+		go g.fetch(n.Host.PeerAddress)
+	}
+}
+
+// seeds returns the peer addresses that the settings and the store name.
+func (g *Gateway) seeds() []string {
+	g.listedMu.Lock()
+	defer g.listedMu.Unlock()
+	return append(g.listed[:len(g.listed):len(g.listed)], g.settings.Peers...)
+}
+
+// register lists this daemon in the store, so that a newcomer finds it when
+// the hosts are gone that the newcomer's settings name; and reads the list
+// while this daemon itself knows no other.
+func (g *Gateway) register(ctx context.Context) {
+	written := false
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.clock.After(registerPause):
+		}
+		if !written {
+			written = g.writeSelf(ctx)
+		}
+		if len(g.view.Hosts()) < 2 {
+			g.readListed(ctx)
+		}
+	}
+}
+
+func (g *Gateway) writeSelf(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	self := g.view.Self()
+	if err := g.store.PutRow(ctx, wire.TableHosts, string(self.ID), []byte(self.PeerAddress)); err != nil {
+		g.logger.Warn("not listed in the store", "error", err)
+		return false
+	}
+	return true
+}
+
+func (g *Gateway) readListed(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	rows, err := g.store.Snapshot(ctx, wire.TableHosts)
+	if err != nil {
+		g.logger.Warn("list of daemons not read", "error", err)
+		return
+	}
+	g.listedMu.Lock()
+	defer g.listedMu.Unlock()
+	g.listed = g.listed[:0]
+	for _, row := range rows.Rows {
+		if address := string(row.Value); address != g.settings.PeerAddress {
+			g.listed = append(g.listed, address)
+		}
+	}
+}
+
+// budgetPart is the part of the site's budget for repeats that the daemons
+// share out among each other: in each window, a daemon may use what it has
+// saved up of its requests' shares, its spare, and the spare's refill. Half of
+// the whole is left for what restarts begin anew.
+const (
+	budgetPart      = 0.45
+	budgetSlackPart = 0.2
+)
+
+// budget returns what this daemon may still send beyond the first time to a
+// pool.
+func (g *Gateway) budget(pool table.Pool) forward.Budget {
+	g.budgetMu.Lock()
+	defer g.budgetMu.Unlock()
+	retry := g.settings.Gateway.Retry
+	slack := budgetSlackPart * retry.Slack / float64(max(1, len(g.view.Hosts())))
+	terms := retrybudget.Terms{
+		Share:  budgetPart * retry.Share,
+		Most:   max(1, slack),
+		Spare:  max(1, slack),
+		Refill: slack / retry.Window.Std().Seconds(),
+	}
+	b := g.budgets[pool]
+	if b == nil {
+		b = retrybudget.New(g.clock, terms)
+		g.budgets[pool] = b
+	}
+	b.Change(terms)
+	return b
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -48,6 +48,11 @@
 	return unary(ctx, req, c.rpc.AcquireSlices)
 }
 
+// Facts asks for what the daemon knows from the platform's store.
+func (c *Client) Facts(ctx context.Context, req *peerv1.FactsRequest) (*peerv1.FactsResponse, error) {
+	return unary(ctx, req, c.rpc.Facts)
+}
+
 // Status asks for the daemon's figures.
 func (c *Client) Status(ctx context.Context) (*peerv1.StatusResponse, error) {
 	return unary(ctx, &peerv1.StatusRequest{}, c.rpc.Status)
--- a/internal/peer/peerv1/peerv1connect/peer.connect.go
+++ b/internal/peer/peerv1/peerv1connect/peer.connect.go
@@ -46,6 +46,8 @@
 	// PeerServiceAcquireSlicesProcedure is the fully-qualified name of the PeerService's AcquireSlices
 	// RPC.
 	PeerServiceAcquireSlicesProcedure = "/beechhead.peer.v1.PeerService/AcquireSlices"
+	// PeerServiceFactsProcedure is the fully-qualified name of the PeerService's Facts RPC.
+	PeerServiceFactsProcedure = "/beechhead.peer.v1.PeerService/Facts"
 	// PeerServiceStatusProcedure is the fully-qualified name of the PeerService's Status RPC.
 	PeerServiceStatusProcedure = "/beechhead.peer.v1.PeerService/Status"
 )
@@ -62,6 +64,9 @@
 	FetchTable(context.Context, *connect.Request[peerv1.FetchTableRequest]) (*connect.Response[peerv1.FetchTableResponse], error)
 	// AcquireSlices asks the owner of some limits for shares of them.
 	AcquireSlices(context.Context, *connect.Request[peerv1.AcquireSlicesRequest]) (*connect.Response[peerv1.AcquireSlicesResponse], error)
+	// Facts returns what the daemon knows from the platform's store, as far as
+	// the caller lacks it.
+	Facts(context.Context, *connect.Request[peerv1.FactsRequest]) (*connect.Response[peerv1.FactsResponse], error)
 	// Status returns the figures that operators see, as JSON.
 	Status(context.Context, *connect.Request[peerv1.StatusRequest]) (*connect.Response[peerv1.StatusResponse], error)
 }
@@ -107,6 +112,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("AcquireSlices")),
 			connect.WithClientOptions(opts...),
 		),
+		facts: connect.NewClient[peerv1.FactsRequest, peerv1.FactsResponse](
+			httpClient,
+			baseURL+PeerServiceFactsProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Facts")),
+			connect.WithClientOptions(opts...),
+		),
 		status: connect.NewClient[peerv1.StatusRequest, peerv1.StatusResponse](
 			httpClient,
 			baseURL+PeerServiceStatusProcedure,
@@ -123,6 +134,7 @@
 	pushTable     *connect.Client[peerv1.PushTableRequest, peerv1.PushTableResponse]
 	fetchTable    *connect.Client[peerv1.FetchTableRequest, peerv1.FetchTableResponse]
 	acquireSlices *connect.Client[peerv1.AcquireSlicesRequest, peerv1.AcquireSlicesResponse]
+	facts         *connect.Client[peerv1.FactsRequest, peerv1.FactsResponse]
 	status        *connect.Client[peerv1.StatusRequest, peerv1.StatusResponse]
 }
 
@@ -151,6 +163,11 @@
 	return c.acquireSlices.CallUnary(ctx, req)
 }
 
+// Facts calls beechhead.peer.v1.PeerService.Facts.
+func (c *peerServiceClient) Facts(ctx context.Context, req *connect.Request[peerv1.FactsRequest]) (*connect.Response[peerv1.FactsResponse], error) {
+	return c.facts.CallUnary(ctx, req)
+}
+
 // Status calls beechhead.peer.v1.PeerService.Status.
 func (c *peerServiceClient) Status(ctx context.Context, req *connect.Request[peerv1.StatusRequest]) (*connect.Response[peerv1.StatusResponse], error) {
 	return c.status.CallUnary(ctx, req)
@@ -168,6 +185,9 @@
 	FetchTable(context.Context, *connect.Request[peerv1.FetchTableRequest]) (*connect.Response[peerv1.FetchTableResponse], error)
 	// AcquireSlices asks the owner of some limits for shares of them.
 	AcquireSlices(context.Context, *connect.Request[peerv1.AcquireSlicesRequest]) (*connect.Response[peerv1.AcquireSlicesResponse], error)
+	// Facts returns what the daemon knows from the platform's store, as far as
+	// the caller lacks it.
+	Facts(context.Context, *connect.Request[peerv1.FactsRequest]) (*connect.Response[peerv1.FactsResponse], error)
 	// Status returns the figures that operators see, as JSON.
 	Status(context.Context, *connect.Request[peerv1.StatusRequest]) (*connect.Response[peerv1.StatusResponse], error)
 }
@@ -209,6 +229,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("AcquireSlices")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceFactsHandler := connect.NewUnaryHandler(
+		PeerServiceFactsProcedure,
+		svc.Facts,
+		connect.WithSchema(peerServiceMethods.ByName("Facts")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceStatusHandler := connect.NewUnaryHandler(
 		PeerServiceStatusProcedure,
 		svc.Status,
@@ -227,6 +253,8 @@
 			peerServiceFetchTableHandler.ServeHTTP(w, r)
 		case PeerServiceAcquireSlicesProcedure:
 			peerServiceAcquireSlicesHandler.ServeHTTP(w, r)
+		case PeerServiceFactsProcedure:
+			peerServiceFactsHandler.ServeHTTP(w, r)
 		case PeerServiceStatusProcedure:
 			peerServiceStatusHandler.ServeHTTP(w, r)
 		default:
@@ -258,6 +286,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("beechhead.peer.v1.PeerService.AcquireSlices is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Facts(context.Context, *connect.Request[peerv1.FactsRequest]) (*connect.Response[peerv1.FactsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("beechhead.peer.v1.PeerService.Facts is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Status(context.Context, *connect.Request[peerv1.StatusRequest]) (*connect.Response[peerv1.StatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("beechhead.peer.v1.PeerService.Status is not implemented"))
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -17,7 +17,7 @@
 	Close  func()
 }
 
-// Server answers other daemons. All fields must be set.
+// Server answers other daemons. A call whose function is nil is refused.
 type Server struct {
 	// Welcome returns the name of this daemon.
 	Welcome func() *peerv1.Welcome
@@ -27,11 +27,15 @@
 	OnPushTable  func(context.Context, *peerv1.PushTableRequest) *peerv1.PushTableResponse
 	OnFetchTable func(*peerv1.FetchTableRequest) *peerv1.FetchTableResponse
 	OnAcquire    func(*peerv1.AcquireSlicesRequest) *peerv1.AcquireSlicesResponse
+	OnFacts      func(*peerv1.FactsRequest) *peerv1.FactsResponse
 	OnStatus     func(context.Context) *peerv1.StatusResponse
 
 	streams streams
 }
 
+// errNotOffered refuses a call that the daemon has no use for.
+var errNotOffered = connect.NewError(connect.CodeUnimplemented, errors.New("not offered by this daemon"))
+
 // Handler returns the HTTP handler of the protocol.
 func (s *Server) Handler(options ...connect.HandlerOption) http.Handler {
 	options = append(options, connect.WithCompressMinBytes(compressFrom))
@@ -106,20 +110,40 @@
 
 // PushTable takes in a table.
 func (s *Server) PushTable(ctx context.Context, req *connect.Request[peerv1.PushTableRequest]) (*connect.Response[peerv1.PushTableResponse], error) {
+	if s.OnPushTable == nil {
+		return nil, errNotOffered
+	}
 	return connect.NewResponse(s.OnPushTable(ctx, req.Msg)), nil
 }
 
 // FetchTable returns the table in force.
 func (s *Server) FetchTable(_ context.Context, req *connect.Request[peerv1.FetchTableRequest]) (*connect.Response[peerv1.FetchTableResponse], error) {
+	if s.OnFetchTable == nil {
+		return nil, errNotOffered
+	}
 	return connect.NewResponse(s.OnFetchTable(req.Msg)), nil
 }
 
 // AcquireSlices hands out shares of limits.
 func (s *Server) AcquireSlices(_ context.Context, req *connect.Request[peerv1.AcquireSlicesRequest]) (*connect.Response[peerv1.AcquireSlicesResponse], error) {
+	if s.OnAcquire == nil {
+		return nil, errNotOffered
+	}
 	return connect.NewResponse(s.OnAcquire(req.Msg)), nil
 }
 
+// Facts returns what the daemon knows from the platform's store.
+func (s *Server) Facts(_ context.Context, req *connect.Request[peerv1.FactsRequest]) (*connect.Response[peerv1.FactsResponse], error) {
+	if s.OnFacts == nil {
+		return nil, errNotOffered
+	}
+	return connect.NewResponse(s.OnFacts(req.Msg)), nil
+}
+
 // Status returns the daemon's figures.
 func (s *Server) Status(ctx context.Context, _ *connect.Request[peerv1.StatusRequest]) (*connect.Response[peerv1.StatusResponse], error) {
+	if s.OnStatus == nil {
+		return nil, errNotOffered
+	}
 	return connect.NewResponse(s.OnStatus(ctx)), nil
 }
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -72,6 +72,7 @@
 	p := g.placer
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	g.pending.begun = true
 	l := p.links[g.pending.host.ID]
 	if l == nil {
 		return
--- a/internal/placement/link.go
+++ b/internal/placement/link.go
@@ -100,6 +100,9 @@
 		Account:         w.reserve.GetAccount(),
 		Endpoint:        string(w.endpoint),
 		EstimatedTokens: w.reserve.GetEstimatedTokens(),
+		PromptTokens:    w.reserve.GetPromptTokens(),
+		Parts:           w.reserve.GetParts(),
+		Begun:           w.begun,
 	})
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -27,6 +27,8 @@
 	EstimatedTokens int
 	// Prefix is a hash of the start of the prompt; zero is none.
 	Prefix uint64
+	// Parts are the parts of the prompt in order, which engines keep by id.
+	Parts []Part
 	// Waited is how long the request has waited in earlier attempts.
 	Waited time.Duration
 	// Excluded lists endpoints that failed this request.
@@ -34,6 +36,12 @@
 	Attempt  int
 }
 
+// Part is a part of a prompt that requests may share.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
 // Link is a way to a coordinator: a stream to another daemon or this one.
 type Link struct {
 	// Send must not block: it is called with the placer's lock held.
@@ -96,6 +104,8 @@
 	endpoint table.EndpointName
 	// answer has room for the one answer.
 	answer chan answer
+	// begun says that the first token has come.
+	begun bool
 	// preempted is set when the coordinator wants the place back, and
 	// onPreempted called then.
 	preempted   bool
@@ -205,6 +215,10 @@
 		Prefix:          r.Prefix,
 		WaitedMs:        uint32(r.Waited / time.Millisecond),
 		Attempt:         uint32(r.Attempt),
+		Zone:            p.view.Self().Zone,
+	}
+	for _, part := range r.Parts {
+		reserve.Parts = append(reserve.Parts, &peerv1.PromptPart{Id: part.ID, Tokens: uint32(part.Tokens)})
 	}
 	for _, name := range r.Excluded {
 		reserve.Excluded = append(reserve.Excluded, string(name))
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -31,13 +31,18 @@
 	body   []byte
 	// cost counts rows or objects against the use's budget.
 	cost int
+	// write says that it may change something.
+	write bool
+	// wait is how long the store may hold its answer back.
+	wait time.Duration
 }
 
 // call makes a call. Reads are retried with full jitter; writes are not, for
 // the caller alone knows how to settle them.
 func (c *Client) call(ctx context.Context, x exchange, out any) (err error) {
 	attempts := readAttempts
-	if IsWrite(x.method, x.path) {
+	x.write = IsWrite(x.method, x.path)
+	if x.write {
 		attempts = 1
 	}
 	for attempt := range attempts {
@@ -67,10 +72,9 @@
 
 // attempt makes one exchange within the budget, the breaker and the timeout.
 func (c *Client) attempt(ctx context.Context, x exchange, out any) error {
-	write := IsWrite(x.method, x.path)
-	callCtx, cancel := context.WithTimeout(ctx, c.timeout)
+	callCtx, cancel := context.WithTimeout(ctx, c.timeout+x.wait)
 	defer cancel()
-	if err := c.budgets.wait(callCtx, c.use, write, x.cost); err != nil {
+	if err := c.budgets.wait(callCtx, c.use, x.write, x.cost); err != nil {
 		c.count("overBudget")
 		return err
 	}
@@ -79,7 +83,7 @@
 		c.count("breakerOpen")
 		return errors.Wrap(ErrNotAsked, "it failed just now")
 	}
-	if write {
+	if x.write {
 		c.count("writes")
 	} else {
 		c.count("reads")
@@ -111,6 +115,9 @@
 	if err != nil {
 		return errors.Wrap(err, "build request")
 	}
+	if len(x.body) > 0 {
+		req.Header.Set("Content-Type", "application/json")
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return errors.Wrap(ErrUnavailable, err.Error())
@@ -134,6 +141,8 @@
 		return ErrNotFound
 	case status == http.StatusPreconditionFailed:
 		return ErrExists
+	case status == goneStatus:
+		return ErrHistoryGone
 	case status == http.StatusTooManyRequests || status/100 != 4:
 		return errors.Wrapf(ErrUnavailable, "status %d", status)
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -33,6 +33,8 @@
 type Client struct {
 	*shared
 	use Use
+	// wire is nil for the project's own protocol.
+	wire *Wire
 }
 
 // shared is what the clients of all uses have in common.
@@ -67,7 +69,7 @@
 }
 
 // For returns a client that spends the budget of that use.
-func (c *Client) For(use Use) *Client { return &Client{shared: c.shared, use: use} }
+func (c *Client) For(use Use) *Client { return &Client{shared: c.shared, use: use, wire: c.wire} }
 
 // DivideBudgets tells among how many daemons the budgets are divided.
 func (c *Client) DivideBudgets(daemons int) { c.budgets.divide(max(1, daemons)) }
--- a/internal/schedule/endpoint.go
+++ b/internal/schedule/endpoint.go
@@ -17,6 +17,7 @@
 	turn   uint64
 	load   loadReport
 	health health
+	batch  batch
 	// gone says that the table no longer has the endpoint.
 	gone bool
 }
@@ -72,6 +73,14 @@
 	return e.running == 0 || e.running+e.foreign(now) < limit
 }
 
+// fits tells whether the engine has the memory for a request.
+func (e *endpointState) fits(r *Request) bool {
+	if e.policy.Memory == 0 || e.running == 0 {
+		return true
+	}
+	return e.batch.held+r.PromptTokens+r.EstimatedTokens <= e.policy.Memory
+}
+
 // choose returns the endpoint for a request, or nil if none is free.
 func (c *Cell) choose(r *Request, work float64, now time.Duration) *endpointState {
 	switch c.discipline {
@@ -89,7 +98,7 @@
 		if !c.usable(e, r, now) {
 			continue
 		}
-		cost := c.cost(e, work, now)
+		cost := c.costOf(e, r, work, now)
 		if best == nil || cost < least || (cost == least && e.turn < best.turn) {
 			best, least = e, cost
 		}
@@ -98,7 +107,15 @@
 }
 
 func (c *Cell) usable(e *endpointState, r *Request, now time.Duration) bool {
-	return e.free(now) && (len(r.Excluded) == 0 || !slices.Contains(r.Excluded, e.policy.Name))
+	return e.free(now) && e.fits(r) && (len(r.Excluded) == 0 || !slices.Contains(r.Excluded, e.policy.Name))
+}
+
+// costOf is the cost of a request at an endpoint; the least is best.
+func (c *Cell) costOf(e *endpointState, r *Request, work float64, now time.Duration) float64 {
+	if e.policy.Memory > 0 {
+		return c.batchCost(e, r)
+	}
+	return c.cost(e, work, now)
 }
 
 // cost is how long the endpoint is expected to be busy with its work and the
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -127,6 +127,7 @@
 	to.running++
 	to.load.peak = max(to.load.peak, to.running)
 	to.outstanding += e.work
+	to.book(e)
 	c.running++
 	e.endpoint = to
 	e.granted = now
@@ -140,6 +141,7 @@
 func (c *Cell) stop(e *entry) {
 	e.endpoint.running--
 	e.endpoint.outstanding = max(0, e.endpoint.outstanding-e.work)
+	e.endpoint.unbook(e)
 	c.running--
 	e.class.running--
 	if e.aged {
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -18,6 +18,12 @@
 	// position is the entry's place in each heap, or noPosition.
 	position [entryHeaps]int
 
+	// unread is how many tokens of the prompt the engine has to read, until
+	// the first token shows that it has; held is what it keeps for the entry.
+	unread, held int
+	// toRead is what the engine had to read when the entry came, with its own
+	// prompt.
+	toRead int
 	// endpoint is set while the entry runs.
 	endpoint *endpointState
 	granted  time.Duration
--- a/internal/schedule/request.go
+++ b/internal/schedule/request.go
@@ -120,10 +120,20 @@
 	if q == nil || to == nil {
 		return
 	}
-	e = c.newEntry(Request{ID: h.ID, Class: h.Class, Account: h.Account, EstimatedTokens: h.EstimatedTokens}, now)
+	e = c.newEntry(Request{
+		ID:              h.ID,
+		Class:           h.Class,
+		Account:         h.Account,
+		EstimatedTokens: h.EstimatedTokens,
+		PromptTokens:    h.PromptTokens,
+		Parts:           h.Parts,
+	}, now)
 	e.class = q
 	e.account = q.account(h.Account)
 	c.run(e, to, now)
+	if h.Begun {
+		to.begin(e)
+	}
 }
 
 // Release ends a grant. An unknown one is ignored.
@@ -165,6 +175,7 @@
 	now := c.now()
 	c.succeeded(e.endpoint, now)
 	c.measured(e, p, now)
+	e.endpoint.begin(e)
 }
 
 func (c *Cell) refuseArrival(q *classQueue, id RequestID, why Refusal, now time.Duration) {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -56,6 +56,11 @@
 	// CanPreempt says that a running request can be cancelled there and
 	// resumed elsewhere.
 	CanPreempt bool
+	// Memory is what an engine keeps, in tokens. If it is positive, the engine
+	// batches its requests and is chosen by what it has to read; see batch.go.
+	Memory int
+	// Zone is the availability zone.
+	Zone string
 }
 
 // Discipline is the order of the queue and the choice of endpoints.
@@ -93,12 +98,23 @@
 	EstimatedTokens int
 	// Prefix is a hash of the start of the prompt; zero is none.
 	Prefix uint64
+	// Parts are the parts of the prompt in order.
+	Parts []Part
+	// Zone is the availability zone from which the request is sent.
+	Zone string
 	// Waited is how long the request has waited elsewhere.
 	Waited time.Duration
 	// Excluded lists endpoints that failed this request.
 	Excluded []Endpoint
 }
 
+// Part is a part of a prompt. Engines keep parts by id and don't read one
+// again while they keep it and all parts before it.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
 // Holding is a grant in use that another coordinator gave.
 type Holding struct {
 	ID              RequestID
@@ -106,6 +122,10 @@
 	Account         Account
 	Endpoint        Endpoint
 	EstimatedTokens int
+	PromptTokens    int
+	Parts           []Part
+	// Begun says that the first token has come.
+	Begun bool
 }
 
 // Report tells how a grant ended.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -71,7 +71,8 @@
 	c.require(s.Zone != "", "zone", "is missing")
 	s.checkAddresses(c)
 	c.checkPlatform(&s.Platform)
-	c.require((s.OperatorKey.File == "") != (s.OperatorKey.Environment == ""), "operatorKey", "needs either file or environment")
+	s.checkOperatorKey(c)
+	s.Gateway.check(c)
 	s.CallerTLS.check(c, "callerTls")
 	s.OperatorTLS.check(c, "operatorTls")
 	s.PeerTLS.check(c)
@@ -80,6 +81,14 @@
 	c.require(s.CellSize >= 0, "cellSize", "%d is negative", s.CellSize)
 }
 
+// checkOperatorKey wants a key where there is an interface that it opens.
+func (s *Settings) checkOperatorKey(c *checker) {
+	if s.Gateway != nil && s.OperatorKey == (Secret{}) {
+		return
+	}
+	c.require((s.OperatorKey.File == "") != (s.OperatorKey.Environment == ""), "operatorKey", "needs either file or environment")
+}
+
 func (s *Settings) checkAddresses(c *checker) {
 	taken := map[string]string{}
 	for _, a := range []struct{ path, address string }{
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,6 +38,11 @@
 	CellSize int `json:"cellSize,omitempty"`
 	// Policy is the way of placing requests; empty is PolicyCells.
 	Policy Policy `json:"policy,omitempty"`
+	// Gateway makes the daemon take its configuration and endpoints from the
+	// platform's store, where operators and endpoints keep them, and pass on
+	// requests that it does not look into. OperatorAddress then serves the
+	// figures only, and OperatorKey is not needed.
+	Gateway *Gateway `json:"gateway,omitempty"`
 }
 
 // Policy is a way of placing requests on endpoints.
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -120,6 +120,9 @@
 	Zone   string `json:"zone"`
 	// Concurrency is how many requests it runs at once; at least 1.
 	Concurrency int `json:"concurrency"`
+	// MemoryTokens is how many tokens an engine that batches its requests
+	// keeps in memory; zero is unknown.
+	MemoryTokens int `json:"memoryTokens"`
 	// ChecksFence tells whether it refuses orders with an old fencing number.
 	ChecksFence bool `json:"checksFence"`
 	CanCancel   bool `json:"canCancel"`
