Follow an empty store's feed instead of reading it whole

Cause: a feed's version of zero, which is that of an empty store, was taken for 'not read yet', so that each daemon read the whole table in a loop until the first configuration came: 92 reads a daemon in the first 10 s.

Ruled out: the readers' pace (2 daemons read 3 times a second as meant) and lost beacons (the other 12 read nothing after the start).

Change: whether a feed was read is a flag of its own. errors.Wrap of no error is an error in this library, which made each write of the list of daemons look failed and repeated it every 2 s.

--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -79,9 +79,11 @@
 	pause time.Duration
 	// apply takes rows in; whole says that they are all rows.
 	apply func(rows platform.Rows, whole bool)
-	// since is the version up to which the feed was read; zero is nothing.
-	since uint64
-	fails int
+	// since is the version up to which the feed was read, if synced is set. An
+	// empty store's version is zero.
+	since  uint64
+	synced bool
+	fails  int
 }
 
 // Run reads until ctx ends.
@@ -96,7 +98,7 @@
 	for ctx.Err() == nil {
 		known := r.Holder.Summary()
 		if known.Config > 0 && known.Position > 0 && !r.OnDuty() {
-			t.since = 0
+			t.synced = false
 			r.sleep(ctx, idlePause)
 			continue
 		}
@@ -118,7 +120,7 @@
 	sent := r.Boot.Now()
 	var rows platform.Rows
 	var err error
-	whole := t.since == 0
+	whole := !t.synced
 	if whole {
 		rows, err = t.feed.Snapshot(ctx)
 	} else {
@@ -129,14 +131,14 @@
 	}
 	r.Store.Observe(sent, storetime.Instant(rows.NowMs))
 	t.apply(rows, whole)
-	t.since = rows.Version
+	t.since, t.synced = rows.Version, true
 	return nil
 }
 
 func (r *Reader) failed(ctx context.Context, t *topic, err error) {
 	if errors.Is(err, platform.ErrHistoryGone) {
 		r.Metrics.Inc("facts.historyGone")
-		t.since = 0
+		t.synced = false
 		return
 	}
 	if t.fails == 0 && ctx.Err() == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -232,6 +232,7 @@
 	grp.Go(func() error { g.tick(ctx); return nil })
 	grp.Go(func() error { g.keepFresh(ctx); return nil })
 	grp.Go(func() error { g.register(ctx); return nil })
+	grp.Go(func() error { g.logFigures(ctx); return nil })
 	grp.Go(func() error {
 		defer cancel()
 		return g.leave(ctx)
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -102,7 +102,10 @@
 	if c.wire == nil {
 		return errNoFeed
 	}
-	return errors.Wrap(c.send(ctx, c.wire.Put(table, key, value), true, 0, nil), "put row")
+	if err := c.send(ctx, c.wire.Put(table, key, value), true, 0, nil); err != nil {
+		return errors.Wrap(err, "put row")
+	}
+	return nil
 }
 
 // RemoveRow deletes a row.
@@ -110,7 +113,10 @@
 	if c.wire == nil {
 		return errNoFeed
 	}
-	return errors.Wrap(c.send(ctx, c.wire.Remove(table, key), true, 0, nil), "remove row")
+	if err := c.send(ctx, c.wire.Remove(table, key), true, 0, nil); err != nil {
+		return errors.Wrap(err, "remove row")
+	}
+	return nil
 }
 
 func (c *Client) rows(ctx context.Context, e Exchange, wait time.Duration) (Rows, error) {
