Follow the engines' reading by the clock, and fetch shared parts

Ruled out: slots (never full) and the coordinator's death (one of five cut machines; the bad seconds outlast it).

Change: each engine has a time at which it has read what it was given, moved by each first token; a request goes where the target can be met, and waits in the cell otherwise. Parts that another engine keeps are fetched from it. Only silence of 1.2 s moves a stream.

--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -290,8 +290,9 @@
 		})
 	default:
 		resp.Grants = append(resp.Grants, &peerv1.Grant{
-			Sequence: d.ID.Sequence,
-			Endpoint: string(d.Endpoint),
+			Sequence:  d.ID.Sequence,
+			Endpoint:  string(d.Endpoint),
+			FetchFrom: string(d.FetchFrom),
 		})
 	}
 }
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -8,8 +8,8 @@
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
 	"github.com/beechhead/beechhead/internal/placement"
-	"github.com/beechhead/beechhead/internal/service"
 	"github.com/beechhead/beechhead/internal/retrybudget"
+	"github.com/beechhead/beechhead/internal/service"
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -69,7 +69,6 @@
 	Endpoints []Endpoint
 }
 
-
 // Holder is one daemon's facts. It is safe for concurrent use.
 type Holder struct {
 	// Parse decodes the operators' document.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -22,10 +22,10 @@
 	maxWhole = 1 << 20
 	// silentTargets is after how many targets an endpoint that has sent
 	// nothing is given up, where the request may go on elsewhere. A busy
-	// endpoint may take two; a caller leaves after four.
-	silentTargets = 2
+	// endpoint takes long, and to ask another one then adds to the load.
+	silentTargets = 4
 	// minSilence bounds that from below: a lost packet takes as long.
-	minSilence = 500 * time.Millisecond
+	minSilence = 1200 * time.Millisecond
 	// silentPauses is the same for the pause between events.
 	silentPauses = 4
 )
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -68,6 +68,19 @@
 	Body func(p []byte) error
 }
 
+// Send is one send of a request.
+type Send struct {
+	Request  *Request
+	Endpoint *table.Endpoint
+	// Left is what is left of the caller's time.
+	Left time.Duration
+	// LastEvent is the id of the last event that the caller has, or empty.
+	LastEvent string
+	// FetchFrom is the address of an engine that keeps parts of the prompt, or
+	// empty.
+	FetchFrom string
+}
+
 // Verdict is what an endpoint's answer says of itself.
 type Verdict struct {
 	// NotRun says that the endpoint has not run the request and never will.
@@ -78,9 +91,8 @@
 
 // Wire has the names of the protocol towards endpoints.
 type Wire struct {
-	// Header returns the headers for one send; left is what is left of the
-	// caller's time, lastEvent the id of the last event that the caller has.
-	Header func(r *Request, e *table.Endpoint, left time.Duration, lastEvent string) http.Header
+	// Header returns the headers for one send.
+	Header func(s Send) http.Header
 	// Read tells what an answer's head says.
 	Read func(status int, h http.Header) Verdict
 	// Mine tells whether an answer belongs to the request.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -229,11 +229,15 @@
 func (r *run) attempt(ctx context.Context, grant *placement.Grant) end {
 	left := r.r.End - r.f.Boot.Now()
 	endpoint := &grant.Endpoint
+	send := Send{Request: r.r, Endpoint: endpoint, Left: left, LastEvent: r.lastEvent}
+	if grant.FetchFrom != nil {
+		send.FetchFrom = address(grant.FetchFrom)
+	}
 	x, err := r.f.Pool.Send(ctx, address(endpoint), &http1.Request{
 		Method: r.r.Method,
 		Target: r.r.Target,
 		Host:   r.r.Host,
-		Header: r.f.Wire.Header(r.r, endpoint, left, r.lastEvent),
+		Header: r.f.Wire.Header(send),
 		Body:   r.r.Body,
 		Mine:   func(h http.Header) bool { return r.f.Wire.Mine(r.r, h) },
 	})
@@ -259,4 +263,3 @@
 	_, address, _ := strings.Cut(e.URL, "://")
 	return address
 }
-
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -21,6 +21,9 @@
 // concurrent use.
 type Grant struct {
 	Endpoint table.Endpoint
+	// FetchFrom is an engine that keeps parts of the prompt which the endpoint
+	// should fetch, or nil.
+	FetchFrom *table.Endpoint
 
 	placer  *Placer
 	pending *pending
--- a/internal/placement/link.go
+++ b/internal/placement/link.go
@@ -236,7 +236,7 @@
 		return
 	}
 	w.endpoint = name
-	w.answer <- answer{endpoint: name}
+	w.answer <- answer{endpoint: name, fetchFrom: table.EndpointName(g.GetFetchFrom())}
 }
 
 func (p *Placer) refused(l *hostLink, r *peerv1.Refusal) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -114,7 +114,9 @@
 
 type answer struct {
 	endpoint table.EndpointName
-	refusal  *outcome.Refusal
+	// fetchFrom may be empty.
+	fetchFrom table.EndpointName
+	refusal   *outcome.Refusal
 }
 
 // NewPlacer returns a placer without a table.
@@ -183,7 +185,7 @@
 		if a.refusal != nil {
 			return nil, a.refusal, nil
 		}
-		g, refusal := p.accept(w, a.endpoint)
+		g, refusal := p.accept(w, a)
 		return g, refusal, nil
 	case <-ctx.Done():
 		p.withdraw(w)
@@ -191,9 +193,10 @@
 	}
 }
 
-func (p *Placer) accept(w *pending, name table.EndpointName) (*Grant, *outcome.Refusal) {
+func (p *Placer) accept(w *pending, a answer) (*Grant, *outcome.Refusal) {
 	p.mu.Lock()
-	e, ok := p.table.Endpoint(name)
+	e, ok := p.table.Endpoint(a.endpoint)
+	source, _ := p.table.Endpoint(a.fetchFrom)
 	p.mu.Unlock()
 	g := &Grant{placer: p, pending: w, granted: p.clock.Now()}
 	if !ok {
@@ -201,6 +204,7 @@
 		return nil, outcome.NotRunError(outcome.ReasonNoEndpoint, "the endpoint has left the table")
 	}
 	g.Endpoint = *e
+	g.FetchFrom = source
 	return g, nil
 }
 
--- a/internal/schedule/batch.go
+++ b/internal/schedule/batch.go
@@ -1,111 +1,246 @@
 package schedule
 
-import "container/list"
+import "time"
 
 // An engine that batches its requests reads prompts in turn, between the
 // tokens of the requests that run. A request's first token waits for all that
 // is to be read before, and each prompt slows down what runs beside it. So
 // such an engine is chosen by what it has to read. Its own reports lag by
-// hundreds of milliseconds; the cell books what it grants and learns from each
-// first token that a prompt has been read.
+// hundreds of milliseconds; the cell books what it grants, follows the reading
+// by the clock, and corrects itself by each first token.
 
 const (
-	// missWeight is how many tokens that wait to be read are as bad as one
-	// that must be read although another engine keeps it. What is read in vain
-	// delays everyone beside it and drives out what others will need.
-	missWeight = 6
-	// runWeight is how many tokens that wait to be read are as bad as one more
-	// running request, which slows down the others of its batch.
+	// firstReadRate is how many tokens an engine is thought to read a second
+	// until that is known.
+	firstReadRate = 70_000
+	// firstOverhead is the time from the end of reading to the first token
+	// until that is known.
+	firstOverhead = 100 * time.Millisecond
+	// longRead is from how many tokens on a prompt tells of an engine's rate;
+	// with less to read, the overhead hides it.
+	longRead = 5_000
+	// shortRead is up to how many tokens a prompt tells of the overhead.
+	shortRead = 1_500
+	// readShare is the weight of a new sample of both.
+	readShare = 0.05
+	// pairCost is by how much a token costs more to read for each token before
+	// it: attention grows with the square of the prompt.
+	pairCost = 1.6e-5
+	// targetShare is the part of a class's target that may be spent until the
+	// first token as it is expected; the rest is for what is not.
+	targetShare = 0.7
+	// minBacklog is the backlog with which an engine may always be chosen, so
+	// that it does not run dry while a grant is on its way.
+	minBacklog = 40 * time.Millisecond
+	// maxBacklog is the backlog beyond which nothing more is sent. What waits
+	// here can still go elsewhere.
+	maxBacklog = 700 * time.Millisecond
+	// overdueSlack is how late a first token may be before the engine is
+	// thought to lag behind what is booked.
+	overdueSlack = 80 * time.Millisecond
+)
+
+// The weights of a choice, in tokens to be read.
+const (
+	// runWeight is for each running request: it slows down the others of its
+	// batch.
 	runWeight = 100
-	// farWeight is the same for a request that leaves its availability zone.
-	farWeight = 60
+	// farWeight is for a request that leaves its availability zone.
+	farWeight = 300
+	// againWeight is for each token that is read though another engine has
+	// read it lately: what is read in vain delays everyone beside it and
+	// drives out what others will need.
+	againWeight = 12
+	// fetchWeight is for each token that is fetched from another engine.
+	fetchWeight = 0.6
+	// recentUse is how long after its last use a part counts as read lately.
+	recentUse = 10 * time.Second
 )
 
 // batch is what a cell has booked on a batching engine.
 type batch struct {
-	// unread is the sum of the tokens that running requests wait to be read.
-	unread int
 	// held is the memory that running requests take, in tokens.
 	held  int
 	parts partList
+	// readyAt is when the engine is expected to have read all it was given.
+	readyAt time.Duration
+	// shift is the sum of the corrections of readyAt.
+	shift time.Duration
+	// unread has the requests without a first token, in order of their grants.
+	unread []*entry
+}
+
+// readCost is how much an engine has to read of a prompt of which it has the
+// first tokens, in tokens at the start of a prompt.
+func readCost(prompt, has int) float64 {
+	return float64(prompt-has) * (1 + pairCost*float64(prompt+has))
 }
 
+// readTime is how long an engine takes to read so much.
+func (c *Cell) readTime(e *endpointState, cost float64) time.Duration {
+	return time.Duration(cost / c.readRate * e.health.slowness(c.medianToken) * float64(time.Second))
+}
+
+// backlog returns how long an engine will be reading what it was given.
+func (b *batch) backlog(now time.Duration) time.Duration {
+	backlog := max(0, b.readyAt-now)
+	if len(b.unread) == 0 {
+		return 0
+	}
+	if late := now - b.due(b.unread[0]) - overdueSlack; late > 0 {
+		backlog += late
+	}
+	return backlog
+}
+
+// due returns when a request's first token is expected.
+func (b *batch) due(g *entry) time.Duration { return g.due + b.shift - g.shift }
+
 // book notes what a grant means for the engine.
-func (e *endpointState) book(g *entry) {
+func (c *Cell) book(e *endpointState, g *entry, now time.Duration) {
 	if e.policy.Memory == 0 {
 		return
 	}
 	r := &g.request
-	g.unread = r.PromptTokens - e.batch.parts.cached(r.Parts)
+	b := &e.batch
+	has := max(b.parts.cached(r.Parts), g.fetched)
+	g.reads = readCost(r.PromptTokens, has)
+	g.idle = len(b.unread) == 0
 	g.held = r.PromptTokens + r.EstimatedTokens
-	e.batch.unread += g.unread
-	g.toRead = e.batch.unread
-	e.batch.held += g.held
-	e.batch.parts.use(r.Parts, e.policy.Memory-e.batch.held)
+	b.held += g.held
+	b.readyAt = max(b.readyAt, now) + c.readTime(e, g.reads)
+	g.due = b.readyAt + c.overhead
+	g.shift = b.shift
+	b.unread = append(b.unread, g)
+	b.parts.use(r.Parts, e.policy.Memory-b.held)
+	for _, p := range r.Parts {
+		c.lastUse[p.ID] = now
+	}
 }
 
-// begin notes that the engine has read a request's prompt.
-func (e *endpointState) begin(g *entry) {
-	e.batch.unread -= g.unread
-	g.unread = 0
+// begin notes the first token of a request: the engine has read its prompt.
+func (c *Cell) begin(g *entry, now time.Duration) {
+	b := &g.endpoint.batch
+	if !b.forget(g) {
+		return
+	}
+	late := now - b.due(g)
+	b.shift += late
+	b.readyAt += late
+	c.learnReading(g, now)
+}
+
+// learnReading takes in how long an engine took that had nothing else to read.
+func (c *Cell) learnReading(g *entry, now time.Duration) {
+	took := now - g.granted
+	switch {
+	case !g.idle:
+	case g.reads <= shortRead:
+		c.overhead += time.Duration(readShare * float64(took-c.overhead))
+	case g.reads >= longRead && took > c.overhead:
+		rate := g.reads / (took - c.overhead).Seconds()
+		c.readRate += readShare * (rate - c.readRate)
+	}
 }
 
 // unbook notes the end of a grant.
 func (e *endpointState) unbook(g *entry) {
-	e.begin(g)
+	e.batch.forget(g)
 	e.batch.held -= g.held
 	g.held = 0
 }
 
+// forget takes a request out of those without a first token; false means that
+// it was not there.
+func (b *batch) forget(g *entry) bool {
+	for i, one := range b.unread {
+		if one == g {
+			b.unread = append(b.unread[:i], b.unread[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// takesPrompt tells whether a batching engine may be given a request now: it
+// has the memory, and the first token is expected in time. A request that is
+// late already gets what those in time leave.
+func (c *Cell) takesPrompt(e *endpointState, r *Request, now time.Duration) bool {
+	if e.policy.Memory == 0 {
+		return true
+	}
+	if e.running > 0 && e.batch.held+r.PromptTokens+r.EstimatedTokens > e.policy.Memory {
+		return false
+	}
+	return e.batch.backlog(now) <= c.patience(r)
+}
+
+// patience returns the backlog that a request may find at an engine.
+func (c *Cell) patience(r *Request) time.Duration {
+	q := c.class(r.Class)
+	if q == nil || q.policy.Target == 0 {
+		return maxBacklog
+	}
+	own := time.Duration(readCost(r.PromptTokens, 0) / c.readRate * float64(time.Second))
+	left := time.Duration(targetShare*float64(q.policy.Target)) - c.overhead - own
+	return min(max(left, minBacklog), maxBacklog)
+}
+
 // batchCost is how bad it is to give a request to a batching engine, in tokens
-// that wait to be read.
-func (c *Cell) batchCost(e *endpointState, r *Request) float64 {
-	missing := r.PromptTokens - e.batch.parts.cached(r.Parts)
-	cost := float64(e.batch.unread + missWeight*missing + runWeight*e.running)
+// to be read. It returns the engine to fetch parts from, if that helps.
+func (c *Cell) batchCost(e *endpointState, r *Request, now time.Duration) (cost float64, source *endpointState) {
+	has := e.batch.parts.cached(r.Parts)
+	kept := has
+	if s, n := c.keeper(r, e, now); n > has+minFetch {
+		source, kept = s, n
+	}
+	cost = e.batch.backlog(now).Seconds() * c.readRate
+	cost += readCost(r.PromptTokens, kept) + fetchWeight*float64(kept-has) + runWeight*float64(e.running)
+	cost += againWeight * float64(c.readLately(r, kept, now))
 	if e.policy.Zone != r.Zone {
 		cost += farWeight
 	}
-	return cost * e.health.slowness(c.medianToken)
+	return cost * e.health.slowness(c.medianToken), source
 }
 
-// partList is what an engine is thought to keep, the least recently used part
-// first. The zero value is empty.
-type partList struct {
-	order  *list.List
-	byID   map[uint64]*list.Element
-	tokens int
+// minFetch is how many tokens a fetch must save to be worth its set-up.
+const minFetch = 64
+
+// keeper returns the engine, other than e, that keeps the most of a prompt.
+func (c *Cell) keeper(r *Request, e *endpointState, now time.Duration) (best *endpointState, most int) {
+	for _, other := range c.list {
+		if other == e || other.health.ejected(now) || other.gone {
+			continue
+		}
+		if n := other.batch.parts.cached(r.Parts); n > most {
+			best, most = other, n
+		}
+	}
+	return best, most
 }
 
-// cached returns how many tokens from the start of a prompt are kept.
-func (l *partList) cached(parts []Part) int {
-	n := 0
-	for _, p := range parts {
-		if _, ok := l.byID[p.ID]; !ok {
-			return n
+// readLately returns how many tokens after those that an engine has were read
+// by some engine not long ago.
+func (c *Cell) readLately(r *Request, has int, now time.Duration) int {
+	n, at := 0, 0
+	for _, p := range r.Parts {
+		at += p.Tokens
+		if used, ok := c.lastUse[p.ID]; ok && at > has && now-used < recentUse {
+			n += p.Tokens
 		}
-		n += p.Tokens
 	}
 	return n
 }
 
-// use notes that a prompt is read, and forgets the parts that must make room.
-func (l *partList) use(parts []Part, room int) {
-	if l.order == nil {
-		l.order = list.New()
-		l.byID = map[uint64]*list.Element{}
+// forgetUses drops the parts that have not been used for long.
+func (c *Cell) forgetUses(now time.Duration) {
+	if now-c.usesSwept < recentUse {
+		return
 	}
-	for _, p := range parts {
-		if e, ok := l.byID[p.ID]; ok {
-			l.order.MoveToBack(e)
-			continue
+	c.usesSwept = now
+	for id, used := range c.lastUse {
+		if now-used >= recentUse {
+			delete(c.lastUse, id)
 		}
-		l.byID[p.ID] = l.order.PushBack(p)
-		l.tokens += p.Tokens
-	}
-	for l.tokens > room && l.order.Len() > 0 {
-		oldest := l.order.Front()
-		p, _ := l.order.Remove(oldest).(Part)
-		delete(l.byID, p.ID)
-		l.tokens -= p.Tokens
 	}
 }
--- a/internal/schedule/cell.go
+++ b/internal/schedule/cell.go
@@ -20,7 +20,9 @@
 	// list has the endpoints sorted by name.
 	list []*endpointState
 	// places is the sum of the endpoints' concurrency.
-	places   int
+	places int
+	// batching says that some endpoint batches its requests.
+	batching bool
 	prefixes prefixTable
 
 	entries map[RequestID]*entry
@@ -45,6 +47,14 @@
 	// in seconds.
 	firstPerToken average
 	judged        time.Duration
+	// readRate is how many tokens an engine reads a second, overhead the time
+	// from then to the first token.
+	readRate float64
+	overhead time.Duration
+	// lastUse has when each part of a prompt was last used, usesSwept when
+	// old ones were last dropped.
+	lastUse   map[uint64]time.Duration
+	usesSwept time.Duration
 	// unjudged says that something was measured since the last judgement.
 	unjudged bool
 	scratch  []float64
@@ -62,6 +72,9 @@
 		sinceAged: agedEvery,
 		estimates: NewEstimator(),
 		meanWork:  average{value: defaultTokens},
+		readRate:  firstReadRate,
+		overhead:  firstOverhead,
+		lastUse:   map[uint64]time.Duration{},
 	}
 }
 
@@ -87,6 +100,7 @@
 func (c *Cell) Step() []Decision {
 	now := c.now()
 	c.judge(now)
+	c.forgetUses(now)
 	c.grantAll(now)
 	c.shedExpired(now)
 	c.shedOverflow(now)
--- a/internal/schedule/configure.go
+++ b/internal/schedule/configure.go
@@ -77,6 +77,7 @@
 	c.endpoints = map[Endpoint]*endpointState{}
 	c.list = c.list[:0]
 	c.places = 0
+	c.batching = false
 	for _, p := range policies {
 		e := old[p.Name]
 		delete(old, p.Name)
@@ -87,6 +88,7 @@
 		c.endpoints[p.Name] = e
 		c.list = append(c.list, e)
 		c.places += p.Concurrency
+		c.batching = c.batching || p.Memory > 0
 	}
 	for _, e := range old {
 		e.gone = true
--- a/internal/schedule/endpoint.go
+++ b/internal/schedule/endpoint.go
@@ -73,49 +73,41 @@
 	return e.running == 0 || e.running+e.foreign(now) < limit
 }
 
-// fits tells whether the engine has the memory for a request.
-func (e *endpointState) fits(r *Request) bool {
-	if e.policy.Memory == 0 || e.running == 0 {
-		return true
-	}
-	return e.batch.held+r.PromptTokens+r.EstimatedTokens <= e.policy.Memory
-}
-
 // choose returns the endpoint for a request, or nil if none is free.
-func (c *Cell) choose(r *Request, work float64, now time.Duration) *endpointState {
+// It also returns the engine from which parts of the prompt are to be fetched.
+func (c *Cell) choose(r *Request, work float64, now time.Duration) (best, source *endpointState) {
 	switch c.discipline {
 	case RoundRobin:
-		return c.inTurn(r)
+		return c.inTurn(r), nil
 	case LeastOutstanding:
-		return c.fewestGrants(r)
+		return c.fewestGrants(r), nil
 	}
 	if home := c.prefixes.get(r.Prefix); home != nil && c.withinBound(home) && c.usable(home, r, now) {
-		return home
+		return home, nil
 	}
-	var best *endpointState
 	var least float64
 	for _, e := range c.list {
 		if !c.usable(e, r, now) {
 			continue
 		}
-		cost := c.costOf(e, r, work, now)
+		cost, from := c.costOf(e, r, work, now)
 		if best == nil || cost < least || (cost == least && e.turn < best.turn) {
-			best, least = e, cost
+			best, source, least = e, from, cost
 		}
 	}
-	return best
+	return best, source
 }
 
 func (c *Cell) usable(e *endpointState, r *Request, now time.Duration) bool {
-	return e.free(now) && e.fits(r) && (len(r.Excluded) == 0 || !slices.Contains(r.Excluded, e.policy.Name))
+	return e.free(now) && c.takesPrompt(e, r, now) && (len(r.Excluded) == 0 || !slices.Contains(r.Excluded, e.policy.Name))
 }
 
 // costOf is the cost of a request at an endpoint; the least is best.
-func (c *Cell) costOf(e *endpointState, r *Request, work float64, now time.Duration) float64 {
+func (c *Cell) costOf(e *endpointState, r *Request, work float64, now time.Duration) (float64, *endpointState) {
 	if e.policy.Memory > 0 {
-		return c.batchCost(e, r)
+		return c.batchCost(e, r, now)
 	}
-	return c.cost(e, work, now)
+	return c.cost(e, work, now), nil
 }
 
 // cost is how long the endpoint is expected to be busy with its work and the
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -128,11 +128,7 @@
 	if h.stale(g.granted) {
 		return
 	}
-	if e.policy.Memory > 0 {
-		// What the engine read before the first token is what counts there.
-		promptTokens = g.toRead
-	}
-	if p.FirstToken > 0 {
+	if p.FirstToken > 0 && e.policy.Memory == 0 {
 		perToken := p.FirstToken.Seconds() / float64(promptTokens+firstTokenBase)
 		h.first.add(perToken)
 		c.firstPerToken.add(perToken)
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -21,16 +21,17 @@
 		if e == nil {
 			break
 		}
-		to := c.choose(&e.request, e.work, now)
+		to, source := c.choose(&e.request, e.work, now)
 		if to != nil {
-			c.grant(e, to, aged, now)
+			c.grant(e, to, source, aged, now)
 			continue
 		}
-		if len(e.request.Excluded) == 0 {
+		if len(e.request.Excluded) == 0 && !c.batching {
 			break
 		}
 		// No endpoint that the request may use is free: those behind it
-		// must not wait for it.
+		// must not wait for it. Engines that batch are free for some requests
+		// and not for others.
 		e.class.remove(e)
 		c.waiting--
 		c.setAside = append(c.setAside, e)
@@ -96,7 +97,7 @@
 	return worst.oldest.first()
 }
 
-func (c *Cell) grant(e *entry, to *endpointState, aged bool, now time.Duration) {
+func (c *Cell) grant(e *entry, to, source *endpointState, aged bool, now time.Duration) {
 	q := e.class
 	if aged {
 		c.sinceAged = 0
@@ -115,9 +116,14 @@
 	q.figures.granted++
 	q.figures.longestWait = max(q.figures.longestWait, now-e.since)
 	e.aged = aged
+	d := Decision{ID: e.request.ID, Endpoint: to.policy.Name}
+	if source != nil {
+		e.fetched = source.batch.parts.cached(e.request.Parts)
+		d.FetchFrom = source.policy.Name
+	}
 	c.run(e, to, now)
 	c.prefixes.put(e.request.Prefix, to, now)
-	c.decide(Decision{ID: e.request.ID, Endpoint: to.policy.Name})
+	c.decide(d)
 }
 
 // run books an entry on an endpoint.
@@ -127,7 +133,7 @@
 	to.running++
 	to.load.peak = max(to.load.peak, to.running)
 	to.outstanding += e.work
-	to.book(e)
+	c.book(to, e, now)
 	c.running++
 	e.endpoint = to
 	e.granted = now
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -18,12 +18,16 @@
 	// position is the entry's place in each heap, or noPosition.
 	position [entryHeaps]int
 
-	// unread is how many tokens of the prompt the engine has to read, until
-	// the first token shows that it has; held is what it keeps for the entry.
-	unread, held int
-	// toRead is what the engine had to read when the entry came, with its own
-	// prompt.
-	toRead int
+	// reads is what the engine had to read of the prompt, held what it keeps
+	// for the entry, fetched what it fetches from another engine; in tokens.
+	reads   float64
+	held    int
+	fetched int
+	// idle says that the engine had nothing else to read.
+	idle bool
+	// due is when the first token was expected, as booked when the engine's
+	// corrections summed up to shift.
+	due, shift time.Duration
 	// endpoint is set while the entry runs.
 	endpoint *endpointState
 	granted  time.Duration
--- a/internal/schedule/request.go
+++ b/internal/schedule/request.go
@@ -132,7 +132,7 @@
 	e.account = q.account(h.Account)
 	c.run(e, to, now)
 	if h.Begun {
-		to.begin(e)
+		to.batch.forget(e)
 	}
 }
 
@@ -175,7 +175,7 @@
 	now := c.now()
 	c.succeeded(e.endpoint, now)
 	c.measured(e, p, now)
-	e.endpoint.begin(e)
+	c.begin(e, now)
 }
 
 func (c *Cell) refuseArrival(q *classQueue, id RequestID, why Refusal, now time.Duration) {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -172,6 +172,9 @@
 	ID RequestID
 	// Endpoint is set for a grant.
 	Endpoint Endpoint
+	// FetchFrom names an engine that keeps parts of the prompt which the
+	// endpoint should fetch; it may be empty.
+	FetchFrom Endpoint
 	// Refusal is set for a refusal.
 	Refusal    Refusal
 	RetryAfter time.Duration
