--- /dev/null
+++ b/internal/facts/duty_test.go
@@ -0,0 +1,48 @@
+package facts
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/beechhead/beechhead/internal/membership"
+)
+
+// TestDuty plays cases of who reads the store from a file: the hosts in their
+// order, how long ago each was heard to have read, and who is to read now.
+func TestDuty(t *testing.T) {
+	data, err := os.ReadFile("testdata/duty.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []struct {
+		Name    string
+		Order   []membership.HostID
+		AgoMs   map[membership.HostID]int
+		Readers []membership.HostID
+	}
+	if err := json.Unmarshal(data, &cases); err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range cases {
+		t.Run(tt.Name, func(t *testing.T) {
+			want := map[membership.HostID]bool{}
+			for _, id := range tt.Readers {
+				want[id] = true
+			}
+			var order []membership.Host
+			for _, id := range tt.Order {
+				order = append(order, membership.Host{ID: id})
+			}
+			ago := func(id membership.HostID) time.Duration {
+				return time.Duration(tt.AgoMs[id]) * time.Millisecond
+			}
+			for _, id := range tt.Order {
+				if got := Duty(id, order, ago); got != want[id] {
+					t.Errorf("%s reads: %v, want %v", id, got, want[id])
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/facts/facts_test.go
@@ -0,0 +1,219 @@
+package facts
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/beechhead/beechhead/internal/boottime"
+	"github.com/beechhead/beechhead/internal/catalog"
+	"github.com/beechhead/beechhead/internal/metric"
+	"github.com/beechhead/beechhead/internal/platform"
+	"github.com/beechhead/beechhead/internal/storetime"
+)
+
+func parse(data []byte) (*catalog.Catalog, error) {
+	if strings.HasPrefix(string(data), "bad") {
+		return nil, errors.New("bad")
+	}
+	c := &catalog.Catalog{}
+	c.Index()
+	return c, nil
+}
+
+// site is a holder with the clocks around it. The store's clock shows the
+// local time.
+type site struct {
+	boot   *boottime.Fake
+	clock  *storetime.Clock
+	holder *Holder
+}
+
+func newSite() *site {
+	boot := &boottime.Fake{}
+	clock := storetime.NewClock(boot)
+	clock.Observe(0, 0)
+	return &site{boot: boot, clock: clock, holder: NewHolder(clock, parse)}
+}
+
+func (s *site) now() storetime.Instant { return storetime.Instant(s.boot.Now() / time.Millisecond) }
+
+// An operator's edit is in force; a daemon that was cut off comes back and
+// tells of the one before. The older one must change nothing, nor make the
+// newer one look fresh.
+func TestConfigNeverFalls(t *testing.T) {
+	s := newSite()
+	if err := s.holder.SetConfig(Config{Version: 7, Data: []byte("seven")}, 0); err != nil {
+		t.Fatal(err)
+	}
+	s.boot.Advance(4 * time.Second)
+	if err := s.holder.SetConfig(Config{Version: 5, Data: []byte("five")}, s.now()); err != nil {
+		t.Fatal(err)
+	}
+	if got := s.holder.Summary().Config; got != 7 {
+		t.Errorf("version %d is in force, want 7", got)
+	}
+}
+
+// A key is taken away while this daemon is cut off from the store. Another
+// daemon that has the newer configuration tells that it is fresh; that must
+// not make the old one here look fresh, or the key would be used on.
+func TestFreshnessOfANewerVersionDoesNotCount(t *testing.T) {
+	s := newSite()
+	if err := s.holder.SetConfig(Config{Version: 7, Data: []byte("seven")}, 0); err != nil {
+		t.Fatal(err)
+	}
+	s.boot.Advance(4 * time.Second)
+	s.holder.ConfirmConfig(8, s.now())
+	if age, _ := s.holder.ConfigAge(); age < 4*time.Second {
+		t.Errorf("the configuration counts as %v old, want 4s", age)
+	}
+	s.holder.ConfirmConfig(7, s.now())
+	if age, _ := s.holder.ConfigAge(); age > 100*time.Millisecond {
+		t.Errorf("the configuration counts as %v old after it was vouched for", age)
+	}
+}
+
+// A document that can't be read changes nothing, and the one in force ages.
+func TestUnreadableConfigChangesNothing(t *testing.T) {
+	s := newSite()
+	if err := s.holder.SetConfig(Config{Version: 7, Data: []byte("seven")}, 0); err != nil {
+		t.Fatal(err)
+	}
+	s.boot.Advance(time.Second)
+	if err := s.holder.SetConfig(Config{Version: 8, Data: []byte("bad")}, s.now()); err == nil {
+		t.Fatal("a document that can't be read was taken")
+	}
+	if got := s.holder.Summary(); got.Config != 7 || got.ConfigAsOf != 0 {
+		t.Errorf("in force: %+v", got)
+	}
+}
+
+// A daemon hears from a reader that nothing changed after the position that it
+// has itself; it is as fresh as the reader. If something did, it is not.
+func TestEndpointsAreVouchedForOnlyWithoutGaps(t *testing.T) {
+	s := newSite()
+	s.holder.Merge([]Endpoint{{ID: "a", Changed: 10}}, 12, 0, true)
+	s.boot.Advance(time.Second)
+	s.holder.ConfirmEndpoints(10, 20, s.now())
+	if got := s.holder.Summary(); got.Position != 20 || got.EndpointsAsOf != s.now() {
+		t.Errorf("after a confirmation without a gap: %+v", got)
+	}
+	s.boot.Advance(time.Second)
+	s.holder.ConfirmEndpoints(25, 30, s.now())
+	if got := s.holder.Summary(); got.Position != 20 {
+		t.Errorf("a gap was passed over: %+v", got)
+	}
+}
+
+// What one daemon tells another that lacks a part leads to the same list.
+func TestSinceLeadsToTheSame(t *testing.T) {
+	a, b := newSite(), newSite()
+	a.holder.Merge([]Endpoint{{ID: "x", Changed: 3}, {ID: "y", Changed: 4}}, 5, 0, true)
+	if err := b.holder.Learn(a.holder.Since(0, 0)); err != nil {
+		t.Fatal(err)
+	}
+	a.holder.Merge([]Endpoint{{ID: "x", Changed: 8, Draining: true}, {ID: "y", Changed: 9, Gone: true}}, 9, 0, false)
+	if err := b.holder.Learn(a.holder.Since(0, b.holder.Summary().Position)); err != nil {
+		t.Fatal(err)
+	}
+	got := b.holder.Endpoints()
+	if len(got) != 1 || got[0].ID != "x" || !got[0].Draining {
+		t.Errorf("known after both: %+v", got)
+	}
+}
+
+func newRegistrations(s *site) *registrations {
+	return &registrations{
+		reader: &Reader{
+			Clock:   clockwork.NewFakeClock(),
+			Boot:    s.boot,
+			Store:   s.clock,
+			Holder:  s.holder,
+			Metrics: metric.NewRegistry(),
+			DecodeEndpoint: func(row platform.FeedRow) (Endpoint, bool) {
+				return Endpoint{ID: EndpointID(row.Key), Address: string(row.Value)}, len(row.Value) > 0
+			},
+		},
+		present: map[EndpointID]bool{},
+		held:    map[EndpointID]bool{},
+	}
+}
+
+func (s *site) rows(version uint64, rows ...platform.FeedRow) platform.Rows {
+	return platform.Rows{Rows: rows, Version: version, NowMs: int64(s.now())}
+}
+
+func ids(endpoints []Endpoint) string {
+	var all []string
+	for _, e := range endpoints {
+		all = append(all, string(e.ID))
+	}
+	return strings.Join(all, " ")
+}
+
+// The store is down for seconds and every entry lapses. After its return the
+// endpoints register again one by one. Requests must not be refused meanwhile
+// for want of endpoints; one that does not come back is gone after the grace.
+func TestEntriesThatLapsedInAnOutageAreHeld(t *testing.T) {
+	s := newSite()
+	g := newRegistrations(s)
+	g.apply(s.rows(2, platform.FeedRow{Key: "a", Version: 1, Value: []byte("x")}, platform.FeedRow{Key: "b", Version: 2, Value: []byte("y")}), true)
+	s.boot.Advance(6 * time.Second)
+	g.apply(s.rows(3), true)
+	if got := ids(s.holder.Endpoints()); got != "a b" {
+		t.Fatalf("right after the return: %q, want both held", got)
+	}
+	s.boot.Advance(time.Second)
+	g.apply(s.rows(4, platform.FeedRow{Key: "b", Version: 4, Value: []byte("y")}), false)
+	s.boot.Advance(returnGrace / 2)
+	g.apply(s.rows(5), false)
+	s.boot.Advance(returnGrace / 2)
+	g.apply(s.rows(6), false)
+	if got := ids(s.holder.Endpoints()); got != "b" {
+		t.Errorf("after the grace: %q, want b", got)
+	}
+	if e, _ := s.holder.Endpoint("a"); e.Changed != 6 {
+		t.Errorf("a changed at %d; daemons that know all up to 5 would miss it", e.Changed)
+	}
+}
+
+// Without an outage, an entry that goes is gone at once.
+func TestEntryGoesAtOnce(t *testing.T) {
+	s := newSite()
+	g := newRegistrations(s)
+	g.apply(s.rows(2, platform.FeedRow{Key: "a", Version: 1, Value: []byte("x")}), true)
+	s.boot.Advance(500 * time.Millisecond)
+	g.apply(s.rows(3, platform.FeedRow{Key: "a", Version: 3, Removed: true}), false)
+	if got := ids(s.holder.Endpoints()); got != "" {
+		t.Errorf("after the removal: %q", got)
+	}
+}
+
+// Somebody else writes an entry that can't be read over an endpoint's, and one
+// of its own. Neither names an endpoint, and the others stay.
+func TestForeignEntriesNameNoEndpoint(t *testing.T) {
+	s := newSite()
+	g := newRegistrations(s)
+	g.apply(s.rows(2, platform.FeedRow{Key: "a", Version: 1, Value: []byte("x")}, platform.FeedRow{Key: "b", Version: 2, Value: []byte("y")}), true)
+	g.apply(s.rows(4, platform.FeedRow{Key: "a", Version: 3}, platform.FeedRow{Key: "c", Version: 4}), false)
+	if got := ids(s.holder.Endpoints()); got != "b" {
+		t.Errorf("known: %q, want b", got)
+	}
+}
+
+// An endpoint starts again under its old id. It has another name, so that what
+// was known of its load, health and memory does not count.
+func TestNewStartIsAnotherEndpoint(t *testing.T) {
+	before := Endpoint{ID: "a", Born: 1000}
+	after := Endpoint{ID: "a", Born: 2000}
+	if before.Name() == after.Name() {
+		t.Errorf("both are named %s", before.Name())
+	}
+	if IDOf(before.Name()) != "a" || IDOf(after.Name()) != "a" || IDOf("b") != "b" {
+		t.Error("the id is not found in the name")
+	}
+}
--- /dev/null
+++ b/internal/framing/framing_test.go
@@ -0,0 +1,78 @@
+package framing
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// A caller sends a request with both a Content-Length and chunks. net/http
+// takes the chunks and goes on after them, so that what the caller wrote as a
+// part of the body is answered, and run, as a request of its own.
+func TestConflict(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		stream string
+		want   bool
+	}{
+		{"no body", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", false},
+		{"a length", "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.1\r\n\r\n", false},
+		{"chunks", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n", false},
+		{"chunks with extension and trailer", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\nA: b\r\n\r\nGET / HTTP/1.1\r\n\r\n", false},
+		{"a body that looks like a conflict", "POST / HTTP/1.1\r\nContent-Length: 56\r\n\r\nPOST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", false},
+		{"length and chunks", "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true},
+		{"chunks and length", "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\nCONTENT-LENGTH: 3\r\n\r\n0\r\n\r\n", true},
+		{"two lengths", "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", true},
+		{"one length twice", "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc", true},
+		{"chunked twice", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true},
+		{"a list of lengths", "POST / HTTP/1.1\r\nContent-Length: 3, 3\r\n\r\nabc", true},
+		{"a negative length", "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", true},
+		{"a conflict in the second request", "GET / HTTP/1.1\r\n\r\nPOST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true},
+		{"a chunk without a size", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n", true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			for _, step := range []int{1, 3, len(tt.stream)} {
+				var s Scanner
+				for rest := tt.stream; rest != ""; {
+					n := min(step, len(rest))
+					s.Scan([]byte(rest[:n]))
+					rest = rest[n:]
+				}
+				if s.Conflict() != tt.want {
+					t.Errorf("in steps of %d: conflict %v, want %v", step, s.Conflict(), tt.want)
+				}
+			}
+		})
+	}
+}
+
+// FuzzScanner compares the scanner with net/http: as long as it sees no
+// conflict, both find the same number of requests.
+func FuzzScanner(f *testing.F) {
+	f.Add("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	f.Add("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	f.Fuzz(func(t *testing.T, stream string) {
+		r := bufio.NewReader(strings.NewReader(stream))
+		var whole bytes.Buffer
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+				return
+			}
+			read := len(stream) - r.Buffered()
+			whole.Reset()
+			whole.WriteString(stream[:read])
+			var s Scanner
+			s.Scan(whole.Bytes())
+			if !s.Conflict() && s.state != inHead {
+				t.Fatalf("after %q the scanner stands at %d", whole.String(), s.state)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/http1/http1_test.go
@@ -0,0 +1,211 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+)
+
+// scripted is a scripted endpoint on loopback: it plays one list of steps on
+// each connection that it accepts, in order.
+type scripted struct {
+	listener net.Listener
+	requests chan string
+}
+
+// step is what an endpoint does on a connection: it reads a request if Read
+// is set, writes Write, and closes or resets if told to.
+type step struct {
+	Read  bool
+	Write string
+	Close bool
+	Reset bool
+}
+
+func newEndpoint(t *testing.T, conns [][]step) *scripted {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &scripted{listener: l, requests: make(chan string, 16)}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for _, steps := range conns {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = c.Close() })
+			go e.play(c, steps)
+		}
+	}()
+	return e
+}
+
+func (e *scripted) play(c net.Conn, steps []step) {
+	r := bufio.NewReader(c)
+	for _, s := range steps {
+		if s.Read {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			body, _ := io.ReadAll(req.Body)
+			e.requests <- req.Method + " " + req.RequestURI + " " + string(body)
+		}
+		_, _ = io.WriteString(c, s.Write)
+		switch {
+		case s.Reset:
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		case s.Close:
+			_ = c.Close()
+		}
+	}
+}
+
+func newTestPool() *Pool {
+	return NewPool(clockwork.NewRealClock(), Dial)
+}
+
+// exchangeOnce sends one request and returns its answer's body.
+func exchangeOnce(p *Pool, address, id string) (string, error) {
+	x, err := p.Send(context.Background(), address, &Request{
+		Method: http.MethodPost,
+		Target: "/a?b=%7c|",
+		Host:   "x.example",
+		Header: http.Header{"Id": {id}},
+		Body:   []byte(id),
+		Mine:   func(h http.Header) bool { return h.Get("Id") == "" || h.Get("Id") == id },
+	})
+	if err != nil {
+		return "", err
+	}
+	resp, err := x.Response()
+	if err != nil {
+		x.Abort()
+		return "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		x.Abort()
+		return string(body), err
+	}
+	x.Finish()
+	return string(body), nil
+}
+
+// TestScripts plays what faulty endpoints do from a file: for each request the
+// body that the caller gets, or "error", and how many connections it took.
+func TestScripts(t *testing.T) {
+	data, err := os.ReadFile("testdata/scripts.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var scripts []struct {
+		Name   string
+		Conns  [][]step
+		Want   []string
+		Opened int64
+	}
+	if err := json.Unmarshal(data, &scripts); err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range scripts {
+		t.Run(tt.Name, func(t *testing.T) {
+			e := newEndpoint(t, tt.Conns)
+			p := newTestPool()
+			for i, want := range tt.Want {
+				id := string(rune('1' + i))
+				got, err := exchangeOnce(p, e.listener.Addr().String(), id)
+				if err != nil {
+					got = "error"
+				}
+				if got != want {
+					t.Errorf("request %s: %q (%v), want %q", id, got, err, want)
+				}
+			}
+			if opened := p.Opened.Load(); opened != tt.Opened {
+				t.Errorf("%d connections, want %d", opened, tt.Opened)
+			}
+		})
+	}
+}
+
+// The target reaches the endpoint byte for byte.
+func TestTargetIsUnchanged(t *testing.T) {
+	e := newEndpoint(t, [][]step{{{Read: true, Write: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}}})
+	if _, err := exchangeOnce(newTestPool(), e.listener.Addr().String(), "1"); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-e.requests; got != "POST /a?b=%7c| 1" {
+		t.Errorf("the endpoint got %q", got)
+	}
+}
+
+// Nothing listens at the address: the request was certainly not sent.
+func TestNothingListens(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	if _, err := exchangeOnce(newTestPool(), l.Addr().String(), "1"); !errors.Is(err, ErrNotSent) {
+		t.Errorf("error %v, want ErrNotSent", err)
+	}
+}
+
+// An endpoint refuses a long request before it has read it, and keeps the
+// connection. What comes next on it would be taken for the rest of the body,
+// so the connection must not be used again.
+func TestEarlyAnswerSpoilsTheConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = c.Close() })
+			_, _ = bufio.NewReader(c).ReadString('\n')
+			_, _ = io.WriteString(c, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno")
+		}
+	}()
+	p := newTestPool()
+	for range 2 {
+		x, err := p.Send(context.Background(), l.Addr().String(), &Request{
+			Method: http.MethodPost,
+			Target: "/",
+			Host:   "x.example",
+			Body:   []byte(strings.Repeat("x", 64<<20)),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := x.Response()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "no" {
+			t.Fatalf("answer %q, %v", body, err)
+		}
+		x.Finish()
+	}
+	if opened := p.Opened.Load(); opened != 2 {
+		t.Errorf("%d connections, want one a request", opened)
+	}
+}
