--- /dev/null
+++ b/internal/gateway/site_test.go
@@ -0,0 +1,282 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/beechhead/beechhead/internal/settings"
+	"github.com/beechhead/beechhead/pkg/table"
+	"github.com/beechhead/beechhead/platform"
+	"github.com/beechhead/beechhead/platform/standin"
+)
+
+// Ports of the daemons; each has a loopback address of its own.
+const (
+	testCallers   = 17401
+	testPeers     = 17402
+	testFigures   = 17403
+	testReady     = 17404
+	testDirectory = 17405
+	testBeacons   = 17406
+)
+
+// testSite is a store, engines and daemons on loopback.
+type testSite struct {
+	t        *testing.T
+	store    *standin.Store
+	engines  map[string]*testEngine
+	daemons  []*testDaemon
+	config   configDoc
+}
+
+type testEngine struct {
+	*standin.Engine
+	server *httptest.Server
+	entry  map[string]any
+}
+
+type testDaemon struct {
+	ip     string
+	g      *Gateway
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// configDoc is the operators' document as tests write it.
+type configDoc struct {
+	Version  int              `json:"version"`
+	Routes   []map[string]any `json:"routes"`
+	Services []map[string]any `json:"services"`
+	Limits   map[string]any   `json:"limits"`
+	Tenants  []map[string]any `json:"tenants,omitempty"`
+}
+
+func defaultConfig() configDoc {
+	route := func(name, kind, service string, more map[string]any) map[string]any {
+		r := map[string]any{
+			"name": name, "host": "h.example", "prefix": "/" + name + "/", "type": kind, "service": service,
+			"timeout-ms": 5000, "target-latency-ms": 300, "priority": 1, "attempts": 1,
+		}
+		for k, v := range more {
+			r[k] = v
+		}
+		return r
+	}
+	return configDoc{
+		Version: 3,
+		Routes: []map[string]any{
+			route("chat", "streaming", "llm", map[string]any{"resumable": true, "attempts": 2, "gap-aim-ms": 200}),
+			route("draft", "streaming", "llm", nil),
+			route("pay", "unsafe", "app", nil),
+			route("look", "safe", "app", map[string]any{"attempts": 2}),
+			route("open", "safe", "app", map[string]any{"public": true}),
+		},
+		Services: []map[string]any{
+			{"name": "llm", "max-connections": 100, "engine": map[string]any{"slots": 8, "kv-cache-tokens": 100000}},
+			{"name": "app", "max-connections": 100},
+		},
+		Limits:  map[string]any{"max-body-bytes": 1000},
+		Tenants: []map[string]any{{"name": "acme", "api-keys": []string{"key-1", "key-2"}}},
+	}
+}
+
+// newTestSite starts a store, two engines, two instances of a plain service,
+// and n daemons.
+func newTestSite(t *testing.T, n int) *testSite {
+	t.Helper()
+	s := &testSite{t: t, store: standin.NewStore(), engines: map[string]*testEngine{}, config: defaultConfig()}
+	s.putConfig()
+	for _, id := range []string{"llm-1", "llm-2"} {
+		s.addEngine(id, "llm")
+	}
+	for _, id := range []string{"app-1", "app-2"} {
+		s.addEngine(id, "app")
+	}
+	for range n {
+		s.addDaemon()
+	}
+	for _, d := range s.daemons {
+		s.await("ready", func() bool { return d.g.takesCallers() && len(d.g.view.Ready()) >= n })
+	}
+	return s
+}
+
+func (s *testSite) putConfig() { s.store.Put(platform.TableOperator, platform.KeyConfig, s.config) }
+
+func (s *testSite) addEngine(id, service string) *testEngine {
+	e := &testEngine{Engine: &standin.Engine{ID: id, Slots: 8, Events: 5, Pause: 5 * time.Millisecond}}
+	e.server = httptest.NewServer(e.Engine)
+	s.t.Cleanup(func() { e.server.CloseClientConnections(); e.server.Close() })
+	e.entry = map[string]any{
+		"service": service, "address": strings.TrimPrefix(e.server.URL, "http://"),
+		"zone": "z", "slots": 8, "state": platform.StateReady, "sequence": 1,
+	}
+	s.engines[id] = e
+	s.store.Put(platform.TableEngines, id, e.entry)
+	return e
+}
+
+func (s *testSite) addDaemon() *testDaemon {
+	d := &testDaemon{ip: fmt.Sprintf("127.0.0.%d", 11+len(s.daemons)), done: make(chan struct{})}
+	store := httptest.NewServer(s.store.HandlerFor(d.ip))
+	s.t.Cleanup(store.Close)
+	at := func(port int) string { return fmt.Sprintf("%s:%d", d.ip, port) }
+	d.g = New(&settings.Settings{
+		Host: fmt.Sprintf("host-%d", len(s.daemons)), Region: "r", Zone: "z",
+		CallerAddress: at(testCallers), PeerAddress: at(testPeers), OperatorAddress: at(testFigures),
+		Peers:    []string{fmt.Sprintf("127.0.0.11:%d", testPeers)},
+		Platform: settings.Platform{URL: store.URL, Timeout: table.Duration(700 * time.Millisecond)},
+		Gateway: &settings.Gateway{
+			ReadyAddress: at(testReady), DirectoryAddress: at(testDirectory), BeaconPort: testBeacons,
+			AddressLifetime: table.Duration(2 * time.Second), RevokeAfter: table.Duration(5 * time.Second),
+			Grace: table.Duration(8 * time.Second),
+			Retry: settings.Retry{Share: 0.2, Slack: 100, Window: table.Duration(10 * time.Second)},
+		},
+	}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	go func() {
+		defer close(d.done)
+		if err := d.g.Run(ctx); err != nil {
+			s.t.Errorf("daemon: %v", err)
+		}
+	}()
+	s.t.Cleanup(func() { cancel(); <-d.done })
+	s.daemons = append(s.daemons, d)
+	return d
+}
+
+// await waits until something holds. The bound only ends a test that fails.
+func (s *testSite) await(what string, holds func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(30 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			s.t.Fatalf("%s: not reached", what)
+		}
+	}
+}
+
+var (
+	requestMu sync.Mutex
+	requestN  int
+)
+
+// nextID returns a new request id.
+func nextID() string {
+	requestMu.Lock()
+	defer requestMu.Unlock()
+	requestN++
+	return fmt.Sprintf("id-%d", requestN)
+}
+
+// answer is what a caller got.
+type answer struct {
+	id     string
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// call sends one request over a connection of its own.
+func (s *testSite) call(d *testDaemon, method, target string, header map[string]string, body string) answer {
+	s.t.Helper()
+	req, err := http.NewRequest(method, "http://"+d.ip+":"+fmt.Sprint(testCallers)+target, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	a := answer{id: nextID()}
+	req.Host = "h.example"
+	req.Close = true
+	req.Header.Set(platform.HeaderRequestID, a.id)
+	req.Header.Set(platform.HeaderKey, "key-1")
+	req.Header.Set(platform.HeaderDeadline, "10000")
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := (&http.Transport{}).RoundTrip(req)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	a.status, a.header, a.body, a.err = resp.StatusCode, resp.Header, string(data), err
+	return a
+}
+
+// chat sends a request for a stream.
+func (s *testSite) chat(d *testDaemon, route string) answer {
+	return s.call(d, http.MethodPost, "/"+route+"/x", map[string]string{
+		platform.HeaderTokens: "1200,30", platform.HeaderParts: "aa:800,bb:300,cc:100",
+	}, "prompt")
+}
+
+// raw writes bytes to a daemon and returns all that comes back.
+func (s *testSite) raw(d *testDaemon, stream string) string {
+	s.t.Helper()
+	c, err := net.Dial("tcp", net.JoinHostPort(d.ip, strconv.Itoa(testCallers)))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, stream)
+	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	data, _ := io.ReadAll(bufio.NewReader(c))
+	return string(data)
+}
+
+// runs returns the runs of a request over all engines.
+func (s *testSite) runs(id string) []standin.Run {
+	var all []standin.Run
+	for _, e := range s.engines {
+		for _, r := range e.Runs() {
+			if r.ID == id {
+				all = append(all, r)
+			}
+		}
+	}
+	return all
+}
+
+// setFaults switches the faults of all endpoints.
+func (s *testSite) setFaults(f standin.EngineFaults) {
+	for _, e := range s.engines {
+		e.SetFaults(f)
+	}
+}
+
+func wholeStream(id string, n int) string {
+	var b bytes.Buffer
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s event %d\n\n", i, id, i)
+	}
+	return b.String()
+}
+
+// resolve asks a daemon where to connect.
+func (s *testSite) resolve(d *testDaemon) []string {
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d%s?name=h.example&region=r&zone=z", d.ip, testDirectory, platform.PathResolve))
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var a platform.Resolved
+	if json.NewDecoder(resp.Body).Decode(&a) != nil {
+		return nil
+	}
+	return a.Addresses
+}
