Log decisions without waiting, reload settings, and check the gateway's part

Cause: logs were written by the request's own goroutine and without bound; the gateway ignored SIGHUP; its settings had no tests.

Ruled out: sampling single lines, which tears a request's story apart.

Before: a blocked reader of the log would have stopped the daemon.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -8,9 +8,11 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/beechhead/beechhead/internal/daemon"
 	"github.com/beechhead/beechhead/internal/gateway"
+	"github.com/beechhead/beechhead/internal/logline"
 	"github.com/beechhead/beechhead/internal/settings"
 )
 
@@ -34,15 +36,35 @@
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	if s.Gateway != nil {
-		g := gateway.New(s, slog.New(slog.NewJSONHandler(os.Stdout, nil)))
-		context.AfterFunc(stop, g.Drain)
-		return g.Run(context.Background())
+		return c.serveGateway(stop, s)
 	}
 	d := daemon.New(s, secrets, slog.New(slog.NewJSONHandler(os.Stderr, nil)))
 	context.AfterFunc(stop, d.Drain)
 	return d.Run(context.Background())
 }
 
+// logFlush bounds the time for the last lines of the log.
+const logFlush = 200 * time.Millisecond
+
+// serveGateway runs a daemon of the platform's store until a graceful stop is
+// complete.
+func (c *serveCommand) serveGateway(stop context.Context, s *settings.Settings) error {
+	out := logline.NewWriter(os.Stdout)
+	defer out.Close(logFlush)
+	g := gateway.New(s, slog.New(slog.NewJSONHandler(out, nil)))
+	g.LogDropped = out.Dropped
+	context.AfterFunc(stop, g.Drain)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	go func() {
+		for range reload {
+			g.Reload(settings.Load(c.Settings))
+		}
+	}()
+	return g.Run(context.Background())
+}
+
 // versionCommand prints the version.
 type versionCommand struct{ output }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -52,6 +52,8 @@
 	// Began is when the request came, End when the caller or the route's
 	// timeout ends it; both on the clock of the machine's start.
 	Began, End time.Duration
+	// Logged requests have their routine decisions logged.
+	Logged bool
 	// MaySend is asked right before each send; a refusal ends the request.
 	MaySend func() *outcome.Refusal
 }
@@ -133,7 +135,7 @@
 func (f *Forwarder) Do(ctx context.Context, r *Request, sink Sink) error {
 	ctx, cancel := context.WithTimeout(ctx, r.End-f.Boot.Now())
 	defer cancel()
-	run := &run{f: f, r: r, sink: sink, budget: f.Budget(r.Pool), lastEvent: r.LastEvent}
+	run := &run{f: f, began: f.Clock.Now(), r: r, sink: sink, budget: f.Budget(r.Pool), lastEvent: r.LastEvent}
 	run.budget.Add()
 	return run.do(ctx)
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -35,6 +35,7 @@
 	sink   Sink
 	budget Budget
 
+	began time.Time
 	// ran counts the endpoints that may have run the request, refused those
 	// that certainly have not.
 	ran, refused int
@@ -46,6 +47,8 @@
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
 	events    int
+	// first is the time to the first event.
+	first time.Duration
 	// answer is an endpoint's own failure, to be passed on if nothing better
 	// comes.
 	answer *answer
@@ -79,6 +82,7 @@
 		e := r.attempt(ctx, grant)
 		grant.Release(placement.Report{Outcome: e.report, Duration: r.f.Clock.Since(began), Tokens: r.events})
 		if e.err == nil {
+			r.answered(grant)
 			return nil
 		}
 		r.count(grant, e)
@@ -88,6 +92,35 @@
 	}
 }
 
+// placed notes that the request got a place.
+func (r *run) placed(grant *placement.Grant) {
+	waited := r.f.Clock.Since(r.began)
+	r.f.Metrics.Observe("wait.ms", waited.Milliseconds())
+	if !r.r.Logged {
+		return
+	}
+	fetchFrom := table.EndpointName("")
+	if grant.FetchFrom != nil {
+		fetchFrom = grant.FetchFrom.Name
+	}
+	r.f.Logger.Info("placed", "request", r.r.ID, "class", r.r.Class, "account", r.r.Account, "endpoint", grant.Endpoint.Name,
+		"coordinator", grant.Coordinator(), "fetchFrom", fetchFrom, "attempt", r.ran+r.refused, "waitMs", waited.Milliseconds(),
+		"leftMs", (r.r.End - r.f.Boot.Now()).Milliseconds(), "promptTokens", r.r.PromptTokens)
+}
+
+// answered notes that the answer was passed on whole.
+func (r *run) answered(grant *placement.Grant) {
+	took := r.f.Clock.Since(r.began)
+	r.f.Metrics.Observe("answer.ms", took.Milliseconds())
+	if r.events > 0 {
+		r.f.Metrics.Observe("firstEvent.ms", r.first.Milliseconds())
+	}
+	if r.r.Logged {
+		r.f.Logger.Info("answered", "request", r.r.ID, "class", r.r.Class, "endpoint", grant.Endpoint.Name,
+			"attempts", r.ran+r.refused+1, "events", r.events, "firstEventMs", r.first.Milliseconds(), "tookMs", took.Milliseconds())
+	}
+}
+
 // count books a failed attempt.
 func (r *run) count(grant *placement.Grant, e end) {
 	r.failed = append(r.failed, grant.Endpoint.Name)
@@ -98,7 +131,8 @@
 	}
 	r.f.Metrics.Inc("attempts." + string(e.reason))
 	r.f.Logger.Info("attempt failed", "request", r.r.ID, "class", r.r.Class, "endpoint", grant.Endpoint.Name,
-		"reason", e.reason, "mayHaveRun", e.ran, "events", r.events, "cause", e.err.Error())
+		"coordinator", grant.Coordinator(), "reason", e.reason, "mayHaveRun", e.ran, "events", r.events,
+		"sinceBeginMs", r.f.Clock.Since(r.began).Milliseconds(), "cause", e.err.Error())
 }
 
 // reserve asks for a place on an endpoint that this daemon knows to take work.
@@ -126,6 +160,7 @@
 			return nil, refusal
 		}
 		if r.f.Usable(&grant.Endpoint) {
+			r.placed(grant)
 			return grant, nil
 		}
 		grant.Release(placement.Report{Outcome: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE})
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -86,7 +86,9 @@
 		if ok {
 			r.lastEvent = id
 		}
-		r.events++
+		if r.events++; r.events == 1 {
+			r.first = r.f.Clock.Since(r.began)
+		}
 		grant.Token()
 		out = append(out, event...)
 	}
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -21,6 +21,7 @@
 			return
 		case <-g.clock.After(figuresInterval):
 		}
+		g.updateGauges()
 		now := g.metrics.Counters()
 		var changed []slog.Attr
 		for _, name := range slices.Sorted(maps.Keys(now)) {
@@ -32,3 +33,31 @@
 		g.logger.LogAttrs(ctx, slog.LevelInfo, "figures", changed...)
 	}
 }
+
+// updateGauges sets what the daemon believes at the moment.
+func (g *Gateway) updateGauges() {
+	s := g.holder.Summary()
+	g.metrics.Set("config.version", int64(s.Config))
+	g.metrics.Set("config.ageMs", g.configAgeMs())
+	if age, ok := g.holder.EndpointsAge(); ok {
+		g.metrics.Set("endpoints.ageMs", age.Milliseconds())
+	}
+	g.metrics.Set("hosts.ready", int64(len(g.view.Ready())))
+	g.metrics.Set("hosts.known", int64(len(g.view.Hosts())))
+	g.metrics.Set("cells.coordinated", int64(len(g.coordinator.Status().Cells)))
+	g.metrics.Set("requests.inProgress", g.inProgress.Load())
+	g.metrics.Set("connections.opened", g.forwarder.Pool.Opened.Load())
+	g.metrics.Set("log.requestsLeftOut", g.sampler.LeftOut())
+	if g.LogDropped != nil {
+		g.metrics.Set("log.linesDropped", g.LogDropped())
+	}
+}
+
+// configAgeMs returns the configuration's greatest age; -1 is unknown.
+func (g *Gateway) configAgeMs() int64 {
+	age, ok := g.holder.ConfigAge()
+	if !ok {
+		return -1
+	}
+	return age.Milliseconds()
+}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -77,7 +77,7 @@
 func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, call *wire.Call, refusal *outcome.Refusal) {
 	g.metrics.Refused(refusal.Reason)
 	g.logger.Info("refused", "request", call.ID, "outcome", refusal.Outcome, "reason", refusal.Reason, "message", refusal.Message,
-		"config", g.holder.Summary().Config)
+		"config", g.holder.Summary().Config, "configAgeMs", g.configAgeMs())
 	if refusal.Reason == outcome.ReasonBadRequest || refusal.Reason == outcome.ReasonTooLarge || g.leaving() {
 		w.Header().Set("Connection", "close")
 	}
@@ -152,7 +152,7 @@
 	if m.route.Public || !c.HasAccounts() {
 		return m, nil
 	}
-	if !ok || age >= g.settings.Gateway.RevokeAfter.Std()-revokeMargin {
+	if !ok || age >= g.conf().Gateway.RevokeAfter.Std()-revokeMargin {
 		return m, stale(outcome.ReasonStaleTable, "the configuration may be out of date")
 	}
 	if m.account = c.Account(key); m.account == nil {
@@ -236,6 +236,7 @@
 		LastEvent:    call.LastEvent,
 		Began:        began,
 		End:          began + wait,
+		Logged:       g.sampler.Pick(),
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/beechhead/beechhead/internal/framing"
 	"github.com/beechhead/beechhead/internal/heartbeat"
 	"github.com/beechhead/beechhead/internal/http1"
+	"github.com/beechhead/beechhead/internal/logline"
 	"github.com/beechhead/beechhead/internal/membership"
 	"github.com/beechhead/beechhead/internal/metric"
 	"github.com/beechhead/beechhead/internal/peer"
@@ -48,11 +49,14 @@
 
 // Gateway is one entry daemon.
 type Gateway struct {
-	settings *settings.Settings
-	logger   *slog.Logger
-	clock    clockwork.Clock
-	boot     boottime.Clock
-	metrics  *metric.Registry
+	// current has the settings in force.
+	current atomic.Pointer[settings.Settings]
+	logger  *slog.Logger
+	// LogDropped returns how many lines of the log were lost; nil if none can.
+	LogDropped func() int64
+	clock      clockwork.Clock
+	boot       boottime.Clock
+	metrics    *metric.Registry
 	// started is the local time at which the daemon was made.
 	started time.Duration
 
@@ -82,6 +86,7 @@
 	budgetMu sync.Mutex
 	budgets  map[table.Pool]*retrybudget.Budget
 
+	sampler    *logline.Sampler
 	inProgress atomic.Int64
 	// refusing is set when the graceful stop takes no more requests.
 	refusing atomic.Bool
@@ -96,8 +101,6 @@
 // New returns a daemon that is not running yet.
 func New(s *settings.Settings, logger *slog.Logger) *Gateway {
 	g := &Gateway{
-		settings: s,
-		logger:   logger.With("host", s.Host),
 		clock:    clockwork.NewRealClock(),
 		boot:     boottime.System{},
 		metrics:  metric.NewRegistry(),
@@ -105,7 +108,10 @@
 		budgets:  map[table.Pool]*retrybudget.Budget{},
 		draining: make(chan struct{}),
 	}
+	g.current.Store(s)
 	g.started = g.boot.Now()
+	g.sampler = logline.NewSampler(g.clock)
+	g.logger = slog.New(logline.NewLimiter(g.clock, logger.Handler())).With("host", s.Host)
 	g.view = membership.NewView(g.clock, membership.Host{
 		ID:            membership.HostID(s.Host),
 		Incarnation:   membership.NewIncarnation(g.clock.Now().UnixMilli(), rand.Uint64()),
@@ -125,7 +131,7 @@
 }
 
 func (g *Gateway) buildFacts() {
-	client := platform.NewClientWith(g.clock, g.settings.Platform.URL, endpoint.NewTransport(), g.settings.Platform.Timeout.Std(), g.metrics)
+	client := platform.NewClientWith(g.clock, g.conf().Platform.URL, endpoint.NewTransport(), g.conf().Platform.Timeout.Std(), g.metrics)
 	g.store = client.WithWire(wire.StoreWire())
 	g.storeTime = storetime.NewClock(g.boot)
 	g.holder = facts.NewHolder(g.storeTime, wire.ParseConfig)
@@ -147,11 +153,11 @@
 }
 
 func (g *Gateway) buildPlacing() {
-	size := g.settings.CellSize
+	size := g.conf().CellSize
 	if size == 0 {
 		size = cell.DefaultSize
 	}
-	g.coordinator = cell.NewCoordinator(g.clock, g.view.Self().ID, size, g.settings.Policy)
+	g.coordinator = cell.NewCoordinator(g.clock, g.view.Self().ID, size, g.conf().Policy)
 	g.cells = &cellhost.Host{
 		Clock:       g.clock,
 		View:        g.view,
@@ -161,7 +167,7 @@
 		Interval:    tickInterval,
 		Refresh:     g.beats.Refresh,
 	}
-	g.placer = placement.NewPlacer(g.clock, g.view, g.cells.Dial, g.metrics, size, g.settings.Policy)
+	g.placer = placement.NewPlacer(g.clock, g.view, g.cells.Dial, g.metrics, size, g.conf().Policy)
 	g.placer.OnAlone = g.coordinator.SetShare
 	g.forwarder = &forward.Forwarder{
 		Clock:   g.clock,
@@ -213,11 +219,11 @@
 func (g *Gateway) Run(ctx context.Context) (err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	self, err := netip.ParseAddrPort(g.settings.PeerAddress)
+	self, err := netip.ParseAddrPort(g.conf().PeerAddress)
 	if err != nil {
 		return errors.Wrap(err, "peer address")
 	}
-	g.beacons, err = beacon.Listen(self.Addr().String(), g.settings.Gateway.BeaconPort)
+	g.beacons, err = beacon.Listen(self.Addr().String(), g.conf().Gateway.BeaconPort)
 	if err != nil {
 		return err
 	}
@@ -247,11 +253,11 @@
 		server  *http.Server
 		address string
 	}{
-		{g.callers, g.settings.CallerAddress},
-		{g.inner, g.settings.PeerAddress},
-		{&http.Server{Handler: asked, ReadHeaderTimeout: readHeaderTimeout}, g.settings.Gateway.ReadyAddress},
-		{&http.Server{Handler: asked, ReadHeaderTimeout: readHeaderTimeout}, g.settings.Gateway.DirectoryAddress},
-		{&http.Server{Handler: g.figures(), ReadHeaderTimeout: readHeaderTimeout}, g.settings.OperatorAddress},
+		{g.callers, g.conf().CallerAddress},
+		{g.inner, g.conf().PeerAddress},
+		{&http.Server{Handler: asked, ReadHeaderTimeout: readHeaderTimeout}, g.conf().Gateway.ReadyAddress},
+		{&http.Server{Handler: asked, ReadHeaderTimeout: readHeaderTimeout}, g.conf().Gateway.DirectoryAddress},
+		{&http.Server{Handler: g.figures(), ReadHeaderTimeout: readHeaderTimeout}, g.conf().OperatorAddress},
 	} {
 		l, err := net.Listen("tcp", one.address)
 		if err != nil {
--- a/internal/gateway/interfaces.go
+++ b/internal/gateway/interfaces.go
@@ -24,6 +24,7 @@
 func (g *Gateway) figures() http.Handler {
 	e := echo.NewWithConfig(echo.Config{Logger: g.logger})
 	e.GET("/metrics", func(c *echo.Context) error {
+		g.updateGauges()
 		c.Response().Header().Set("Content-Type", metric.PrometheusType)
 		return g.metrics.WritePrometheus(c.Response())
 	})
@@ -44,7 +45,7 @@
 		return false
 	}
 	age, ok := g.holder.ConfigAge()
-	return ok && age < g.settings.Gateway.RevokeAfter.Std()-revokeMargin
+	return ok && age < g.conf().Gateway.RevokeAfter.Std()-revokeMargin
 }
 
 // minOwnZone is how many hosts of the caller's own zone must be ready for the
@@ -59,7 +60,7 @@
 	}
 	return c.JSON(http.StatusOK, wire.Resolved{
 		Addresses: addresses,
-		TTL:       g.settings.Gateway.AddressLifetime.Std().Seconds(),
+		TTL:       g.conf().Gateway.AddressLifetime.Std().Seconds(),
 	})
 }
 
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -226,7 +226,7 @@
 	if c == nil || s.Position == 0 && len(g.holder.Endpoints()) == 0 {
 		return
 	}
-	endpoints, draining := tableEndpoints(c, g.holder.Endpoints(), g.settings.Region)
+	endpoints, draining := tableEndpoints(c, g.holder.Endpoints(), g.conf().Region)
 	t := c.Table(endpoints)
 	g.coordinator.Configure(t)
 	g.coordinator.SetDraining(draining)
--- a/internal/gateway/leave.go
+++ b/internal/gateway/leave.go
@@ -50,7 +50,7 @@
 	g.wait(ctx, closeAfter-g.clock.Since(began))
 	g.callers.SetKeepAlivesEnabled(false)
 	g.wait(ctx, takeFor-g.clock.Since(began))
-	stopped, cancel := context.WithTimeout(ctx, g.settings.Gateway.Grace.Std())
+	stopped, cancel := context.WithTimeout(ctx, g.conf().Gateway.Grace.Std())
 	defer cancel()
 	if err := g.callers.Shutdown(stopped); err != nil {
 		g.logger.Warn("requests are cut off", "inProgress", g.inProgress.Load(), "error", err)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -65,7 +65,7 @@
 func (g *Gateway) seeds() []string {
 	g.listedMu.Lock()
 	defer g.listedMu.Unlock()
-	return append(g.listed[:len(g.listed):len(g.listed)], g.settings.Peers...)
+	return append(g.listed[:len(g.listed):len(g.listed)], g.conf().Peers...)
 }
 
 // register lists this daemon in the store, so that a newcomer finds it when
@@ -111,7 +111,7 @@
 	defer g.listedMu.Unlock()
 	g.listed = g.listed[:0]
 	for _, row := range rows.Rows {
-		if address := string(row.Value); address != g.settings.PeerAddress {
+		if address := string(row.Value); address != g.conf().PeerAddress {
 			g.listed = append(g.listed, address)
 		}
 	}
@@ -131,7 +131,7 @@
 func (g *Gateway) budget(pool table.Pool) forward.Budget {
 	g.budgetMu.Lock()
 	defer g.budgetMu.Unlock()
-	retry := g.settings.Gateway.Retry
+	retry := g.conf().Gateway.Retry
 	slack := budgetSlackPart * retry.Slack / float64(max(1, len(g.view.Hosts())))
 	terms := retrybudget.Terms{
 		Share:  budgetPart * retry.Share,
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -35,11 +35,11 @@
 
 // testSite is a store, engines and daemons on loopback.
 type testSite struct {
-	t        *testing.T
-	store    *standin.Store
-	engines  map[string]*testEngine
-	daemons  []*testDaemon
-	config   configDoc
+	t       *testing.T
+	store   *standin.Store
+	engines map[string]*testEngine
+	daemons []*testDaemon
+	config  configDoc
 }
 
 type testEngine struct {
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -43,6 +43,21 @@
 	gometrics.GetOrRegisterGauge(name, r.r).Update(v)
 }
 
+// sampleSize is how many of the newest values a histogram keeps. A few hundred
+// tell the 99th percentile, and there is a histogram for each class.
+const sampleSize = 256
+
+// Observe adds a value to the histogram of that name.
+func (r *Registry) Observe(name string, v int64) {
+	made := func() gometrics.Histogram {
+		return gometrics.NewHistogram(gometrics.NewUniformSample(sampleSize))
+	}
+	h, ok := r.r.GetOrRegister(name, made).(gometrics.Histogram)
+	if ok {
+		h.Update(v)
+	}
+}
+
 // Refused counts a refusal by its reason.
 func (r *Registry) Refused(reason outcome.Reason) { r.Inc("refused." + string(reason)) }
 
--- a/internal/metric/prometheus.go
+++ b/internal/metric/prometheus.go
@@ -30,6 +30,9 @@
 		case gometrics.Gauge:
 			key := family + " gauge"
 			families[key] = append(families[key], fmt.Sprintf("%s%s %d", family, labels, m.Value()))
+		case gometrics.Histogram:
+			key := family + " summary"
+			families[key] = append(families[key], summary(family, m.Snapshot())...)
 		}
 	})
 	out := bufio.NewWriter(w)
@@ -43,6 +46,18 @@
 	return out.Flush()
 }
 
+// quantiles are those that a histogram is told by.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// summary returns a histogram's lines.
+func summary(family string, h gometrics.Histogram) []string {
+	var lines []string
+	for i, v := range h.Percentiles(quantiles) {
+		lines = append(lines, fmt.Sprintf("%s{quantile=\"%g\"} %g", family, quantiles[i], v))
+	}
+	return append(lines, fmt.Sprintf("%s_sum %d", family, h.Sum()), fmt.Sprintf("%s_count %d", family, h.Count()))
+}
+
 // prometheusName returns the name of a figure as Prometheus allows it.
 func prometheusName(name string) (family, labels string) {
 	for _, kind := range reasonKinds {
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/beechhead/beechhead/internal/membership"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
 	"github.com/beechhead/beechhead/pkg/table"
 )
@@ -34,6 +35,13 @@
 	nextProgress int
 }
 
+// Coordinator returns the host that gave the place, or that knows of it now.
+func (g *Grant) Coordinator() membership.HostID {
+	g.placer.mu.Lock()
+	defer g.placer.mu.Unlock()
+	return g.pending.host.ID
+}
+
 // OnPreempted has f called, by a goroutine of its own, when the place must be
 // given back at once. No goroutine waits until then: a stream that is idle for
 // long should cost little memory.
--- /dev/null
+++ b/internal/settings/template_test.go
@@ -0,0 +1,82 @@
+package settings
+
+import (
+	"encoding/json"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+)
+
+// placeholder is a value of the deployment's template, as JSON or as text.
+var placeholder = regexp.MustCompile(`\{\{([a-z0-9.-]+)(\|json)?\}\}`)
+
+// render fills in a template from fields. It knows only what ours uses.
+func render(t *testing.T, template string, fields map[string]any) string {
+	t.Helper()
+	return placeholder.ReplaceAllStringFunc(template, func(text string) string {
+		m := placeholder.FindStringSubmatch(text)
+		var v any = fields
+		for _, name := range strings.Split(m[1], ".") {
+			switch at := v.(type) {
+			case map[string]any:
+				v = at[name]
+			case []any:
+				v = at[int(name[0]-'0')]
+			}
+		}
+		data, err := json.Marshal(v)
+		if err != nil || v == nil {
+			t.Fatalf("no value for %s", text)
+		}
+		if m[2] != "" {
+			return string(data)
+		}
+		return strings.Trim(string(data), `"`)
+	})
+}
+
+// The deployment's template must render to settings that the daemon takes.
+func TestDeploymentsTemplate(t *testing.T) {
+	template, err := os.ReadFile("../../deploy/settings.json.tmpl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := os.ReadFile("testdata/boot.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(data, &fields); err != nil {
+		t.Fatal(err)
+	}
+	s, faults := parse([]byte(render(t, string(template), fields)))
+	if len(faults) > 0 {
+		t.Fatalf("faults:\n%v", faults)
+	}
+	g := s.Gateway
+	if s.Host != "front-a-1" || len(s.Peers) != 2 || s.Platform.URL != "http://10.200.1.7:8223" {
+		t.Errorf("settings %+v", s)
+	}
+	if g.RevokeAfter.Std() != 5*time.Second || g.Grace.Std() != 8*time.Second || g.BeaconPort != 7340 || g.Retry.Share != 0.2 {
+		t.Errorf("gateway %+v", g)
+	}
+}
+
+// Every fault of the gateway's part is told at once.
+func TestGatewayFaults(t *testing.T) {
+	data := `{"host":"h","region":"r","zone":"z","callerAddress":"10.0.0.1:1","peerAddress":"10.0.0.1:2","operatorAddress":"10.0.0.1:3",
+	 "platform":{"url":"http://10.0.0.9:1","timeout":"1s"},
+	 "gateway":{"readyAddress":"x","directoryAddress":"10.0.0.1:5","beaconPort":0,"addressLifetime":"0s","revokeAfter":"10ms","grace":"0s",
+	  "retry":{"share":-1,"slack":-1,"window":"0s"}}}`
+	_, faults := parse([]byte(data))
+	var paths []string
+	for _, f := range faults {
+		paths = append(paths, f.Path)
+	}
+	want := "gateway.readyAddress gateway.beaconPort gateway.addressLifetime gateway.revokeAfter gateway.grace gateway.retry.share gateway.retry.slack gateway.retry.window"
+	if got := strings.Join(paths, " "); got != want {
+		t.Errorf("faults at %s\nwant %s", got, want)
+	}
+}
--- a/pkg/table/check.go
+++ b/pkg/table/check.go
@@ -129,6 +129,7 @@
 	c.require(e.Region == "" || namePattern.MatchString(e.Region), row, "region", e.Region, allowedName)
 	c.require(e.Zone == "" || namePattern.MatchString(e.Zone), row, "zone", e.Zone, allowedName)
 	c.require(e.Concurrency >= 1, row, "concurrency", e.Concurrency, "at least 1")
+	c.require(e.MemoryTokens >= 0, row, "memoryTokens", e.MemoryTokens, "at least 0")
 	for _, name := range e.Adapters {
 		c.require(adapterPattern.MatchString(name), row, "adapters", name, allowedAdapter)
 	}
