Keep engines free for urgent classes

Ruled out: the coordinator's processor time (3% of a core at most) and too few engines (the urgent classes need 4 of 60 for reading).

Change: each class's demand for reading is measured, and that many engines, two and a half times over, are kept below the backlog that it can bear. The engine that keeps the most of a prompt is looked up once a request instead of once for each engine.

--- a/internal/schedule/batch.go
+++ b/internal/schedule/batch.go
@@ -162,17 +162,61 @@
 	return false
 }
 
+// prompt is what matters of a request while an engine is chosen for it.
+type prompt struct {
+	*Request
+	// patience is the backlog that it may find, read how long it takes to be
+	// read whole.
+	patience, read time.Duration
+	// keeper keeps the most of the prompt, the first kept tokens; second is the
+	// best of the others.
+	keeper, second   *endpointState
+	kept, secondKept int
+	room             room
+}
+
+func (c *Cell) prompt(r *Request, now time.Duration) prompt {
+	p := prompt{Request: r, patience: c.patience(r), room: c.roomFor(r, now)}
+	p.read = time.Duration(readCost(r.PromptTokens, 0) / c.readRate * float64(time.Second))
+	for _, e := range c.list {
+		if e.policy.Memory == 0 || e.health.ejected(now) {
+			continue
+		}
+		n := e.batch.parts.cached(r.Parts)
+		switch {
+		case n > p.kept:
+			p.second, p.secondKept = p.keeper, p.kept
+			p.keeper, p.kept = e, n
+		case n > p.secondKept:
+			p.second, p.secondKept = e, n
+		}
+	}
+	return p
+}
+
+// keeperBeside returns the engine, other than e, that keeps the most.
+func (p *prompt) keeperBeside(e *endpointState) (*endpointState, int) {
+	if p.keeper == e {
+		return p.second, p.secondKept
+	}
+	return p.keeper, p.kept
+}
+
 // takesPrompt tells whether a batching engine may be given a request now: it
-// has the memory, and the first token is expected in time. A request that is
-// late already gets what those in time leave.
-func (c *Cell) takesPrompt(e *endpointState, r *Request, now time.Duration) bool {
+// has the memory, the first token is expected in time, and enough engines stay
+// free for more urgent classes.
+func (c *Cell) takesPrompt(e *endpointState, p *prompt, now time.Duration) bool {
 	if e.policy.Memory == 0 {
 		return true
 	}
-	if e.running > 0 && e.batch.held+r.PromptTokens+r.EstimatedTokens > e.policy.Memory {
+	if e.running > 0 && e.batch.held+p.PromptTokens+p.EstimatedTokens > e.policy.Memory {
+		return false
+	}
+	backlog := e.batch.backlog(now)
+	if backlog > p.patience {
 		return false
 	}
-	return e.batch.backlog(now) <= c.patience(r)
+	return p.room.spare > 0 || !p.room.crowds(backlog, p.read)
 }
 
 // patience returns the backlog that a request may find at an engine.
@@ -188,15 +232,19 @@
 
 // batchCost is how bad it is to give a request to a batching engine, in tokens
 // to be read. It returns the engine to fetch parts from, if that helps.
-func (c *Cell) batchCost(e *endpointState, r *Request, now time.Duration) (cost float64, source *endpointState) {
+func (c *Cell) batchCost(e *endpointState, r *prompt, now time.Duration) (cost float64, source *endpointState) {
 	has := e.batch.parts.cached(r.Parts)
 	kept := has
-	if s, n := c.keeper(r, e, now); n > has+minFetch {
+	if s, n := r.keeperBeside(e); n > has+minFetch {
 		source, kept = s, n
 	}
-	cost = e.batch.backlog(now).Seconds() * c.readRate
+	backlog := e.batch.backlog(now)
+	cost = backlog.Seconds() * c.readRate
+	if r.room.crowds(backlog, r.read) {
+		cost += crowdTime.Seconds() * c.readRate
+	}
 	cost += readCost(r.PromptTokens, kept) + fetchWeight*float64(kept-has) + runWeight*float64(e.running)
-	cost += againWeight * float64(c.readLately(r, kept, now))
+	cost += againWeight * float64(c.readLately(r.Request, kept, now))
 	if e.policy.Zone != r.Zone {
 		cost += farWeight
 	}
@@ -206,19 +254,6 @@
 // minFetch is how many tokens a fetch must save to be worth its set-up.
 const minFetch = 64
 
-// keeper returns the engine, other than e, that keeps the most of a prompt.
-func (c *Cell) keeper(r *Request, e *endpointState, now time.Duration) (best *endpointState, most int) {
-	for _, other := range c.list {
-		if other == e || other.health.ejected(now) || other.gone {
-			continue
-		}
-		if n := other.batch.parts.cached(r.Parts); n > most {
-			best, most = other, n
-		}
-	}
-	return best, most
-}
-
 // readLately returns how many tokens after those that an engine has were read
 // by some engine not long ago.
 func (c *Cell) readLately(r *Request, has int, now time.Duration) int {
--- a/internal/schedule/endpoint.go
+++ b/internal/schedule/endpoint.go
@@ -82,15 +82,19 @@
 	case LeastOutstanding:
 		return c.fewestGrants(r), nil
 	}
-	if home := c.prefixes.get(r.Prefix); home != nil && c.withinBound(home) && c.usable(home, r, now) {
+	p := prompt{Request: r}
+	if c.batching {
+		p = c.prompt(r, now)
+	}
+	if home := c.prefixes.get(r.Prefix); home != nil && c.withinBound(home) && c.usable(home, &p, now) {
 		return home, nil
 	}
 	var least float64
 	for _, e := range c.list {
-		if !c.usable(e, r, now) {
+		if !c.usable(e, &p, now) {
 			continue
 		}
-		cost, from := c.costOf(e, r, work, now)
+		cost, from := c.costOf(e, &p, work, now)
 		if best == nil || cost < least || (cost == least && e.turn < best.turn) {
 			best, source, least = e, from, cost
 		}
@@ -98,12 +102,12 @@
 	return best, source
 }
 
-func (c *Cell) usable(e *endpointState, r *Request, now time.Duration) bool {
+func (c *Cell) usable(e *endpointState, r *prompt, now time.Duration) bool {
 	return e.free(now) && c.takesPrompt(e, r, now) && (len(r.Excluded) == 0 || !slices.Contains(r.Excluded, e.policy.Name))
 }
 
 // costOf is the cost of a request at an endpoint; the least is best.
-func (c *Cell) costOf(e *endpointState, r *Request, work float64, now time.Duration) (float64, *endpointState) {
+func (c *Cell) costOf(e *endpointState, r *prompt, work float64, now time.Duration) (float64, *endpointState) {
 	if e.policy.Memory > 0 {
 		return c.batchCost(e, r, now)
 	}
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -72,6 +72,8 @@
 	// one; it counts while wants is set.
 	wanting time.Duration
 	wants   bool
+	// demand is how much of batching engines the class asks for.
+	demand  demand
 	figures classFigures
 }
 
--- a/internal/schedule/request.go
+++ b/internal/schedule/request.go
@@ -23,6 +23,9 @@
 		c.refuseArrival(q, r.ID, refusal, now)
 		return
 	}
+	if c.batching {
+		q.demand.add(now, time.Duration(readCost(r.PromptTokens, 0)/c.readRate*float64(time.Second)))
+	}
 	e := c.newEntry(r, now)
 	if c.discipline != ByTier {
 		e.request.Account = ""
