Keep hurried streams and long prompts apart

Its first events came in 92 ms at the median; but an event took 112 ms on average beside engines that read prompts all the time, and one pause of 42 exceeded 200 ms.

Ruled out: waiting for a place (13 ms at the 99th percentile), the first event (194 ms).

Change: each engine's share of time that it reads, and the sum of its streams' sensitivity, are part of the cost of a place. Also: beechhead explain prints a request's story from logs; scripted tests for what may be sent again.

--- a/internal/cell/convert.go
+++ b/internal/cell/convert.go
@@ -46,6 +46,7 @@
 			MaxQueue:    (cl.Limits.Queue + cells - 1) / cells,
 			Preemptible: cl.Preemptible && cl.Idempotent,
 			Target:      cl.Target.FirstToken.Std(),
+			Pause:       cl.Target.BetweenTokens.Std(),
 		})
 	}
 	return cfg
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -42,6 +42,7 @@
 	Where   whereCommand   `command:"where" description:"Show which addresses callers are told to use"`
 	Claims  claimsCommand  `command:"claims" description:"List what became of requests with an idempotency key" long-description:"Lists the claims of idempotency keys: running, done or unknown. Use it to tell a caller whether a request that must not run twice was executed."`
 	Drain   drainCommand   `command:"drain" description:"Start the graceful stop of a daemon"`
+	Explain explainCommand `command:"explain" description:"Print one request's story from logs" long-description:"Reads the logs of one or more daemons and prints the lines of one request in order of time, with what its hosts believed around it. Lines that can't be read are counted. Needs no daemon."`
 	Version versionCommand `command:"version" description:"Print the version"`
 }
 
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,216 @@
+package forward
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/beechhead/beechhead/internal/boottime"
+	"github.com/beechhead/beechhead/internal/catalog"
+	"github.com/beechhead/beechhead/internal/http1"
+	"github.com/beechhead/beechhead/internal/membership"
+	"github.com/beechhead/beechhead/internal/metric"
+	"github.com/beechhead/beechhead/internal/outcome"
+	"github.com/beechhead/beechhead/internal/peer"
+	"github.com/beechhead/beechhead/internal/peer/peerv1"
+	"github.com/beechhead/beechhead/internal/placement"
+	"github.com/beechhead/beechhead/pkg/table"
+)
+
+// script is a case of testdata/attempts.json: what the endpoints do, one after
+// the other as they are tried, and what the caller and the endpoints see.
+type script struct {
+	Name      string
+	Kind      string
+	Resumable bool
+	Attempts  int
+	// Endpoints has what each answers; "" resets the connection.
+	Endpoints []string
+	// Budget is how many repeats are allowed.
+	Budget int
+	// Want is the body that the caller gets, or "notRun", "unknown" or
+	// "broken ..." with what it got before.
+	Want string
+	// Sent is how many endpoints the request reached.
+	Sent int
+}
+
+// fixedBudget allows a number of repeats.
+type fixedBudget struct{ left int }
+
+func (*fixedBudget) Add() {}
+
+func (b *fixedBudget) Take() bool {
+	b.left--
+	return b.left >= 0
+}
+
+// site has scripted endpoints and places requests on them in order.
+type site struct {
+	mu   sync.Mutex
+	next int
+	sent int
+	urls []string
+}
+
+func (s *site) listen(t *testing.T, answer string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.urls = append(s.urls, "http://"+l.Addr().String())
+	if answer == "nobody" {
+		_ = l.Close()
+		return
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			buf := make([]byte, 4096)
+			_, _ = c.Read(buf)
+			s.mu.Lock()
+			s.sent++
+			s.mu.Unlock()
+			if answer == "" {
+				_ = c.(*net.TCPConn).SetLinger(0)
+			} else {
+				_, _ = io.WriteString(c, answer)
+			}
+			_ = c.Close()
+		}
+	}()
+}
+
+// grants places each request on the next endpoint, by way of a placer whose
+// coordinator does just that.
+func (s *site) reserve(p *placement.Placer) func(context.Context, placement.Request) (*placement.Grant, error) {
+	return func(ctx context.Context, r placement.Request) (*placement.Grant, error) {
+		if s.next >= len(s.urls) {
+			return nil, outcome.NotRunError(outcome.ReasonShed, "no more endpoints")
+		}
+		return p.Reserve(ctx, r)
+	}
+}
+
+// placer returns a placer whose coordinator grants the endpoints in turn.
+func (s *site) placer() *placement.Placer {
+	clock := clockwork.NewRealClock()
+	view := membership.NewView(clock, membership.Host{ID: "a", Incarnation: 1, State: membership.Ready})
+	dial := func(_ membership.Host, handle func(*peerv1.ReservationsResponse)) placement.Link {
+		q := peer.NewQueue(func(req *peerv1.ReservationsRequest) {
+			resp := &peerv1.ReservationsResponse{Acked: req.GetBatch()}
+			for _, r := range req.GetReserves() {
+				resp.Grants = append(resp.Grants, &peerv1.Grant{Sequence: r.GetSequence(), Endpoint: s.take()})
+			}
+			handle(resp)
+		}, func() {})
+		return placement.Link{Send: q.Send, Done: q.Done(), Close: q.Close}
+	}
+	p := placement.NewPlacer(clock, view, dial, metric.NewRegistry(), 32, "")
+	t := &table.Table{Classes: []table.Class{{Name: "c", Pools: []table.Pool{"p"}}}}
+	for i, url := range s.urls {
+		t.Endpoints = append(t.Endpoints, table.Endpoint{Name: endpointName(i), Pool: "p", URL: url})
+	}
+	t.BuildIndex()
+	p.Configure(t)
+	return p
+}
+
+func endpointName(i int) table.EndpointName { return table.EndpointName(string(rune('a' + i))) }
+
+func (s *site) take() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next++
+	return string(endpointName(s.next - 1))
+}
+
+var testWire = Wire{
+	Header: func(s Send) http.Header {
+		return http.Header{"Id": {s.Request.ID}, "Last": {s.LastEvent}}
+	},
+	Read: func(status int, h http.Header) Verdict {
+		return Verdict{NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != ""}
+	},
+	Mine:     func(*Request, http.Header) bool { return true },
+	Promises: func(status int) bool { return status == http.StatusServiceUnavailable },
+}
+
+var testKinds = map[string]catalog.Kind{"safe": catalog.Safe, "unsafe": catalog.Unsafe, "stream": catalog.Stream}
+
+func TestAttempts(t *testing.T) {
+	data, err := os.ReadFile("testdata/attempts.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var scripts []script
+	if err := json.Unmarshal(data, &scripts); err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range scripts {
+		t.Run(tt.Name, func(t *testing.T) {
+			got, sent := tt.play(t)
+			if got != tt.Want || sent != tt.Sent {
+				t.Errorf("the caller gets %q after %d sends, want %q after %d", got, sent, tt.Want, tt.Sent)
+			}
+		})
+	}
+}
+
+func (tt *script) play(t *testing.T) (got string, sent int) {
+	s := &site{}
+	for _, answer := range tt.Endpoints {
+		s.listen(t, answer)
+	}
+	boot := boottime.System{}
+	f := &Forwarder{
+		Clock:   clockwork.NewRealClock(),
+		Boot:    boot,
+		Logger:  slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Metrics: metric.NewRegistry(),
+		Pool:    http1.NewPool(clockwork.NewRealClock(), http1.Dial),
+		Wire:    testWire,
+		Reserve: s.reserve(s.placer()),
+		Usable:  func(*table.Endpoint) bool { return true },
+		Budget:  func(table.Pool) Budget { return &fixedBudget{left: tt.Budget} },
+	}
+	now := boot.Now()
+	var body strings.Builder
+	err := f.Do(context.Background(), &Request{
+		ID: "r", Method: http.MethodPost, Target: "/x", Host: "h", Class: "c", Pool: "p",
+		Kind: testKinds[tt.Kind], Resumable: tt.Resumable, Attempts: tt.Attempts,
+		Began: now, End: now + 20*time.Second,
+		MaySend: func() *outcome.Refusal { return nil },
+	}, Sink{
+		Head: func(status int, _ http.Header, _ int64) {
+			if status != http.StatusOK {
+				body.WriteString(http.StatusText(status) + " ")
+			}
+		},
+		Body: func(p []byte) error { body.Write(p); return nil },
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err == nil:
+		return body.String(), s.sent
+	case errors.Is(err, ErrBroken):
+		return "broken " + body.String(), s.sent
+	}
+	return string(outcome.Of(err).Outcome), s.sent
+}
--- /dev/null
+++ b/internal/logline/story_test.go
@@ -0,0 +1,47 @@
+package logline
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+const logA = `{"time":"2026-01-01T00:00:10.5Z","level":"INFO","msg":"placed","host":"a","request":"r1","endpoint":"e1","coordinator":"b","waitMs":3}
+{"time":"2026-01-01T00:00:10.1Z","level":"INFO","msg":"facts in force","host":"a","config":7}
+not a line of ours
+{"time":"2026-01-01T00:00:11Z","level":"INFO","msg":"attempt failed","host":"a","request":"r1","endpoint":"e1","reason":"silent","mayHaveRun":true,"events":2}
+{"time":"2026-01-01T00:00:11.2Z","level":"INFO","msg":"placed","host":"a","request":"r2","endpoint":"e1"}
+`
+
+const logB = `   1.25 b {"time":"2026-01-01T00:00:10.7Z","level":"WARN","msg":"store lost","host":"b","feed":"config"}
+{"time":"2026-01-01T00:00:01Z","level":"INFO","msg":"facts in force","host":"b","config":6}
+{"time":"2026-01-01T00:00:10.6Z","level":"WARN","msg":"store lost","host":"c","feed":"config"}
+{"broken
+`
+
+// TestTell: the lines of one request from several logs in order of time, with
+// what its hosts believed around it; broken lines are counted.
+func TestTell(t *testing.T) {
+	s, err := Tell("r1", strings.NewReader(logA), strings.NewReader(logB))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b bytes.Buffer
+	s.Write(&b)
+	goldie.New(t).Assert(t, "story", b.Bytes())
+}
+
+// TestTellUnknown: a request without lines is said to have none.
+func TestTellUnknown(t *testing.T) {
+	s, err := Tell("none", strings.NewReader(logA))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b bytes.Buffer
+	s.Write(&b)
+	if b.String() != "no line of 5 has the request none\n" {
+		t.Errorf("printed %q", b.String())
+	}
+}
--- a/internal/schedule/batch.go
+++ b/internal/schedule/batch.go
@@ -66,6 +66,10 @@
 	readyAt time.Duration
 	// shift is the sum of the corrections of readyAt.
 	shift time.Duration
+	// reading is how much of its time the engine reads, averaged, and
+	// sensitivity the sum of its streams'.
+	reading     demand
+	sensitivity float64
 	// unread has the requests without a first token, in order of their grants.
 	unread []*entry
 }
@@ -109,6 +113,9 @@
 	g.held = r.PromptTokens + r.EstimatedTokens
 	b.held += g.held
 	b.readyAt = max(b.readyAt, now) + c.readTime(e, g.reads)
+	b.reading.add(now, c.readTime(e, g.reads))
+	g.sensitivity = g.class.sensitivity(r)
+	b.sensitivity += g.sensitivity
 	g.due = b.readyAt + c.overhead
 	g.shift = b.shift
 	b.unread = append(b.unread, g)
@@ -147,7 +154,8 @@
 func (e *endpointState) unbook(g *entry) {
 	e.batch.forget(g)
 	e.batch.held -= g.held
-	g.held = 0
+	e.batch.sensitivity = max(0, e.batch.sensitivity-g.sensitivity)
+	g.held, g.sensitivity = 0, 0
 }
 
 // forget takes a request out of those without a first token; false means that
@@ -168,6 +176,8 @@
 	// patience is the backlog that it may find, read how long it takes to be
 	// read whole.
 	patience, read time.Duration
+	// sensitivity is how much its stream suffers from what is read beside it.
+	sensitivity float64
 	// keeper keeps the most of the prompt, the first kept tokens; second is the
 	// best of the others.
 	keeper, second   *endpointState
@@ -177,6 +187,9 @@
 
 func (c *Cell) prompt(r *Request, now time.Duration) prompt {
 	p := prompt{Request: r, patience: c.patience(r), room: c.roomFor(r, now)}
+	if q := c.class(r.Class); q != nil {
+		p.sensitivity = q.sensitivity(r)
+	}
 	p.read = time.Duration(readCost(r.PromptTokens, 0) / c.readRate * float64(time.Second))
 	for _, e := range c.list {
 		if e.policy.Memory == 0 || e.health.ejected(now) {
@@ -248,6 +261,8 @@
 	if e.policy.Zone != r.Zone {
 		cost += farWeight
 	}
+	cost += r.sensitivity * e.batch.reading.present(now) * disturbedTime.Seconds() * c.readRate
+	cost += disturbShare * e.batch.sensitivity * readCost(r.PromptTokens, kept)
 	return cost * e.health.slowness(c.medianToken), source
 }
 
--- /dev/null
+++ b/internal/schedule/disturb.go
@@ -0,0 +1,35 @@
+package schedule
+
+import "time"
+
+// A stream beside which prompts are read all the time crawls: each of its
+// steps takes a chunk of a prompt as well. Its first token is in time, but a
+// pause between two events exceeds what was promised, and the whole answer is
+// late. So streams with short pauses and prompts that take long to read are
+// kept apart, each by the cost of what the other does to it.
+
+const (
+	// unhurriedPause is from which pause on a class does not suffer, and
+	// hurriedPause up to which it suffers fully.
+	unhurriedPause = 400 * time.Millisecond
+	hurriedPause   = 200 * time.Millisecond
+	// longStream is from how many tokens on a stream suffers fully. A short
+	// one is over before much is read beside it.
+	longStream = 150
+	// disturbedTime is how much backlog such a stream rather finds than an
+	// engine that reads all the time.
+	disturbedTime = 400 * time.Millisecond
+	// disturbShare is by how much a prompt's cost grows for each such stream
+	// beside which it is read.
+	disturbShare = 0.1
+)
+
+// sensitivity returns how much a request's stream suffers from what is read
+// beside it, from 0 to 1.
+func (q *classQueue) sensitivity(r *Request) float64 {
+	if q.policy.Pause == 0 || q.policy.Pause >= unhurriedPause {
+		return 0
+	}
+	hurry := min(1, float64(unhurriedPause-q.policy.Pause)/float64(unhurriedPause-hurriedPause))
+	return hurry * min(1, float64(r.EstimatedTokens)/longStream)
+}
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -25,6 +25,8 @@
 	fetched int
 	// idle says that the engine had nothing else to read.
 	idle bool
+	// sensitivity is how much the stream suffers from what is read beside it.
+	sensitivity float64
 	// due is when the first token was expected, as booked when the engine's
 	// corrections summed up to shift.
 	due, shift time.Duration
--- a/internal/schedule/room.go
+++ b/internal/schedule/room.go
@@ -39,6 +39,11 @@
 	d.at = now
 }
 
+// present returns the rate without changing it.
+func (d *demand) present(now time.Duration) float64 {
+	return d.rate * math.Exp(-(now-d.at).Seconds()/demandTime.Seconds())
+}
+
 func (d *demand) add(now, read time.Duration) {
 	d.decay(now)
 	d.rate += read.Seconds() / demandTime.Seconds()
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -42,8 +42,9 @@
 	// MaxQueue bounds the waiting requests; zero is unlimited.
 	MaxQueue    int
 	Preemptible bool
-	// Target is the promised time to the first token; zero promises nothing.
-	Target time.Duration
+	// Target is the promised time to the first token, Pause that between two
+	// events; zero promises nothing.
+	Target, Pause time.Duration
 }
 
 // EndpointPolicy is what the table says of an endpoint.
