Let long prompts disturb most

Change: a prompt disturbs by its reading time times its length over 10,000 tokens, at most three times.

--- a/internal/schedule/batch.go
+++ b/internal/schedule/batch.go
@@ -113,7 +113,7 @@
 	g.held = r.PromptTokens + r.EstimatedTokens
 	b.held += g.held
 	b.readyAt = max(b.readyAt, now) + c.readTime(e, g.reads)
-	b.reading.add(now, c.readTime(e, g.reads))
+	b.reading.add(now, time.Duration(disturbance(r.PromptTokens)*float64(c.readTime(e, g.reads))))
 	g.sensitivity = g.class.sensitivity(r)
 	b.sensitivity += g.sensitivity
 	g.due = b.readyAt + c.overhead
@@ -262,7 +262,7 @@
 		cost += farWeight
 	}
 	cost += r.sensitivity * e.batch.reading.present(now) * disturbedTime.Seconds() * c.readRate
-	cost += disturbShare * e.batch.sensitivity * readCost(r.PromptTokens, kept)
+	cost += disturbShare * e.batch.sensitivity * disturbance(r.PromptTokens) * readCost(r.PromptTokens, kept)
 	return cost * e.health.slowness(c.medianToken), source
 }
 
--- a/internal/schedule/disturb.go
+++ b/internal/schedule/disturb.go
@@ -19,6 +19,12 @@
 	// disturbedTime is how much backlog such a stream rather finds than an
 	// engine that reads all the time.
 	disturbedTime = 400 * time.Millisecond
+	// plainPrompt is the prompt in tokens whose reading disturbs by as much as
+	// it takes. The chunks of a longer one take longer each, since attention
+	// grows with what was read before, and it is those that make a pause too
+	// long; a short one is over within an event. mostDisturbing bounds it.
+	plainPrompt    = 10_000
+	mostDisturbing = 3
 	// disturbShare is by how much a prompt's cost grows for each such stream
 	// beside which it is read.
 	disturbShare = 0.1
@@ -33,3 +39,9 @@
 	hurry := min(1, float64(unhurriedPause-q.policy.Pause)/float64(unhurriedPause-hurriedPause))
 	return hurry * min(1, float64(r.EstimatedTokens)/longStream)
 }
+
+// disturbance returns by how much more than its reading takes a prompt
+// disturbs the streams beside which it is read.
+func disturbance(promptTokens int) float64 {
+	return min(mostDisturbing, float64(promptTokens)/plainPrompt)
+}
