Make the linter clean

Cause: six findings of the linter in the gateway's packages: bodies that end with their exchange, an unused function, parameters and results.

Ruled out: closing those bodies, which would read an abandoned stream to its end.

Change: reasons beside the three bodies; the rest removed.

Before: 6 findings.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -40,7 +40,7 @@
 // exchange reads the answer and passes it on.
 func (r *run) exchange(ctx context.Context, x *http1.Exchange, grant *placement.Grant) end {
 	x.Patience(r.patience(silentTargets * r.r.Objective))
-	resp, err := x.Response()
+	resp, err := x.Response() //nolint:bodyclose // the exchange ends with its connection; closing the body would read it to its end
 	if err != nil {
 		return failure(readReason(ctx, err), err)
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -144,7 +144,7 @@
 	Header: func(s Send) http.Header {
 		return http.Header{"Id": {s.Request.ID}, "Last": {s.LastEvent}}
 	},
-	Read: func(status int, h http.Header) Verdict {
+	Read: func(_ int, h http.Header) Verdict {
 		return Verdict{NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != ""}
 	},
 	Mine:     func(*Request, http.Header) bool { return true },
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -116,7 +116,7 @@
 
 func (s *testSite) putConfig() { s.store.Put(platform.TableOperator, platform.KeyConfig, s.config) }
 
-func (s *testSite) addEngine(id, service string) *testEngine {
+func (s *testSite) addEngine(id, service string) {
 	e := &testEngine{Engine: &standin.Engine{ID: id, Slots: 8, Events: 5, Pause: 5 * time.Millisecond}}
 	e.server = httptest.NewServer(e.Engine)
 	s.t.Cleanup(func() { e.server.CloseClientConnections(); e.server.Close() })
@@ -126,7 +126,6 @@
 	}
 	s.engines[id] = e
 	s.store.Put(platform.TableEngines, id, e.entry)
-	return e
 }
 
 func (s *testSite) addDaemon() *testDaemon {
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return "", err
 	}
-	resp, err := x.Response()
+	resp, err := x.Response() //nolint:bodyclose // the exchange ends with its connection
 	if err != nil {
 		x.Abort()
 		return "", err
@@ -196,7 +196,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		resp, err := x.Response()
+		resp, err := x.Response() //nolint:bodyclose // the exchange ends with its connection
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/schedule/parts.go
+++ b/internal/schedule/parts.go
@@ -43,6 +43,3 @@
 		l.tokens -= p.Tokens
 	}
 }
-
-// clear forgets all parts.
-func (l *partList) clear() { *l = partList{} }
