--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,14 @@
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 GO_FILES := $(shell git ls-files '*.go' | grep -v '^internal/peer/peerv1/')
 
-.PHONY: check build format format-check lint vet test model generate fuzz bench
+.PHONY: check tools build format format-check lint vet test model generate fuzz bench
 
 # check is everything that must pass before a change lands.
-check: format-check vet lint test model
+check: tools format-check vet lint test model
+
+# tools says at once which program is missing, instead of failing at the end.
+tools:
+	@for tool in go gcc spin; do command -v $$tool >/dev/null || { echo "$$tool is not installed; .ci/run installs what the checks need" >&2; exit 1; }; done
 
 build:
 	go build -o bin/ ./cmd/...
