Run a small site of the users' platform on loopback

Cause: the demo covered the product's own form only; the store's wire was held against nothing, and reloading settings was untested.

Ruled out: starting the stand-ins of the other form beside it; they speak another protocol.

The daemon's code is unchanged.

--- a/internal/standin/main.go
+++ b/internal/standin/main.go
@@ -17,6 +17,8 @@
 
 	"github.com/beechhead/beechhead/internal/platform"
 	"github.com/beechhead/beechhead/pkg/table"
+
+	usersplatform "github.com/beechhead/beechhead/platform/standin"
 )
 
 const (
@@ -27,6 +29,7 @@
 // options are the arguments of all commands.
 type options struct {
 	Demo     demoCommand     `command:"demo" description:"Run a small site on loopback"`
+	Gateway  gatewayCommand  `command:"gateway-demo" description:"Run a small site in the form of the users' platform on loopback"`
 	Site     siteCommand     `command:"site" description:"Run all of a site but its daemons, and write their settings"`
 	Platform platformCommand `command:"platform" description:"Run the platform's stand-in"`
 	Engine   engineCommand   `command:"engine" description:"Run an engine's stand-in"`
@@ -79,6 +82,17 @@
 	return Demo(ctx, os.Stdout, slog.New(slog.NewJSONHandler(os.Stderr, nil)))
 }
 
+type gatewayCommand struct {
+	Duration time.Duration `long:"duration" description:"End after this time, such as 30s"`
+}
+
+// Execute runs the demo of the users' platform.
+func (c *gatewayCommand) Execute([]string) error {
+	ctx, cancel := untilSignal(c.Duration)
+	defer cancel()
+	return usersplatform.Demo(ctx, os.Stdout, slog.New(slog.NewJSONHandler(os.Stderr, nil)))
+}
+
 type listenOption struct {
 	Listen string `long:"listen" default:"127.0.0.1:0" description:"IP address and port"`
 }
