Keep the platform's names in its folder in tests too

Cause: the gateway's tests wrote the operators' document and entries in the platform's names.

Ruled out: leaving them there, since tests are what the next change is copied from.

Before: one file outside platform/ had its names.

The daemon's code is unchanged.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -182,10 +182,8 @@
 func TestConfigReachesEveryDaemon(t *testing.T) {
 	s := newTestSite(t, 3)
 	s.config.Version = 9
-	s.config.Tenants[0]["api-keys"] = []string{"key-2"}
-	s.config.Routes = append(s.config.Routes, map[string]any{
-		"name": "new", "host": "h.example", "prefix": "/new/", "type": "safe", "service": "app", "timeout-ms": 5000, "attempts": 1, "public": true,
-	})
+	s.config.TakeKey()
+	s.config.AddOpenRoute("new")
 	s.putConfig()
 	for _, d := range s.daemons {
 		s.await("version 9", func() bool { return d.g.holder.Summary().Config == 9 })
@@ -276,8 +274,7 @@
 func TestDrainingEngineGetsNothing(t *testing.T) {
 	s := newTestSite(t, 2)
 	e := s.engines["llm-1"]
-	e.entry["state"] = platform.StateDraining
-	s.store.Put(platform.TableEngines, "llm-1", e.entry)
+	s.store.Put(platform.TableEngines, "llm-1", standin.EntryOf(e.pool, e.address, true))
 	for _, d := range s.daemons {
 		s.await("draining", func() bool { f, _ := d.g.holder.Endpoint("llm-1"); return f.Draining })
 	}
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -39,13 +39,14 @@
 	store   *standin.Store
 	engines map[string]*testEngine
 	daemons []*testDaemon
-	config  configDoc
+	config  standin.Document
 }
 
 type testEngine struct {
 	*standin.Engine
 	server *httptest.Server
-	entry  map[string]any
+	// pool and address are what the engine registers.
+	pool, address string
 }
 
 type testDaemon struct {
@@ -55,49 +56,11 @@
 	done   chan struct{}
 }
 
-// configDoc is the operators' document as tests write it.
-type configDoc struct {
-	Version  int              `json:"version"`
-	Routes   []map[string]any `json:"routes"`
-	Services []map[string]any `json:"services"`
-	Limits   map[string]any   `json:"limits"`
-	Tenants  []map[string]any `json:"tenants,omitempty"`
-}
-
-func defaultConfig() configDoc {
-	route := func(name, kind, service string, more map[string]any) map[string]any {
-		r := map[string]any{
-			"name": name, "host": "h.example", "prefix": "/" + name + "/", "type": kind, "service": service,
-			"timeout-ms": 5000, "target-latency-ms": 300, "priority": 1, "attempts": 1,
-		}
-		for k, v := range more {
-			r[k] = v
-		}
-		return r
-	}
-	return configDoc{
-		Version: 3,
-		Routes: []map[string]any{
-			route("chat", "streaming", "llm", map[string]any{"resumable": true, "attempts": 2, "gap-aim-ms": 200}),
-			route("draft", "streaming", "llm", nil),
-			route("pay", "unsafe", "app", nil),
-			route("look", "safe", "app", map[string]any{"attempts": 2}),
-			route("open", "safe", "app", map[string]any{"public": true}),
-		},
-		Services: []map[string]any{
-			{"name": "llm", "max-connections": 100, "engine": map[string]any{"slots": 8, "kv-cache-tokens": 100000}},
-			{"name": "app", "max-connections": 100},
-		},
-		Limits:  map[string]any{"max-body-bytes": 1000},
-		Tenants: []map[string]any{{"name": "acme", "api-keys": []string{"key-1", "key-2"}}},
-	}
-}
-
 // newTestSite starts a store, two engines, two instances of a plain service,
 // and n daemons.
 func newTestSite(t *testing.T, n int) *testSite {
 	t.Helper()
-	s := &testSite{t: t, store: standin.NewStore(), engines: map[string]*testEngine{}, config: defaultConfig()}
+	s := &testSite{t: t, store: standin.NewStore(), engines: map[string]*testEngine{}, config: standin.SampleDocument()}
 	s.putConfig()
 	for _, id := range []string{"llm-1", "llm-2"} {
 		s.addEngine(id, "llm")
@@ -120,12 +83,9 @@
 	e := &testEngine{Engine: &standin.Engine{ID: id, Slots: 8, Events: 5, Pause: 5 * time.Millisecond}}
 	e.server = httptest.NewServer(e.Engine)
 	s.t.Cleanup(func() { e.server.CloseClientConnections(); e.server.Close() })
-	e.entry = map[string]any{
-		"service": service, "address": strings.TrimPrefix(e.server.URL, "http://"),
-		"zone": "z", "slots": 8, "state": platform.StateReady, "sequence": 1,
-	}
+	e.pool, e.address = service, strings.TrimPrefix(e.server.URL, "http://")
 	s.engines[id] = e
-	s.store.Put(platform.TableEngines, id, e.entry)
+	s.store.Put(platform.TableEngines, id, standin.EntryOf(e.pool, e.address, false))
 }
 
 func (s *testSite) addDaemon() *testDaemon {
@@ -198,10 +158,10 @@
 		s.t.Fatal(err)
 	}
 	a := answer{id: nextID()}
-	req.Host = "h.example"
+	req.Host = standin.SampleHost
 	req.Close = true
 	req.Header.Set(platform.HeaderRequestID, a.id)
-	req.Header.Set(platform.HeaderKey, "key-1")
+	req.Header.Set(platform.HeaderKey, standin.SampleKey)
 	req.Header.Set(platform.HeaderDeadline, "10000")
 	for name, value := range header {
 		req.Header.Set(name, value)
--- a/internal/standin/main.go
+++ b/internal/standin/main.go
@@ -18,7 +18,7 @@
 	"github.com/beechhead/beechhead/internal/platform"
 	"github.com/beechhead/beechhead/pkg/table"
 
-	usersplatform "github.com/beechhead/beechhead/platform/standin"
+	"github.com/beechhead/beechhead/platform/standin/demo"
 )
 
 const (
@@ -90,7 +90,7 @@
 func (c *gatewayCommand) Execute([]string) error {
 	ctx, cancel := untilSignal(c.Duration)
 	defer cancel()
-	return usersplatform.Demo(ctx, os.Stdout, slog.New(slog.NewJSONHandler(os.Stderr, nil)))
+	return demo.Run(ctx, os.Stdout, slog.New(slog.NewJSONHandler(os.Stderr, nil)))
 }
 
 type listenOption struct {
