Drop a set that nothing reads

Cause: the reader kept which ids the store lists and never looked at it.

Ruled out: using it for what is missing; the holder's list serves.

Before and after: the same behaviour; tests of the package pass.

--- a/internal/facts/facts_test.go
+++ b/internal/facts/facts_test.go
@@ -138,8 +138,7 @@
 				return Endpoint{ID: EndpointID(row.Key), Address: string(row.Value)}, len(row.Value) > 0
 			},
 		},
-		present: map[EndpointID]bool{},
-		held:    map[EndpointID]bool{},
+		held: map[EndpointID]bool{},
 	}
 }
 
--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -89,7 +89,7 @@
 // Run reads until ctx ends.
 func (r *Reader) Run(ctx context.Context) {
 	go r.follow(ctx, &topic{name: "config", feed: r.Config, wait: configWait, apply: r.applyConfig})
-	regs := &registrations{reader: r, present: map[EndpointID]bool{}, held: map[EndpointID]bool{}}
+	regs := &registrations{reader: r, held: map[EndpointID]bool{}}
 	r.follow(ctx, &topic{name: "endpoints", feed: r.Endpoints, wait: endpointsWait, pause: endpointsPause, apply: regs.apply})
 }
 
--- a/internal/facts/registrations.go
+++ b/internal/facts/registrations.go
@@ -15,8 +15,6 @@
 // returnGrace; what is still missing then is gone.
 type registrations struct {
 	reader *Reader
-	// present has the ids that the store lists, as far as this reader knows.
-	present map[EndpointID]bool
 	// held has what is missing since an outage.
 	held map[EndpointID]bool
 	// until is the local time at which that is over.
@@ -41,7 +39,6 @@
 
 // missing returns what is known and not listed in all rows.
 func (g *registrations) missing(rows platform.Rows) []Endpoint {
-	g.present = map[EndpointID]bool{}
 	listed := map[EndpointID]bool{}
 	for _, row := range rows.Rows {
 		listed[EndpointID(row.Key)] = true
@@ -68,7 +65,6 @@
 		return g.gone(id, Position(row.Version))
 	}
 	e.Changed = Position(row.Version)
-	g.present[id] = true
 	delete(g.held, id)
 	if known, ok := g.reader.Holder.Endpoint(id); ok && known.same(e) {
 		return nil
@@ -78,7 +74,6 @@
 
 // gone returns that an endpoint is gone, or holds it.
 func (g *registrations) gone(id EndpointID, at Position) []Endpoint {
-	delete(g.present, id)
 	known, ok := g.reader.Holder.Endpoint(id)
 	if !ok || known.Gone {
 		return nil
