Replay loads against one cell and emulated batching engines

Change: internal/replay emulates engines that batch (steps, chunks of prompts, memory with kept parts, fetches, crashes) in simulated time in front of the real decisions; beechhead-load replay plays scenarios of experiments/replay.

--- a/internal/load/main.go
+++ b/internal/load/main.go
@@ -20,10 +20,11 @@
 
 // options are the arguments of all commands.
 type options struct {
-	Run   runCommand   `command:"run" description:"Run an experiment, with one policy or several on the same arrivals"`
-	Speed speedCommand `command:"speed" description:"Measure what the daemons themselves cost"`
-	Scale scaleCommand `command:"scale" description:"Measure how traffic, CPU and memory grow with the site, and fit lines"`
-	Chat  chatCommand  `command:"chat" description:"Send chat requests at a fixed rate to one address"`
+	Run    runCommand    `command:"run" description:"Run an experiment, with one policy or several on the same arrivals"`
+	Speed  speedCommand  `command:"speed" description:"Measure what the daemons themselves cost"`
+	Scale  scaleCommand  `command:"scale" description:"Measure how traffic, CPU and memory grow with the site, and fit lines"`
+	Replay replayCommand `command:"replay" description:"Play a load in simulated time against the decisions of one cell and emulated engines"`
+	Chat   chatCommand   `command:"chat" description:"Send chat requests at a fixed rate to one address"`
 }
 
 // Main runs the command line and returns the exit code.
--- /dev/null
+++ b/internal/replay/player.go
@@ -0,0 +1,354 @@
+package replay
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/beechhead/beechhead/internal/schedule"
+)
+
+const (
+	// controlDelay is the time that a reservation, a grant or a report takes
+	// between two daemons and the decision.
+	controlDelay = 3 * time.Millisecond
+	// tickInterval is the time between two steps of an idle cell.
+	tickInterval = 25 * time.Millisecond
+	// againWithin is how long after its last use a part that is read once more
+	// counts as read again.
+	againWithin = 10 * time.Second
+	// maxWaitShare is the part of a request's deadline after which ageing
+	// gives it the next place.
+	maxWaitShare = 2
+	// eventsBeforeProgress is when progress is told after the first event.
+	eventsBeforeProgress = 32
+)
+
+// request is one request of the load.
+type request struct {
+	schedule.Request
+	player  *player
+	class   *Class
+	result  *ClassResult
+	answer  int
+	arrived time.Duration
+	granted time.Duration
+	// last is when the last event came; zero before the first one.
+	last   time.Duration
+	events int
+	first  time.Duration
+	late   bool
+	ended  bool
+	engine *engine
+	job    *job
+	source *engine
+}
+
+func (r *request) tier() int { return r.class.Tier }
+
+// read notes what of a prompt an engine reads though another has read it.
+func (r *request) read(e *engine, has int) {
+	p, at := r.player, 0
+	for _, part := range r.Parts {
+		at += part.Tokens
+		if last, ok := p.lastUse[part.ID]; ok && at > has && p.now-last < againWithin {
+			p.result.ReadAgain += part.Tokens
+		}
+		p.lastUse[part.ID] = p.now
+	}
+	p.result.Read += r.PromptTokens - has
+	p.result.Fetched += max(0, has-e.keeps(r.Parts))
+}
+
+// player plays a scenario.
+type player struct {
+	s       *Scenario
+	clock   *clockwork.FakeClock
+	random  *rand.Rand
+	cell    *schedule.Cell
+	engines map[schedule.Endpoint]*engine
+	pending map[schedule.RequestID]*request
+	lastUse map[uint64]time.Duration
+	now     time.Duration
+	order   uint64
+	events  eventHeap
+	nextID  uint64
+	result  *Result
+}
+
+type event struct {
+	at    time.Duration
+	order uint64
+	f     func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].order < h[j].order)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// Play plays a scenario to its end.
+func Play(s *Scenario, discipline schedule.Discipline) *Result {
+	p := &player{
+		s:       s,
+		clock:   clockwork.NewFakeClock(),
+		random:  rand.New(rand.NewPCG(s.Seed, 0)), //nolint:gosec // a replay
+		engines: map[schedule.Endpoint]*engine{},
+		pending: map[schedule.RequestID]*request{},
+		lastUse: map[uint64]time.Duration{},
+		result:  newResult(s),
+	}
+	p.cell = schedule.NewCell(p.clock)
+	p.configure(discipline)
+	for i := range s.Classes {
+		p.arriveNext(&s.Classes[i], p.result.Classes[i], uint64(i+1)<<32)
+	}
+	for _, c := range s.Crashes {
+		p.at(c.At.Std(), func() { p.crash(c) })
+	}
+	p.tick()
+	for p.events.Len() > 0 {
+		e, _ := heap.Pop(&p.events).(event)
+		p.clock.Advance(e.at - p.now)
+		p.now = e.at
+		e.f()
+	}
+	return p.result
+}
+
+func (p *player) configure(discipline schedule.Discipline) {
+	cfg := schedule.Config{Discipline: discipline}
+	for i := range p.s.Engines.Count {
+		name := schedule.Endpoint(fmt.Sprintf("e%03d", i))
+		p.engines[name] = newEngine(&p.s.Engines, name)
+		cfg.Endpoints = append(cfg.Endpoints, schedule.EndpointPolicy{
+			Name: name, Concurrency: p.s.Engines.Slots, Memory: p.s.Engines.MemoryTokens,
+		})
+	}
+	for _, c := range p.s.Classes {
+		cfg.Classes = append(cfg.Classes, schedule.ClassPolicy{
+			Name: schedule.Class(c.Name), Tier: schedule.Tier(c.Tier), Weight: 1,
+			Target: c.Target.Std(), Pause: c.Pause.Std(), MaxWait: c.Deadline.Std() / maxWaitShare,
+		})
+	}
+	p.cell.Configure(cfg)
+}
+
+func (p *player) at(t time.Duration, f func()) {
+	p.order++
+	heap.Push(&p.events, event{at: t, order: p.order, f: f})
+}
+
+func (p *player) after(d time.Duration, f func()) { p.at(p.now+d, f) }
+
+// tick steps the cell now and then, as time alone changes what it decides.
+func (p *player) tick() {
+	p.step()
+	if p.now < p.s.Duration.Std() || len(p.pending) > 0 {
+		p.after(tickInterval, p.tick)
+	}
+}
+
+// arriveNext has the next request of a class come after a random time.
+func (p *player) arriveNext(c *Class, res *ClassResult, ids uint64) {
+	gap := time.Duration(p.random.ExpFloat64() / (c.Rate * p.s.factor(c.Name, p.now)) * float64(time.Second))
+	at := p.now + gap
+	if at >= p.s.Duration.Std() {
+		return
+	}
+	p.at(at, func() {
+		p.arrive(c, res, ids)
+		p.arriveNext(c, res, ids)
+	})
+}
+
+func (p *player) arrive(c *Class, res *ClassResult, ids uint64) {
+	p.nextID++
+	own := c.Prompt.draw(p.random)
+	subject := ids | 1<<16 | uint64(p.random.IntN(max(1, c.Subjects)))
+	r := &request{player: p, class: c, result: res, answer: c.Answer.draw(p.random), arrived: p.now}
+	r.Request = schedule.Request{
+		ID:              schedule.RequestID{Host: "host", Sequence: p.nextID},
+		Class:           schedule.Class(c.Name),
+		PromptTokens:    c.CommonTokens + c.SubjectTokens + own,
+		EstimatedTokens: r.answer,
+		Parts: []schedule.Part{
+			{ID: ids, Tokens: c.CommonTokens}, {ID: subject, Tokens: c.SubjectTokens}, {ID: 1<<62 | p.nextID, Tokens: own},
+		},
+	}
+	res.Asked++
+	res.window(p.now).Asked++
+	p.pending[r.ID] = r
+	p.at(r.arrived+c.Deadline.Std(), func() { p.expire(r) })
+	p.after(controlDelay, func() {
+		p.cell.Reserve(r.Request)
+		p.step()
+	})
+}
+
+func (s Size) draw(random *rand.Rand) int {
+	median := s.Mean / math.Exp(s.Sigma*s.Sigma/2)
+	return min(max(1, int(median*math.Exp(s.Sigma*random.NormFloat64()))), s.Max)
+}
+
+func (p *player) step() {
+	for _, d := range p.cell.Step() {
+		r := p.pending[d.ID]
+		switch {
+		case r == nil:
+			p.cell.Release(d.ID, schedule.Report{})
+		case d.Refusal != "":
+			r.result.Refused++
+			p.end(r)
+		case d.Endpoint != "":
+			r.granted = p.now
+			r.engine = p.engines[d.Endpoint]
+			r.source = p.engines[d.FetchFrom]
+			p.after(controlDelay+time.Duration(p.s.Engines.FirstMs*float64(time.Millisecond)), func() { p.begin(r) })
+		}
+	}
+}
+
+// begin has a request arrive at its engine.
+func (p *player) begin(r *request) {
+	switch {
+	case r.ended:
+		return
+	case r.engine.down:
+		p.release(r, schedule.Report{Failed: true})
+		p.end(r)
+		return
+	}
+	r.job = &job{request: r}
+	r.engine.waiting = append(r.engine.waiting, r.job)
+	p.work(r.engine)
+}
+
+// work starts an engine's next step unless one is under way.
+func (p *player) work(e *engine) {
+	if e.stepping || e.down {
+		return
+	}
+	e.admit(p.fetched)
+	if len(e.running) == 0 {
+		return
+	}
+	took, produced := e.step()
+	e.stepping = true
+	epoch := e.epoch
+	p.after(took, func() {
+		if e.epoch != epoch {
+			return
+		}
+		e.stepping = false
+		for _, j := range produced {
+			p.token(j)
+		}
+		p.work(e)
+	})
+}
+
+// fetched returns how much of a prompt is fetched from another engine.
+func (p *player) fetched(j *job) int {
+	if j.request.source == nil {
+		return 0
+	}
+	return j.request.source.keeps(j.request.Parts)
+}
+
+// token notes a token of an answer.
+func (p *player) token(j *job) {
+	r := j.request
+	if r.ended {
+		return
+	}
+	j.made++
+	if j.made == 1 || (j.made-1)%p.s.Engines.TokensPerEvent == 0 {
+		p.event(r)
+	}
+	if j.made >= r.answer {
+		r.result.count(r.arrived, r.late)
+		p.release(r, schedule.Report{FirstToken: r.first, Duration: p.now - r.granted, Tokens: r.events, Done: true})
+		p.end(r)
+	}
+}
+
+func (p *player) event(r *request) {
+	r.events++
+	switch {
+	case r.events == 1:
+		r.first = p.now - r.granted
+		if p.now-r.arrived > r.class.Target.Std() {
+			r.late = true
+			r.result.LateFirst++
+		}
+	case r.class.Pause > 0 && p.now-r.last > r.class.Pause.Std() && !r.late:
+		r.late = true
+		r.result.LatePause++
+	}
+	r.last = p.now
+	if r.events == 1 || r.events == eventsBeforeProgress {
+		progress := schedule.Progress{FirstToken: r.first, Tokens: r.events, Elapsed: p.now - r.granted}
+		p.after(controlDelay, func() { p.cell.Progress(r.ID, progress) })
+	}
+}
+
+func (p *player) release(r *request, report schedule.Report) {
+	p.after(controlDelay, func() {
+		p.cell.Release(r.ID, report)
+		p.step()
+	})
+}
+
+func (p *player) end(r *request) {
+	r.ended = true
+	delete(p.pending, r.ID)
+	if r.job != nil {
+		r.engine.leave(r.job)
+	}
+}
+
+// expire ends a request at its deadline.
+func (p *player) expire(r *request) {
+	if r.ended {
+		return
+	}
+	r.result.Expired++
+	if r.engine == nil {
+		r.result.Held++
+		p.cell.Cancel(r.ID)
+	} else {
+		p.release(r, schedule.Report{Tokens: r.events, Duration: p.now - r.granted})
+	}
+	p.end(r)
+}
+
+// crash takes the first engines down for a while.
+func (p *player) crash(c Crash) {
+	for i := range c.Count {
+		e := p.engines[schedule.Endpoint(fmt.Sprintf("e%03d", i))]
+		if e == nil {
+			return
+		}
+		for _, j := range e.crash() {
+			j.request.result.Crashed++
+			p.release(j.request, schedule.Report{Failed: true, Tokens: j.request.events})
+			p.end(j.request)
+		}
+		p.after(c.For.Std(), func() { e.down = false })
+	}
+}
--- /dev/null
+++ b/internal/replay/replay_test.go
@@ -0,0 +1,92 @@
+package replay
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/beechhead/beechhead/internal/schedule"
+)
+
+func scenario(t *testing.T, name string) *Scenario {
+	t.Helper()
+	s, err := Read("../../experiments/replay/" + name + ".json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// A scenario is judged by comparing two builds on the same seed: whatever else
+// differs between two plays would be taken for an effect of the change.
+func TestSameSeedSameOutcome(t *testing.T) {
+	s := scenario(t, "few-slots")
+	s.Duration /= 5
+	first, _ := json.Marshal(Play(s, schedule.ByTier))
+	second, _ := json.Marshal(Play(s, schedule.ByTier))
+	if string(first) != string(second) {
+		t.Errorf("first %s\nsecond %s", first, second)
+	}
+}
+
+func TestEveryRequestEndsOnce(t *testing.T) {
+	for _, name := range []string{"few-slots", "long-prompts"} {
+		s := scenario(t, name)
+		s.Duration /= 2
+		for _, c := range Play(s, schedule.ByTier).Classes {
+			ended := c.InTime + c.Late + c.Refused + c.Expired + c.Crashed
+			// A request whose engine was down on arrival counts nowhere else.
+			if c.Asked == 0 || ended > c.Asked || ended < c.Asked*99/100 {
+				t.Errorf("%s: %d of %d %s requests ended", name, ended, c.Asked, c.Name)
+			}
+		}
+	}
+}
+
+func TestFaultsOfScenario(t *testing.T) {
+	_, err := Parse([]byte(`{"duration": "1s", "engines": {"count": 1, "slots": "many"}, "classes": [{"name": "a"}], "bursts": [{"class": "b"}], "wrong": 1}`))
+	if err == nil {
+		t.Fatal("taken")
+	}
+	for _, want := range []string{"engines.slots", "wrong", `unknown class "b"`, `class "a" needs a rate`} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%q does not name %s", err, want)
+		}
+	}
+}
+
+// The steps of the emulated engine follow from its figures alone.
+func TestStepTimes(t *testing.T) {
+	spec := &Engines{Slots: 4, MemoryTokens: 10_000, StepMs: 3, StepMsPerRun: 0.5, ReadPerMs: 100, ChunkTokens: 1000, TokensPerEvent: 1}
+	e := newEngine(spec, "e")
+	p := &player{lastUse: map[uint64]time.Duration{}, result: &Result{}}
+	r := &request{player: p, class: &Class{}, answer: 2}
+	r.Request = schedule.Request{PromptTokens: 1500, Parts: []schedule.Part{{ID: 1, Tokens: 1500}}}
+	e.waiting = append(e.waiting, &job{request: r})
+	e.admit(func(*job) int { return 0 })
+	for i, want := range []time.Duration{13 * time.Millisecond, 8 * time.Millisecond, 3500 * time.Microsecond} {
+		took, produced := e.step()
+		if took != want || (len(produced) > 0) != (i > 0) {
+			t.Errorf("step %d takes %v with %d tokens, want %v", i, took, len(produced), want)
+		}
+	}
+	if got := e.keeps(r.Parts); got != 1500 {
+		t.Errorf("%d tokens are kept", got)
+	}
+}
+
+// Parts that nobody uses make room for new ones, those in use don't.
+func TestMemoryOfEngine(t *testing.T) {
+	spec := &Engines{Slots: 4, MemoryTokens: 100}
+	e := newEngine(spec, "e")
+	e.use([]schedule.Part{{ID: 1, Tokens: 40}, {ID: 2, Tokens: 40}})
+	e.kept[1].users = 0
+	if !e.makeRoom(50) || e.kept[1] != nil || e.kept[2] == nil {
+		t.Errorf("kept %v", e.kept)
+	}
+	e.running = []*job{{}}
+	if e.makeRoom(90) {
+		t.Error("there is room beside a part in use")
+	}
+}
