Replay engines that start again under a new name

Cause: an engine that came back after a crash in the replay had its old name, so that the decisions went on believing what it had kept.

Change: a crashed engine stays listed until it is back under a new name.

--- a/internal/replay/player.go
+++ b/internal/replay/player.go
@@ -71,6 +71,9 @@
 	random  *rand.Rand
 	cell    *schedule.Cell
 	engines map[schedule.Endpoint]*engine
+	// names has the engines that are listed; each start of one has a name of
+	// its own.
+	names   []schedule.Endpoint
 	pending map[schedule.RequestID]*request
 	lastUse map[uint64]time.Duration
 	now     time.Duration
@@ -113,12 +116,16 @@
 		result:  newResult(s),
 	}
 	p.cell = schedule.NewCell(p.clock)
+	for i := range s.Engines.Count {
+		p.names = append(p.names, "")
+		p.start(i, 1)
+	}
 	p.configure(discipline)
 	for i := range s.Classes {
 		p.arriveNext(&s.Classes[i], p.result.Classes[i], uint64(i+1)<<32)
 	}
 	for _, c := range s.Crashes {
-		p.at(c.At.Std(), func() { p.crash(c) })
+		p.at(c.At.Std(), func() { p.crash(c, discipline) })
 	}
 	p.tick()
 	for p.events.Len() > 0 {
@@ -132,9 +139,7 @@
 
 func (p *player) configure(discipline schedule.Discipline) {
 	cfg := schedule.Config{Discipline: discipline}
-	for i := range p.s.Engines.Count {
-		name := schedule.Endpoint(fmt.Sprintf("e%03d", i))
-		p.engines[name] = newEngine(&p.s.Engines, name)
+	for _, name := range p.names {
 		cfg.Endpoints = append(cfg.Endpoints, schedule.EndpointPolicy{
 			Name: name, Concurrency: p.s.Engines.Slots, Memory: p.s.Engines.MemoryTokens,
 		})
@@ -337,18 +342,27 @@
 	p.end(r)
 }
 
-// crash takes the first engines down for a while.
-func (p *player) crash(c Crash) {
-	for i := range c.Count {
-		e := p.engines[schedule.Endpoint(fmt.Sprintf("e%03d", i))]
-		if e == nil {
-			return
-		}
-		for _, j := range e.crash() {
+// start lists an engine that knows nothing of before.
+func (p *player) start(i, incarnation int) {
+	name := schedule.Endpoint(fmt.Sprintf("e%03d.%d", i, incarnation))
+	p.engines[name] = newEngine(&p.s.Engines, name)
+	p.names[i] = name
+}
+
+// crash takes the first engines down for a while. They stay listed until they
+// start again.
+func (p *player) crash(c Crash, discipline schedule.Discipline) {
+	for i := range min(c.Count, len(p.names)) {
+		for _, j := range p.engines[p.names[i]].crash() {
 			j.request.result.Crashed++
 			p.release(j.request, schedule.Report{Failed: true, Tokens: j.request.events})
 			p.end(j.request)
 		}
-		p.after(c.For.Std(), func() { e.down = false })
 	}
+	p.after(c.For.Std(), func() {
+		for i := range min(c.Count, len(p.names)) {
+			p.start(i, int(c.At))
+		}
+		p.configure(discipline)
+	})
 }
