Count a shared part once in an engine's memory

Change: parts have users; those in use stay, the idle ones make room, and a request takes only what its parts add and its answer.

--- a/internal/schedule/batch.go
+++ b/internal/schedule/batch.go
@@ -65,7 +65,8 @@
 
 // batch is what a cell has booked on a batching engine.
 type batch struct {
-	// held is the memory that running requests take, in tokens.
+	// held is the memory that running requests take beside the parts of their
+	// prompts, which several may share, in tokens.
 	held  int
 	parts partList
 	// readyAt is when the engine is expected to have read all it was given.
@@ -128,7 +129,7 @@
 	has := max(b.parts.cached(r.Parts), g.fetched)
 	g.reads = readCost(r.PromptTokens, has)
 	g.idle = len(b.unread) == 0
-	g.held = r.PromptTokens + r.EstimatedTokens
+	g.held = ownMemory(r)
 	b.held += g.held
 	b.readyAt = max(b.readyAt, now) + c.readTime(e, g.reads)
 	b.busy.add(now, c.readTime(e, g.reads))
@@ -141,12 +142,22 @@
 	g.due = b.readyAt + c.overhead
 	g.shift = b.shift
 	b.unread = append(b.unread, g)
-	b.parts.use(r.Parts, e.policy.Memory-b.held)
+	b.parts.take(r.Parts, e.policy.Memory-b.held)
 	for _, p := range r.Parts {
 		c.lastUse[p.ID] = now
 	}
 }
 
+// ownMemory is what a request takes in an engine's memory beside the parts of
+// its prompt.
+func ownMemory(r *Request) int {
+	inParts := 0
+	for _, p := range r.Parts {
+		inParts += p.Tokens
+	}
+	return max(0, r.PromptTokens-inParts) + r.EstimatedTokens
+}
+
 // begin notes the first token of a request: the engine has read its prompt.
 func (c *Cell) begin(g *entry, now time.Duration) {
 	b := &g.endpoint.batch
@@ -175,6 +186,9 @@
 // unbook notes the end of a grant.
 func (e *endpointState) unbook(g *entry) {
 	e.batch.forget(g)
+	if g.held > 0 {
+		e.batch.parts.leave(g.request.Parts)
+	}
 	e.batch.held -= g.held
 	e.batch.sensitivity = max(0, e.batch.sensitivity-g.sensitivity)
 	g.held, g.sensitivity = 0, 0
@@ -202,6 +216,8 @@
 	// patience is the backlog that it may find, read how long it takes to be
 	// read whole.
 	patience, read time.Duration
+	// memory is what it takes beside the parts.
+	memory int
 	// sensitivity is how much its stream suffers from what is read beside it.
 	sensitivity float64
 	// disturbing requests are kept off quiet engines.
@@ -220,6 +236,7 @@
 		p.sensitivity = q.sensitivity(r)
 	}
 	p.read = c.ownRead(r)
+	p.memory = ownMemory(r)
 	for _, e := range c.list {
 		if e.policy.Memory == 0 || e.health.ejected(now) {
 			continue
@@ -251,7 +268,7 @@
 	if e.policy.Memory == 0 {
 		return true
 	}
-	if e.running > 0 && e.batch.held+p.PromptTokens+p.EstimatedTokens > e.policy.Memory {
+	if e.running > 0 && !e.batch.fits(p, e.policy.Memory) {
 		return false
 	}
 	if e.quiet && p.disturbing {
@@ -264,6 +281,11 @@
 	return p.room.spare > 0 || !p.room.crowds(backlog, p.read)
 }
 
+// fits tells whether the memory holds one more request.
+func (b *batch) fits(p *prompt, memory int) bool {
+	return b.parts.inUse+b.parts.added(p.Parts)+b.held+p.memory <= memory
+}
+
 // ownRead returns how long an engine takes to read a prompt whole.
 func (c *Cell) ownRead(r *Request) time.Duration {
 	return time.Duration(readCost(r.PromptTokens, 0) / c.readRate * float64(time.Second))
--- a/internal/schedule/parts.go
+++ b/internal/schedule/parts.go
@@ -2,19 +2,31 @@
 
 import "container/list"
 
-// partList is what an engine is thought to keep, the least recently used part
-// first. The zero value is empty.
+// partList is what an engine is thought to keep. Parts of running requests
+// stay; of the others the least recently used makes room first. The zero value
+// is empty.
 type partList struct {
-	order  *list.List
-	byID   map[uint64]*list.Element
-	tokens int
+	// idle has the parts that no running request uses, the least recently used
+	// first.
+	idle *list.List
+	byID map[uint64]*keptPart
+	// tokens is the sum of all parts, inUse that of those with users.
+	tokens, inUse int
+}
+
+// keptPart is one part with its users, the running requests that have it.
+type keptPart struct {
+	Part
+	users int
+	// place is where it stands in idle; nil while it has users.
+	place *list.Element
 }
 
 // cached returns how many tokens from the start of a prompt are kept.
 func (l *partList) cached(parts []Part) int {
 	n := 0
 	for _, p := range parts {
-		if _, ok := l.byID[p.ID]; !ok {
+		if l.byID[p.ID] == nil {
 			return n
 		}
 		n += p.Tokens
@@ -22,24 +34,56 @@
 	return n
 }
 
-// use notes that a prompt is read, and forgets the parts that must make room.
-func (l *partList) use(parts []Part, room int) {
-	if l.order == nil {
-		l.order = list.New()
-		l.byID = map[uint64]*list.Element{}
+// added returns by how many tokens the parts in use grow with a prompt.
+func (l *partList) added(parts []Part) int {
+	n := 0
+	for _, p := range parts {
+		if k := l.byID[p.ID]; k == nil || k.users == 0 {
+			n += p.Tokens
+		}
+	}
+	return n
+}
+
+// take notes that a running request uses the parts of its prompt, and forgets
+// the idle ones that must make room.
+func (l *partList) take(parts []Part, room int) {
+	if l.idle == nil {
+		l.idle = list.New()
+		l.byID = map[uint64]*keptPart{}
 	}
 	for _, p := range parts {
-		if e, ok := l.byID[p.ID]; ok {
-			l.order.MoveToBack(e)
-			continue
+		k := l.byID[p.ID]
+		if k == nil {
+			k = &keptPart{Part: p}
+			l.byID[p.ID] = k
+			l.tokens += p.Tokens
 		}
-		l.byID[p.ID] = l.order.PushBack(p)
-		l.tokens += p.Tokens
+		if k.users++; k.users == 1 {
+			l.inUse += k.Tokens
+		}
+		if k.place != nil {
+			l.idle.Remove(k.place)
+			k.place = nil
+		}
+	}
+	for l.tokens > room && l.idle.Len() > 0 {
+		oldest, _ := l.idle.Remove(l.idle.Front()).(*keptPart)
+		delete(l.byID, oldest.ID)
+		l.tokens -= oldest.Tokens
 	}
-	for l.tokens > room && l.order.Len() > 0 {
-		oldest := l.order.Front()
-		p, _ := l.order.Remove(oldest).(Part)
-		delete(l.byID, p.ID)
-		l.tokens -= p.Tokens
+}
+
+// leave ends a request's use of the parts of its prompt.
+func (l *partList) leave(parts []Part) {
+	for _, p := range parts {
+		k := l.byID[p.ID]
+		if k == nil || k.users == 0 {
+			continue
+		}
+		if k.users--; k.users == 0 {
+			l.inUse -= k.Tokens
+			k.place = l.idle.PushBack(k)
+		}
 	}
 }
