--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -146,6 +146,24 @@
 // Pool returns a pool, or nil.
 func (c *Catalog) Pool(name table.Pool) *Pool { return c.pools[name] }
 
+// IdleConnections returns how many idle connections each of a number of
+// daemons may keep to an endpoint, so that all of them together, with those
+// that are in use, stay within what the endpoint of any pool accepts; zero if
+// no pool names a limit.
+func (c *Catalog) IdleConnections(daemons int) int {
+	least := 0
+	for _, p := range c.Pools {
+		if p.MaxConnections == 0 {
+			continue
+		}
+		n := max(1, (p.MaxConnections-p.Slots)/max(1, daemons))
+		if least == 0 || n < least {
+			least = n
+		}
+	}
+	return least
+}
+
 // TierOf returns the tier of an account's requests on a route.
 func TierOf(r *Route, a *Account) table.Tier {
 	if a != nil && a.HasTier {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -177,6 +177,33 @@
 	}
 }
 
+// An engine takes requests and never answers. What may be repeated goes on at
+// another one; the rest ends at the caller's deadline, with a status that
+// promises nothing, since it may have run.
+func TestEngineThatDoesNotAnswer(t *testing.T) {
+	s := newTestSite(t, 1)
+	d := s.daemons[0]
+	s.setFaults(standin.EngineFaults{Hang: true})
+	short := map[string]string{platform.HeaderDeadline: "700"}
+	parts := map[string]string{platform.HeaderDeadline: "700", platform.HeaderParts: "aa:800", platform.HeaderTokens: "800,30"}
+	for target, header := range map[string]map[string]string{"/pay/x": short, "/look/x": short, "/chat/x": parts, "/draft/x": parts} {
+		if a := s.call(d, http.MethodPost, target, header, "body"); a.status != http.StatusGatewayTimeout || len(s.runs(a.id)) == 0 {
+			t.Errorf("%s: status %d after %d runs, %v", target, a.status, len(s.runs(a.id)), a.err)
+		}
+	}
+	s.setFaults(standin.EngineFaults{})
+	s.engines["app-1"].SetFaults(standin.EngineFaults{Hang: true})
+	s.engines["llm-1"].SetFaults(standin.EngineFaults{Hang: true})
+	for range 3 {
+		if a := s.call(d, http.MethodGet, "/look/x", nil, ""); a.status != http.StatusOK {
+			t.Errorf("a safe request: status %d, %v", a.status, a.err)
+		}
+		if a := s.chat(d, "chat"); a.status != http.StatusOK || a.body != wholeStream(a.id, 5) {
+			t.Errorf("a stream that may go on elsewhere: status %d, %q, %v", a.status, a.body, a.err)
+		}
+	}
+}
+
 // An operator takes a key away and adds a route. Both are in force on every
 // daemon soon, whichever of them reads the store.
 func TestConfigReachesEveryDaemon(t *testing.T) {
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -231,6 +231,7 @@
 	g.coordinator.Configure(t)
 	g.coordinator.SetDraining(draining)
 	g.placer.Configure(t)
+	g.limitConnections()
 	g.view.UpdateSelf(func(h *membership.Host) {
 		h.TableVersion = uint64(c.Version)
 		if h.State == membership.Starting {
@@ -242,6 +243,13 @@
 	g.logger.Info("facts in force", "config", c.Version, "endpoints", len(endpoints), "draining", len(draining), "position", s.Position)
 }
 
+// limitConnections divides what endpoints accept over the hosts.
+func (g *Gateway) limitConnections() {
+	if c := g.holder.Catalog(); c != nil {
+		g.forwarder.Pool.SetMaxIdle(c.IdleConnections(len(g.view.Hosts())))
+	}
+}
+
 // tableEndpoints returns the endpoints whose pool the configuration names, and
 // which of them take no new work.
 func tableEndpoints(c *catalog.Catalog, known []facts.Endpoint, region string) (endpoints []table.Endpoint, draining []table.EndpointName) {
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -209,3 +209,18 @@
 		t.Errorf("%d connections, want one a request", opened)
 	}
 }
+
+// Each daemon keeps idle connections to each endpoint. Together they would
+// exceed what an endpoint accepts, and it resets what goes beyond that.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	p := NewPool(clockwork.NewFakeClock(), nil)
+	p.SetMaxIdle(2)
+	for range 3 {
+		a, b := net.Pipe()
+		t.Cleanup(func() { _ = b.Close() })
+		p.put("x", &conn{Conn: a, reader: bufio.NewReader(a)}, defaultIdle)
+	}
+	if n := len(p.idle["x"]); n != 2 {
+		t.Errorf("%d connections are idle, want 2", n)
+	}
+}
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -41,8 +41,15 @@
 	swept time.Time
 	// Opened counts connections.
 	Opened atomic.Int64
+	// maxIdle bounds the idle connections to one address; zero does not.
+	maxIdle atomic.Int64
 }
 
+// SetMaxIdle bounds the idle connections to one address; zero does not.
+// Endpoints reset what exceeds their limit for all callers together, and the
+// request on it with it.
+func (p *Pool) SetMaxIdle(n int) { p.maxIdle.Store(int64(n)) }
+
 // NewPool returns an empty pool.
 func NewPool(clock clockwork.Clock, dial func(ctx context.Context, address string) (net.Conn, error)) *Pool {
 	return &Pool{clock: clock, dial: dial, idle: map[string][]*conn{}, swept: clock.Now()}
@@ -92,10 +99,21 @@
 	}
 	c.until = p.clock.Now().Add(idle)
 	c.reused = true
+	if !p.keep(address, c) {
+		_ = c.Close()
+	}
+	p.sweep()
+}
+
+// keep adds an idle connection unless there are enough.
+func (p *Pool) keep(address string, c *conn) bool {
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	if most := int(p.maxIdle.Load()); most > 0 && len(p.idle[address]) >= most {
+		return false
+	}
 	p.idle[address] = append(p.idle[address], c)
-	p.mu.Unlock()
-	p.sweep()
+	return true
 }
 
 // sweepInterval is the time between two searches for connections that have
