Add a fault soak that runs the real programs

Relays can be reset, cut one way, delayed; stand-ins have commands of their own and faults that break promises, so that every check is shown to fail.

Ruled out: checking daemons' metrics, which would believe the daemon.

Links between daemons and clocks are not covered.

--- a/internal/load/main.go
+++ b/internal/load/main.go
@@ -24,6 +24,7 @@
 	Speed  speedCommand  `command:"speed" description:"Measure what the daemons themselves cost"`
 	Scale  scaleCommand  `command:"scale" description:"Measure how traffic, CPU and memory grow with the site, and fit lines"`
 	Replay replayCommand `command:"replay" description:"Play a load in simulated time against the decisions of one cell and emulated engines"`
+	Soak   soakCommand   `command:"soak" description:"Run the real programs under overlapping faults and check what callers and endpoints see"`
 	Chat   chatCommand   `command:"chat" description:"Send chat requests at a fixed rate to one address"`
 }
 
--- /dev/null
+++ b/internal/load/soak.go
@@ -0,0 +1,112 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/beechhead/beechhead/internal/soak"
+)
+
+// soakCommand runs the fault soak.
+type soakCommand struct {
+	Bin        string        `long:"bin" default:"bin" description:"Directory with the programs"`
+	Dir        string        `long:"dir" description:"Directory for the logs; a temporary one if absent"`
+	Seed       uint64        `long:"seed" default:"1" description:"First seed"`
+	Seeds      int           `long:"seeds" default:"1" description:"Play that many seeds"`
+	Parallel   int           `long:"parallel" default:"1" description:"Play that many seeds at the same time, each with processes of its own"`
+	Regression string        `long:"regression" description:"Play the seeds of this file instead, which failed once"`
+	Daemons    int           `long:"daemons" default:"4" description:"Daemons"`
+	Engines    int           `long:"engines" default:"4" description:"Engines and instances of a plain service, half each"`
+	Callers    int           `long:"callers" default:"12" description:"Callers"`
+	Length     time.Duration `long:"length" default:"12s" description:"How long faults come"`
+	Plant      string        `long:"plant" choice:"runTwice" choice:"foreign" choice:"runRefused" choice:"unsigned" description:"A fault of the stand-ins that breaks a promise; the run must fail"`
+}
+
+var errPromises = errors.New("promises were broken")
+
+// Execute plays the seeds, some of them at the same time.
+func (c *soakCommand) Execute([]string) (err error) {
+	defer func() {
+		if err != nil && !errors.Is(err, errPromises) {
+			err = errors.Wrap(err, "soak")
+		}
+	}()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if c.Dir == "" {
+		if c.Dir, err = os.MkdirTemp("", "soak-"); err != nil {
+			return err
+		}
+	}
+	seeds, err := c.seeds()
+	if err != nil {
+		return err
+	}
+	var broken atomic.Bool
+	grp, ctx := errgroup.WithContext(ctx)
+	slots := make(chan int, c.Parallel)
+	for i := range c.Parallel {
+		slots <- i
+	}
+	for _, seed := range seeds {
+		slot := <-slots
+		grp.Go(func() error {
+			defer func() { slots <- slot }()
+			kept, err := c.play(ctx, seed, slot)
+			if !kept {
+				broken.Store(true)
+			}
+			return err
+		})
+	}
+	if err := grp.Wait(); err != nil {
+		return err
+	}
+	if broken.Load() {
+		return errPromises
+	}
+	return nil
+}
+
+// seeds returns what is to be played.
+func (c *soakCommand) seeds() (seeds []uint64, err error) {
+	if c.Regression == "" {
+		for i := range c.Seeds {
+			seeds = append(seeds, c.Seed+uint64(i))
+		}
+		return seeds, nil
+	}
+	cases, err := soak.ReadRegression(c.Regression)
+	if err != nil {
+		return nil, err
+	}
+	for _, one := range cases {
+		seeds = append(seeds, one.Seed)
+	}
+	return seeds, nil
+}
+
+// play plays one seed and tells whether all promises were kept.
+func (c *soakCommand) play(ctx context.Context, seed uint64, slot int) (kept bool, err error) {
+	var out bytes.Buffer
+	defer func() { _, _ = os.Stdout.Write(out.Bytes()) }()
+	o := &soak.Options{
+		Bin: c.Bin, Dir: c.Dir, Seed: seed, Network: os.Getpid()*c.Parallel + slot,
+		Daemons: max(2, c.Daemons), Engines: max(4, c.Engines), Callers: c.Callers,
+		Length: c.Length, Plant: c.Plant, Out: &out,
+	}
+	v, err := soak.Play(ctx, o)
+	if err != nil {
+		return false, err
+	}
+	v.Print(o)
+	return len(v.Violations) == 0, nil
+}
--- /dev/null
+++ b/internal/soak/check_test.go
@@ -0,0 +1,164 @@
+package soak
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/beechhead/beechhead/platform/standin"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time { return epoch.Add(time.Duration(seconds * float64(time.Second))) }
+
+// goodRecord is a run in which a stop, an edit and a drain harmed nobody.
+func goodRecord() *Record {
+	rec := &Record{Began: at(0), Calm: at(30), Ended: at(32), Daemons: 1}
+	add := func(id, route string, sent float64, engine int) {
+		c := Call{Call: standin.Call{ID: id, Route: route, Key: standin.SampleKey, Deadline: callDeadline}, Sent: at(sent), Ended: at(sent + 1)}
+		c.Answer = standin.CallAnswer{Status: http.StatusOK, Signed: true}
+		c.Answer.Body = wholeBody(&c)
+		rec.Calls = append(rec.Calls, c)
+		r := Run{Engine: engine}
+		r.ID, r.Method, r.Target, r.Body, r.Account, r.Began = id, http.MethodPost, "/"+route+"/x", id, "acme", at(sent+0.01)
+		rec.Runs = append(rec.Runs, r)
+	}
+	add("pay", "pay", 10, 1)
+	add("draft", "draft", 12, 0)
+	add("look", "look", 14, 1)
+	add("calm", "chat", 31, 0)
+	rec.Stops = []Stop{{Daemon: 0, At: at(10.5), Ended: at(13), Clean: true}}
+	rec.Faults = []Struck{{Fault: Fault{Kind: KindStop}, From: at(10.5), To: at(13)}}
+	rec.Drains = []Drain{{Engine: 0, From: at(20), To: at(25)}}
+	rec.Revoked = []Revoke{{Key: "old", At: at(5)}}
+	rec.Final = []Final{{Newest: http.StatusOK, Revoked: http.StatusUnauthorized, Usual: []int{http.StatusOK}}}
+	return rec
+}
+
+func TestNothingIsFoundWhereAllIsWell(t *testing.T) {
+	if found := Find(goodRecord()); len(found) > 0 {
+		t.Errorf("found %v", found)
+	}
+}
+
+// Each check must be able to fail: a record that breaks its promise, and no
+// other one, is found by it.
+func TestEachCheckFindsItsViolation(t *testing.T) {
+	tests := []struct {
+		name, promise string
+		spoil         func(*Record)
+	}{
+		{"a booking runs twice", "at most once", func(r *Record) { r.Runs = append(r.Runs, r.Runs[0]) }},
+		{"a stream that can't go on runs twice", "at most once", func(r *Record) { r.Runs = append(r.Runs, r.Runs[1]) }},
+		{"refused and has run", "not run", func(r *Record) {
+			r.Calls[0].Answer = standin.CallAnswer{Status: http.StatusServiceUnavailable}
+		}},
+		{"another's answer", "whole answers", func(r *Record) { r.Calls[0].Answer.Body = standin.AnswerTo("look") }},
+		{"a short answer that looks whole", "whole answers", func(r *Record) { r.Calls[1].Answer.Body = standin.EventOf("draft", 1) }},
+		{"an event twice before it broke off", "whole answers", func(r *Record) {
+			r.Calls[1].Cause = "EOF"
+			r.Calls[1].Answer.Body = standin.EventOf("draft", 1) + standin.EventOf("draft", 1)
+		}},
+		{"a success without signature", "whole answers", func(r *Record) { r.Calls[0].Answer.Signed = false }},
+		{"a run that nobody asked for", "asked", func(r *Record) { r.Runs[0].ID = "smuggled" }},
+		{"another body", "asked", func(r *Record) { r.Runs[0].Body = "other" }},
+		{"the key passed on", "asked", func(r *Record) { r.Runs[0].Key = standin.SampleKey }},
+		{"another account", "asked", func(r *Record) { r.Runs[0].Account = "other" }},
+		{"a key that was taken away 5.5 s before", "revoked keys", func(r *Record) {
+			r.Calls[0].Key, r.Calls[0].Sent = "old", at(10.6)
+		}},
+		{"a run after the drain", "drain", func(r *Record) { r.Runs[3].Began = at(23) }},
+		{"a request cut off by a stop", "graceful stop", func(r *Record) {
+			r.Calls[0].Cause, r.Calls[0].Answer.Status = "EOF", 0
+		}},
+		{"a stop that fails", "graceful stop", func(r *Record) { r.Stops[0].Clean = false }},
+		{"not served in the calm time", "recovery", func(r *Record) {
+			r.Calls[3].Answer = standin.CallAnswer{Status: http.StatusBadGateway}
+		}},
+		{"a daemon obeys an old document", "recovery", func(r *Record) { r.Final[0].Newest = http.StatusNotFound }},
+		{"a daemon takes an old key", "recovery", func(r *Record) { r.Final[0].Revoked = http.StatusOK }},
+		{"a daemon never came back", "recovery", func(r *Record) { r.Daemons = 2 }},
+		{"too many repeats", "retry budget", func(r *Record) {
+			for range retrySlack + 2 {
+				r.Runs = append(r.Runs, r.Runs[2])
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			rec := goodRecord()
+			tt.spoil(rec)
+			found := Find(rec)
+			if !slices.ContainsFunc(found, func(v Violation) bool { return v.Promise == tt.promise }) {
+				t.Errorf("found %v", found)
+			}
+			if slices.ContainsFunc(found, func(v Violation) bool { return v.Promise != tt.promise }) {
+				t.Errorf("found more: %v", found)
+			}
+		})
+	}
+}
+
+// What a trace has shown to be allowed must not be found.
+func TestAllowedCasesAreNotFound(t *testing.T) {
+	tests := []struct {
+		name  string
+		spoil func(*Record)
+	}{
+		{"a stop before the process asked for the signal", func(r *Record) { r.Stops[0].Clean, r.Stops[0].Young = false, true }},
+		{"cut off by a stop while a daemon was killed", func(r *Record) {
+			r.Calls[0].Cause, r.Calls[0].Answer.Status = "EOF", 0
+			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindKill}, From: at(9), To: at(10)})
+		}},
+		{"a late run at a leaving engine by a paused daemon", func(r *Record) {
+			r.Runs[3].Began = at(23)
+			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindPause}, From: at(21), To: at(23)})
+		}},
+		{"a safe request that runs again", func(r *Record) { r.Runs = append(r.Runs, r.Runs[2]) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			rec := goodRecord()
+			tt.spoil(rec)
+			if found := Find(rec); len(found) > 0 {
+				t.Errorf("found %v", found)
+			}
+		})
+	}
+}
+
+// A seed that failed must play the same faults again.
+func TestPlanFollowsFromSeed(t *testing.T) {
+	line := func(seed uint64) string {
+		var b strings.Builder
+		for _, f := range Plan(seed, 4, 4, 12*time.Second) {
+			b.WriteString(f.String() + "\n")
+		}
+		return b.String()
+	}
+	if line(7) != line(7) || line(7) == line(8) {
+		t.Error("a plan does not follow from its seed")
+	}
+	seen := map[Kind]bool{}
+	for seed := range uint64(40) {
+		for _, f := range Plan(seed, 4, 4, 12*time.Second) {
+			seen[f.Kind] = true
+			if f.Target < 0 || f.Target > 3 || f.For < minFault || f.For > maxFault {
+				t.Errorf("%v", f)
+			}
+		}
+	}
+	if len(seen) != len(kinds) {
+		t.Errorf("%d of %d kinds are drawn", len(seen), len(kinds))
+	}
+}
+
+func TestRegressionFile(t *testing.T) {
+	cases, err := ReadRegression("testdata/seeds.json")
+	if err != nil || len(cases) == 0 {
+		t.Errorf("%d cases, %v", len(cases), err)
+	}
+}
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,156 @@
+package soak
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/beechhead/beechhead/internal/standin"
+	form "github.com/beechhead/beechhead/platform/standin"
+)
+
+// restartPause is how long a daemon is gone before it is started again.
+const restartPause = 200 * time.Millisecond
+
+// strike brings a fault about and undoes it after its time. It returns when
+// all is as before.
+func (r *run) strike(f Fault) {
+	began := time.Now()
+	note := r.noteFault(f, began)
+	switch {
+	case f.Kind == KindConfig || f.Kind == KindRevoke:
+		r.edit(f.Kind == KindRevoke)
+	case f.ofDaemon():
+		r.strikeDaemon(f)
+	case f.ofStore():
+		r.strikeStore(f)
+	case f.Kind == KindEngineDrain:
+		r.drain(f)
+	default:
+		r.strikeEngine(f)
+	}
+	r.endFault(note, time.Now())
+}
+
+func (r *run) strikeDaemon(f Fault) {
+	r.daemonLocks[f.Target].Lock()
+	defer r.daemonLocks[f.Target].Unlock()
+	p := r.site.daemon(f.Target)
+	switch f.Kind {
+	case KindReload:
+		p.signal(syscall.SIGHUP)
+	case KindPause:
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(f.For)
+		p.signal(syscall.SIGCONT)
+	case KindStoreCut:
+		name := fmt.Sprintf("store%d", f.Target)
+		r.must(r.site.post(r.site.relayURL(name, "faults"), standin.RelayFaults{CutTo: f.Target%2 == 0, CutFrom: f.Target%2 == 1}))
+		time.Sleep(f.For)
+		r.must(r.site.post(r.site.relayURL(name, "faults"), standin.RelayFaults{}))
+	case KindKill:
+		p.signal(syscall.SIGKILL)
+		<-p.done
+		time.Sleep(restartPause + f.For/4)
+		r.must(r.site.startDaemon(f.Target))
+	case KindStop:
+		r.noteStop(f.Target, p, time.Now())
+		p.signal(syscall.SIGTERM)
+		select {
+		case <-p.done:
+		case <-time.After(grace + stopSlack):
+			r.violate("graceful stop", fmt.Sprintf("host-%d still runs %v after SIGTERM", f.Target, grace+stopSlack))
+			p.signal(syscall.SIGKILL)
+			<-p.done
+		}
+		time.Sleep(restartPause)
+		r.must(r.site.startDaemon(f.Target))
+	}
+}
+
+// stopSlack is how much longer than the grace a stop may take on a busy
+// machine.
+const stopSlack = 3 * time.Second
+
+func (r *run) strikeStore(f Fault) {
+	faults := map[Kind]form.StoreFaults{
+		KindStoreDown:   {Down: true},
+		KindStoreSilent: {Silent: true},
+		KindStoreSlow:   {DelayMs: 250},
+		KindStoreLossy:  {LoseReplies: 3},
+	}
+	if f.Kind == KindStoreHistory {
+		r.must(r.site.post("http://"+r.site.address(standinAddress, portStore)+"/operator", form.Edit{DropHistory: true}))
+		return
+	}
+	r.storeLock.Lock()
+	defer r.storeLock.Unlock()
+	r.must(r.site.post(r.site.storeURL(), faults[f.Kind]))
+	time.Sleep(f.For)
+	r.must(r.site.post(r.site.storeURL(), form.StoreFaults{}))
+}
+
+func (r *run) strikeEngine(f Fault) {
+	r.engineLocks[f.Target].Lock()
+	defer r.engineLocks[f.Target].Unlock()
+	way := fmt.Sprintf("engine%d", f.Target)
+	switch f.Kind {
+	case KindEngineSilence:
+		r.must(r.site.post(r.site.relayURL(way, "silence"), nil))
+		return
+	case KindEngineReset:
+		r.must(r.site.post(r.site.relayURL(way, "reset"), nil))
+		return
+	case KindEngineDelay:
+		r.must(r.site.post(r.site.relayURL(way, "faults"), standin.RelayFaults{DelayMs: 60}))
+		time.Sleep(f.For)
+		r.must(r.site.post(r.site.relayURL(way, "faults"), standin.RelayFaults{}))
+		return
+	}
+	faults := map[Kind]form.EngineFaults{
+		KindEngineRefuse: {Refuse: true},
+		KindEngineFail:   {Fail: true},
+		KindEngineHang:   {Hang: true},
+		KindEngineCut:    {CutAfter: 5},
+		KindEngineTwice:  {Twice: true},
+	}
+	r.must(r.site.post(r.site.engineURL(f.Target, "/faults"), faults[f.Kind]))
+	time.Sleep(f.For)
+	r.must(r.site.post(r.site.engineURL(f.Target, "/faults"), form.EngineFaults{}))
+}
+
+// drain has an engine announce that it leaves, and come back later. One engine
+// of each pool always stays.
+func (r *run) drain(f Fault) {
+	r.drainLock.Lock()
+	defer r.drainLock.Unlock()
+	r.must(r.site.putEngine(f.Target, true))
+	began := time.Now()
+	time.Sleep(f.For + drainBound)
+	r.noteDrain(f.Target, began, time.Now())
+	r.must(r.site.putEngine(f.Target, false))
+}
+
+// edit puts a new version of the operators' document in force. It adds a route
+// and removes the one that the edit before added; revoke also replaces the
+// second key.
+func (r *run) edit(revoke bool) {
+	s := r.site
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.config.Version += 1 + s.config.Version%3
+	if s.extra != "" {
+		s.config.Routes = s.config.Routes[:len(s.config.Routes)-1]
+	}
+	s.extra = fmt.Sprintf("extra%d", s.config.Version)
+	s.config.AddOpenRoute(s.extra)
+	old := s.key
+	if revoke {
+		s.key = fmt.Sprintf("key-%d", s.config.Version)
+		s.config.Tenants[0]["api-keys"] = []string{form.SampleKey, s.key}
+	}
+	r.must(s.putConfig())
+	if revoke {
+		r.noteRevoked(old, time.Now())
+	}
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,149 @@
+// Package soak runs the real programs as separate processes on loopback, brings
+// about overlapping faults that follow from a seed, and checks the promises to
+// callers and operators by what callers and endpoints see.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is a kind of fault.
+type Kind string
+
+// The kinds of fault. Those of daemons are brought about by signals, the others
+// by the stand-ins and the relays.
+const (
+	KindKill   Kind = "kill"
+	KindPause  Kind = "pause"
+	KindStop   Kind = "stop"
+	KindReload Kind = "reload"
+
+	KindStoreDown    Kind = "storeDown"
+	KindStoreSilent  Kind = "storeSilent"
+	KindStoreSlow    Kind = "storeSlow"
+	KindStoreLossy   Kind = "storeLossy"
+	KindStoreHistory Kind = "storeHistory"
+	KindStoreCut     Kind = "storeCut"
+
+	KindEngineRefuse  Kind = "engineRefuse"
+	KindEngineFail    Kind = "engineFail"
+	KindEngineHang    Kind = "engineHang"
+	KindEngineReset   Kind = "engineReset"
+	KindEngineCut     Kind = "engineCut"
+	KindEngineTwice   Kind = "engineTwice"
+	KindEngineSilence Kind = "engineSilence"
+	KindEngineDelay   Kind = "engineDelay"
+	KindEngineDrain   Kind = "engineDrain"
+
+	KindConfig Kind = "config"
+	KindRevoke Kind = "revoke"
+)
+
+// kinds has the kinds with how often each is drawn.
+var kinds = []struct {
+	kind   Kind
+	weight int
+}{
+	{KindKill, 3}, {KindPause, 2}, {KindStop, 4}, {KindReload, 2},
+	{KindStoreDown, 2}, {KindStoreSilent, 1}, {KindStoreSlow, 1}, {KindStoreLossy, 1}, {KindStoreHistory, 1}, {KindStoreCut, 3},
+	{KindEngineRefuse, 1}, {KindEngineFail, 1}, {KindEngineHang, 1}, {KindEngineReset, 2}, {KindEngineCut, 2}, {KindEngineTwice, 1},
+	{KindEngineSilence, 2}, {KindEngineDelay, 1}, {KindEngineDrain, 2},
+	{KindConfig, 3}, {KindRevoke, 3},
+}
+
+// Fault is one fault of a plan.
+type Fault struct {
+	Kind Kind `json:"kind"`
+	// At is counted from the beginning, For how long it lasts.
+	At  time.Duration `json:"at"`
+	For time.Duration `json:"for"`
+	// Target is the number of the daemon or engine, where the kind has one.
+	Target int `json:"target"`
+}
+
+// String returns the fault as a line of a plan.
+func (f Fault) String() string {
+	return fmt.Sprintf("%6.2fs %-13s %d for %v", f.At.Seconds(), f.Kind, f.Target, f.For.Round(10*time.Millisecond))
+}
+
+// planned tells whether a fault is work that an operator plans, beside which
+// nothing may be cut off.
+func (f Fault) planned() bool {
+	switch f.Kind {
+	case KindStop, KindReload, KindConfig, KindRevoke, KindEngineDrain:
+		return true
+	}
+	return false
+}
+
+// ofDaemon tells whether the target of a fault is a daemon.
+func (f Fault) ofDaemon() bool {
+	switch f.Kind {
+	case KindKill, KindPause, KindStop, KindReload, KindStoreCut:
+		return true
+	}
+	return false
+}
+
+// ofStore tells whether all daemons find the store in trouble.
+func (f Fault) ofStore() bool {
+	switch f.Kind {
+	case KindStoreDown, KindStoreSilent, KindStoreSlow, KindStoreLossy, KindStoreHistory:
+		return true
+	}
+	return false
+}
+
+const (
+	// minFault and maxFault bound how long a fault lasts.
+	minFault = 300 * time.Millisecond
+	maxFault = 4 * time.Second
+	// faultGap is the mean time between the beginnings of two faults; they
+	// last longer, so that they overlap.
+	faultGap = 500 * time.Millisecond
+	// seriesShare is the part of the faults that comes in a series of the same
+	// kind, seriesGap the time between its members.
+	seriesShare = 0.25
+	seriesGap   = 250 * time.Millisecond
+)
+
+// Plan draws the faults of a seed.
+func Plan(seed uint64, daemons, engines int, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 1)) //nolint:gosec // a plan
+	var plan []Fault
+	for at := time.Second; at < length; {
+		f := Fault{Kind: drawKind(random), At: at, For: minFault + time.Duration(random.Int64N(int64(maxFault-minFault)))}
+		n := 1
+		if random.Float64() < seriesShare {
+			n = 2 + random.IntN(2)
+		}
+		for range n {
+			f.Target = random.IntN(engines)
+			if f.ofDaemon() {
+				f.Target = random.IntN(daemons)
+			}
+			plan = append(plan, f)
+			f.At += seriesGap
+		}
+		at += time.Duration(random.ExpFloat64() * float64(faultGap))
+	}
+	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
+	return plan
+}
+
+func drawKind(random *rand.Rand) Kind {
+	total := 0
+	for _, k := range kinds {
+		total += k.weight
+	}
+	at := random.IntN(total)
+	for _, k := range kinds {
+		if at -= k.weight; at < 0 {
+			return k.kind
+		}
+	}
+	return KindKill
+}
--- /dev/null
+++ b/internal/soak/regression.go
@@ -0,0 +1,36 @@
+package soak
+
+import (
+	"encoding/json"
+	"os"
+
+	"github.com/go-faster/errors"
+)
+
+// Regression is a seed that failed once.
+type Regression struct {
+	Seed  uint64 `json:"seed"`
+	Cause string `json:"cause"`
+}
+
+// ReadRegression reads the file of the seeds that failed once.
+func ReadRegression(path string) (cases []Regression, err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrap(err, "seeds that failed")
+		}
+	}()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(data, &cases); err != nil {
+		return nil, err
+	}
+	for _, c := range cases {
+		if c.Seed == 0 || c.Cause == "" {
+			return nil, errors.New("each needs a seed and a cause")
+		}
+	}
+	return cases, nil
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,239 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/beechhead/beechhead/platform/standin"
+)
+
+// Options of a run.
+type Options struct {
+	// Bin is the directory with the programs.
+	Bin string
+	// Dir takes the logs and the record of a run that fails.
+	Dir  string
+	Seed uint64
+	// Daemons, Engines and Callers are how many there are; of the engines
+	// those with even numbers run streams.
+	Daemons, Engines, Callers int
+	// Length is how long faults come.
+	Length time.Duration
+	// Network is the number of the loopback network, below Networks, that no
+	// other run may use meanwhile.
+	Network int
+	// Plant names a fault of the stand-ins that breaks a promise, to show that
+	// the checks can fail; see standin.EngineFaults.
+	Plant string
+	Out   io.Writer
+}
+
+const (
+	// recovery is how long after the last fault everything must be well again.
+	recovery = 8 * time.Second
+	// calmTime is how long it is then looked at.
+	calmTime = 2 * time.Second
+	// Networks is how many runs may go on at once, each in a network of its
+	// own within 127.0.0.0/8.
+	Networks     = 200
+	firstNetwork = 20
+)
+
+// run is one run of the soak.
+type run struct {
+	recorder
+	o    *Options
+	site *site
+	ctx  context.Context
+
+	daemonLocks, engineLocks []sync.Mutex
+	storeLock, drainLock     sync.Mutex
+}
+
+// Verdict is what a run has shown.
+type Verdict struct {
+	Seed       uint64      `json:"seed"`
+	Calls      int         `json:"calls"`
+	Served     int         `json:"served"`
+	Runs       int         `json:"runs"`
+	Faults     int         `json:"faults"`
+	Violations []Violation `json:"violations"`
+	// Kept is the directory with the logs of a run that failed.
+	Kept string `json:"kept,omitempty"`
+}
+
+// Play plays one seed.
+func Play(ctx context.Context, o *Options) (v Verdict, err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrapf(err, "soak, seed %d", o.Seed)
+		}
+	}()
+	dir := filepath.Join(o.Dir, fmt.Sprintf("seed-%d", o.Seed))
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return v, err
+	}
+	r := &run{
+		o: o, ctx: ctx,
+		daemonLocks: make([]sync.Mutex, o.Daemons),
+		engineLocks: make([]sync.Mutex, o.Engines),
+	}
+	r.site = &site{
+		o: o, procs: newProcesses(dir), network: firstNetwork + o.Network%Networks,
+		client: &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}},
+		config: standin.SampleDocument(), key: "key-2",
+	}
+	r.rec.Daemons = o.Daemons
+	defer r.site.procs.endAll()
+	if err := r.site.start(ctx); err != nil {
+		return v, err
+	}
+	if err := r.plant(); err != nil {
+		return v, err
+	}
+	if err := r.play(); err != nil {
+		return v, err
+	}
+	return r.verdict(dir)
+}
+
+// plant switches on the planted fault.
+func (r *run) plant() error {
+	if r.o.Plant == "" {
+		return nil
+	}
+	faults := map[string]bool{r.o.Plant: true}
+	if r.o.Plant == "runRefused" {
+		faults["refuse"] = true
+	}
+	for i := range r.o.Engines {
+		if err := r.site.post(r.site.engineURL(i, "/faults"), faults); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// play has callers and faults at work, then a time to recover and a calm one.
+func (r *run) play() error {
+	ctx, cancel := context.WithCancel(r.ctx)
+	defer cancel()
+	r.rec.Began = time.Now()
+	var callers, faults sync.WaitGroup
+	callers.Go(func() { r.callers(ctx) })
+	for _, f := range Plan(r.o.Seed, r.o.Daemons, r.o.Engines, r.o.Length) {
+		faults.Go(func() {
+			if r.sleep(time.Until(r.rec.Began.Add(f.At))) {
+				r.strike(f)
+			}
+		})
+	}
+	faults.Wait()
+	r.sleep(recovery)
+	r.rec.Calm = time.Now()
+	r.sleep(calmTime)
+	r.rec.Ended = time.Now()
+	cancel()
+	callers.Wait()
+	if err := r.ctx.Err(); err != nil {
+		return err
+	}
+	r.lookForEnds()
+	r.askAll()
+	return r.collect()
+}
+
+// sleep waits; false means that the run is to end.
+func (r *run) sleep(d time.Duration) bool {
+	select {
+	case <-r.ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// must notes a failure of the soak itself, which must not pass for a success.
+func (r *run) must(err error) {
+	if err != nil {
+		r.violate("the soak itself", err.Error())
+	}
+}
+
+// lookForEnds finds processes that have ended by themselves.
+func (r *run) lookForEnds() {
+	r.site.procs.mu.Lock()
+	defer r.site.procs.mu.Unlock()
+	newest := map[string]*process{}
+	for _, p := range r.site.procs.all {
+		newest[p.name] = p
+	}
+	for name, p := range newest {
+		if p.gone() {
+			r.violate("processes stay", fmt.Sprintf("%s has ended by itself: %v", name, p.err))
+		}
+	}
+}
+
+// collect reads what the engines have run.
+func (r *run) collect() error {
+	for i := range r.o.Engines {
+		runs, err := r.site.runs(i)
+		if err != nil {
+			return err
+		}
+		for _, one := range runs {
+			r.rec.Runs = append(r.rec.Runs, Run{Run: one, Engine: i})
+		}
+	}
+	return nil
+}
+
+// verdict checks the record. What a failed run has left stays for the search.
+func (r *run) verdict(dir string) (Verdict, error) {
+	rec := r.finish()
+	v := Verdict{Seed: r.o.Seed, Calls: len(rec.Calls), Runs: len(rec.Runs), Faults: len(rec.Faults), Violations: Find(rec)}
+	for _, c := range rec.Calls {
+		if c.Answer.Status == http.StatusOK && c.Cause == "" {
+			v.Served++
+		}
+	}
+	if len(v.Violations) == 0 {
+		return v, os.RemoveAll(dir)
+	}
+	v.Kept = dir
+	data, err := json.MarshalIndent(rec, "", " ")
+	if err != nil {
+		return v, err
+	}
+	return v, os.WriteFile(filepath.Join(dir, "record.json"), data, 0o600)
+}
+
+// Print writes the verdict, and the plan of a run that failed.
+func (v *Verdict) Print(o *Options) {
+	word := "kept"
+	if len(v.Violations) > 0 {
+		word = "BROKEN"
+	}
+	fmt.Fprintf(o.Out, "seed %d: all promises %s; %d faults, %d requests, %d served, %d runs\n", v.Seed, word, v.Faults, v.Calls, v.Served, v.Runs)
+	if len(v.Violations) == 0 {
+		return
+	}
+	for _, one := range v.Violations {
+		fmt.Fprintf(o.Out, "  %s: %s\n", one.Promise, one.What)
+	}
+	fmt.Fprintf(o.Out, "  logs and record are in %s; the plan was\n", v.Kept)
+	for _, f := range Plan(o.Seed, o.Daemons, o.Engines, o.Length) {
+		fmt.Fprintf(o.Out, "    %s\n", f)
+	}
+}
--- /dev/null
+++ b/internal/soak/site.go
@@ -0,0 +1,261 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/beechhead/beechhead/internal/settings"
+	"github.com/beechhead/beechhead/pkg/table"
+	"github.com/beechhead/beechhead/platform"
+	"github.com/beechhead/beechhead/platform/standin"
+)
+
+// Ports of a run. Each run has a loopback network of its own, by its number,
+// and each daemon an address in it.
+const (
+	portCallers = 18501 + iota
+	portPeers
+	portFigures
+	portReady
+	portDirectory
+	portBeacons
+	portStore
+	portRelays
+	portEngines    = 18600
+	portEngineWay  = 18700
+	portStoreWay   = 18800
+	firstDaemon    = 11
+	standinAddress = 2
+)
+
+// Bounds that the daemons are given, and that the checks hold them to.
+const (
+	revokeAfter = 5 * time.Second
+	grace       = 8 * time.Second
+	retryShare  = 0.2
+	retrySlack  = 40
+	retryWindow = 10 * time.Second
+)
+
+// site is the processes of a run.
+type site struct {
+	o       *Options
+	procs   *processes
+	network int
+	client  *http.Client
+	// engines has the ids by number; a drained engine is replaced by another
+	// start under a new id, at the same number.
+	engines []string
+
+	mu      sync.Mutex
+	daemons []*process
+	config  standin.Document
+	// extra is the route that the newest edit added, keys the keys in force
+	// beside the first.
+	extra string
+	key   string
+}
+
+func (s *site) address(host, port int) string {
+	return net.JoinHostPort(fmt.Sprintf("127.%d.0.%d", s.network, host), strconv.Itoa(port))
+}
+
+func (s *site) binary(name string) string { return filepath.Join(s.o.Bin, name) }
+
+// start starts everything and waits until all daemons are ready.
+func (s *site) start(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrap(err, "start site")
+		}
+	}()
+	if _, err := s.procs.start("store", s.binary("beechhead-standin"), "gateway-store", "--listen", s.address(standinAddress, portStore)); err != nil {
+		return err
+	}
+	args := []string{"relays", "--listen", s.address(standinAddress, portRelays)}
+	for i := range s.o.Engines {
+		id := fmt.Sprintf("engine-%d", i)
+		s.engines = append(s.engines, id)
+		address := s.address(standinAddress, portEngines+i)
+		if _, err := s.procs.start(id, s.binary("beechhead-standin"), "gateway-engine", "--listen", address, "--id", id); err != nil {
+			return err
+		}
+		args = append(args, "--relay", fmt.Sprintf("engine%d=%s=%s", i, s.address(standinAddress, portEngineWay+i), address))
+	}
+	for i := range s.o.Daemons {
+		args = append(args, "--relay", fmt.Sprintf("store%d=%s=%s", i, s.address(standinAddress, portStoreWay+i), s.address(standinAddress, portStore)))
+	}
+	if _, err := s.procs.start("relays", s.binary("beechhead-standin"), args...); err != nil {
+		return err
+	}
+	if err := s.await(ctx, func() bool { return s.post(s.relayURL("store0", "reset"), nil) == nil && s.register() == nil }); err != nil {
+		return err
+	}
+	if err := s.putConfig(); err != nil {
+		return err
+	}
+	for i := range s.o.Daemons {
+		s.daemons = append(s.daemons, nil)
+		if err := s.startDaemon(i); err != nil {
+			return err
+		}
+	}
+	return s.await(ctx, s.allReady)
+}
+
+// register lists all engines in the store.
+func (s *site) register() error {
+	for i := range s.engines {
+		if err := s.putEngine(i, false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// pool returns the pool of an engine: one half of them runs streams.
+func (s *site) pool(engine int) string {
+	if engine%2 == 0 {
+		return "llm"
+	}
+	return "app"
+}
+
+func (s *site) putEngine(i int, draining bool) error {
+	entry := standin.EntryOf(s.pool(i), s.address(standinAddress, portEngineWay+i), draining)
+	return s.operate(platform.TableEngines, s.engines[i], entry)
+}
+
+// putConfig writes the operators' document and returns when it is accepted.
+func (s *site) putConfig() error {
+	return s.operate(platform.TableOperator, platform.KeyConfig, s.config)
+}
+
+func (s *site) operate(tableName, key string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	return s.post("http://"+s.address(standinAddress, portStore)+"/operator", standin.Edit{Table: tableName, Key: key, Value: data})
+}
+
+// startDaemon starts a daemon, for the first time or again.
+func (s *site) startDaemon(i int) error {
+	name := fmt.Sprintf("host-%d", i)
+	host := firstDaemon + i
+	data, err := json.MarshalIndent(&settings.Settings{
+		Host: name, Region: "r", Zone: fmt.Sprintf("z%d", i%2),
+		CallerAddress: s.address(host, portCallers), PeerAddress: s.address(host, portPeers), OperatorAddress: s.address(host, portFigures),
+		Peers:    []string{s.address(firstDaemon, portPeers), s.address(firstDaemon+1, portPeers)},
+		Platform: settings.Platform{URL: "http://" + s.address(standinAddress, portStoreWay+i), Timeout: table.Duration(700 * time.Millisecond)},
+		Gateway: &settings.Gateway{
+			ReadyAddress: s.address(host, portReady), DirectoryAddress: s.address(host, portDirectory), BeaconPort: portBeacons,
+			AddressLifetime: table.Duration(2 * time.Second), RevokeAfter: table.Duration(revokeAfter), Grace: table.Duration(grace),
+			Retry: settings.Retry{Share: retryShare, Slack: retrySlack, Window: table.Duration(retryWindow)},
+		},
+	}, "", "  ")
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(s.procs.dir, name+".json")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return err
+	}
+	p, err := s.procs.start(name, s.binary("beechhead"), "serve", "--settings", file)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.daemons[i] = p
+	s.mu.Unlock()
+	return nil
+}
+
+func (s *site) daemon(i int) *process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.daemons[i]
+}
+
+func (s *site) allReady() bool {
+	for i := range s.o.Daemons {
+		resp, err := s.client.Get("http://" + s.address(firstDaemon+i, portReady) + platform.PathReady)
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return false
+		}
+	}
+	addresses, err := standin.Resolve(context.Background(), s.client, s.address(firstDaemon, portDirectory), "none")
+	return err == nil && len(addresses) == s.o.Daemons
+}
+
+// startTimeout bounds a start on a busy machine.
+const startTimeout = 30 * time.Second
+
+func (s *site) await(ctx context.Context, holds func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "not ready")
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+func (s *site) relayURL(name, action string) string {
+	return "http://" + s.address(standinAddress, portRelays) + "/" + name + "/" + action
+}
+
+func (s *site) storeURL() string { return "http://" + s.address(standinAddress, portStore) + "/faults" }
+
+func (s *site) engineURL(i int, path string) string {
+	return "http://" + s.address(standinAddress, portEngines+i) + path
+}
+
+func (s *site) post(url string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	resp, err := s.client.Post(url, "application/json", bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(resp.Body)
+		return errors.Errorf("%s: status %d %s", url, resp.StatusCode, text)
+	}
+	return nil
+}
+
+// runs returns what an engine has run.
+func (s *site) runs(i int) (runs []standin.Run, err error) {
+	resp, err := s.client.Get(s.engineURL(i, "/runs"))
+	if err != nil {
+		return nil, errors.Wrap(err, "read runs")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := json.NewDecoder(resp.Body).Decode(&runs); err != nil {
+		return nil, errors.Wrap(err, "decode runs")
+	}
+	return runs, nil
+}
--- a/internal/standin/main.go
+++ b/internal/standin/main.go
@@ -18,6 +18,7 @@
 	"github.com/beechhead/beechhead/internal/platform"
 	"github.com/beechhead/beechhead/pkg/table"
 
+	gatewayform "github.com/beechhead/beechhead/platform/standin"
 	"github.com/beechhead/beechhead/platform/standin/demo"
 )
 
@@ -34,6 +35,9 @@
 	Platform platformCommand `command:"platform" description:"Run the platform's stand-in"`
 	Engine   engineCommand   `command:"engine" description:"Run an engine's stand-in"`
 	Service  serviceCommand  `command:"service" description:"Run a plain service's stand-in"`
+	Store    storeCommand    `command:"gateway-store" description:"Run the stand-in of the users' store"`
+	Endpoint endpointCommand `command:"gateway-engine" description:"Run the stand-in of an engine or service of the users' platform"`
+	Relays   relaysCommand   `command:"relays" description:"Run relays with faults between other processes"`
 	Sample   sampleCommand   `command:"sample" description:"Print a first table for given endpoints"`
 }
 
@@ -156,6 +160,24 @@
 // Execute runs a plain service's stand-in.
 func (c *serviceCommand) Execute([]string) error { return c.serve(NewService().Handler()) }
 
+type storeCommand struct{ listenOption }
+
+// Execute runs the stand-in of the users' store.
+func (c *storeCommand) Execute([]string) error { return c.serve(gatewayform.NewStore().Handler()) }
+
+type endpointCommand struct {
+	listenOption
+	ID     string        `long:"id" required:"yes" description:"Id that it registers under"`
+	Slots  int           `long:"slots" default:"8" description:"Requests run at once"`
+	Events int           `long:"events" default:"20" description:"Events of a stream"`
+	Pause  time.Duration `long:"pause" default:"40ms" description:"Time before each event and before other answers"`
+}
+
+// Execute runs the stand-in of an endpoint of the users' platform.
+func (c *endpointCommand) Execute([]string) error {
+	return c.serve(&gatewayform.Engine{ID: c.ID, Slots: c.Slots, Events: c.Events, Pause: c.Pause})
+}
+
 type sampleCommand struct {
 	Engines     []string `long:"engine" description:"URL of an engine; can be given several times"`
 	Services    []string `long:"service" description:"URL of a plain service; can be given several times"`
