Plan quiet engines by the streams to come

Change: the streams to plan for are at least arrivals a second, over a second, times how long they run. Up to 0.65 of an engine's slots are planned for, not half: with few slots more engines were kept than needed.

--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -84,7 +84,12 @@
 	demand demand
 	// meanSensitivity is that of its requests.
 	meanSensitivity average
-	figures         classFigures
+	// arrivals is the rate of its requests, firstArrival when the first came;
+	// stay is how long they run, in seconds.
+	arrivals     demand
+	firstArrival time.Duration
+	stay         average
+	figures      classFigures
 }
 
 // accountQueue is the waiting requests of one account in one class.
--- a/internal/schedule/quiet.go
+++ b/internal/schedule/quiet.go
@@ -18,7 +18,7 @@
 	// quietSlots the part of its slots that they may take by plan. What is left
 	// is for bursts, which come faster than engines get rid of long answers.
 	quietStreams = 24
-	quietSlots   = 0.5
+	quietSlots   = 0.65
 	// maxQuiet is the greatest part of the engines that is quiet.
 	maxQuiet = 0.6
 	// quietInterval is the time between two reviews of the quiet engines.
@@ -29,6 +29,11 @@
 	// quietFade is over how long the demand for quiet engines falls after a
 	// peak. Streams come back sooner than an engine is free of long answers.
 	quietFade = 4 * time.Second
+	// firstStay is how long a hurried stream is thought to run until one has.
+	firstStay = 2 * time.Second
+	// minSeen is the part of the averaging time that must have been seen for a
+	// rate to be told from chance.
+	minSeen = 0.15
 )
 
 // reviewQuiet chooses the quiet engines anew from time to time.
@@ -38,7 +43,7 @@
 	}
 	since := now - c.quietReviewed
 	c.quietReviewed = now
-	streams := c.hurriedStreams()
+	streams := c.hurriedStreams(now)
 	c.quietDemand = max(streams, c.quietDemand*math.Exp(-since.Seconds()/quietFade.Seconds()))
 	wanted := c.quietWanted(now)
 	quiet := 0
@@ -62,16 +67,16 @@
 	}
 }
 
-// hurriedStreams returns how many hurried streams run and wait, and the least
-// urgent tier that has any.
-func (c *Cell) hurriedStreams() float64 {
+// hurriedStreams returns how many hurried streams run and wait, or will do so
+// at the rate at which they come, and notes the least urgent tier that has any.
+func (c *Cell) hurriedStreams(now time.Duration) float64 {
 	streams := 0.0
 	c.quietTier = -1
 	for _, q := range c.order {
 		if q.policy.Pause == 0 || q.policy.Pause >= unhurriedPause {
 			continue
 		}
-		n := float64(q.running+q.waiting()) * q.meanSensitivity.value
+		n := max(float64(q.running+q.waiting()), q.expectedStreams(now)) * q.meanSensitivity.value
 		if n > 0 {
 			c.quietTier = max(c.quietTier, q.tier.tier)
 		}
@@ -80,6 +85,21 @@
 	return streams
 }
 
+// expectedStreams returns how many requests of a class will run at once if they
+// go on coming as they do. At the start, and in a burst, that is known seconds
+// before they run, and long requests must not take the engines meanwhile.
+func (q *classQueue) expectedStreams(now time.Duration) float64 {
+	seen := 1 - math.Exp(-(now-q.firstArrival).Seconds()/demandTime.Seconds())
+	if q.arrivals.rate == 0 || seen < minSeen {
+		return 0
+	}
+	stay := firstStay.Seconds()
+	if q.stay.n > 0 {
+		stay = q.stay.value
+	}
+	return q.arrivals.present(now) / seen * stay
+}
+
 // quietWanted returns how many engines are to be quiet.
 func (c *Cell) quietWanted(now time.Duration) int {
 	engines, slots := 0, 0
--- a/internal/schedule/quiet_test.go
+++ b/internal/schedule/quiet_test.go
@@ -172,3 +172,22 @@
 		t.Errorf("a late request's patience is %v, want %v: it has no target to meet", late, fresh)
 	}
 }
+
+// Urgent streams begin to come, or come much faster. Each runs for seconds, so
+// that those which run show how many engines they need only then; long
+// requests had taken all engines meanwhile, and the first seconds of each burst
+// were late.
+func TestQuietEnginesFollowArrivals(t *testing.T) {
+	c := newQuietCell(20, hurriedClass, heavyClass)
+	for range 100 {
+		id, _ := c.ask("hurried", 600, 300)
+		c.clock.Advance(5 * time.Millisecond)
+		c.Progress(id, Progress{FirstToken: time.Millisecond, Tokens: 1, Elapsed: time.Millisecond})
+	}
+	c.clock.Advance(quietInterval)
+	c.Step()
+	// 200 a second for 2 s each are 400 streams, though 100 run.
+	if n := len(c.quietNames()); n < 10 {
+		t.Errorf("%d engines are quiet after half a second of 200 streams a second", n)
+	}
+}
--- a/internal/schedule/request.go
+++ b/internal/schedule/request.go
@@ -24,6 +24,10 @@
 		return
 	}
 	if c.batching {
+		if q.arrivals.rate == 0 {
+			q.firstArrival = now
+		}
+		q.arrivals.add(now, time.Second)
 		q.meanSensitivity.add(q.sensitivity(&r))
 		q.demand.add(now, time.Duration(readCost(r.PromptTokens, 0)/c.readRate*float64(time.Second)))
 	}
@@ -162,6 +166,7 @@
 		c.measured(e, Progress{FirstToken: r.FirstToken, Tokens: r.Tokens, Elapsed: r.Duration}, now)
 	}
 	if r.Done && r.Tokens > 0 {
+		e.class.stay.add(r.Duration.Seconds())
 		c.estimates.Observe(e.request.Class, e.request.Account, e.request.EstimatedTokens, r.Tokens)
 		c.meanWork.add(workOf(e.request.PromptTokens, r.Tokens))
 	}
