Drop what ended daemons hold at a coordinator

The logs: host-0, the pool's coordinator, was paused for 3.2 s; host-3 reserved places there and was killed meanwhile; host-0 woke, heard that host-3 was gone, and then read the batches that lay in its socket. After a few more grants there were none. A grant that nobody holds takes a place for good, and one without a first token makes its engine look further behind every second.

Ruled out: ejection (one of two engines at most), quiet engines (the classes have one tier), silent links (the requests were acknowledged, since they were not moved).

Change: a forgotten session's batch is not taken but asked for again as a whole report, and once a second what incarnations hold that have ended is dropped (cells.orphansDropped).

TestBatchAfterItsDaemonsEndTakesNoPlace and the first two cases of TestOrphansAreDropped fail without the change.

--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -51,6 +51,8 @@
 	// dirty has the cells with decisions still to be taken.
 	dirty     map[ID]bool
 	published time.Time
+	// swept is when orphans were last searched for.
+	swept time.Time
 }
 
 // coordinated is a cell with what it still waits for after a change of
--- a/internal/cell/session.go
+++ b/internal/cell/session.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"time"
+
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
 	"github.com/beechhead/beechhead/internal/schedule"
 )
@@ -18,6 +20,8 @@
 	send func(*peerv1.ReservationsResponse)
 	// forgotten says that the daemon's state was dropped meanwhile.
 	forgotten bool
+	// heard is when the last batch came.
+	heard time.Time
 }
 
 // Attach opens a session. The function send must not block.
@@ -26,6 +30,8 @@
 		c:    c,
 		key:  sessionKey{schedule.Host(hello.GetHost()), hello.GetIncarnation()},
 		send: send,
+
+		heard: c.clock.Now(),
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -59,13 +65,18 @@
 		s.refuseAll(req)
 		return
 	}
+	s.heard = c.clock.Now()
 	reset := s.forgotten && !req.GetHoldingsComplete()
-	s.take(req)
+	if !reset {
+		s.take(req)
+	}
 	out := c.step()
 	if req.GetBatch() > 0 {
 		out.to(s).Acked = req.GetBatch()
 	}
 	if reset {
+		// What the batch says comes again with the report. Taken now, it would
+		// stay for ever if the batch was on its way when its daemon ended.
 		out.to(s).Reset_ = true
 	}
 	c.mu.Unlock()
--- a/internal/cellhost/cellhost.go
+++ b/internal/cellhost/cellhost.go
@@ -113,6 +113,13 @@
 	return true
 }
 
+// SweepOrphans drops what daemons hold here that have ended.
+func (h *Host) SweepOrphans() {
+	if n := h.Coordinator.Sweep(h.View.Hosts()); n > 0 {
+		h.Metrics.Add("cells.orphansDropped", int64(n))
+	}
+}
+
 // awaitTick returns once the daemon has found out about a pause, if there was
 // one. What comes from entry daemons waits here, so that nothing is granted on
 // a view from before the pause.
--- a/internal/daemon/tick.go
+++ b/internal/daemon/tick.go
@@ -23,6 +23,7 @@
 			d.view.Sweep()
 			d.owner.Update(d.view.Hosts(), d.hostList.liveDaemons())
 			d.coordinator.Tick(d.view.Ready(), d.placer.Suspects())
+			d.cells.SweepOrphans()
 			d.placer.Tick()
 			d.platform.DivideBudgets(d.hostList.liveDaemons())
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -296,6 +296,7 @@
 			}
 			g.view.Sweep()
 			g.coordinator.Tick(g.view.Ready(), g.placer.Suspects())
+			g.cells.SweepOrphans()
 			g.placer.Tick()
 		}
 	}
