--- a/internal/load/soak.go
+++ b/internal/load/soak.go
@@ -27,6 +27,7 @@
 	Engines    int           `long:"engines" default:"4" description:"Engines and instances of a plain service, half each"`
 	Callers    int           `long:"callers" default:"12" description:"Callers"`
 	Length     time.Duration `long:"length" default:"12s" description:"How long faults come"`
+	Keep    bool          `long:"keep" description:"Keep the logs of runs that keep all promises, too"`
 	Plant      string        `long:"plant" choice:"runTwice" choice:"foreign" choice:"runRefused" choice:"unsigned" description:"A fault of the stand-ins that breaks a promise; the run must fail"`
 }
 
@@ -101,7 +102,7 @@
 	o := &soak.Options{
 		Bin: c.Bin, Dir: c.Dir, Seed: seed, Network: os.Getpid()*c.Parallel + slot,
 		Daemons: max(2, c.Daemons), Engines: max(4, c.Engines), Callers: c.Callers,
-		Length: c.Length, Plant: c.Plant, Out: &out,
+		Length: c.Length, Plant: c.Plant, Keep: c.Keep, Out: &out,
 	}
 	v, err := soak.Play(ctx, o)
 	if err != nil {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -130,6 +130,21 @@
 	}
 }
 
+// A process that was paused right after its start has hardly run, however long
+// ago that was.
+func TestPauseIsNoRunningTime(t *testing.T) {
+	rec := &Record{Faults: []Struck{{Fault: Fault{Kind: KindPause, Target: 1}, From: at(2), To: at(5)}}}
+	for _, tt := range []struct {
+		daemon   int
+		from, to float64
+		want     time.Duration
+	}{{1, 3, 6, 2 * time.Second}, {1, 1, 4, 2 * time.Second}, {1, 6, 8, 0}, {0, 1, 6, 0}} {
+		if got := rec.paused(tt.daemon, at(tt.from), at(tt.to)); got != tt.want {
+			t.Errorf("host-%d from %v to %v was paused for %v, want %v", tt.daemon, tt.from, tt.to, got, tt.want)
+		}
+	}
+}
+
 // A seed that failed must play the same faults again.
 func TestPlanFollowsFromSeed(t *testing.T) {
 	line := func(seed uint64) string {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -57,8 +57,8 @@
 	// Ended is when the process was gone, Clean that its exit code was zero.
 	Ended time.Time
 	Clean bool
-	// Young processes had hardly begun and had not asked for the signal yet,
-	// which ended them at once; they had taken no request.
+	// Young processes had hardly begun and had not asked for their signals yet,
+	// of which each ends a process then; they had taken no request.
 	Young bool
 }
 
@@ -113,10 +113,35 @@
 func (r *recorder) noteStop(daemon int, p *process, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.rec.Stops = append(r.rec.Stops, Stop{Daemon: daemon, At: at, Young: at.Sub(p.started) < youngTime})
+	r.rec.Stops = append(r.rec.Stops, Stop{Daemon: daemon, At: at})
 	r.stopped = append(r.stopped, p)
 }
 
+// paused returns how long a daemon was paused in a time.
+func (rec *Record) paused(daemon int, from, to time.Time) time.Duration {
+	total := time.Duration(0)
+	for _, f := range rec.Faults {
+		if f.Kind == KindPause && f.Target == daemon && f.overlaps(from, to) {
+			total += minTime(f.To, to).Sub(maxTime(f.From, from))
+		}
+	}
+	return total
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // youngTime is how long a process may take to ask for its signals on a busy
 // machine.
 const youngTime = 500 * time.Millisecond
@@ -154,8 +179,9 @@
 	defer r.mu.Unlock()
 	for i, p := range r.stopped {
 		if p.gone() {
-			r.rec.Stops[i].Ended = p.ended
-			r.rec.Stops[i].Clean = p.err == nil
+			s := &r.rec.Stops[i]
+			s.Ended, s.Clean = p.ended, p.err == nil
+			s.Young = p.ended.Sub(p.started)-r.rec.paused(s.Daemon, p.started, p.ended) < youngTime
 		}
 	}
 	return &r.rec
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -35,6 +35,8 @@
 	// Plant names a fault of the stand-ins that breaks a promise, to show that
 	// the checks can fail; see standin.EngineFaults.
 	Plant string
+	// Keep has the logs of all runs stay, not of those alone that fail.
+	Keep bool
 	Out   io.Writer
 }
 
@@ -208,7 +210,7 @@
 			v.Served++
 		}
 	}
-	if len(v.Violations) == 0 {
+	if len(v.Violations) == 0 && !r.o.Keep {
 		return v, os.RemoveAll(dir)
 	}
 	v.Kept = dir
