Tell latencies by class, calls to the store, and lost coordinators

Cause: three lines of the issue on logs and metrics were open: histograms were not by class, there were none of calls to the store, and no line named a coordinator that was lost or came back.

Change: wait, first event and answer are told for each class too, for 64 at most since routes come and go; calls to the store in two summaries; two lines.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -95,7 +95,7 @@
 // placed notes that the request got a place.
 func (r *run) placed(grant *placement.Grant) {
 	waited := r.f.Clock.Since(r.began)
-	r.f.Metrics.Observe("wait.ms", waited.Milliseconds())
+	r.f.Metrics.ObserveClass("wait.ms", string(r.r.Class), waited.Milliseconds())
 	if !r.r.Logged {
 		return
 	}
@@ -111,9 +111,9 @@
 // answered notes that the answer was passed on whole.
 func (r *run) answered(grant *placement.Grant) {
 	took := r.f.Clock.Since(r.began)
-	r.f.Metrics.Observe("answer.ms", took.Milliseconds())
+	r.f.Metrics.ObserveClass("answer.ms", string(r.r.Class), took.Milliseconds())
 	if r.events > 0 {
-		r.f.Metrics.Observe("firstEvent.ms", r.first.Milliseconds())
+		r.f.Metrics.ObserveClass("firstEvent.ms", string(r.r.Class), r.first.Milliseconds())
 	}
 	if r.r.Logged {
 		r.f.Logger.Info("answered", "request", r.r.ID, "class", r.r.Class, "endpoint", grant.Endpoint.Name,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -170,6 +170,13 @@
 	}
 	g.placer = placement.NewPlacer(g.clock, g.view, g.cells.Dial, g.metrics, size, g.conf().Policy)
 	g.placer.OnAlone = g.coordinator.SetShare
+	g.placer.OnReach = func(host membership.HostID, reached bool) {
+		if reached {
+			g.logger.Info("coordinator regained", "coordinator", host)
+			return
+		}
+		g.logger.Warn("coordinator lost", "coordinator", host)
+	}
 	g.forwarder = &forward.Forwarder{
 		Clock:   g.clock,
 		Boot:    g.boot,
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"sync"
 
 	gometrics "github.com/rcrowley/go-metrics"
 
@@ -13,11 +14,15 @@
 // Registry is the set of figures of one daemon. It is safe for concurrent use.
 type Registry struct {
 	r gometrics.Registry
+
+	mu sync.Mutex
+	// classes has those with histograms of their own.
+	classes map[string]bool
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{r: gometrics.NewRegistry()}
+	return &Registry{r: gometrics.NewRegistry(), classes: map[string]bool{}}
 }
 
 // Add adds n to the counter of that name.
@@ -58,6 +63,34 @@
 	}
 }
 
+// maxClasses bounds the classes with histograms of their own. Routes come and
+// go, and the registry forgets none.
+const maxClasses = 64
+
+// otherClass stands for the classes beyond that.
+const otherClass = "other"
+
+// ObserveClass adds a value to the histogram of that name and to that of a
+// class of requests.
+func (r *Registry) ObserveClass(name, class string, v int64) {
+	r.Observe(name, v)
+	r.Observe(name+classMark+r.knownClass(class), v)
+}
+
+// classMark stands between a figure's name and the class that it is told for.
+const classMark = "|"
+
+// knownClass returns the class, or otherClass if there are too many.
+func (r *Registry) knownClass(class string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.classes[class] || len(r.classes) < maxClasses {
+		r.classes[class] = true
+		return class
+	}
+	return otherClass
+}
+
 // Refused counts a refusal by its reason.
 func (r *Registry) Refused(reason outcome.Reason) { r.Inc("refused." + string(reason)) }
 
--- a/internal/metric/metric_test.go
+++ b/internal/metric/metric_test.go
@@ -1,6 +1,7 @@
 package metric_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -30,3 +31,34 @@
 		t.Errorf("got:\n%s\nwant:\n%s", b.String(), want)
 	}
 }
+
+// An operator looks for the class that is late. Routes come and go, so that the
+// number of classes told apart must be bounded.
+func TestHistogramsByClass(t *testing.T) {
+	r := metric.NewRegistry()
+	r.ObserveClass("wait.ms", "chat/0", 7)
+	r.ObserveClass("wait.ms", "draft/1", 9)
+	var out strings.Builder
+	if err := r.WritePrometheus(&out); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		`beechhead_wait_ms_count 2`,
+		`beechhead_wait_ms_by_class_count{class="chat/0"} 1`,
+		`beechhead_wait_ms_by_class{class="draft/1",quantile="0.5"} 9`,
+	} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is not in\n%s", want, out.String())
+		}
+	}
+	for i := range 200 {
+		r.ObserveClass("wait.ms", fmt.Sprint(i), 1)
+	}
+	out.Reset()
+	if err := r.WritePrometheus(&out); err != nil {
+		t.Fatal(err)
+	}
+	if n := strings.Count(out.String(), "by_class_count"); n != 65 {
+		t.Errorf("%d classes are told apart, want 64 and one for the others", n)
+	}
+}
--- a/internal/metric/prometheus.go
+++ b/internal/metric/prometheus.go
@@ -22,6 +22,7 @@
 func (r *Registry) WritePrometheus(w io.Writer) error {
 	families := map[string][]string{}
 	r.r.Each(func(name string, v any) {
+		name, class, ofClass := strings.Cut(name, classMark)
 		family, labels := prometheusName(name)
 		switch m := v.(type) {
 		case gometrics.Counter:
@@ -32,7 +33,12 @@
 			families[key] = append(families[key], fmt.Sprintf("%s%s %d", family, labels, m.Value()))
 		case gometrics.Histogram:
 			key := family + " summary"
-			families[key] = append(families[key], summary(family, m.Snapshot())...)
+			if ofClass {
+				family += "_by_class"
+				key = family + " summary"
+				labels = fmt.Sprintf("class=%q", class)
+			}
+			families[key] = append(families[key], summary(family, labels, m.Snapshot())...)
 		}
 	})
 	out := bufio.NewWriter(w)
@@ -49,13 +55,23 @@
 // quantiles are those that a histogram is told by.
 var quantiles = []float64{0.5, 0.95, 0.99}
 
-// summary returns a histogram's lines.
-func summary(family string, h gometrics.Histogram) []string {
+// summary returns a histogram's lines, with a label if there is one.
+func summary(family, label string, h gometrics.Histogram) []string {
 	var lines []string
 	for i, v := range h.Percentiles(quantiles) {
-		lines = append(lines, fmt.Sprintf("%s{quantile=\"%g\"} %g", family, quantiles[i], v))
+		lines = append(lines, fmt.Sprintf("%s{%s} %g", family, join(label, fmt.Sprintf("quantile=\"%g\"", quantiles[i])), v))
 	}
-	return append(lines, fmt.Sprintf("%s_sum %d", family, h.Sum()), fmt.Sprintf("%s_count %d", family, h.Count()))
+	if label != "" {
+		label = "{" + label + "}"
+	}
+	return append(lines, fmt.Sprintf("%s_sum%s %d", family, label, h.Sum()), fmt.Sprintf("%s_count%s %d", family, label, h.Count()))
+}
+
+func join(label, other string) string {
+	if label == "" {
+		return other
+	}
+	return label + "," + other
 }
 
 // prometheusName returns the name of a figure as Prometheus allows it.
--- a/internal/placement/link.go
+++ b/internal/placement/link.go
@@ -177,6 +177,9 @@
 	} else {
 		s.backoff = min(2*s.backoff, maxSuspicion)
 	}
+	if s.backoff == firstSuspicion {
+		p.OnReach(id, false)
+	}
 	s.until = p.clock.Now().Add(s.backoff)
 	s.tried = false
 	p.metrics.Inc("links.suspected")
@@ -220,6 +223,7 @@
 	if p.isSuspect(l.host.ID) {
 		delete(p.suspects, l.host.ID)
 		p.moved = true
+		p.OnReach(l.host.ID, true)
 	}
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -68,6 +68,9 @@
 	// with the number of hosts among which the endpoints are to be shared;
 	// 1 is all for itself. It must be set before the placer is used.
 	OnAlone func(share int)
+	// OnReach is called, with the placer's lock held, when a coordinator is
+	// passed over because it does not answer, and when it answers again.
+	OnReach func(host membership.HostID, reached bool)
 
 	mu       sync.Mutex
 	sequence uint64
@@ -130,6 +133,7 @@
 		share:     1,
 		policy:    policy,
 		OnAlone:   func(int) {},
+		OnReach:   func(membership.HostID, bool) {},
 		ranking:   cell.NewRanking(),
 		links:     map[membership.HostID]*hostLink{},
 		suspects:  map[membership.HostID]*suspicion{},
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -88,7 +88,9 @@
 	} else {
 		c.count("reads")
 	}
+	began := c.clock.Now()
 	err := c.exchange(callCtx, x, out)
+	c.observe(x, c.clock.Since(began))
 	switch {
 	case !errors.Is(err, ErrUnavailable):
 		c.breaker.leave(epoch, succeeded)
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -151,6 +151,18 @@
 	return c.call(ctx, exchange{method: http.MethodPost, path: path, body: body, cost: cost}, resp)
 }
 
+// observe adds a call's time to the histograms: those that the platform may hold
+// back until there is news are told apart from the others.
+func (c *Client) observe(x exchange, took time.Duration) {
+	switch {
+	case c.metrics == nil:
+	case x.wait > 0:
+		c.metrics.Observe("platformWait.ms", took.Milliseconds())
+	default:
+		c.metrics.Observe("platformCall.ms", took.Milliseconds())
+	}
+}
+
 func (c *Client) count(name string) {
 	if c.metrics == nil {
 		return
