--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -128,7 +128,7 @@
 
 // crash loses everything and returns the requests that were there.
 func (e *engine) crash() []*job {
-	all := append(e.running, e.waiting...)
+	all := slices.Concat(e.running, e.waiting)
 	e.running, e.waiting, e.kept, e.tokens = nil, nil, map[uint64]*keptPart{}, 0
 	e.epoch++
 	e.down, e.stepping = true, false
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -160,14 +160,6 @@
 	})
 }
 
-// engineTroubled tells whether something has struck any engine, or what its
-// requests go through, in a time.
-func (rec *Record) engineTroubled(from, to time.Time) bool {
-	return slices.ContainsFunc(rec.Faults, func(f Struck) bool {
-		return !f.ofDaemon() && !f.ofStore() && !f.planned() && f.overlaps(from.Add(-touchWindow), to)
-	})
-}
-
 func (f Struck) overlaps(from, to time.Time) bool { return f.From.Before(to) && f.To.After(from) }
 
 // stopping tells whether a daemon was stopped or started in a time.
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -154,7 +154,8 @@
 		}
 		return b.String()
 	}
-	if line(7) != line(7) || line(7) == line(8) {
+	first, again, other := line(7), line(7), line(8)
+	if first != again || first == other {
 		t.Error("a plan does not follow from its seed")
 	}
 	seen := map[Kind]bool{}
