List the hosts only when orphans are searched for

Cause: reading the change again: the list of hosts was made on each tick, 40 times a second, though the search is due once a second.

Change: the search gets a function.

--- a/internal/cell/orphans.go
+++ b/internal/cell/orphans.go
@@ -15,8 +15,9 @@
 	orphanSilence = 3 * time.Second
 )
 
-// Sweep drops what incarnations hold that have ended, given the hosts that
-// live, and returns how many such incarnations there were.
+// Sweep drops what incarnations hold that have ended, and returns how many such
+// incarnations there were. The function alive returns the hosts that live; it
+// is called only when a search is due, since the list is long in a large fleet.
 //
 // A batch can come after news of its daemon's end: it lay in the socket of a
 // coordinator that was paused. Nobody ever releases what it reserved, and each
@@ -24,7 +25,7 @@
 // look further behind with every second, until no request is sent there any
 // more. Events alone can't close that gap, so the whole state is compared with
 // the view from time to time.
-func (c *Coordinator) Sweep(alive []membership.Host) int {
+func (c *Coordinator) Sweep(alive func() []membership.Host) int {
 	c.mu.Lock()
 	now := c.clock.Now()
 	if now.Sub(c.swept) < sweepInterval {
@@ -32,10 +33,22 @@
 		return 0
 	}
 	c.swept = now
+	c.mu.Unlock()
 	living := map[schedule.Host]uint64{}
-	for _, h := range alive {
+	for _, h := range alive() {
 		living[schedule.Host(h.ID)] = h.Incarnation
 	}
+	orphans := c.orphans(living, now)
+	for _, h := range orphans {
+		c.DropHost(string(h.Host), h.Incarnation)
+	}
+	return len(orphans)
+}
+
+// orphans returns the holders that have ended.
+func (c *Coordinator) orphans(living map[schedule.Host]uint64, now time.Time) []schedule.Holder {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	var orphans []schedule.Holder
 	for _, cell := range c.cells {
 		for _, h := range cell.Holders() {
@@ -44,11 +57,7 @@
 			}
 		}
 	}
-	c.mu.Unlock()
-	for _, h := range orphans {
-		c.DropHost(string(h.Host), h.Incarnation)
-	}
-	return len(orphans)
+	return orphans
 }
 
 // orphaned tells whether an incarnation has ended: another one lives, or none
--- a/internal/cell/orphans_test.go
+++ b/internal/cell/orphans_test.go
@@ -100,11 +100,11 @@
 				s.entry.Incarnation = tt.alive
 				alive = append(alive, s.entry)
 			}
-			dropped := s.Sweep(alive)
+			dropped := s.Sweep(func() []membership.Host { return alive })
 			if s.running() != tt.want || dropped != 1-tt.want {
 				t.Errorf("%d places are taken, %d were dropped, want %d taken", s.running(), dropped, tt.want)
 			}
-			if again := s.Sweep(alive); again != 0 {
+			if again := s.Sweep(func() []membership.Host { return alive }); again != 0 {
 				t.Error("swept again at once")
 			}
 		})
--- a/internal/cellhost/cellhost.go
+++ b/internal/cellhost/cellhost.go
@@ -115,7 +115,7 @@
 
 // SweepOrphans drops what daemons hold here that have ended.
 func (h *Host) SweepOrphans() {
-	if n := h.Coordinator.Sweep(h.View.Hosts()); n > 0 {
+	if n := h.Coordinator.Sweep(h.View.Hosts); n > 0 {
 		h.Metrics.Add("cells.orphansDropped", int64(n))
 	}
 }
