Split two long files and keep one way to run commands

Cause: batch.go held an engine's books and the choice of an engine, player.go a request's life beside the play; the programs for load and stand-ins each had the same parsing of arguments, errors and exit codes.

Change: moved only: batchchoice.go, request.go, and internal/commandline with tests of the exit codes. staticcheck knows go-flags' repeated tags only where the package imports it, so two lines say so now.

--- a/internal/load/main.go
+++ b/internal/load/main.go
@@ -3,21 +3,14 @@
 package load
 
 import (
-	"fmt"
 	"os"
 
 	"github.com/go-faster/errors"
-	"github.com/jessevdk/go-flags"
 
+	"github.com/beechhead/beechhead/internal/commandline"
 	"github.com/beechhead/beechhead/internal/load/experiment"
 )
 
-// Exit codes.
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 // options are the arguments of all commands.
 type options struct {
 	Run    runCommand    `command:"run" description:"Run an experiment, with one policy or several on the same arrivals"`
@@ -30,19 +23,8 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string) int {
-	var opts options
-	_, err := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args)
-	if err == nil {
-		return 0
-	}
-	usage, isUsage := errors.Into[*flags.Error](err)
-	if isUsage && usage.Type == flags.ErrHelp {
-		fmt.Println(usage.Message)
-		return 0
-	}
-	fmt.Fprintln(os.Stderr, err)
-	if _, ok := errors.Into[experiment.Problems](err); ok || isUsage {
-		return exitUsage
-	}
-	return exitFailed
+	return commandline.Run("beechhead-load", &options{}, args, os.Stdout, os.Stderr, func(err error) bool {
+		_, ok := errors.Into[experiment.Problems](err)
+		return ok
+	})
 }
--- a/internal/load/scale.go
+++ b/internal/load/scale.go
@@ -20,7 +20,7 @@
 // scaleCommand measures how control traffic, CPU and memory grow with one size
 // of the site while the others stay small.
 type scaleCommand struct {
-	Axis   string        `long:"axis" default:"daemons" choice:"daemons" choice:"endpoints" choice:"accounts" choice:"classes" choice:"rate" choice:"links" description:"What to vary"`
+	Axis   string        `long:"axis" default:"daemons" choice:"daemons" choice:"endpoints" choice:"accounts" choice:"classes" choice:"rate" choice:"links" description:"What to vary"` //nolint:staticcheck // go-flags repeats the tag
 	Sizes  string        `long:"sizes" description:"Sizes to measure, such as 3,14,40; default by axis"`
 	Settle time.Duration `long:"settle" default:"5s" description:"How long a site runs before it is measured"`
 	Window time.Duration `long:"window" default:"8s" description:"How long it is measured"`
--- /dev/null
+++ b/internal/schedule/batchchoice.go
@@ -0,0 +1,150 @@
+package schedule
+
+import "time"
+
+// prompt is what matters of a request while an engine is chosen for it.
+type prompt struct {
+	*Request
+	// patience is the backlog that it may find, read how long it takes to be
+	// read whole.
+	patience, read time.Duration
+	// memory is what it takes beside the parts.
+	memory int
+	// sensitivity is how much its stream suffers from what is read beside it.
+	sensitivity float64
+	// disturbing requests are kept off quiet engines.
+	disturbing bool
+	// keeper keeps the most of the prompt, the first kept tokens; second is the
+	// best of the others.
+	keeper, second   *endpointState
+	kept, secondKept int
+	room             room
+}
+
+func (c *Cell) prompt(g *entry, now time.Duration) prompt {
+	r := &g.request
+	p := prompt{Request: r, patience: c.patience(g, now), room: c.roomFor(r, now), disturbing: c.disturbsQuiet(r)}
+	if q := c.class(r.Class); q != nil {
+		p.sensitivity = q.sensitivity(r)
+	}
+	p.read = c.ownRead(r)
+	p.memory = ownMemory(r)
+	for _, e := range c.list {
+		if e.policy.Memory == 0 || e.health.ejected(now) {
+			continue
+		}
+		n := e.batch.parts.cached(r.Parts)
+		switch {
+		case n > p.kept:
+			p.second, p.secondKept = p.keeper, p.kept
+			p.keeper, p.kept = e, n
+		case n > p.secondKept:
+			p.second, p.secondKept = e, n
+		}
+	}
+	return p
+}
+
+// keeperBeside returns the engine, other than e, that keeps the most.
+func (p *prompt) keeperBeside(e *endpointState) (*endpointState, int) {
+	if p.keeper == e {
+		return p.second, p.secondKept
+	}
+	return p.keeper, p.kept
+}
+
+// takesPrompt tells whether a batching engine may be given a request now: it
+// has the memory, the first token is expected in time, and enough engines stay
+// free for more urgent classes.
+func (c *Cell) takesPrompt(e *endpointState, p *prompt, now time.Duration) bool {
+	if e.policy.Memory == 0 {
+		return true
+	}
+	if e.running > 0 && !e.batch.fits(p, e.policy.Memory) {
+		return false
+	}
+	if e.quiet && p.disturbing {
+		return false
+	}
+	backlog := e.batch.backlog(now)
+	if backlog > p.patience {
+		return false
+	}
+	return p.room.spare > 0 || !p.room.crowds(backlog, p.read)
+}
+
+// fits tells whether the memory holds one more request.
+func (b *batch) fits(p *prompt, memory int) bool {
+	return b.parts.inUse+b.parts.added(p.Parts)+b.held+p.memory <= memory
+}
+
+// ownRead returns how long an engine takes to read a prompt whole.
+func (c *Cell) ownRead(r *Request) time.Duration {
+	return time.Duration(readCost(r.PromptTokens, 0) / c.readRate * float64(time.Second))
+}
+
+// patience returns the backlog that a request may find at an engine. What it
+// has waited here is gone; one that is late already has no target to meet.
+func (c *Cell) patience(g *entry, now time.Duration) time.Duration {
+	target := g.class.policy.Target
+	if target == 0 {
+		return maxBacklog
+	}
+	left := time.Duration(targetShare*float64(target)) - c.overhead - c.ownRead(&g.request)
+	if !g.late {
+		left -= now - g.since
+	}
+	return min(max(left, minBacklog), maxBacklog)
+}
+
+// batchCost is how bad it is to give a request to a batching engine, in tokens
+// to be read. It returns the engine to fetch parts from, if that helps.
+func (c *Cell) batchCost(e *endpointState, r *prompt, now time.Duration) (cost float64, source *endpointState) {
+	has := e.batch.parts.cached(r.Parts)
+	kept := has
+	if s, n := r.keeperBeside(e); n > has+minFetch {
+		source, kept = s, n
+	}
+	backlog := e.batch.backlog(now)
+	cost = backlog.Seconds() * c.readRate
+	if r.room.crowds(backlog, r.read) {
+		cost += crowdTime.Seconds() * c.readRate
+	}
+	cost += readCost(r.PromptTokens, kept) + fetchWeight*float64(kept-has) + runWeight*float64(e.running)
+	cost += againWeight * float64(c.readLately(r.Request, kept, now))
+	if e.policy.Zone != r.Zone {
+		cost += farWeight
+	}
+	cost += r.sensitivity * e.batch.reading.present(now) * disturbedTime.Seconds() * c.readRate
+	cost += disturbShare * e.batch.sensitivity * disturbance(r.PromptTokens) * readCost(r.PromptTokens, kept)
+	return cost * e.health.slowness(c.medianToken), source
+}
+
+// minFetch is how many tokens a fetch must save to be worth its set-up.
+const minFetch = 64
+
+// readLately returns how many tokens after those that an engine has were read
+// by some engine not long ago.
+func (c *Cell) readLately(r *Request, has int, now time.Duration) int {
+	n, at := 0, 0
+	for _, p := range r.Parts {
+		at += p.Tokens
+		if used, ok := c.lastUse[p.ID]; ok && at > has && now-used < recentUse {
+			n += p.Tokens
+		}
+	}
+	return n
+}
+
+// forgetUses drops the parts that have not been used for long.
+func (c *Cell) forgetUses(now time.Duration) {
+	if now-c.usesSwept < recentUse {
+		return
+	}
+	c.usesSwept = now
+	for id, used := range c.lastUse {
+		if now-used >= recentUse {
+			delete(c.lastUse, id)
+		}
+	}
+}
--- a/internal/standin/main.go
+++ b/internal/standin/main.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/jessevdk/go-flags"
 
+	"github.com/beechhead/beechhead/internal/commandline"
 	"github.com/beechhead/beechhead/internal/platform"
 	"github.com/beechhead/beechhead/pkg/table"
 
@@ -22,11 +22,6 @@
 	"github.com/beechhead/beechhead/platform/standin/demo"
 )
 
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 // options are the arguments of all commands.
 type options struct {
 	Demo     demoCommand     `command:"demo" description:"Run a small site on loopback"`
@@ -43,25 +38,7 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string) int {
-	var opts options
-	p := flags.NewNamedParser("beechhead-standin", flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := p.AddGroup("Application Options", "", &opts); err != nil {
-		panic("standin: the options are malformed: " + err.Error())
-	}
-	_, err := p.ParseArgs(args)
-	if err == nil {
-		return 0
-	}
-	usage, ok := errors.Into[*flags.Error](err)
-	if ok && usage.Type == flags.ErrHelp {
-		fmt.Println(usage.Message)
-		return 0
-	}
-	fmt.Fprintln(os.Stderr, err)
-	if ok {
-		return exitUsage
-	}
-	return exitFailed
+	return commandline.Run("beechhead-standin", &options{}, args, os.Stdout, os.Stderr, func(error) bool { return false })
 }
 
 // untilSignal returns a context that ends with Ctrl-C, SIGTERM or, if it is
