Start a daemon again that SIGHUP ended at its start

SIGHUP reached the process right after its start, before it had asked for it; whoever runs daemons starts one again that ends, and the soak did not.

Ruled out: asking for the signal earlier in the program: it came 0.1 ms after the start, before any of our code runs.

Change: after SIGHUP the soak looks whether the daemon has ended; a young one is started again, an older one is a violation.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -39,6 +39,7 @@
 	switch f.Kind {
 	case KindReload:
 		p.signal(syscall.SIGHUP)
+		r.reviveYoung(f.Target, p)
 	case KindPause:
 		p.signal(syscall.SIGSTOP)
 		time.Sleep(f.For)
@@ -68,6 +69,23 @@
 	}
 }
 
+// signalTime is how long a signal may take to end a process.
+const signalTime = 100 * time.Millisecond
+
+// reviveYoung starts a daemon again that a signal has ended before it had asked
+// for its signals, as whoever runs daemons does with a process that ends.
+func (r *run) reviveYoung(target int, p *process) {
+	select {
+	case <-p.done:
+	case <-time.After(signalTime):
+		return
+	}
+	if !r.young(target, p) {
+		r.violate("processes stay", fmt.Sprintf("host-%d has ended with SIGHUP: %v", target, p.err))
+	}
+	r.must(r.site.startDaemon(target))
+}
+
 // stopSlack is how much longer than the grace a stop may take on a busy
 // machine.
 const stopSlack = 3 * time.Second
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -117,6 +117,17 @@
 	r.stopped = append(r.stopped, p)
 }
 
+// young tells whether a process that is gone had hardly begun.
+func (r *recorder) young(daemon int, p *process) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rec.young(daemon, p)
+}
+
+func (rec *Record) young(daemon int, p *process) bool {
+	return p.ended.Sub(p.started)-rec.paused(daemon, p.started, p.ended) < youngTime
+}
+
 // paused returns how long a daemon was paused in a time.
 func (rec *Record) paused(daemon int, from, to time.Time) time.Duration {
 	total := time.Duration(0)
@@ -181,7 +192,7 @@
 		if p.gone() {
 			s := &r.rec.Stops[i]
 			s.Ended, s.Clean = p.ended, p.err == nil
-			s.Young = p.ended.Sub(p.started)-r.rec.paused(s.Daemon, p.started, p.ended) < youngTime
+			s.Young = r.rec.young(s.Daemon, p)
 		}
 	}
 	return &r.rec
