--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -201,9 +201,13 @@
 		}
 	}
 	addresses, err := standin.Resolve(context.Background(), s.client, s.address(firstDaemon, portDirectory), "none")
-	return err == nil && len(addresses) == s.o.Daemons
+	return err == nil && len(addresses) >= min(s.o.Daemons, fullAnswer)
 }
 
+// fullAnswer is how many addresses a daemon tells a caller that knows enough
+// others.
+const fullAnswer = 8
+
 // startTimeout bounds a start on a busy machine.
 const startTimeout = 30 * time.Second
 
