--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -143,22 +143,32 @@
 	if n := len(r.rec.Revoked); n > 0 {
 		revoked = r.rec.Revoked[n-1].Key
 	}
-	for i := range r.o.Daemons {
-		address := r.site.address(firstDaemon+i, portCallers)
-		id := func(what string) string { return fmt.Sprintf("final-%s-%d", what, i) }
-		f := Final{Daemon: i}
-		ask := func(what, route, key string) int {
-			return r.call(http.DefaultClient, address, standin.Call{ID: id(what), Route: route, Key: key, Deadline: callDeadline}).Status
-		}
-		if extra != "" {
-			f.Newest = ask("newest", extra, "")
-		}
-		if revoked != "" {
-			f.Revoked = ask("revoked", "pay", revoked)
-		}
-		for _, route := range []string{"chat", "draft", "pay", "look", "open"} {
-			f.Usual = append(f.Usual, ask(route, route, standin.SampleKey))
-		}
-		r.rec.Final = append(r.rec.Final, f)
+	final := make([]Final, r.o.Daemons)
+	var wg sync.WaitGroup
+	for i := range final {
+		wg.Go(func() { final[i] = r.askOne(i, extra, revoked) })
+	}
+	wg.Wait()
+	r.rec.Final = final
+}
+
+// askOne asks one daemon for the newest route, with a key that was taken away,
+// and for each usual route.
+func (r *run) askOne(i int, extra, revoked string) Final {
+	address := r.site.address(firstDaemon+i, portCallers)
+	ask := func(what, route, key string) int {
+		call := standin.Call{ID: fmt.Sprintf("final-%s-%d", what, i), Route: route, Key: key, Deadline: callDeadline}
+		return r.call(http.DefaultClient, address, call).Status
+	}
+	f := Final{Daemon: i}
+	if extra != "" {
+		f.Newest = ask("newest", extra, "")
+	}
+	if revoked != "" {
+		f.Revoked = ask("revoked", "pay", revoked)
+	}
+	for _, route := range []string{"chat", "draft", "pay", "look", "open"} {
+		f.Usual = append(f.Usual, ask(route, route, standin.SampleKey))
 	}
+	return f
 }
