Log which endpoints came and went, and who told

After an incident (requests to an endpoint two seconds after it had left) the logs could not tell three hypotheses apart: a removal held back by a reader, an endpoint taken in again from a daemon at an older position, and a slow path. 'facts in force' has only the number of endpoints.

Each change of endpoints is one line now: the host that told or the store, whether it was a whole list, the position before and after, the ids. A second line tells that registrations which lapsed with the store away still count.

No decision changes.

--- /dev/null
+++ b/internal/facts/change.go
@@ -0,0 +1,54 @@
+package facts
+
+import "log/slog"
+
+// Change tells which endpoints one piece of news changed here.
+type Change struct {
+	// From is the host that told; empty is the store.
+	From string
+	// Before is the position before the news, Position that up to which the
+	// news leads; zero says that it does not move the position.
+	Before, Position Position
+	// Whole says that the news was a list of all endpoints.
+	Whole bool
+	// Registered, Draining and Gone have the endpoints by what they are now.
+	Registered, Draining, Gone []EndpointID
+}
+
+func (c *Change) add(e Endpoint) {
+	switch {
+	case e.Gone:
+		c.Gone = append(c.Gone, e.ID)
+	case e.Draining:
+		c.Draining = append(c.Draining, e.ID)
+	default:
+		c.Registered = append(c.Registered, e.ID)
+	}
+}
+
+func (c *Change) any() bool { return len(c.Registered)+len(c.Draining)+len(c.Gone) > 0 }
+
+// maxListed bounds the endpoints that a line of the log names of each kind.
+const maxListed = 20
+
+// Attrs returns the change as attributes of a line of the log.
+func (c *Change) Attrs() []slog.Attr {
+	from := c.From
+	if from == "" {
+		from = "store"
+	}
+	attrs := []slog.Attr{
+		slog.String("from", from), slog.Bool("whole", c.Whole),
+		slog.Uint64("before", uint64(c.Before)), slog.Uint64("position", uint64(c.Position)),
+	}
+	for _, kind := range []struct {
+		name string
+		ids  []EndpointID
+	}{{"registered", c.Registered}, {"draining", c.Draining}, {"gone", c.Gone}} {
+		if len(kind.ids) == 0 {
+			continue
+		}
+		attrs = append(attrs, slog.Int(kind.name, len(kind.ids)), slog.Any(kind.name+"Ids", kind.ids[:min(len(kind.ids), maxListed)]))
+	}
+	return attrs
+}
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -70,6 +70,8 @@
 // Delta is what one daemon tells another that lacks it.
 type Delta struct {
 	Summary
+	// From is the host that tells.
+	From string
 	// Data is empty if the receiver has the configuration.
 	Data []byte
 	// Endpoints are those that changed after the receiver's position, or all
@@ -85,7 +87,9 @@
 	// OnChange is called after the catalog or the endpoints have changed,
 	// without the lock.
 	OnChange func()
-	clock    *storetime.Clock
+	// OnNews is called with each change of endpoints, without the lock.
+	OnNews func(Change)
+	clock  *storetime.Clock
 
 	mu        sync.Mutex
 	data      []byte
@@ -96,7 +100,7 @@
 
 // NewHolder returns a holder that knows nothing.
 func NewHolder(clock *storetime.Clock, parse func([]byte) (*catalog.Catalog, error)) *Holder {
-	return &Holder{Parse: parse, OnChange: func() {}, clock: clock, endpoints: map[EndpointID]Endpoint{}}
+	return &Holder{Parse: parse, OnChange: func() {}, OnNews: func(Change) {}, clock: clock, endpoints: map[EndpointID]Endpoint{}}
 }
 
 // Catalog returns the configuration in force, or nil.
@@ -174,25 +178,29 @@
 }
 
 // Merge takes in changes of endpoints that lead up to a position. With whole
-// set, the changes are all endpoints that there are.
-func (h *Holder) Merge(changes []Endpoint, position Position, asOf storetime.Instant, whole bool) {
+// set, the changes are all endpoints that there are. from names the host that
+// told; empty is the store.
+func (h *Holder) Merge(from string, changes []Endpoint, position Position, asOf storetime.Instant, whole bool) {
 	h.mu.Lock()
-	changed := false
+	c := Change{From: from, Before: h.summary.Position, Position: position, Whole: whole}
 	for _, e := range changes {
 		if known := h.endpoints[e.ID]; whole && known.Gone && known.Changed <= position {
 			// It went and came back, of which the sender saw nothing.
 			e.Changed = max(e.Changed, position)
 		}
-		changed = h.put(e) || changed
+		if h.put(e) {
+			c.add(e)
+		}
 	}
 	if whole && position >= h.summary.Position {
-		changed = h.dropMissing(changes, position) || changed
+		c.Gone = append(c.Gone, h.dropMissing(changes, position)...)
 		h.summary.Base = max(h.summary.Base, position)
 	}
 	h.summary.Position = max(h.summary.Position, position)
 	h.summary.EndpointsAsOf = max(h.summary.EndpointsAsOf, asOf)
 	h.mu.Unlock()
-	if changed {
+	if c.any() {
+		h.OnNews(c)
 		h.OnChange()
 	}
 }
@@ -217,13 +225,12 @@
 	return !ok || !known.same(e)
 }
 
-// dropMissing marks as gone what a whole list does not have.
-func (h *Holder) dropMissing(all []Endpoint, position Position) bool {
+// dropMissing marks as gone what a whole list does not have, and returns it.
+func (h *Holder) dropMissing(all []Endpoint, position Position) (gone []EndpointID) {
 	listed := map[EndpointID]bool{}
 	for _, e := range all {
 		listed[e.ID] = true
 	}
-	changed := false
 	for id, e := range h.endpoints {
 		if listed[id] || e.Gone || e.Changed > position {
 			continue
@@ -232,9 +239,9 @@
 		e.Changed = position
 		h.endpoints[id] = e
 		h.summary.Changed = max(h.summary.Changed, position)
-		changed = true
+		gone = append(gone, id)
 	}
-	return changed
+	return gone
 }
 
 // ConfirmEndpoints takes in that a daemon knew all changes up to a position,
@@ -279,9 +286,9 @@
 	case d.Position == 0:
 	case !d.Whole && d.Told() < h.Summary().Changed:
 		// The sender lacks a change that is known here.
-		h.Merge(d.Endpoints, 0, 0, false)
+		h.Merge(d.From, d.Endpoints, 0, 0, false)
 	default:
-		h.Merge(d.Endpoints, d.Position, d.EndpointsAsOf, d.Whole)
+		h.Merge(d.From, d.Endpoints, d.Position, d.EndpointsAsOf, d.Whole)
 	}
 	return nil
 }
--- a/internal/facts/facts_test.go
+++ b/internal/facts/facts_test.go
@@ -1,6 +1,7 @@
 package facts
 
 import (
+	"log/slog"
 	"strings"
 	"testing"
 	"time"
@@ -96,7 +97,7 @@
 // has itself; it is as fresh as the reader. If something did, it is not.
 func TestEndpointsAreVouchedForOnlyWithoutGaps(t *testing.T) {
 	s := newSite()
-	s.holder.Merge([]Endpoint{{ID: "a", Changed: 10}}, 12, 0, true)
+	s.holder.Merge("", []Endpoint{{ID: "a", Changed: 10}}, 12, 0, true)
 	s.boot.Advance(time.Second)
 	s.holder.ConfirmEndpoints(10, 20, s.now())
 	if got := s.holder.Summary(); got.Position != 20 || got.EndpointsAsOf != s.now() {
@@ -112,11 +113,11 @@
 // What one daemon tells another that lacks a part leads to the same list.
 func TestSinceLeadsToTheSame(t *testing.T) {
 	a, b := newSite(), newSite()
-	a.holder.Merge([]Endpoint{{ID: "x", Changed: 3}, {ID: "y", Changed: 4}}, 5, 0, true)
+	a.holder.Merge("", []Endpoint{{ID: "x", Changed: 3}, {ID: "y", Changed: 4}}, 5, 0, true)
 	if err := b.holder.Learn(a.holder.Since(0, 0)); err != nil {
 		t.Fatal(err)
 	}
-	a.holder.Merge([]Endpoint{{ID: "x", Changed: 8, Draining: true}, {ID: "y", Changed: 9, Gone: true}}, 9, 0, false)
+	a.holder.Merge("", []Endpoint{{ID: "x", Changed: 8, Draining: true}, {ID: "y", Changed: 9, Gone: true}}, 9, 0, false)
 	if err := b.holder.Learn(a.holder.Since(0, b.holder.Summary().Position)); err != nil {
 		t.Fatal(err)
 	}
@@ -134,6 +135,7 @@
 			Store:   s.clock,
 			Holder:  s.holder,
 			Metrics: metric.NewRegistry(),
+			Logger:  slog.New(slog.DiscardHandler),
 			DecodeEndpoint: func(row platform.FeedRow) (Endpoint, bool) {
 				return Endpoint{ID: EndpointID(row.Key), Address: string(row.Value)}, len(row.Value) > 0
 			},
--- a/internal/facts/registrations.go
+++ b/internal/facts/registrations.go
@@ -19,6 +19,8 @@
 	held map[EndpointID]bool
 	// until is the local time at which that is over.
 	until time.Duration
+	// logged is how many were held when that was last logged.
+	logged int
 }
 
 func (g *registrations) apply(n news) {
@@ -35,7 +37,11 @@
 		changes = append(changes, g.row(row)...)
 	}
 	changes = append(changes, g.release(Position(n.rows.Version))...)
-	holder.Merge(changes, Position(n.upTo), storetime.Instant(n.rows.NowMs), false)
+	if len(g.held) != g.logged {
+		g.logged = len(g.held)
+		g.reader.Logger.Info("lapsed endpoints kept", "endpoints", g.logged, "forMs", max(0, g.until-g.reader.Boot.Now()).Milliseconds())
+	}
+	holder.Merge("", changes, Position(n.upTo), storetime.Instant(n.rows.NowMs), false)
 }
 
 // missing returns what is known and not listed in all rows.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -137,6 +137,7 @@
 	g.storeTime = storetime.NewClock(g.boot)
 	g.holder = facts.NewHolder(g.storeTime, wire.ParseConfig)
 	g.holder.OnChange = g.adopt
+	g.holder.OnNews = g.logNews
 	g.reader = &facts.Reader{
 		Clock:          g.clock,
 		Boot:           g.boot,
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -126,7 +127,9 @@
 	if resp.GetStoreNow() > 0 {
 		g.storeTime.Observe(sent, storetime.Instant(resp.GetStoreNow()))
 	}
-	if err := g.holder.Learn(fromFacts(resp)); err != nil {
+	d := fromFacts(resp)
+	d.From = address
+	if err := g.holder.Learn(d); err != nil {
 		g.logger.Error("facts not taken", "from", address, "error", err)
 	}
 }
@@ -227,6 +230,11 @@
 	return hosts[rand.IntN(len(hosts))].PeerAddress, true //nolint:gosec // any will do
 }
 
+// logNews logs which endpoints came and went, and who told.
+func (g *Gateway) logNews(c facts.Change) {
+	g.logger.LogAttrs(context.Background(), slog.LevelInfo, "endpoints changed", c.Attrs()...)
+}
+
 // adopt puts new facts in force.
 func (g *Gateway) adopt() {
 	g.adopting.Lock()
