--- a/internal/facts/gap_test.go
+++ b/internal/facts/gap_test.go
@@ -32,6 +32,28 @@
 	changes   []gapChange
 	// quietUntil is when feeds last began to tell everything again.
 	quietUntil storetime.Instant
+	// away says that the store answers nobody.
+	away bool
+}
+
+func newGapStore() *gapStore { return &gapStore{boot: &boottime.Fake{}} }
+
+// outage lets the store be away for d, in which registrations lapse and
+// readers fail to read.
+func (s *gapStore) outage(d time.Duration, lapse []string, readers ...*gapDaemon) {
+	s.away = true
+	s.boot.Advance(d / 2)
+	for _, r := range readers {
+		r.poll()
+	}
+	for _, key := range lapse {
+		s.put(key, "")
+	}
+	s.boot.Advance(d / 2)
+	for _, r := range readers {
+		r.poll()
+	}
+	s.away = false
 }
 
 type gapChange struct {
@@ -72,6 +94,9 @@
 func (s *gapStore) feed(prefix string) Feed {
 	return Feed{
 		Snapshot: func(context.Context) (platform.Rows, error) {
+			if s.away {
+				return platform.Rows{}, platform.ErrUnavailable
+			}
 			newest := map[string]uint64{}
 			for _, c := range s.changes {
 				newest[c.row.Key] = c.row.Version
@@ -81,6 +106,9 @@
 			}), nil
 		},
 		Changes: func(_ context.Context, since uint64, _ time.Duration) (platform.Rows, error) {
+			if s.away {
+				return platform.Rows{}, platform.ErrUnavailable
+			}
 			if since < s.floor {
 				return platform.Rows{}, platform.ErrHistoryGone
 			}
@@ -131,8 +159,10 @@
 func (d *gapDaemon) poll() {
 	for _, t := range []*topic{d.config, d.endpoints} {
 		if err := d.read(context.Background(), t); err != nil {
-			t.synced, t.forgotten = false, true
+			d.note(context.Background(), t, err)
+			continue
 		}
+		t.fails = 0
 	}
 }
 
@@ -166,8 +196,9 @@
 	}
 	for _, key := range gapEndpoints {
 		known, _ := d.Holder.Endpoint(EndpointID(key))
-		if want := s.asOf(key, sum.EndpointsAsOf) != ""; want == known.Gone && known.ID != "" {
-			return fmt.Sprintf("endpoint %s at %d: registered %v, known as gone %v", key, sum.EndpointsAsOf, want, known.Gone)
+		has := known.ID != "" && !known.Gone
+		if want := s.asOf(key, sum.EndpointsAsOf) != ""; want != has {
+			return fmt.Sprintf("endpoint %s at %d: registered %v, known %v", key, sum.EndpointsAsOf, want, has)
 		}
 	}
 	return ""
@@ -189,18 +220,30 @@
 
 // playGaps lets an operator, endpoints, a store and daemons do one thing after
 // the other, and returns the first fault.
-func playGaps(t *rapid.T, s *gapStore, daemons []*gapDaemon) string {
+func playGaps(t *rapid.T, s *gapStore, n int, newDaemon func(*gapStore) *gapDaemon) string {
+	var daemons []*gapDaemon
+	for range n {
+		daemons = append(daemons, newDaemon(s))
+	}
 	edits := 1
 	s.put("c", "1")
 	s.put("e1", "up")
-	actions := []string{"poll", "poll", "hear", "hear", "edit", "endpoint", "quiet", "forget", "wait"}
+	actions := []string{"poll", "poll", "hear", "hear", "ask", "start", "edit", "endpoint", "quiet", "forget", "wait"}
 	for range rapid.IntRange(10, 60).Draw(t, "steps") {
-		d := daemons[rapid.IntRange(0, len(daemons)-1).Draw(t, "daemon")]
+		i := rapid.IntRange(0, len(daemons)-1).Draw(t, "daemon")
+		d := daemons[i]
 		switch rapid.SampledFrom(actions).Draw(t, "action") {
 		case "poll":
 			d.poll()
 		case "hear":
 			d.hear(daemons[rapid.IntRange(0, len(daemons)-1).Draw(t, "from")])
+		case "ask":
+			// A whole list, whatever the positions of the two.
+			from := daemons[rapid.IntRange(0, len(daemons)-1).Draw(t, "from")]
+			d.Store.Observe(d.Boot.Now(), s.now())
+			_ = d.Holder.Learn(from.Holder.Since(0, 0))
+		case "start":
+			daemons[i] = newDaemon(s)
 		case "edit":
 			edits++
 			s.put("c", strconv.Itoa(edits))
@@ -236,8 +279,7 @@
 // until the next edit: callers got 404 on new routes, and the key stayed good.
 func TestQuietFeedHidesNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := &gapStore{boot: &boottime.Fake{}}
-		if fault := playGaps(t, s, []*gapDaemon{newGapDaemon(s), newGapDaemon(s), newGapDaemon(s)}); fault != "" {
+		if fault := playGaps(t, newGapStore(), 3, newGapDaemon); fault != "" {
 			t.Fatal(fault)
 		}
 	})
@@ -249,12 +291,13 @@
 	found := false
 	for seed := 0; seed < 200 && !found; seed++ {
 		found = rapid.Custom(func(t *rapid.T) bool {
-			s := &gapStore{boot: &boottime.Fake{}}
-			d := newGapDaemon(s)
-			for _, topic := range []*topic{d.config, d.endpoints} {
-				followFromNewest(topic)
-			}
-			return playGaps(t, s, []*gapDaemon{d}) != ""
+			return playGaps(t, newGapStore(), 1, func(s *gapStore) *gapDaemon {
+				d := newGapDaemon(s)
+				for _, topic := range []*topic{d.config, d.endpoints} {
+					followFromNewest(topic)
+				}
+				return d
+			}) != ""
 		}).Example(seed)
 	}
 	if !found {
@@ -285,7 +328,7 @@
 // not name it, and becomes the reader. A daemon that had missed the departure
 // heard that nothing had changed lately, and sent requests to the endpoint on.
 func TestNewReaderDoesNotVouchForWhatItNeverKnew(t *testing.T) {
-	s := &gapStore{boot: &boottime.Fake{}}
+	s := newGapStore()
 	s.put("e1", "up")
 	s.put("e2", "up")
 	old, fresh := newGapDaemon(s), newGapDaemon(s)
@@ -302,7 +345,7 @@
 // A store that answers a read with a state from before what it has shown must
 // not make the old state look new.
 func TestAnswerFromThePastDoesNotCount(t *testing.T) {
-	s := &gapStore{boot: &boottime.Fake{}}
+	s := newGapStore()
 	s.put("c", "1")
 	d := newGapDaemon(s)
 	past := s.answer(func(r platform.FeedRow) bool { return r.Key == "c" })
@@ -323,7 +366,7 @@
 // An edit that this daemon can't read must not leave the one before in force
 // as the newest: the keys that it took away would stay good.
 func TestUnreadableEditIsNotConfirmed(t *testing.T) {
-	s := &gapStore{boot: &boottime.Fake{}}
+	s := newGapStore()
 	s.put("c", "1")
 	d := newGapDaemon(s)
 	d.poll()
--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -231,18 +231,27 @@
 }
 
 func (r *Reader) failed(ctx context.Context, t *topic, err error) {
+	if again := r.note(ctx, t, err); again {
+		return
+	}
+	bound := min(firstRetry<<min(t.fails-1, 4), maxRetry)
+	r.sleep(ctx, bound/2+rand.N(bound/2)) //nolint:gosec // jitter
+}
+
+// note takes in that a read failed. It returns whether another way of reading
+// is to be tried at once.
+func (r *Reader) note(ctx context.Context, t *topic, err error) (again bool) {
 	if errors.Is(err, platform.ErrHistoryGone) {
 		r.Metrics.Inc("facts.historyGone")
 		t.synced, t.forgotten = false, true
-		return
+		return true
 	}
 	if t.fails == 0 && ctx.Err() == nil {
 		r.Logger.Warn("store lost", "feed", t.name, "error", err)
 	}
 	r.Metrics.Inc("facts.readFailed")
 	t.fails++
-	bound := min(firstRetry<<min(t.fails-1, 4), maxRetry)
-	r.sleep(ctx, bound/2+rand.N(bound/2)) //nolint:gosec // jitter
+	return false
 }
 
 func (r *Reader) sleep(ctx context.Context, d time.Duration) {
