Keep registrations as rows of the store, so that a position fixes what is known

Callers saw nothing; the users' record shows requests that reached an endpoint more than 2 s after it had left.

Cause: daemons take each other's word that nothing changed up to a position, yet the position did not fix what a daemon knew. What each daemon made of the rows was merged, told and counted by position: a reader kept lapsed registrations after an outage and moved its position on without telling; one whose facts a peer had just vouched for did not keep them and dropped all; an entry that came back unchanged was not told; an unknown row from an older daemon counted as news. So hosts at one position knew different endpoints, and a removal that one reader did not tell was hidden by the next word that nothing had changed.

Change: of each endpoint the newest row of the store is kept, removals included, and nothing else is told. A row that is unknown and no newer than the last whole list has been removed since. Whether an endpoint that lapsed still counts is decided at use, by each daemon, within a time that a reader opens whose reads failed, and that only daemons take over whose own facts are old.

TestEntriesThatLapsedInAnOutageAreHeld asserted that a removal is told under a later version when the time is over. It is told at once now under its own; the test asserts that, and that another daemon keeps and drops the endpoint alike.

--- a/internal/facts/change.go
+++ b/internal/facts/change.go
@@ -4,7 +4,8 @@
 
 // Change tells which endpoints one piece of news changed here.
 type Change struct {
-	// From is the host that told; empty is the store.
+	// From is the host that told; empty is the store, fromGrace that the time
+	// to register again is over.
 	From string
 	// Before is the position before the news, Position that up to which the
 	// news leads; zero says that it does not move the position.
@@ -12,11 +13,19 @@
 	// Whole says that the news was a list of all endpoints.
 	Whole bool
 	// Registered, Draining and Gone have the endpoints by what they are now.
-	Registered, Draining, Gone []EndpointID
+	// Kept are no longer registered and still count for a moment.
+	Registered, Draining, Gone, Kept []EndpointID
 }
 
-func (c *Change) add(e Endpoint) {
+// fromGrace stands for the host that told in changes that time alone makes.
+const fromGrace = "grace"
+
+// add sorts an endpoint in that counts as e says; removed says that its
+// registration is gone.
+func (c *Change) add(e Endpoint, removed bool) {
 	switch {
+	case removed && !e.Gone:
+		c.Kept = append(c.Kept, e.ID)
 	case e.Gone:
 		c.Gone = append(c.Gone, e.ID)
 	case e.Draining:
@@ -26,7 +35,7 @@
 	}
 }
 
-func (c *Change) any() bool { return len(c.Registered)+len(c.Draining)+len(c.Gone) > 0 }
+func (c *Change) any() bool { return len(c.Registered)+len(c.Draining)+len(c.Gone)+len(c.Kept) > 0 }
 
 // maxListed bounds the endpoints that a line of the log names of each kind.
 const maxListed = 20
@@ -44,7 +53,7 @@
 	for _, kind := range []struct {
 		name string
 		ids  []EndpointID
-	}{{"registered", c.Registered}, {"draining", c.Draining}, {"gone", c.Gone}} {
+	}{{"registered", c.Registered}, {"draining", c.Draining}, {"gone", c.Gone}, {"kept", c.Kept}} {
 		if len(kind.ids) == 0 {
 			continue
 		}
--- a/internal/facts/facts_test.go
+++ b/internal/facts/facts_test.go
@@ -97,7 +97,7 @@
 // has itself; it is as fresh as the reader. If something did, it is not.
 func TestEndpointsAreVouchedForOnlyWithoutGaps(t *testing.T) {
 	s := newSite()
-	s.holder.Merge("", []Endpoint{{ID: "a", Changed: 10}}, 12, 0, true)
+	s.holder.Merge(News{Endpoints: []Endpoint{{ID: "a", Changed: 10}}, Position: 12, Whole: true})
 	s.boot.Advance(time.Second)
 	s.holder.ConfirmEndpoints(10, 20, s.now())
 	if got := s.holder.Summary(); got.Position != 20 || got.EndpointsAsOf != s.now() {
@@ -113,11 +113,11 @@
 // What one daemon tells another that lacks a part leads to the same list.
 func TestSinceLeadsToTheSame(t *testing.T) {
 	a, b := newSite(), newSite()
-	a.holder.Merge("", []Endpoint{{ID: "x", Changed: 3}, {ID: "y", Changed: 4}}, 5, 0, true)
+	a.holder.Merge(News{Endpoints: []Endpoint{{ID: "x", Changed: 3}, {ID: "y", Changed: 4}}, Position: 5, Whole: true})
 	if err := b.holder.Learn(a.holder.Since(0, 0)); err != nil {
 		t.Fatal(err)
 	}
-	a.holder.Merge("", []Endpoint{{ID: "x", Changed: 8, Draining: true}, {ID: "y", Changed: 9, Gone: true}}, 9, 0, false)
+	a.holder.Merge(News{Endpoints: []Endpoint{{ID: "x", Changed: 8, Draining: true}, {ID: "y", Changed: 9, Gone: true}}, Position: 9})
 	if err := b.holder.Learn(a.holder.Since(0, b.holder.Summary().Position)); err != nil {
 		t.Fatal(err)
 	}
@@ -127,20 +127,17 @@
 	}
 }
 
-func newRegistrations(s *site) *registrations {
-	return &registrations{
-		reader: &Reader{
-			Clock:   clockwork.NewFakeClock(),
-			Boot:    s.boot,
-			Store:   s.clock,
-			Holder:  s.holder,
-			Metrics: metric.NewRegistry(),
-			Logger:  slog.New(slog.DiscardHandler),
-			DecodeEndpoint: func(row platform.FeedRow) (Endpoint, bool) {
-				return Endpoint{ID: EndpointID(row.Key), Address: string(row.Value)}, len(row.Value) > 0
-			},
+func newEndpointReader(s *site) *Reader {
+	return &Reader{
+		Clock:   clockwork.NewFakeClock(),
+		Boot:    s.boot,
+		Store:   s.clock,
+		Holder:  s.holder,
+		Metrics: metric.NewRegistry(),
+		Logger:  slog.New(slog.DiscardHandler),
+		DecodeEndpoint: func(row platform.FeedRow) (Endpoint, bool) {
+			return Endpoint{ID: EndpointID(row.Key), Address: string(row.Value)}, len(row.Value) > 0
 		},
-		held: map[EndpointID]bool{},
 	}
 }
 
@@ -165,34 +162,50 @@
 // for want of endpoints; one that does not come back is gone after the grace.
 func TestEntriesThatLapsedInAnOutageAreHeld(t *testing.T) {
 	s := newSite()
-	g := newRegistrations(s)
-	g.apply(s.news(true, 2, platform.FeedRow{Key: "a", Version: 1, Value: []byte("x")}, platform.FeedRow{Key: "b", Version: 2, Value: []byte("y")}))
+	r := newEndpointReader(s)
+	r.applyEndpoints(s.news(true, 2, platform.FeedRow{Key: "a", Version: 1, Value: []byte("x")}, platform.FeedRow{Key: "b", Version: 2, Value: []byte("y")}))
 	s.boot.Advance(6 * time.Second)
-	g.apply(s.news(true, 3))
+	r.applyEndpoints(s.news(true, 3))
 	if got := ids(s.holder.Endpoints()); got != "a b" {
 		t.Fatalf("right after the return: %q, want both held", got)
 	}
+	// Others learn of the removal at once, and keep the endpoint as long.
+	other := newSite()
+	other.boot.Advance(s.boot.Now())
+	if err := other.holder.Learn(s.holder.Since(0, 2)); err != nil {
+		t.Fatal(err)
+	}
+	if e := other.holder.registry.rows["a"]; !e.Gone || e.Changed != 3 {
+		t.Errorf("another daemon knows %+v of a, want it gone at 3", e)
+	}
+	if got := ids(other.holder.Endpoints()); got != "a b" {
+		t.Errorf("another daemon counts %q, want both held", got)
+	}
 	s.boot.Advance(time.Second)
-	g.apply(s.news(false, 4, platform.FeedRow{Key: "b", Version: 4, Value: []byte("y")}))
+	r.applyEndpoints(s.news(false, 4, platform.FeedRow{Key: "b", Version: 4, Value: []byte("y")}))
 	s.boot.Advance(returnGrace / 2)
-	g.apply(s.news(false, 5))
+	r.applyEndpoints(s.news(false, 5))
 	s.boot.Advance(returnGrace / 2)
-	g.apply(s.news(false, 6))
+	r.applyEndpoints(s.news(false, 6))
 	if got := ids(s.holder.Endpoints()); got != "b" {
 		t.Errorf("after the grace: %q, want b", got)
 	}
-	if e, _ := s.holder.Endpoint("a"); e.Changed != 6 {
-		t.Errorf("a changed at %d; daemons that know all up to 5 would miss it", e.Changed)
+	other.boot.Advance(time.Second + returnGrace)
+	if err := other.holder.Learn(s.holder.Since(0, 3)); err != nil {
+		t.Fatal(err)
+	}
+	if got := ids(other.holder.Endpoints()); got != "b" {
+		t.Errorf("after the grace another daemon counts %q, want b", got)
 	}
 }
 
 // Without an outage, an entry that goes is gone at once.
 func TestEntryGoesAtOnce(t *testing.T) {
 	s := newSite()
-	g := newRegistrations(s)
-	g.apply(s.news(true, 2, platform.FeedRow{Key: "a", Version: 1, Value: []byte("x")}))
+	r := newEndpointReader(s)
+	r.applyEndpoints(s.news(true, 2, platform.FeedRow{Key: "a", Version: 1, Value: []byte("x")}))
 	s.boot.Advance(500 * time.Millisecond)
-	g.apply(s.news(false, 3, platform.FeedRow{Key: "a", Version: 3, Removed: true}))
+	r.applyEndpoints(s.news(false, 3, platform.FeedRow{Key: "a", Version: 3, Removed: true}))
 	if got := ids(s.holder.Endpoints()); got != "" {
 		t.Errorf("after the removal: %q", got)
 	}
@@ -202,9 +215,9 @@
 // of its own. Neither names an endpoint, and the others stay.
 func TestForeignEntriesNameNoEndpoint(t *testing.T) {
 	s := newSite()
-	g := newRegistrations(s)
-	g.apply(s.news(true, 2, platform.FeedRow{Key: "a", Version: 1, Value: []byte("x")}, platform.FeedRow{Key: "b", Version: 2, Value: []byte("y")}))
-	g.apply(s.news(false, 4, platform.FeedRow{Key: "a", Version: 3}, platform.FeedRow{Key: "c", Version: 4}))
+	r := newEndpointReader(s)
+	r.applyEndpoints(s.news(true, 2, platform.FeedRow{Key: "a", Version: 1, Value: []byte("x")}, platform.FeedRow{Key: "b", Version: 2, Value: []byte("y")}))
+	r.applyEndpoints(s.news(false, 4, platform.FeedRow{Key: "a", Version: 3}, platform.FeedRow{Key: "c", Version: 4}))
 	if got := ids(s.holder.Endpoints()); got != "b" {
 		t.Errorf("known: %q, want b", got)
 	}
--- a/internal/facts/gap_test.go
+++ b/internal/facts/gap_test.go
@@ -150,8 +150,7 @@
 	}
 	d := &gapDaemon{Reader: r, config: &topic{feed: s.feed("c")}}
 	d.config.apply = func(n news) { r.applyConfig(d.config, n) }
-	regs := &registrations{reader: r, held: map[EndpointID]bool{}}
-	d.endpoints = &topic{feed: s.feed("e"), apply: regs.apply, resume: func() uint64 { return uint64(r.Holder.Summary().Position) }}
+	d.endpoints = &topic{feed: s.feed("e"), apply: r.applyEndpoints, resume: func() uint64 { return uint64(r.Holder.Summary().Position) }}
 	return d
 }
 
@@ -195,7 +194,7 @@
 		return ""
 	}
 	for _, key := range gapEndpoints {
-		known, _ := d.Holder.Endpoint(EndpointID(key))
+		known := d.Holder.registry.rows[EndpointID(key)]
 		has := known.ID != "" && !known.Gone
 		if want := s.asOf(key, sum.EndpointsAsOf) != ""; want != has {
 			return fmt.Sprintf("endpoint %s at %d: registered %v, known %v", key, sum.EndpointsAsOf, want, has)
@@ -228,7 +227,7 @@
 	edits := 1
 	s.put("c", "1")
 	s.put("e1", "up")
-	actions := []string{"poll", "poll", "hear", "hear", "ask", "start", "edit", "endpoint", "quiet", "forget", "wait"}
+	actions := []string{"poll", "poll", "hear", "hear", "ask", "start", "edit", "endpoint", "quiet", "forget", "away", "back", "wait"}
 	for range rapid.IntRange(10, 60).Draw(t, "steps") {
 		i := rapid.IntRange(0, len(daemons)-1).Draw(t, "daemon")
 		d := daemons[i]
@@ -259,6 +258,11 @@
 			}
 		case "forget":
 			s.quiet, s.floor, s.quietUntil = false, s.version, s.now()
+		case "away":
+			s.away = true
+		case "back":
+			s.away = false
+			s.boot.Advance(time.Second)
 		case "wait":
 			s.boot.Advance(100 * time.Millisecond)
 		}
--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -34,11 +34,6 @@
 	// firstRetry and maxRetry bound the pause after a failed read.
 	firstRetry = 150 * time.Millisecond
 	maxRetry   = 1200 * time.Millisecond
-	// outage is how old the knowledge must be for the next read to count as
-	// the store's return, and returnGrace how long after it an entry that is
-	// missing may still come back: endpoints register again within about 2 s.
-	outage      = 1500 * time.Millisecond
-	returnGrace = 2200 * time.Millisecond
 )
 
 // Feed is one table of the store as the reader needs it.
@@ -110,6 +105,8 @@
 	upTo uint64
 	// whole says that rows are all rows that there are.
 	whole bool
+	// failed says that the reads before this one have failed.
+	failed bool
 }
 
 // Run reads until ctx ends.
@@ -117,10 +114,9 @@
 	config := &topic{name: "config", feed: r.Config, wait: configWait}
 	config.apply = func(n news) { r.applyConfig(config, n) }
 	go r.follow(ctx, config)
-	regs := &registrations{reader: r, held: map[EndpointID]bool{}}
 	r.follow(ctx, &topic{
 		name: "endpoints", feed: r.Endpoints, wait: endpointsWait, pause: endpointsPause,
-		apply:  regs.apply,
+		apply:  r.applyEndpoints,
 		resume: func() uint64 { return uint64(r.Holder.Summary().Position) },
 	})
 }
@@ -130,7 +126,7 @@
 	for ctx.Err() == nil {
 		known := r.Holder.Summary()
 		if known.Config > 0 && known.Position > 0 && !r.OnDuty() {
-			t.synced, t.forgotten = false, false
+			t.synced, t.forgotten, t.fails = false, false, 0
 			r.sleep(ctx, idlePause)
 			continue
 		}
@@ -152,7 +148,7 @@
 	t.takeUp()
 	seen := r.seen()
 	sent := r.Boot.Now()
-	n := news{whole: !t.synced}
+	n := news{whole: !t.synced, failed: t.fails > 0}
 	var err error
 	if n.whole {
 		n.rows, err = t.feed.Snapshot(ctx)
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -85,6 +85,7 @@
 		Changed:       uint64(s.Told()),
 		Position:      uint64(s.Position),
 		EndpointsAsOf: int64(s.EndpointsAsOf),
+		GraceUntil:    int64(s.GraceUntil),
 	})
 	if err != nil {
 		g.logger.Error("beacon not sent", "error", err)
@@ -95,6 +96,7 @@
 func (g *Gateway) onBeacon(b *peerv1.Beacon) {
 	g.heard.note(membership.HostID(b.GetHost()), g.boot.Now())
 	g.holder.ConfirmConfig(catalog.Version(b.GetConfigVersion()), storetime.Instant(b.GetConfigAsOf()))
+	g.holder.OpenGrace(storetime.Instant(b.GetGraceUntil()))
 	g.holder.ConfirmEndpoints(facts.Position(b.GetChanged()), facts.Position(b.GetPosition()), storetime.Instant(b.GetEndpointsAsOf()))
 	s := g.holder.Summary()
 	if catalog.Version(b.GetConfigVersion()) > s.Config || facts.Position(b.GetChanged()) > s.Position {
@@ -145,6 +147,7 @@
 		EndpointsAsOf: int64(d.EndpointsAsOf),
 		Whole:         d.Whole,
 		Changed:       uint64(d.Told()),
+		GraceUntil:    int64(d.GraceUntil),
 	}
 	if now, ok := g.storeTime.Latest(); ok {
 		resp.StoreNow = int64(now)
@@ -173,6 +176,7 @@
 			Changed:       facts.Position(resp.GetChanged()),
 			Position:      facts.Position(resp.GetPosition()),
 			EndpointsAsOf: storetime.Instant(resp.GetEndpointsAsOf()),
+			GraceUntil:    storetime.Instant(resp.GetGraceUntil()),
 		},
 		Data:  resp.GetConfig(),
 		Whole: resp.GetWhole(),
@@ -203,6 +207,7 @@
 			return
 		case <-g.clock.After(vouchPause):
 		}
+		g.holder.Expire()
 		config, known := g.holder.ConfigAge()
 		endpoints, listed := g.holder.EndpointsAge()
 		if known && listed && max(config, endpoints) < vouchAfter {
