Ask once more whether a request may be sent when its connection is open

A place was checked when it was granted, then a connection was opened, which may take a second and more where an endpoint's queue of new connections is full. An endpoint that left meanwhile, or a key that was taken away, was not noticed.

Change: the pool asks right before it writes, after the connection is there. An endpoint that has left gets nothing and another is tried, as after a connection that failed; a refusal ends the request as not run.

Evidence: two cases of TestAttempts. Without the change the caller gets "left" from the endpoint that left, and "good" after its key had ended. The stand-in counts a connection as a send only if something came over it.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -48,6 +48,31 @@
 	// line of the answer being late.
 	Objective time.Duration
 	LateLine  bool
+	// Left is how many of the first endpoints leave, and KeyEnds whether the
+	// caller's key is taken away, while the connection is opened.
+	Left    int
+	KeyEnds bool
+}
+
+// usable returns what tells of an endpoint whether it takes work: asked for a
+// second time, those that leave don't.
+func (tt *script) usable() func(*table.Endpoint) bool {
+	asked := map[table.EndpointName]int{}
+	return func(e *table.Endpoint) bool {
+		asked[e.Name]++
+		return asked[e.Name] < 2 || int(e.Name[0]-'a') >= tt.Left
+	}
+}
+
+func (tt *script) maySend() func() *outcome.Refusal {
+	asked := 0
+	return func() *outcome.Refusal {
+		asked++
+		if tt.KeyEnds && asked > 1 {
+			return outcome.NotRunError(outcome.ReasonStaleTable, "the key may be gone")
+		}
+		return nil
+	}
 }
 
 // fixedBudget allows a number of repeats.
@@ -86,7 +111,10 @@
 				return
 			}
 			buf := make([]byte, 4096)
-			_, _ = c.Read(buf)
+			if n, _ := c.Read(buf); n == 0 {
+				_ = c.Close()
+				continue
+			}
 			s.mu.Lock()
 			s.sent++
 			s.mu.Unlock()
@@ -191,7 +219,7 @@
 		Pool:    http1.NewPool(clockwork.NewRealClock(), http1.Dial),
 		Wire:    testWire,
 		Reserve: s.reserve(s.placer()),
-		Usable:  func(*table.Endpoint) bool { return true },
+		Usable:  tt.usable(),
 		Budget:  func(table.Pool) Budget { return &fixedBudget{left: tt.Budget} },
 	}
 	now := boot.Now()
@@ -201,7 +229,7 @@
 		Kind: testKinds[tt.Kind], Resumable: tt.Resumable, Attempts: tt.Attempts,
 		Objective: tt.Objective,
 		Began:     now, End: now + 20*time.Second,
-		MaySend: func() *outcome.Refusal { return nil },
+		MaySend: tt.maySend(),
 	}, Sink{
 		Head: func(status int, _ http.Header, _ int64) {
 			if status != http.StatusOK {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -237,6 +237,8 @@
 		return false
 	case e.ran && !r.r.repeatable():
 		return false
+	case errors.As(e.err, new(*outcome.Refusal)):
+		return false
 	case r.ran >= r.r.Attempts || r.refused >= maxRefused:
 		return false
 	case e.reason == outcome.ReasonConnect:
@@ -257,6 +259,9 @@
 	case r.answer != nil && ctx.Err() == nil:
 		return r.passAnswer(r.answer)
 	}
+	if refusal, ok := errors.Into[*outcome.Refusal](e.err); ok && r.ran == 0 {
+		return refusal
+	}
 	return r.refusal(ctx, e.reason, e.err.Error())
 }
 
@@ -319,8 +324,16 @@
 		Host:   r.r.Host,
 		Header: r.f.Wire.Header(send),
 		Body:   r.r.Body,
+		Check:  func() error { return r.mayWrite(endpoint) },
 		Mine:   func(h http.Header) bool { return r.f.Wire.Mine(r.r, h) },
 	})
+	if refusal, ok := errors.Into[*outcome.Refusal](err); ok {
+		return end{err: refusal, reason: refusal.Reason, report: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE}
+	}
+	if errors.Is(err, errLeft) {
+		r.f.Metrics.Inc("places.unusable")
+		return end{err: err, reason: outcome.ReasonConnect, report: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE}
+	}
 	if err != nil {
 		return end{err: err, reason: outcome.ReasonConnect, report: peerv1.ReleaseOutcome_RELEASE_OUTCOME_ENDPOINT_FAILED}
 	}
@@ -338,6 +351,22 @@
 	return e
 }
 
+// errLeft says that the endpoint took no more work when the request was to be
+// written.
+var errLeft = errors.New("the endpoint has left")
+
+// mayWrite is asked when a connection to the endpoint is there. Opening one may
+// take a second, in which the endpoint may leave or the caller's key may end.
+func (r *run) mayWrite(e *table.Endpoint) error {
+	if refusal := r.r.MaySend(); refusal != nil {
+		return refusal
+	}
+	if !r.f.Usable(e) {
+		return errLeft
+	}
+	return nil
+}
+
 // address returns where an endpoint listens.
 func address(e *table.Endpoint) string {
 	_, address, _ := strings.Cut(e.URL, "://")
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -23,6 +23,9 @@
 	Body   []byte
 	// Fresh asks for a new connection.
 	Fresh bool
+	// Check is asked right before the request is written, after a connection
+	// was opened; an error sends nothing. It is nil where nothing can change.
+	Check func() error
 	// Mine tells whether an answer with these headers belongs to the request.
 	Mine func(http.Header) bool
 }
@@ -66,6 +69,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := r.check(); err != nil {
+			_ = c.Close()
+			return nil, err
+		}
 		x := &Exchange{pool: p, address: address, conn: c, request: r}
 		if x.write(head) {
 			return x, nil
@@ -77,6 +84,13 @@
 	}
 }
 
+func (r *Request) check() error {
+	if r.Check == nil {
+		return nil
+	}
+	return r.Check()
+}
+
 func (p *Pool) connection(ctx context.Context, address string, fresh bool) (*conn, error) {
 	if !fresh {
 		if c := p.take(address); c != nil {
