Bound the time in which news reaches every daemon

Cause: a daemon asked one other at a time and forgot who told of news meanwhile, so that a question to a silent host (0.4 s) lost the news until the next beacon; it asked a host drawn at random once its facts were 1.3 s old; heartbeats told of the configuration only; nothing made a daemon read the store that heard nobody. A narrow host that read the store sent each large configuration to all at once.

Change: internal/factsync, moved out of the gateway. Daemons that tell of news are remembered until it is here; two are asked at a time; facts older than 1 s are asked for, and from 1.4 s on the daemon reads the store itself. Heartbeats carry how far facts reach. The configuration's feed is read every 0.7 s instead of 1 s, so that facts stay below 1 s when all is well.

Ruled out: the whole list asked for when facts are old is not needed any more, since a position fixes what is known.

--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -21,7 +21,7 @@
 	// configWait is how long the store holds back an answer without news of
 	// the configuration. It bounds how old the freshest knowledge is, and
 	// costs a call each time; revoked keys bind within seconds.
-	configWait = 1000 * time.Millisecond
+	configWait = 700 * time.Millisecond
 	// endpointsPause is the time between two reads of the endpoints' feed.
 	// Endpoints rewrite their entries all the time, so that each read finds
 	// something; waiting in between gathers it.
--- /dev/null
+++ b/internal/factsync/syncer.go
@@ -0,0 +1,289 @@
+// Package factsync keeps a daemon's facts as new as the store's: a few daemons
+// read the store and tell the others by datagrams, who ask for what they lack.
+// A daemon that is not told in time asks by itself, and at last reads the
+// store. See docs/design/freshness.md for the bound that this keeps.
+package factsync
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/beechhead/beechhead/internal/boottime"
+	"github.com/beechhead/beechhead/internal/catalog"
+	"github.com/beechhead/beechhead/internal/facts"
+	"github.com/beechhead/beechhead/internal/membership"
+	"github.com/beechhead/beechhead/internal/metric"
+	"github.com/beechhead/beechhead/internal/peer/peerv1"
+	"github.com/beechhead/beechhead/internal/storetime"
+)
+
+const (
+	// readerKey ranks the hosts that read the store.
+	readerKey = "reader"
+	// askTimeout bounds a question for another daemon's facts, documentTimeout
+	// one whose answer has a configuration, which may take its time on a narrow
+	// link.
+	askTimeout      = 300 * time.Millisecond
+	documentTimeout = time.Second
+	// askAfter is how old the facts may be before this daemon asks others for
+	// theirs, though nobody told it of newer ones.
+	askAfter = time.Second
+	// readAfter is how old they may be before it reads the store itself.
+	readAfter = 1400 * time.Millisecond
+	// tickPause is the time between two looks at the age of the facts.
+	tickPause = 100 * time.Millisecond
+	// outagePause is the time between two rounds of questions while nobody
+	// seems to know more, or none has been told anything yet.
+	outagePause = 500 * time.Millisecond
+	// questionsAtOnce bounds the questions under way, so that one host that is
+	// silent does not hold up the answer of another.
+	questionsAtOnce = 2
+)
+
+// Syncer keeps one daemon's facts new. All fields must be set before it is
+// used. It is safe for concurrent use.
+type Syncer struct {
+	Clock   clockwork.Clock
+	Boot    boottime.Clock
+	Store   *storetime.Clock
+	Holder  *facts.Holder
+	Logger  *slog.Logger
+	Metrics *metric.Registry
+	// Self returns this host, Hosts all that are known, Ready those that take
+	// requests.
+	Self         func() membership.Host
+	Hosts, Ready func() []membership.Host
+	// Send sends a beacon to the hosts of peer addresses.
+	Send func(addresses []string, b *peerv1.Beacon) error
+	// Ask asks the daemon at a peer address for its facts.
+	Ask func(ctx context.Context, address string, req *peerv1.FactsRequest) (*peerv1.FactsResponse, error)
+	// Pick returns a random number below n.
+	Pick func(n int) int
+	// DocumentRate is how many bytes a second of configurations this host sends
+	// to others; zero is no limit.
+	DocumentRate float64
+
+	started time.Duration
+
+	mu sync.Mutex
+	// heard has when each host was last heard to have read the store.
+	heard   map[membership.HostID]time.Duration
+	sources sources
+	share   share
+	// asked is when the last round of questions without a cause began.
+	asked time.Duration
+}
+
+// Start must be called once before the others are.
+func (s *Syncer) Start() {
+	s.started = s.Boot.Now()
+	s.heard = map[membership.HostID]time.Duration{}
+	s.sources = newSources()
+}
+
+// Run asks for facts when they grow old, until ctx ends.
+func (s *Syncer) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.Clock.After(tickPause):
+		}
+		s.Holder.Expire()
+		s.askWhenOld()
+		s.askSources()
+	}
+}
+
+// age returns how old the older of the facts are; false if one is unknown.
+func (s *Syncer) age() (time.Duration, bool) {
+	config, known := s.Holder.ConfigAge()
+	endpoints, listed := s.Holder.EndpointsAge()
+	return max(config, endpoints), known && listed
+}
+
+// OnDuty tells whether this daemon is to read the store.
+func (s *Syncer) OnDuty() bool {
+	if age, known := s.age(); known && age > readAfter {
+		return true
+	}
+	self := s.Self()
+	if self.State == membership.Leaving {
+		return false
+	}
+	now := s.Boot.Now()
+	order := membership.CapableFirst(membership.Rank(readerKey, s.Ready()))
+	return facts.Duty(self.ID, order, func(id membership.HostID) time.Duration {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if at, ok := s.heard[id]; ok {
+			return now - at
+		}
+		// A new daemon waits for the readers before it reads.
+		return now - s.started
+	})
+}
+
+// Beacon returns what this daemon tells of its facts.
+func (s *Syncer) Beacon() *peerv1.Beacon {
+	self := s.Self()
+	sum := s.Holder.Summary()
+	return &peerv1.Beacon{
+		Host:          string(self.ID),
+		Address:       self.PeerAddress,
+		ConfigVersion: uint64(sum.Config),
+		ConfigAsOf:    int64(sum.ConfigAsOf),
+		Changed:       uint64(sum.Told()),
+		Position:      uint64(sum.Position),
+		EndpointsAsOf: int64(sum.EndpointsAsOf),
+		GraceUntil:    int64(sum.GraceUntil),
+	}
+}
+
+// Tell sends a beacon to all hosts after a read of the store.
+func (s *Syncer) Tell() {
+	b := s.Beacon()
+	var addresses []string
+	for _, h := range s.Hosts() {
+		if string(h.ID) != b.GetHost() {
+			addresses = append(addresses, h.PeerAddress)
+		}
+	}
+	if err := s.Send(addresses, b); err != nil {
+		s.Logger.Error("beacon not sent", "error", err)
+	}
+}
+
+// OnBeacon takes in what a reader tells.
+func (s *Syncer) OnBeacon(b *peerv1.Beacon) {
+	s.mu.Lock()
+	s.heard[membership.HostID(b.GetHost())] = s.Boot.Now()
+	s.mu.Unlock()
+	s.OnTold(b)
+}
+
+// OnTold takes in what any daemon tells of its facts, and asks it for what is
+// missing here.
+func (s *Syncer) OnTold(b *peerv1.Beacon) {
+	if b == nil {
+		return
+	}
+	s.Holder.OpenGrace(storetime.Instant(b.GetGraceUntil()))
+	s.Holder.ConfirmConfig(catalog.Version(b.GetConfigVersion()), storetime.Instant(b.GetConfigAsOf()))
+	s.Holder.ConfirmEndpoints(facts.Position(b.GetChanged()), facts.Position(b.GetPosition()), storetime.Instant(b.GetEndpointsAsOf()))
+	n := told{config: catalog.Version(b.GetConfigVersion()), changed: facts.Position(b.GetChanged())}
+	if !n.newer(s.Holder.Summary()) {
+		return
+	}
+	s.mu.Lock()
+	s.sources.add(b.GetAddress(), n)
+	s.mu.Unlock()
+	s.askSources()
+}
+
+// askSources asks the daemons that have told of something newer, as far as
+// questions are free.
+func (s *Syncer) askSources() {
+	for {
+		sum := s.Holder.Summary()
+		s.mu.Lock()
+		q, ok := s.sources.next(sum, s.Boot.Now(), s.Pick)
+		s.mu.Unlock()
+		if !ok {
+			return
+		}
+		go s.ask(q)
+	}
+}
+
+// askWhenOld asks hosts drawn at random while the facts are old here. A host
+// that is cut off from the store and from its readers still serves as long as
+// some daemon that it reaches can vouch for what it knows.
+func (s *Syncer) askWhenOld() {
+	age, known := s.age()
+	if known && age < askAfter {
+		return
+	}
+	now := s.Boot.Now()
+	s.mu.Lock()
+	if (!known || age > 2*askAfter) && s.asked > 0 && now-s.asked < outagePause {
+		s.mu.Unlock()
+		return
+	}
+	s.asked = now
+	s.mu.Unlock()
+	hosts := s.others()
+	for range min(questionsAtOnce, len(hosts)) {
+		i := s.Pick(len(hosts))
+		address := hosts[i].PeerAddress
+		hosts[i] = hosts[len(hosts)-1]
+		hosts = hosts[:len(hosts)-1]
+		s.mu.Lock()
+		ok := s.sources.begin(address)
+		s.mu.Unlock()
+		if ok {
+			go s.ask(question{address: address})
+		}
+	}
+}
+
+// others returns the hosts but this one.
+func (s *Syncer) others() (others []membership.Host) {
+	self := s.Self().ID
+	for _, h := range s.Hosts() {
+		if h.ID != self {
+			others = append(others, h)
+		}
+	}
+	return others
+}
+
+// ask asks a daemon for what this one lacks. The question must have begun.
+func (s *Syncer) ask(q question) {
+	err := s.learnFrom(q)
+	s.mu.Lock()
+	s.sources.end(q.address, s.Boot.Now(), err == nil)
+	s.mu.Unlock()
+	if err != nil {
+		s.Metrics.Inc("facts.fetchFailed")
+	}
+	s.askSources()
+}
+
+func (s *Syncer) learnFrom(q question) error {
+	timeout := askTimeout
+	if q.document {
+		timeout = documentTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	sum := s.Holder.Summary()
+	sent := s.Boot.Now()
+	resp, err := s.Ask(ctx, q.address, &peerv1.FactsRequest{
+		ConfigVersion: uint64(sum.Config),
+		Position:      uint64(sum.Position),
+		Address:       s.Self().PeerAddress,
+	})
+	if err != nil {
+		return err
+	}
+	s.Metrics.Inc("facts.fetched")
+	if resp.GetStoreNow() > 0 {
+		s.Store.Observe(sent, storetime.Instant(resp.GetStoreNow()))
+	}
+	d := fromMessage(resp)
+	d.From = q.address
+	if err := s.Holder.Learn(d); err != nil {
+		s.Logger.Error("facts not taken", "from", q.address, "error", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, other := range resp.GetAskInstead() {
+		s.sources.add(other, told{config: d.Config})
+	}
+	return nil
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,8 +22,8 @@
 	"github.com/beechhead/beechhead/internal/boottime"
 	"github.com/beechhead/beechhead/internal/cell"
 	"github.com/beechhead/beechhead/internal/cellhost"
-	"github.com/beechhead/beechhead/internal/endpoint"
 	"github.com/beechhead/beechhead/internal/facts"
+	"github.com/beechhead/beechhead/internal/factsync"
 	"github.com/beechhead/beechhead/internal/forward"
 	"github.com/beechhead/beechhead/internal/framing"
 	"github.com/beechhead/beechhead/internal/heartbeat"
@@ -57,17 +57,13 @@
 	clock      clockwork.Clock
 	boot       boottime.Clock
 	metrics    *metric.Registry
-	// started is the local time at which the daemon was made.
-	started time.Duration
 
 	store     *platform.Client
 	storeTime *storetime.Clock
 	holder    *facts.Holder
 	reader    *facts.Reader
+	sync      *factsync.Syncer
 	beacons   *beacon.Conn
-	heard     heard
-	// fetching has room for the one fetch under way.
-	fetching chan struct{}
 	// adopting orders the adoptions of new facts.
 	adopting sync.Mutex
 
@@ -104,12 +100,10 @@
 		clock:    clockwork.NewRealClock(),
 		boot:     boottime.System{},
 		metrics:  metric.NewRegistry(),
-		fetching: make(chan struct{}, 1),
 		budgets:  map[table.Pool]*retrybudget.Budget{},
 		draining: make(chan struct{}),
 	}
 	g.current.Store(s)
-	g.started = g.boot.Now()
 	g.sampler = logline.NewSampler(g.clock)
 	g.logger = slog.New(logline.NewLimiter(g.clock, logger.Handler())).With("host", s.Host)
 	g.view = membership.NewView(g.clock, membership.Host{
@@ -131,29 +125,6 @@
 	return g
 }
 
-func (g *Gateway) buildFacts() {
-	client := platform.NewClientWith(g.clock, g.conf().Platform.URL, endpoint.NewTransport(), g.conf().Platform.Timeout.Std(), g.metrics)
-	g.store = client.WithWire(wire.StoreWire())
-	g.storeTime = storetime.NewClock(g.boot)
-	g.holder = facts.NewHolder(g.storeTime, wire.ParseConfig)
-	g.holder.OnChange = g.adopt
-	g.holder.OnNews = g.logNews
-	g.reader = &facts.Reader{
-		Clock:          g.clock,
-		Boot:           g.boot,
-		Store:          g.storeTime,
-		Holder:         g.holder,
-		Logger:         g.logger,
-		Metrics:        g.metrics,
-		Config:         wire.ConfigFeed(g.store),
-		Endpoints:      wire.EngineFeed(g.store),
-		DecodeConfig:   wire.DecodeConfig,
-		DecodeEndpoint: wire.DecodeEngine,
-		OnDuty:         g.onDuty,
-		Told:           g.tell,
-	}
-}
-
 func (g *Gateway) buildPlacing() {
 	size := g.conf().CellSize
 	if size == 0 {
@@ -242,11 +213,11 @@
 		return err
 	}
 	g.logger.Info("started", "incarnation", g.view.Self().Incarnation)
-	grp.Go(func() error { g.beacons.Receive(ctx, g.onBeacon); return nil })
+	grp.Go(func() error { g.beacons.Receive(ctx, g.sync.OnBeacon); return nil })
 	grp.Go(func() error { g.reader.Run(ctx); return nil })
 	grp.Go(func() error { g.beats.Run(ctx); return nil })
 	grp.Go(func() error { g.tick(ctx); return nil })
-	grp.Go(func() error { g.keepFresh(ctx); return nil })
+	grp.Go(func() error { g.sync.Run(ctx); return nil })
 	grp.Go(func() error { g.register(ctx); return nil })
 	grp.Go(func() error { g.logFigures(ctx); return nil })
 	grp.Go(func() error {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -229,7 +229,7 @@
 	s := newTestSite(t, 4)
 	var refused []string
 	for _, d := range s.daemons {
-		if d.g.onDuty() {
+		if d.g.sync.OnDuty() {
 			refused = append(refused, d.ip)
 		}
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/beechhead/beechhead/internal/catalog"
 	"github.com/beechhead/beechhead/internal/forward"
 	"github.com/beechhead/beechhead/internal/heartbeat"
 	"github.com/beechhead/beechhead/internal/membership"
@@ -34,7 +33,9 @@
 			return g.peers.Client(address).Heartbeat(ctx, req)
 		},
 		Replace:  g.peers.Replace,
-		Heard:    g.heardPeer,
+		Heard:    func(membership.News, time.Time, time.Duration) {},
+		Facts:    g.sync.Beacon,
+		OnFacts:  g.sync.OnTold,
 		StoreAge: func() time.Duration { return 0 },
 		Seeds:    g.seeds,
 		Load:     func() uint32 { return uint32(g.inProgress.Load()) },
@@ -50,14 +51,7 @@
 		},
 		Attach:      g.cells.Attach,
 		OnHeartbeat: g.beats.Answer,
-		OnFacts:     g.onFacts,
-	}
-}
-
-// heardPeer takes in what a daemon says that answered a heartbeat.
-func (g *Gateway) heardPeer(n membership.News, _ time.Time, _ time.Duration) {
-	if n.Status == membership.Alive && catalog.Version(n.Host.TableVersion) > g.holder.Summary().Config {
-		go g.fetch(n.Host.PeerAddress, g.holder.Summary().Position)
+		OnFacts:     g.sync.Answer,
 	}
 }
 
--- a/internal/heartbeat/exchanger.go
+++ b/internal/heartbeat/exchanger.go
@@ -51,6 +51,10 @@
 	Heard func(peer membership.News, sent time.Time, storeAge time.Duration)
 	// StoreAge returns how long ago the store was last heard of.
 	StoreAge func() time.Duration
+	// Facts returns how far this daemon's facts reach, OnFacts takes in what a
+	// partner tells of its own. Both are nil where daemons keep no facts.
+	Facts   func() *peerv1.Beacon
+	OnFacts func(*peerv1.Beacon)
 	// Seeds returns peer addresses that the platform or the settings name.
 	Seeds func() []string
 	// Load returns the number of requests in progress.
@@ -197,6 +201,7 @@
 		Full:       full,
 		Digest:     x.View.Digest(),
 		StoreAgeMs: milliseconds(x.StoreAge()),
+		Facts:      x.facts(),
 	}
 	sent := x.Clock.Now()
 	resp, err := x.Call(ctx, address, req)
@@ -204,6 +209,7 @@
 		return nil, err
 	}
 	x.take(resp.GetSelf(), resp.GetChanges(), resp.GetDigest())
+	x.takeFacts(resp.GetFacts())
 	x.Heard(fromInfo(resp.GetSelf()), sent, time.Duration(resp.GetStoreAgeMs())*time.Millisecond)
 	return resp, nil
 }
@@ -211,6 +217,7 @@
 // Answer takes in a heartbeat and returns the answer.
 func (x *Exchanger) Answer(req *peerv1.HeartbeatRequest) *peerv1.HeartbeatResponse {
 	x.take(req.GetSelf(), req.GetChanges(), req.GetDigest())
+	x.takeFacts(req.GetFacts())
 	changes := x.changes(req.GetFull())
 	// A host that is thought gone is nobody's partner, and the news of it has
 	// been passed on already. Unless it is told here, it can't refute it.
@@ -222,6 +229,20 @@
 		Changes:    changes,
 		Digest:     x.View.Digest(),
 		StoreAgeMs: milliseconds(x.StoreAge()),
+		Facts:      x.facts(),
+	}
+}
+
+func (x *Exchanger) facts() *peerv1.Beacon {
+	if x.Facts == nil {
+		return nil
+	}
+	return x.Facts()
+}
+
+func (x *Exchanger) takeFacts(b *peerv1.Beacon) {
+	if x.OnFacts != nil && b != nil {
+		x.OnFacts(b)
 	}
 }
 
