--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -300,7 +300,7 @@
 			FetchFrom: string(d.FetchFrom),
 			BacklogMs: uint32(d.Backlog / time.Millisecond),
 			UnreadMs:  uint32(d.Unread / time.Millisecond),
-			Quiet:     d.Quiet,
+			Decode:    d.Decode,
 		})
 	}
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -107,7 +107,7 @@
 	r.f.Logger.Info("placed", "request", r.r.ID, "class", r.r.Class, "account", r.r.Account, "endpoint", grant.Endpoint.Name,
 		"coordinator", grant.Coordinator(), "fetchFrom", fetchFrom, "attempt", r.ran+r.refused, "waitMs", waited.Milliseconds(),
 		"leftMs", (r.r.End - r.f.Boot.Now()).Milliseconds(), "promptTokens", r.r.PromptTokens,
-		"backlogMs", grant.Choice.Backlog.Milliseconds(), "unreadMs", grant.Choice.Unread.Milliseconds(), "quiet", grant.Choice.Quiet)
+		"backlogMs", grant.Choice.Backlog.Milliseconds(), "unreadMs", grant.Choice.Unread.Milliseconds(), "decode", grant.Choice.Decode)
 }
 
 // answered notes that the answer was passed on whole.
@@ -146,7 +146,7 @@
 		"firstEventMs", r.first.Milliseconds(), "targetMs", r.r.Objective.Milliseconds(),
 		"longestPauseMs", pause.Milliseconds(), "longestPauseEvent", at, "pauseAllowedMs", r.r.Pause.Milliseconds(),
 		"waitMs", r.waited.Milliseconds(), "backlogMs", grant.Choice.Backlog.Milliseconds(),
-		"unreadMs", grant.Choice.Unread.Milliseconds(), "quiet", grant.Choice.Quiet, "promptTokens", r.r.PromptTokens)
+		"unreadMs", grant.Choice.Unread.Milliseconds(), "decode", grant.Choice.Decode, "promptTokens", r.r.PromptTokens)
 }
 
 // count books a failed attempt.
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -23,8 +23,8 @@
 	// Backlog is how long the endpoint had to read, Unread how long it will
 	// read this prompt.
 	Backlog, Unread time.Duration
-	// Quiet endpoints are kept for streams that long reads would break.
-	Quiet bool
+	// Decode endpoints are kept for streams that long reads would break.
+	Decode bool
 }
 
 // Grant is a place on an endpoint. It must be released. It is not safe for
--- a/internal/placement/link.go
+++ b/internal/placement/link.go
@@ -243,7 +243,7 @@
 	w.answer <- answer{endpoint: name, fetchFrom: table.EndpointName(g.GetFetchFrom()), choice: Choice{
 		Backlog: time.Duration(g.GetBacklogMs()) * time.Millisecond,
 		Unread:  time.Duration(g.GetUnreadMs()) * time.Millisecond,
-		Quiet:   g.GetQuiet(),
+		Decode:  g.GetDecode(),
 	}}
 }
 
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -91,10 +91,8 @@
 	}
 }
 
-// The counters open: long prompts fill all engines, a quarter of the engines
-// crashes, and a burst of urgent streams follows. Before engines were kept
-// quiet for these, they earned 0.80 of what they could and all classes
-// together 0.80, on the mean of twelve seeds.
+// Guards against long prompts that fill all engines before a burst of urgent
+// streams, while a quarter of the engines is down.
 func TestLongPromptsLeaveUrgentStreamsInTime(t *testing.T) {
 	s := scenario(t, "long-prompts")
 	const seeds = 3
--- a/internal/schedule/batch.go
+++ b/internal/schedule/batch.go
@@ -52,7 +52,7 @@
 	// farWeight is for a request that leaves its availability zone.
 	farWeight = 300
 	// againWeight is for each token that is read though another engine has
-	// read it lately: what is read in vain delays everyone beside it and
+	// read it lately: what is read for nothing delays everyone beside it and
 	// drives out what others will need.
 	againWeight = 12
 	// fetchWeight is for each token that is fetched from another engine.
@@ -77,10 +77,10 @@
 	// sensitivity the sum of its streams'.
 	reading     demand
 	sensitivity float64
-	// seen has what the engine was last given to read; fragile counts the
+	// seen has what the engine was last given to read; protected counts the
 	// streams that run and suffer from long reads.
-	seen    []readSeen
-	fragile int
+	seen      []readSeen
+	protected int
 	// unread has the requests without a first token, in order of their grants.
 	unread []*entry
 }
@@ -93,14 +93,14 @@
 
 // readTime is how long an engine takes to read so much.
 func (c *Cell) readTime(e *endpointState, cost float64) time.Duration {
-	return seconds(cost / c.readRate * c.sluggishness(&e.health) * c.stretch(e))
+	return seconds(cost / c.readRate * c.sluggishness(&e.health) * c.decodeSlowdown(e))
 }
 
-// stretch is by how much an engine reads more slowly than one with the mean
+// decodeSlowdown is by how much an engine reads more slowly than one with the mean
 // number of running requests, since each step also makes their tokens.
-func (c *Cell) stretch(e *endpointState) float64 {
+func (c *Cell) decodeSlowdown(e *endpointState) float64 {
 	full, mean := c.pauses.Full(), c.pauses.MeanEvent()
-	if full == 0 || mean == 0 || c.off(Stretch) {
+	if full == 0 || mean == 0 || c.off(DecodeSlowdown) {
 		return 1
 	}
 	return (full + c.pauses.Event(e.running)).Seconds() / (full + mean).Seconds()
@@ -143,8 +143,8 @@
 	b.held += g.held
 	b.readyAt = max(b.readyAt, now) + c.readTime(e, g.reads)
 	b.noteRead(now, c.readTime(e, g.reads), r.PromptTokens)
-	if g.fragile = g.class.fragile; g.fragile {
-		b.fragile++
+	if g.protected = g.class.protected; g.protected {
+		b.protected++
 	}
 	b.reading.add(now, time.Duration(disturbance(r.PromptTokens)*float64(c.readTime(e, g.reads))))
 	g.sensitivity = g.class.sensitivity(r)
@@ -192,7 +192,7 @@
 		c.overheads++
 		c.overhead += time.Duration(shareOf(c.overheads) * float64(took-c.overhead))
 	case g.reads >= longRead && took > c.overhead:
-		rate := g.reads / (took - c.overhead).Seconds() * c.stretch(g.endpoint)
+		rate := g.reads / (took - c.overhead).Seconds() * c.decodeSlowdown(g.endpoint)
 		// A first token that comes right after the overhead, or very late, says
 		// more of other things than of the reading.
 		rate = min(max(rate, c.readRate/freakRate), c.readRate*freakRate)
@@ -214,9 +214,9 @@
 	e.batch.held -= g.held
 	e.batch.sensitivity = max(0, e.batch.sensitivity-g.sensitivity)
 	g.held, g.sensitivity = 0, 0
-	if g.fragile {
-		e.batch.fragile--
-		g.fragile = false
+	if g.protected {
+		e.batch.protected--
+		g.protected = false
 	}
 	if g.long {
 		e.longRuns--
--- a/internal/schedule/batchchoice.go
+++ b/internal/schedule/batchchoice.go
@@ -11,21 +11,21 @@
 	memory int
 	// sensitivity is how much its stream suffers from what is read beside it.
 	sensitivity float64
-	// fragile streams keep to quiet engines; long reads would break them, and
+	// protected streams keep to decode engines; long reads would break them, and
 	// lasting requests hold slots that they need.
-	fragile, long, lasting bool
+	protected, long, lasting bool
 	// unread is how long an engine reads that has fetched what others keep.
 	unread time.Duration
 	// keeper keeps the most of the prompt, the first kept tokens; second is the
 	// best of the others.
 	keeper, second   *endpointState
 	kept, secondKept int
-	room             room
+	headroom         headroom
 }
 
 func (c *Cell) prompt(g *entry, now time.Duration) prompt {
 	r := &g.request
-	p := prompt{Request: r, room: c.roomFor(r, now), lasting: c.staysLongBelow(r)}
+	p := prompt{Request: r, headroom: c.headroomFor(r, now), lasting: c.staysLongBelow(r)}
 	p.sensitivity = g.class.sensitivity(r)
 	p.memory = ownMemory(r)
 	for _, e := range c.list {
@@ -46,14 +46,14 @@
 	p.patience = c.patience(g, now)
 	g.isLong = c.breaks(c.typicalRunning(), p.unread, p.PromptTokens)
 	p.long = g.isLong
-	p.fragile = g.class.fragile && !g.isLong && c.waitsForQuiet(g, now)
+	p.protected = g.class.protected && !g.isLong && c.waitsForDecode(g, now)
 	return p
 }
 
-// waitsForQuiet tells whether a fragile stream still waits for a quiet engine.
-// One that has waited for long takes any: on a quiet one it would be late too.
-func (c *Cell) waitsForQuiet(g *entry, now time.Duration) bool {
-	return !g.late && now-g.since < g.class.policy.Target/quietWait-c.overhead
+// waitsForDecode tells whether a protected stream still waits for a decode engine.
+// One that has waited for long takes any: on a decode engine it would be late too.
+func (c *Cell) waitsForDecode(g *entry, now time.Duration) bool {
+	return !g.late && now-g.since < g.class.policy.Target/decodeWait-c.overhead
 }
 
 // unreadTime is how long an engine reads of a prompt of which it has the first
@@ -106,17 +106,17 @@
 	if e.running > 0 && !e.batch.fits(p, e.policy.Memory) {
 		return false
 	}
-	if e.quiet && p.lasting || p.fragile && c.quiet > 0 && (!e.quiet || e.emptying) {
+	if e.decode && p.lasting || p.protected && c.decodeEngines > 0 && (!e.decode || e.emptying) {
 		return false
 	}
 	backlog := e.batch.backlog(now)
-	if e.quiet && !c.off(Spacing) && c.crowdsEvent(e, p.unread, p.PromptTokens, now) {
+	if e.decode && !c.off(Spacing) && c.crowdsEvent(e, p.unread, p.PromptTokens, now) {
 		return false
 	}
 	if backlog > p.patience {
 		return false
 	}
-	return p.room.spare > 0 || !p.room.crowds(backlog, p.unread)
+	return p.headroom.spare > 0 || !p.headroom.crowds(backlog, p.unread)
 }
 
 // fits tells whether the memory holds one more request.
@@ -148,7 +148,7 @@
 	}
 	backlog := e.batch.backlog(now)
 	cost = backlog.Seconds() * c.readRate
-	if r.room.crowds(backlog, r.unread) {
+	if r.headroom.crowds(backlog, r.unread) {
 		cost += crowdTime.Seconds() * c.readRate
 	}
 	cost += readCost(r.PromptTokens, kept) + fetchWeight*float64(kept-has) + runWeight*float64(e.running)
@@ -158,8 +158,8 @@
 	if e.policy.Zone != r.Zone && !c.off(ZoneWeight) {
 		cost += farWeight
 	}
-	if !e.quiet && r.long {
-		cost += brokenTime.Seconds() * c.readRate * float64(e.batch.fragile)
+	if !e.decode && r.long {
+		cost += brokenTime.Seconds() * c.readRate * float64(e.batch.protected)
 	}
 	if c.off(Disturbance) {
 		return cost * c.sluggishness(&e.health), source
--- a/internal/schedule/cell.go
+++ b/internal/schedule/cell.go
@@ -64,24 +64,24 @@
 	lastUse   map[uint64]time.Duration
 	usesSwept time.Duration
 	// streamsNow is how many hurried streams run, wait and are about to come,
-	// quietDemand its recent peak, for which quiet engines are planned,
-	// quietTier the least urgent tier that has any; negative is none.
-	streamsNow    float64
-	quietDemand   float64
-	quietTier     Tier
-	quietReviewed time.Duration
-	vainReviewed  time.Duration
-	// quiet counts the quiet engines, quietEach is how many streams each of
+	// decodeDemand its recent peak, for which decode engines are planned,
+	// decodeTier the least urgent tier that has any; negative is none.
+	streamsNow      float64
+	decodeDemand    float64
+	decodeTier      Tier
+	decodeReviewed  time.Duration
+	tooLateReviewed time.Duration
+	// decodeEngines counts the decode engines, decodeEach is how many streams each of
 	// them is planned for.
-	quiet     int
-	quietEach float64
+	decodeEngines int
+	decodeEach    float64
 	// pauses tells what reading does to streams, bearable is the longest pause
-	// that the fragile classes allow; zero if there are none.
+	// that the protected classes allow; zero if there are none.
 	pauses   interference.Model
 	bearable time.Duration
 	// mostHurried is the shortest pause that any class with streams allows.
 	mostHurried time.Duration
-	// longReads is the demand for reads that fragile streams can't bear,
+	// longReads is the demand for reads that protected streams can't bear,
 	// longPeak its recent peak. fade is what is left of a peak since the last
 	// review.
 	fade      float64
@@ -134,8 +134,8 @@
 	now := c.now()
 	c.judge(now)
 	c.forgetUses(now)
-	c.reviewQuiet(now)
-	c.shedVain(now)
+	c.reviewDecode(now)
+	c.shedTooLate(now)
 	c.grantAll(now)
 	c.shedExpired(now)
 	c.shedOverflow(now)
--- a/internal/schedule/quiet.go
+++ b/internal/schedule/decode.go
@@ -9,26 +9,26 @@
 // the urgent streams beside them, then their answers hold the slots for
 // seconds, and urgent requests that come meanwhile find no place at all. To
 // let each engine take some of both is the worst of it, since every stream is
-// then slowed down by some prompt. So some engines are quiet: they run hurried
+// then slowed down by some prompt. So some engines are kept for decoding: they run hurried
 // streams and short requests, and no long ones that are less urgent. How many
 // follows from the streams that run and wait.
 
 const (
-	// quietStreams is how many hurried streams are planned for a quiet engine,
-	// quietSlots the part of its slots that they may take by plan. What is left
+	// decodeStreams is how many hurried streams are planned for a decode engine,
+	// decodeSlots the part of its slots that they may take by plan. What is left
 	// is for bursts, which come faster than engines get rid of long answers.
-	quietStreams = 24
-	quietSlots   = 0.75
-	// maxQuiet is the greatest part of the engines that is quiet.
-	maxQuiet = 0.6
-	// quietInterval is the time between two reviews of the quiet engines.
-	quietInterval = 100 * time.Millisecond
-	// quietRelease is by how many engines there must be too many quiet ones
+	decodeStreams = 24
+	decodeSlots   = 0.75
+	// maxDecode is the greatest part of the engines that is kept for decoding.
+	maxDecode = 0.6
+	// decodeInterval is the time between two reviews of the decode engines.
+	decodeInterval = 100 * time.Millisecond
+	// decodeRelease is by how many engines there must be too many decode engines
 	// for one to be given back, so that they don't change with each stream.
-	quietRelease = 2
-	// quietFade is over how long the demand for quiet engines falls after a
+	decodeRelease = 2
+	// decodeFade is over how long the demand for decode engines falls after a
 	// peak. Streams come back sooner than an engine is free of long answers.
-	quietFade = 4 * time.Second
+	decodeFade = 4 * time.Second
 	// firstStay is how long a hurried stream is thought to run until one has.
 	firstStay = 2 * time.Second
 	// minSeen is the part of the averaging time that must have been seen for a
@@ -38,48 +38,48 @@
 	// read them.
 	longBusy = 0.6
 	// brokenTime is how much more backlog a long read rather finds than to
-	// break a fragile stream.
+	// break a protected stream.
 	brokenTime = 100 * time.Millisecond
 )
 
-// reviewQuiet chooses the quiet engines anew from time to time.
-func (c *Cell) reviewQuiet(now time.Duration) {
-	if !c.batching || now-c.quietReviewed < quietInterval {
+// reviewDecode chooses the decode engines anew from time to time.
+func (c *Cell) reviewDecode(now time.Duration) {
+	if !c.batching || now-c.decodeReviewed < decodeInterval {
 		return
 	}
-	since := now - c.quietReviewed
-	c.quietReviewed = now
-	c.fade = math.Exp(-since.Seconds() / quietFade.Seconds())
-	c.reviewFragile(now)
+	since := now - c.decodeReviewed
+	c.decodeReviewed = now
+	c.fade = math.Exp(-since.Seconds() / decodeFade.Seconds())
+	c.reviewProtected(now)
 	c.streamsNow = c.hurriedStreams(now)
-	c.quietDemand = max(c.streamsNow, c.quietDemand*c.fade)
+	c.decodeDemand = max(c.streamsNow, c.decodeDemand*c.fade)
 	c.longPeak = max(c.longReads.since(now, c.firstLong), c.longPeak*c.fade)
-	c.setQuiet(c.quietWanted(now), now)
+	c.setDecode(c.decodeWanted(now), now)
 }
 
-// setQuiet makes engines quiet or gives them back until so many are quiet.
-func (c *Cell) setQuiet(wanted int, now time.Duration) {
-	c.quiet = 0
+// setDecode keeps engines for decoding or gives them back until there are so many.
+func (c *Cell) setDecode(wanted int, now time.Duration) {
+	c.decodeEngines = 0
 	for _, e := range c.list {
-		if e.quiet && (!e.canBeQuiet(now) || wanted == 0 || e.emptying && e.batch.fragile == 0) {
-			e.quiet, e.emptying = false, false
+		if e.decode && (!e.canDecode(now) || wanted == 0 || e.emptying && e.batch.protected == 0) {
+			e.decode, e.emptying = false, false
 		}
-		if e.quiet && !e.emptying {
-			c.quiet++
+		if e.decode && !e.emptying {
+			c.decodeEngines++
 		}
 	}
-	for ; c.quiet < wanted; c.quiet++ {
-		e := c.quietest(now)
+	for ; c.decodeEngines < wanted; c.decodeEngines++ {
+		e := c.bestForDecode(now)
 		if e == nil {
 			return
 		}
-		e.quiet, e.emptying = true, false
+		e.decode, e.emptying = true, false
 	}
-	if c.quiet <= wanted+quietRelease {
+	if c.decodeEngines <= wanted+decodeRelease {
 		return
 	}
-	for ; c.quiet > wanted+quietRelease/2; c.quiet-- {
-		c.giveBackQuiet()
+	for ; c.decodeEngines > wanted+decodeRelease/2; c.decodeEngines-- {
+		c.giveBackDecode()
 	}
 }
 
@@ -87,18 +87,18 @@
 // at the rate at which they come, and notes the least urgent tier that has any.
 func (c *Cell) hurriedStreams(now time.Duration) float64 {
 	streams := 0.0
-	c.quietTier = -1
+	c.decodeTier = -1
 	for _, q := range c.order {
 		share := 1.0
-		if !q.fragile {
+		if !q.protected {
 			share = q.meanSensitivity.value
 		}
-		if !q.fragile && !c.crowdedOut(q) {
+		if !q.protected && !c.crowdedOut(q) {
 			continue
 		}
 		n := max(float64(q.running+q.waiting()), q.expectedStreams(now)) * share
 		if n > 0 {
-			c.quietTier = max(c.quietTier, q.tier.tier)
+			c.decodeTier = max(c.decodeTier, q.tier.tier)
 		}
 		streams += n
 	}
@@ -135,27 +135,27 @@
 	return q.stay.value
 }
 
-// quietWanted returns how many engines are to be quiet.
-func (c *Cell) quietWanted(now time.Duration) int {
+// decodeWanted returns how many engines are to be kept for decoding.
+func (c *Cell) decodeWanted(now time.Duration) int {
 	engines, slots := 0, 0
 	for _, e := range c.list {
-		if e.canBeQuiet(now) {
+		if e.canDecode(now) {
 			engines++
 			slots += e.policy.Concurrency
 		}
 	}
-	if engines < 2 || c.quietTier < 0 || c.off(QuietEngines) {
+	if engines < 2 || c.decodeTier < 0 || c.off(DecodeEngines) {
 		return 0
 	}
-	c.quietEach = max(1, min(quietStreams, quietSlots*float64(slots)/float64(engines)))
-	wanted := c.quietDemand / c.quietEach
+	c.decodeEach = max(1, min(decodeStreams, decodeSlots*float64(slots)/float64(engines)))
+	wanted := c.decodeDemand / c.decodeEach
 	if c.bearable == 0 {
-		return int(min(math.Ceil(wanted), maxQuiet*float64(engines)))
+		return int(min(math.Ceil(wanted), maxDecode*float64(engines)))
 	}
 	return c.divide(math.Ceil(wanted), now, engines)
 }
 
-// divide returns how many engines are quiet where long reads and fragile
+// divide returns how many engines are kept for decoding where long reads and protected
 // streams are kept apart. One engine stays for either.
 //
 // If both can't have what their recent peaks ask for, what they need now
@@ -164,7 +164,7 @@
 func (c *Cell) divide(streams float64, now time.Duration, engines int) int {
 	long := max(1, c.longPeak/longBusy)
 	if all := float64(engines); streams+long > all {
-		streams = c.streamsNow / c.quietEach
+		streams = c.streamsNow / c.decodeEach
 		long = max(1, c.longNow(now)/longBusy)
 		streams *= all / (streams + long)
 	}
@@ -176,50 +176,50 @@
 func (c *Cell) longNow(now time.Duration) float64 {
 	waiting := 0.0
 	for _, q := range c.order {
-		if !q.fragile {
+		if !q.protected {
 			waiting += float64(q.waiting()) * q.meanRead.value
 		}
 	}
 	return c.longReads.since(now, c.firstLong) + waiting/demandTime.Seconds()
 }
 
-// canBeQuiet tells whether an engine batches and takes work.
-func (e *endpointState) canBeQuiet(now time.Duration) bool {
+// canDecode tells whether an engine batches and takes work.
+func (e *endpointState) canDecode(now time.Duration) bool {
 	return e.policy.Memory > 0 && !e.policy.Draining && !e.gone && !e.health.ejected(now)
 }
 
-// quietest returns the engine that is best made quiet: one that was about to
+// bestForDecode returns the engine that is best kept for decoding: one that was about to
 // be given back, or else the one with the least long work.
-func (c *Cell) quietest(now time.Duration) *endpointState {
+func (c *Cell) bestForDecode(now time.Duration) *endpointState {
 	var best *endpointState
 	for _, e := range c.list {
-		if e.quiet && !e.emptying || !e.canBeQuiet(now) {
+		if e.decode && !e.emptying || !e.canDecode(now) {
 			continue
 		}
-		if best == nil || e.betterQuiet(best) {
+		if best == nil || e.betterForDecode(best) {
 			best = e
 		}
 	}
 	return best
 }
 
-func (e *endpointState) betterQuiet(other *endpointState) bool {
+func (e *endpointState) betterForDecode(other *endpointState) bool {
 	switch {
 	case e.emptying != other.emptying:
 		return e.emptying
 	case e.longRuns != other.longRuns:
 		return e.longRuns < other.longRuns
 	}
-	return e.batch.fragile > other.batch.fragile
+	return e.batch.protected > other.batch.protected
 }
 
-// giveBackQuiet has the quiet engine with the fewest fragile streams take no
+// giveBackDecode has the decode engine with the fewest protected streams take no
 // more of them, and long work as soon as these have ended. To give it long
 // reads at once would break them.
-func (c *Cell) giveBackQuiet() {
+func (c *Cell) giveBackDecode() {
 	var least *endpointState
 	for _, e := range c.list {
-		if e.quiet && !e.emptying && (least == nil || e.batch.fragile < least.batch.fragile) {
+		if e.decode && !e.emptying && (least == nil || e.batch.protected < least.batch.protected) {
 			least = e
 		}
 	}
@@ -233,8 +233,8 @@
 }
 
 // staysLongBelow tells whether a request stays long and is less urgent than the
-// streams on quiet engines.
+// streams on decode engines.
 func (c *Cell) staysLongBelow(r *Request) bool {
 	q := c.class(r.Class)
-	return q != nil && q.tier.tier > c.quietTier && staysLong(r)
+	return q != nil && q.tier.tier > c.decodeTier && staysLong(r)
 }
--- a/internal/schedule/quiet_test.go
+++ b/internal/schedule/decode_test.go
@@ -14,16 +14,16 @@
 	briefClass   = ClassPolicy{Name: "brief", Tier: 1, Weight: 1, MaxWait: 2 * time.Second, Target: 500 * time.Millisecond, Pause: 300 * time.Millisecond}
 )
 
-// quietCell is a cell of engines with a fake clock.
-type quietCell struct {
+// decodeCell is a cell of engines with a fake clock.
+type decodeCell struct {
 	*Cell
 	clock *clockwork.FakeClock
 	next  uint64
 }
 
-func newQuietCell(engines int, classes ...ClassPolicy) *quietCell {
+func newDecodeCell(engines int, classes ...ClassPolicy) *decodeCell {
 	clock := clockwork.NewFakeClock()
-	c := &quietCell{Cell: NewCell(clock), clock: clock}
+	c := &decodeCell{Cell: NewCell(clock), clock: clock}
 	cfg := Config{Classes: classes}
 	for i := range engines {
 		cfg.Endpoints = append(cfg.Endpoints, EndpointPolicy{Name: Endpoint(fmt.Sprintf("e%02d", i)), Concurrency: 64, Memory: 600_000})
@@ -33,7 +33,7 @@
 }
 
 // ask reserves a place and returns the engine, or "" if the request waits.
-func (c *quietCell) ask(class Class, prompt, answer int) (RequestID, Endpoint) {
+func (c *decodeCell) ask(class Class, prompt, answer int) (RequestID, Endpoint) {
 	c.next++
 	id := RequestID{Host: "h", Sequence: c.next}
 	c.Reserve(Request{ID: id, Class: class, PromptTokens: prompt, EstimatedTokens: answer})
@@ -46,16 +46,16 @@
 }
 
 // begun lets time pass and tells the first token of a request.
-func (c *quietCell) begun(id RequestID) {
+func (c *decodeCell) begun(id RequestID) {
 	c.clock.Advance(110 * time.Millisecond)
 	c.Progress(id, Progress{FirstToken: 100 * time.Millisecond, Tokens: 1, Elapsed: 100 * time.Millisecond})
 	c.Step()
 }
 
-func (c *quietCell) quietNames() map[Endpoint]bool {
+func (c *decodeCell) decodeNames() map[Endpoint]bool {
 	names := map[Endpoint]bool{}
 	for _, e := range c.list {
-		if e.quiet {
+		if e.decode {
 			names[e.policy.Name] = true
 		}
 	}
@@ -66,8 +66,8 @@
 // find no slot at all: every engine runs some of both. The engines that run
 // urgent streams must take no long answer of a lower tier, though they have
 // free slots and others are busier.
-func TestLongRequestsStayOffQuietEngines(t *testing.T) {
-	c := newQuietCell(10, hurriedClass, heavyClass, briefClass)
+func TestLongRequestsStayOffDecodeEngines(t *testing.T) {
+	c := newDecodeCell(10, hurriedClass, heavyClass, briefClass)
 	for range 60 {
 		id, e := c.ask("hurried", 600, 300)
 		if e == "" {
@@ -75,47 +75,47 @@
 		}
 		c.begun(id)
 	}
-	quiet := c.quietNames()
-	if len(quiet) != 3 {
-		t.Fatalf("%d engines are quiet for 60 streams, want 3", len(quiet))
+	decoding := c.decodeNames()
+	if len(decoding) != 3 {
+		t.Fatalf("%d engines are kept for decoding for 60 streams, want 3", len(decoding))
 	}
 	for range 100 {
 		id, e := c.ask("heavy", 4000, 400)
-		if quiet[e] {
-			t.Fatalf("a long answer went to the quiet engine %s", e)
+		if decoding[e] {
+			t.Fatalf("a long answer went to the decode engine %s", e)
 		}
 		c.begun(id)
-		quiet = c.quietNames()
+		decoding = c.decodeNames()
 	}
 }
 
 // Without urgent streams no engine is kept free, or a site without them would
 // lose part of its engines.
-func TestNoQuietEnginesWithoutHurriedStreams(t *testing.T) {
-	c := newQuietCell(4, hurriedClass, heavyClass)
+func TestNoDecodeEnginesWithoutHurriedStreams(t *testing.T) {
+	c := newDecodeCell(4, hurriedClass, heavyClass)
 	id, _ := c.ask("hurried", 600, 300)
 	c.begun(id)
-	if len(c.quietNames()) == 0 {
-		t.Error("no engine is quiet for a stream")
+	if len(c.decodeNames()) == 0 {
+		t.Error("no engine is kept for decoding for a stream")
 	}
 	c.Release(id, Report{Done: true, Tokens: 40})
 	for range 400 {
 		c.clock.Advance(100 * time.Millisecond)
 		c.Step()
 	}
-	if n := len(c.quietNames()); n != 0 {
-		t.Errorf("%d engines are quiet for nobody", n)
+	if n := len(c.decodeNames()); n != 0 {
+		t.Errorf("%d engines are kept for decoding for nobody", n)
 	}
 }
 
-// Two engines are left, one of them quiet: long requests must not wait for
+// Two engines are left, one of them kept for decoding: long requests must not wait for
 // ever when the other one goes.
 func TestLastEngineTakesEverything(t *testing.T) {
-	c := newQuietCell(2, hurriedClass, heavyClass)
+	c := newDecodeCell(2, hurriedClass, heavyClass)
 	id, _ := c.ask("hurried", 600, 300)
 	c.begun(id)
 	cfg := Config{Classes: []ClassPolicy{hurriedClass, heavyClass}}
-	for name := range c.quietNames() {
+	for name := range c.decodeNames() {
 		cfg.Endpoints = append(cfg.Endpoints, EndpointPolicy{Name: name, Concurrency: 64, Memory: 600_000})
 	}
 	c.Configure(cfg)
@@ -130,7 +130,7 @@
 // streams alone in 5 ms. Callers saw requests wait while a quarter of the
 // engines stood idle: the busy ones had been taken for stragglers.
 func TestBusyEnginesAreNoStragglers(t *testing.T) {
-	c := newQuietCell(8, hurriedClass, heavyClass)
+	c := newDecodeCell(8, hurriedClass, heavyClass)
 	fast := map[RequestID]time.Duration{}
 	for range 90 {
 		id, _ := c.ask("hurried", 600, 300)
@@ -161,7 +161,7 @@
 // missed. Each was then given to an engine with as much to read as if it had
 // just come, so that all of them were late instead of some.
 func TestWaitingUsesUpPatience(t *testing.T) {
-	c := newQuietCell(1, heavyClass)
+	c := newDecodeCell(1, heavyClass)
 	e := &entry{request: Request{Class: "heavy", PromptTokens: 2000}, class: c.class("heavy")}
 	fresh := c.patience(e, 0)
 	if waited := c.patience(e, 900*time.Millisecond); waited >= fresh {
@@ -177,17 +177,17 @@
 // that those which run show how many engines they need only then; long
 // requests had taken all engines meanwhile, and the first seconds of each burst
 // were late.
-func TestQuietEnginesFollowArrivals(t *testing.T) {
-	c := newQuietCell(20, hurriedClass, heavyClass)
+func TestDecodeEnginesFollowArrivals(t *testing.T) {
+	c := newDecodeCell(20, hurriedClass, heavyClass)
 	for range 100 {
 		id, _ := c.ask("hurried", 600, 300)
 		c.clock.Advance(5 * time.Millisecond)
 		c.Progress(id, Progress{FirstToken: time.Millisecond, Tokens: 1, Elapsed: time.Millisecond})
 	}
-	c.clock.Advance(quietInterval)
+	c.clock.Advance(decodeInterval)
 	c.Step()
 	// 200 a second for 2 s each are 400 streams, though 100 run.
-	if n := len(c.quietNames()); n < 10 {
-		t.Errorf("%d engines are quiet after half a second of 200 streams a second", n)
+	if n := len(c.decodeNames()); n < 10 {
+		t.Errorf("%d engines are kept for decoding after half a second of 200 streams a second", n)
 	}
 }
--- a/internal/schedule/endpoint.go
+++ b/internal/schedule/endpoint.go
@@ -18,11 +18,11 @@
 	load   loadReport
 	health health
 	batch  batch
-	// quiet engines take no long requests that are less urgent than hurried
+	// decode engines take no long requests that are less urgent than hurried
 	// streams; longRuns counts the long requests that run.
-	quiet    bool
+	decode   bool
 	longRuns int
-	// emptying quiet engines take no more fragile streams either.
+	// emptying decode engines take no more protected streams either.
 	emptying bool
 	// gone says that the table no longer has the endpoint.
 	gone bool
--- a/internal/schedule/room.go
+++ b/internal/schedule/headroom.go
@@ -14,11 +14,11 @@
 const (
 	// demandTime is over how long a class's demand is averaged.
 	demandTime = time.Second
-	// roomFactor is how many engines are kept free for each engine that a class
+	// headroomFactor is how many engines are kept free for each engine that a class
 	// keeps busy with reading. With one its requests would queue up for it.
-	roomFactor = 2.5
-	// maxRoom is the greatest part of the engines that is kept free.
-	maxRoom = 0.6
+	headroomFactor = 2.5
+	// maxHeadroom is the greatest part of the engines that is kept free.
+	maxHeadroom = 0.6
 	// urgency is by how much less patience a class must have to go before
 	// another one in this.
 	urgency = 1.5
@@ -59,8 +59,8 @@
 	d.rate += read.Seconds() / demandTime.Seconds()
 }
 
-// room is how much a request of some class may crowd the engines.
-type room struct {
+// headroom is how much a request of some class may crowd the engines.
+type headroom struct {
 	// limit is the backlog that the most urgent class before it can bear; zero
 	// if there is none.
 	limit time.Duration
@@ -70,15 +70,15 @@
 
 // crowds tells whether an engine with a backlog is free for urgent requests
 // now and no longer once a prompt that takes that long was added.
-func (r *room) crowds(backlog, read time.Duration) bool {
+func (r *headroom) crowds(backlog, read time.Duration) bool {
 	return r.limit > 0 && backlog <= r.limit && backlog+read > r.limit
 }
 
-// roomFor returns the room for a request.
-func (c *Cell) roomFor(r *Request, now time.Duration) room {
+// headroomFor returns the headroom for a request.
+func (c *Cell) headroomFor(r *Request, now time.Duration) headroom {
 	q := c.class(r.Class)
-	if q == nil || q.policy.Target == 0 || c.off(Room) {
-		return room{spare: len(c.list)}
+	if q == nil || q.policy.Target == 0 || c.off(Headroom) {
+		return headroom{spare: len(c.list)}
 	}
 	own := c.classPatience(q)
 	needed, limit := 0.0, time.Duration(0)
@@ -97,7 +97,7 @@
 		}
 	}
 	if limit == 0 {
-		return room{spare: len(c.list)}
+		return headroom{spare: len(c.list)}
 	}
 	free := 0
 	for _, e := range c.list {
@@ -105,8 +105,8 @@
 			free++
 		}
 	}
-	reserve := min(math.Ceil(roomFactor*needed), maxRoom*float64(len(c.list)))
-	return room{limit: limit, spare: free - int(reserve)}
+	reserve := min(math.Ceil(headroomFactor*needed), maxHeadroom*float64(len(c.list)))
+	return headroom{limit: limit, spare: free - int(reserve)}
 }
 
 // minDemand is the demand below which no engine is kept for a class.
--- a/internal/schedule/fragile.go
+++ b/internal/schedule/interference.go
@@ -10,7 +10,7 @@
 // allows, and prompts that are read beside it make it pause. What a read does
 // to streams is learnt (package interference); from that follows which classes
 // suffer from the reads that come, and which reads they can't bear. The two are
-// kept on different engines, see quiet.go.
+// kept on different engines, see decode.go.
 
 const (
 	// pauseShare is the part of an allowed pause that reading may take up; the
@@ -20,9 +20,9 @@
 	// break by long reads from which on they are kept apart from these.
 	brokenFirst = 0.08
 	brokenKept  = 0.03
-	// quietWait is the part of its target, as a divisor, for which a fragile
-	// stream waits for a quiet engine.
-	quietWait = 2
+	// decodeWait is the part of its target, as a divisor, for which a protected
+	// stream waits for a decode engine.
+	decodeWait = 2
 	// readsSeen bounds what an engine remembers of its reads.
 	readsSeen = 64
 )
@@ -82,20 +82,20 @@
 	})
 }
 
-// reviewFragile finds the classes whose streams suffer from the long reads that
+// reviewProtected finds the classes whose streams suffer from the long reads that
 // come, and the longest pause that all of those which have streams bear.
-func (c *Cell) reviewFragile(now time.Duration) {
+func (c *Cell) reviewProtected(now time.Duration) {
 	c.bearable = 0
 	c.mostHurried = c.leastPause(now)
 	for _, q := range c.order {
 		limit := q.pauseLimit()
 		own := seconds(q.meanRead.value)
 		if limit == 0 || c.pauses.MeanEvent()+own > limit || !c.mayProtect(q) {
-			q.fragile = false
+			q.protected = false
 			continue
 		}
-		q.fragile = c.brokenShare(q, now) > q.brokenBound()
-		if q.fragile && q.hasStreams(now) && (c.bearable == 0 || limit < c.bearable) {
+		q.protected = c.brokenShare(q, now) > q.brokenBound()
+		if q.protected && q.hasStreams(now) && (c.bearable == 0 || limit < c.bearable) {
 			c.bearable = limit
 		}
 	}
@@ -116,7 +116,7 @@
 // brokenBound is from which share on a class's streams are protected. It is
 // lower for those that are, so that the two don't alternate.
 func (q *classQueue) brokenBound() float64 {
-	if q.fragile {
+	if q.protected {
 		return brokenKept
 	}
 	return brokenFirst
@@ -160,17 +160,17 @@
 	return c.pauses.Pause(running, interference.Reading{Time: read, Slowdown: slowdownAt(prompt)})
 }
 
-// typicalRunning is how many requests are taken to run on a quiet engine.
-func (c *Cell) typicalRunning() int { return int(c.quietEach) }
+// typicalRunning is how many requests are taken to run on a decode engine.
+func (c *Cell) typicalRunning() int { return int(c.decodeEach) }
 
-// breaks tells whether a reading makes streams of the fragile classes pause for
+// breaks tells whether a reading makes streams of the protected classes pause for
 // too long on an engine with so many requests.
 func (c *Cell) breaks(running int, read time.Duration, prompt int) bool {
 	return c.bearable > 0 && c.pauseBeside(running, read, prompt) > c.bearable
 }
 
 // crowdsEvent tells whether a read, on top of what an engine has read just now
-// and has yet to read, makes fragile streams pause for too long: several short
+// and has yet to read, makes protected streams pause for too long: several short
 // reads within the time of an event hold it up as one long read does.
 func (c *Cell) crowdsEvent(e *endpointState, read time.Duration, prompt int, now time.Duration) bool {
 	ahead := e.batch.backlog(now) + read
--- a/internal/schedule/fragile_test.go
+++ b/internal/schedule/interference_test.go
@@ -18,17 +18,17 @@
 )
 
 // begunAfter lets time pass and tells the first token of a request.
-func (c *quietCell) begunAfter(id RequestID, d time.Duration) {
+func (c *decodeCell) begunAfter(id RequestID, d time.Duration) {
 	c.clock.Advance(d)
 	c.Progress(id, Progress{FirstToken: d, Tokens: 1, Elapsed: d})
 	c.Step()
 }
 
-// newFragileCell is a cell that runs quick streams while long reads come, so
-// that some engines are quiet.
-func newFragileCell(t *testing.T, engines, streams int) *quietCell {
+// newProtectedCell is a cell that runs quick streams while long reads come, so
+// that some engines are kept for decoding.
+func newProtectedCell(t *testing.T, engines, streams int) *decodeCell {
 	t.Helper()
-	c := newQuietCell(engines, quickClass, reportClass)
+	c := newDecodeCell(engines, quickClass, reportClass)
 	for range 12 {
 		id, _ := c.ask("report", longPrompt, 50)
 		c.begunAfter(id, 300*time.Millisecond)
@@ -39,17 +39,17 @@
 		c.begun(id)
 		c.ask("report", longPrompt, 50)
 	}
-	if len(c.quietNames()) == 0 {
-		t.Fatal("no engine is quiet")
+	if len(c.decodeNames()) == 0 {
+		t.Fatal("no engine is kept for decoding")
 	}
 	return c
 }
 
 // The first requests of a class that waits have long prompts, for which every
-// engine is busy. Those behind them have short ones and fit on quiet engines,
+// engine is busy. Those behind them have short ones and fit on decode engines,
 // but the class was taken to find no engine at all.
 func TestShortReadsPassLongOnes(t *testing.T) {
-	c := newFragileCell(t, 4, 30)
+	c := newProtectedCell(t, 4, 30)
 	waiting := 0
 	for range 8 {
 		if _, e := c.ask("report", longPrompt, 50); e == "" {
@@ -78,7 +78,7 @@
 // Several short prompts come at once. Read one after the other on one engine,
 // they hold up its streams as a long one does.
 func TestShortReadsAreSpread(t *testing.T) {
-	c := newFragileCell(t, 10, 40)
+	c := newProtectedCell(t, 10, 40)
 	patient := quickClass
 	patient.Target = 2 * time.Second
 	c.class("quick").policy = patient
@@ -92,7 +92,7 @@
 		}
 	}
 	for e, read := range given {
-		if c.quietNames()[e] && c.breaks(c.endpoints[e].running, read, 2000) {
+		if c.decodeNames()[e] && c.breaks(c.endpoints[e].running, read, 2000) {
 			t.Errorf("%s was given %v to read at once", e, read)
 		}
 	}
@@ -101,7 +101,7 @@
 // Fewer quick streams come, and an engine is given back. Long reads must not
 // come there while some of its streams still run.
 func TestEngineIsGivenBackEmpty(t *testing.T) {
-	c := newFragileCell(t, 10, 10)
+	c := newProtectedCell(t, 10, 10)
 	var streams []RequestID
 	for i := range 150 {
 		id, _ := c.ask("quick", 700, 300)
@@ -113,29 +113,29 @@
 			c.Release(long, Report{Done: true, Tokens: 1})
 		}
 	}
-	before := len(c.quietNames())
+	before := len(c.decodeNames())
 	for _, id := range streams[:120] {
 		c.Release(id, Report{Done: true, Tokens: 70, Duration: time.Second})
 	}
 	for range 200 {
-		quiet := c.quietNames()
+		decoding := c.decodeNames()
 		c.clock.Advance(100 * time.Millisecond)
 		c.Step()
 		c.ask("report", longPrompt, 50)
 		for _, e := range c.list {
-			if quiet[e.policy.Name] && !e.quiet && e.batch.fragile > 0 {
-				t.Fatalf("%s takes long reads beside %d streams", e.policy.Name, e.batch.fragile)
+			if decoding[e.policy.Name] && !e.decode && e.batch.protected > 0 {
+				t.Fatalf("%s takes long reads beside %d streams", e.policy.Name, e.batch.protected)
 			}
 		}
 	}
-	if after := len(c.quietNames()); after >= before {
-		t.Errorf("%d engines are quiet, %d with five times as many streams", after, before)
+	if after := len(c.decodeNames()); after >= before {
+		t.Errorf("%d engines are kept for decoding, %d with five times as many streams", after, before)
 	}
 }
 
 // A single engine can't be divided: it takes everything.
 func TestSingleEngineTakesBoth(t *testing.T) {
-	c := newQuietCell(1, quickClass, reportClass)
+	c := newDecodeCell(1, quickClass, reportClass)
 	for range 5 {
 		for _, one := range []struct {
 			class  Class
--- a/internal/schedule/mechanism.go
+++ b/internal/schedule/mechanism.go
@@ -8,14 +8,14 @@
 
 // The mechanisms.
 const (
-	// QuietEngines keeps long reads and the streams that they break apart.
-	QuietEngines Mechanism = "quietEngines"
-	// Spacing bounds what a quiet engine reads within the time of an event.
+	// DecodeEngines keeps long reads and the streams that they break apart.
+	DecodeEngines Mechanism = "decodeEngines"
+	// Spacing bounds what a decode engine reads within the time of an event.
 	Spacing Mechanism = "spacing"
 	// Disturbance weighs what reads and streams on one engine do to each other.
 	Disturbance Mechanism = "disturbance"
-	// Room keeps engines free for more urgent classes.
-	Room Mechanism = "room"
+	// Headroom keeps engines free for more urgent classes.
+	Headroom Mechanism = "headroom"
 	// Fetch lets engines fetch parts of prompts from each other.
 	Fetch Mechanism = "fetch"
 	// ReadAgain avoids to read parts that another engine has read lately.
@@ -24,15 +24,15 @@
 	ZoneWeight Mechanism = "zoneWeight"
 	// WaitPatience lets a request that has waited find less backlog.
 	WaitPatience Mechanism = "waitPatience"
-	// Stretch expects engines with many requests to read more slowly.
-	Stretch Mechanism = "stretch"
+	// DecodeSlowdown expects engines with many requests to read more slowly.
+	DecodeSlowdown Mechanism = "decodeSlowdown"
 	// SlowEjection gives stragglers no requests for a while, FailedEjection
 	// endpoints that fail.
 	SlowEjection   Mechanism = "slowEjection"
 	FailedEjection Mechanism = "failedEjection"
 	// Ageing gives places to requests that have waited past their bound.
 	Ageing Mechanism = "ageing"
-	// Shedding refuses requests of the lowest tier that wait in vain for a turn.
+	// Shedding refuses requests of the lowest tier that wait for a turn that will not come.
 	Shedding Mechanism = "shedding"
 	// TooLate refuses requests whose callers leave before an answer begins.
 	TooLate Mechanism = "tooLate"
@@ -41,7 +41,7 @@
 // Mechanisms returns all mechanisms.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		QuietEngines, Spacing, Disturbance, Room, Fetch, ReadAgain, ZoneWeight, WaitPatience, Stretch,
+		DecodeEngines, Spacing, Disturbance, Headroom, Fetch, ReadAgain, ZoneWeight, WaitPatience, DecodeSlowdown,
 		SlowEjection, FailedEjection, Ageing, Shedding, TooLate,
 	}
 }
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -171,7 +171,7 @@
 	e.aged = aged
 	d := Decision{
 		ID: e.request.ID, Endpoint: to.policy.Name,
-		Backlog: to.batch.backlog(now), Unread: e.unread, Quiet: to.quiet,
+		Backlog: to.batch.backlog(now), Unread: e.unread, Decode: to.decode,
 	}
 	if source != nil {
 		e.fetched = source.batch.parts.cached(e.request.Parts)
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -29,9 +29,9 @@
 	idle bool
 	// sensitivity is how much the stream suffers from what is read beside it.
 	sensitivity float64
-	// fragile says that the stream was booked as one that suffers from long
+	// protected says that the stream was booked as one that suffers from long
 	// reads, isLong that its own read was one when it was last looked at.
-	fragile, isLong bool
+	protected, isLong bool
 	// long says that the request was taken for one that stays long.
 	long bool
 	// due is when the first token was expected, as booked when the engine's
@@ -97,10 +97,10 @@
 	firstArrival time.Duration
 	stay         average
 	// meanRead is how long engines read for its requests, in seconds; meanAnswer
-	// how many tokens they are expected to make. fragile says that its streams
+	// how many tokens they are expected to make. protected says that its streams
 	// suffer from the long reads that come.
 	meanRead, meanAnswer average
-	fragile              bool
+	protected            bool
 	// breakers counts the reads that would break its streams, breakersPeak is
 	// its recent peak.
 	breakers     demand
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -185,10 +185,10 @@
 	// endpoint should fetch; it may be empty.
 	FetchFrom Endpoint
 	// Backlog and Unread are what the choice went by: how long the endpoint had
-	// to read, and how long it will read this prompt. Quiet says that it was
+	// to read, and how long it will read this prompt. Decode says that it is
 	// kept for streams that long reads break.
 	Backlog, Unread time.Duration
-	Quiet           bool
+	Decode          bool
 	// Refusal is set for a refusal.
 	Refusal    Refusal
 	RetryAfter time.Duration
--- a/internal/schedule/vain.go
+++ b/internal/schedule/toolate.go
@@ -12,10 +12,10 @@
 // the caller learns when there may be room.
 
 const (
-	// vainSlack is for the ways of the refusal and of the answer.
-	vainSlack = 100 * time.Millisecond
-	// vainInterval is the time between two looks at all that wait.
-	vainInterval = 50 * time.Millisecond
+	// answerSlack is for the ways of the refusal and of the answer.
+	answerSlack = 100 * time.Millisecond
+	// tooLateInterval is the time between two looks at all that wait.
+	tooLateInterval = 50 * time.Millisecond
 	// minReturn and maxReturn bound when callers are told to come back.
 	minReturn = 200 * time.Millisecond
 	maxReturn = 3 * time.Second
@@ -26,42 +26,42 @@
 	goldenShare = 0.6180339887
 )
 
-// inVain tells whether an answer that is begun now comes after its caller has
+// tooLate tells whether an answer that is begun now comes after its caller has
 // left.
-func (c *Cell) inVain(e *entry, now time.Duration) bool {
+func (c *Cell) tooLate(e *entry, now time.Duration) bool {
 	useful := e.request.Useful
 	if useful == 0 {
 		return false
 	}
-	begins := now - e.since + vainSlack
+	begins := now - e.since + answerSlack
 	if c.batching {
 		begins += c.overhead + e.unread
 	}
 	return begins > useful
 }
 
-// shedVain refuses the waiting requests whose answers would begin too late. It
+// shedTooLate refuses the waiting requests whose answers would begin too late. It
 // looks at all of them, so it does so from time to time only.
-func (c *Cell) shedVain(now time.Duration) {
-	if c.discipline != ByTier || c.off(TooLate) || now-c.vainReviewed < vainInterval {
+func (c *Cell) shedTooLate(now time.Duration) {
+	if c.discipline != ByTier || c.off(TooLate) || now-c.tooLateReviewed < tooLateInterval {
 		return
 	}
-	c.vainReviewed = now
+	c.tooLateReviewed = now
 	for _, q := range c.order {
 		c.setAside = c.setAside[:0]
 		for _, e := range q.oldest.items {
-			if c.inVain(e, now) {
+			if c.tooLate(e, now) {
 				c.setAside = append(c.setAside, e)
 			}
 		}
 		for _, e := range c.setAside {
-			c.refuseVain(e, now)
+			c.refuseTooLate(e, now)
 		}
 	}
 	c.setAside = c.setAside[:0]
 }
 
-func (c *Cell) refuseVain(e *entry, now time.Duration) {
+func (c *Cell) refuseTooLate(e *entry, now time.Duration) {
 	retry := c.comeBack(e, now)
 	c.withdraw(e)
 	e.class.figures.refused[RefusedTooLate]++
--- a/internal/schedule/vain_test.go
+++ b/internal/schedule/toolate_test.go
@@ -6,7 +6,7 @@
 )
 
 // askUseful reserves a place for a caller who leaves after a time.
-func (c *quietCell) askUseful(class Class, prompt int, useful time.Duration) RequestID {
+func (c *decodeCell) askUseful(class Class, prompt int, useful time.Duration) RequestID {
 	c.next++
 	id := RequestID{Host: "h", Sequence: c.next}
 	c.Reserve(Request{ID: id, Class: class, PromptTokens: prompt, EstimatedTokens: 100, Useful: useful})
@@ -19,7 +19,7 @@
 // still waits, with a time to come back that differs from the others'.
 func TestNothingIsSentInVain(t *testing.T) {
 	const useful = 2400 * time.Millisecond
-	c := newQuietCell(1, ClassPolicy{Name: "heavy", Tier: 0, Weight: 1, Target: 2 * time.Second})
+	c := newDecodeCell(1, ClassPolicy{Name: "heavy", Tier: 0, Weight: 1, Target: 2 * time.Second})
 	for range 64 {
 		c.ask("heavy", 4000, 100)
 	}
@@ -60,7 +60,7 @@
 // Requests without such a time wait as long as they must: a stream that has
 // begun elsewhere can't be refused.
 func TestRequestsOfUnknownUseWait(t *testing.T) {
-	c := newQuietCell(1, ClassPolicy{Name: "heavy", Tier: 0, Weight: 1, Target: 2 * time.Second})
+	c := newDecodeCell(1, ClassPolicy{Name: "heavy", Tier: 0, Weight: 1, Target: 2 * time.Second})
 	for range 70 {
 		c.ask("heavy", 4000, 100)
 	}
@@ -81,7 +81,7 @@
 // One caller leaves much sooner than the one before it in the queue. It must
 // not be granted a place when its turn comes after it has left.
 func TestTurnThatComesTooLate(t *testing.T) {
-	c := newQuietCell(1, heavyClass)
+	c := newDecodeCell(1, heavyClass)
 	var first []RequestID
 	for range 64 {
 		id, _ := c.ask("heavy", 100, 100)
