Pass beacons on in a large fleet

Cause: each of the two readers sent its beacons to every host after each read, so that what a daemon spends on control grew with the fleet, beyond the 16 KB/s allowed.

Change: beyond 32 hosts a reader draws groups of the square root of the hosts each time and sends to the first of each, which passes the beacon on. Sites with up to 32 hosts send as before.

--- a/internal/factsync/sim_test.go
+++ b/internal/factsync/sim_test.go
@@ -9,10 +9,12 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/beechhead/beechhead/internal/catalog"
 	"github.com/beechhead/beechhead/internal/facts"
@@ -29,6 +31,8 @@
 	hostDelay  = 2 * time.Millisecond
 	storeDelay = 5 * time.Millisecond
 	sweepPause = 100 * time.Millisecond
+	// datagramHead is what IP and UDP add to a datagram, in bytes.
+	datagramHead = 28
 )
 
 // documentPart is the part of a link that documents may take.
@@ -151,6 +155,8 @@
 	dead   bool
 	// slow is added to each answer.
 	slow time.Duration
+	// sent counts the bytes of datagrams that the daemon has sent.
+	sent atomic.Int64
 	// steady is since when nothing has happened to the daemon.
 	steady time.Time
 	// linkFree is when the host's link has sent all documents, longest the
@@ -376,6 +382,8 @@
 	if !d.reached() {
 		return nil
 	}
+	b, _ = proto.Clone(b).(*peerv1.Beacon)
+	d.sent.Add(int64(len(addresses)) * int64(proto.Size(b)+datagramHead))
 	for _, address := range addresses {
 		i, err := strconv.Atoi(address)
 		if err != nil || d.site.chance(d.site.loss) {
@@ -383,7 +391,8 @@
 		}
 		time.AfterFunc(hostDelay, func() {
 			if to := d.site.daemon(i); to.reached() {
-				to.sync.OnBeacon(to.heard(b))
+				one, _ := proto.Clone(b).(*peerv1.Beacon)
+				to.sync.OnBeacon(to.heard(one))
 			}
 		})
 	}
--- a/internal/factsync/syncer.go
+++ b/internal/factsync/syncer.go
@@ -128,44 +128,6 @@
 	})
 }
 
-// Beacon returns what this daemon tells of its facts.
-func (s *Syncer) Beacon() *peerv1.Beacon {
-	self := s.Self()
-	sum := s.Holder.Summary()
-	return &peerv1.Beacon{
-		Host:          string(self.ID),
-		Address:       self.PeerAddress,
-		ConfigVersion: uint64(sum.Config),
-		ConfigAsOf:    int64(sum.ConfigAsOf),
-		Changed:       uint64(sum.Told()),
-		Position:      uint64(sum.Position),
-		EndpointsAsOf: int64(sum.EndpointsAsOf),
-		GraceUntil:    int64(sum.GraceUntil),
-	}
-}
-
-// Tell sends a beacon to all hosts after a read of the store.
-func (s *Syncer) Tell() {
-	b := s.Beacon()
-	var addresses []string
-	for _, h := range s.Hosts() {
-		if string(h.ID) != b.GetHost() {
-			addresses = append(addresses, h.PeerAddress)
-		}
-	}
-	if err := s.Send(addresses, b); err != nil {
-		s.Logger.Error("beacon not sent", "error", err)
-	}
-}
-
-// OnBeacon takes in what a reader tells.
-func (s *Syncer) OnBeacon(b *peerv1.Beacon) {
-	s.mu.Lock()
-	s.heard[membership.HostID(b.GetHost())] = s.Boot.Now()
-	s.mu.Unlock()
-	s.OnTold(b)
-}
-
 // OnTold takes in what any daemon tells of its facts, and asks it for what is
 // missing here.
 func (s *Syncer) OnTold(b *peerv1.Beacon) {
