Split the choice among batching engines from the queue

internal/schedule had two jobs in 24 files: the order of a cell's queue, and the choice among engines that batch. The second is internal/batching now, with the clock of reads, kept parts, headroom, decode engines and interference, each file beside the load that it answers. The queue hands it typed messages (Work, Class, Engine, Prompt, Candidate) and gets costs back; running means are internal/stat.

The engine's health is asked through functions.

--- a/internal/schedule/disturb.go
+++ b/internal/batching/disturb.go
@@ -1,4 +1,4 @@
-package schedule
+package batching
 
 import "time"
 
@@ -32,12 +32,12 @@
 
 // sensitivity returns how much a request's stream suffers from what is read
 // beside it, from 0 to 1.
-func (q *classQueue) sensitivity(r *Request) float64 {
-	if q.policy.Pause == 0 || q.policy.Pause >= unhurriedPause {
+func (q *Class) sensitivity(r *Prompt) float64 {
+	if q.Pause == 0 || q.Pause >= unhurriedPause {
 		return 0
 	}
-	hurry := min(1, float64(unhurriedPause-q.policy.Pause)/float64(unhurriedPause-hurriedPause))
-	return hurry * min(1, float64(r.EstimatedTokens)/longStream)
+	hurry := min(1, float64(unhurriedPause-q.Pause)/float64(unhurriedPause-hurriedPause))
+	return hurry * min(1, float64(r.Answer)/longStream)
 }
 
 // disturbance returns by how much more than its reading takes a prompt
--- a/internal/schedule/parts.go
+++ b/internal/batching/parts.go
@@ -1,11 +1,11 @@
-package schedule
+package batching
 
 import "container/list"
 
-// partList is what an engine is thought to keep. Parts of running requests
+// PartList is what an engine is thought to keep. Parts of running requests
 // stay; of the others the least recently used makes room first. The zero value
 // is empty.
-type partList struct {
+type PartList struct {
 	// idle has the parts that no running request uses, the least recently used
 	// first.
 	idle *list.List
@@ -22,8 +22,8 @@
 	place *list.Element
 }
 
-// cached returns how many tokens from the start of a prompt are kept.
-func (l *partList) cached(parts []Part) int {
+// Cached returns how many tokens from the start of a prompt are kept.
+func (l *PartList) Cached(parts []Part) int {
 	n := 0
 	for _, p := range parts {
 		if l.byID[p.ID] == nil {
@@ -35,7 +35,7 @@
 }
 
 // added returns by how many tokens the parts in use grow with a prompt.
-func (l *partList) added(parts []Part) int {
+func (l *PartList) added(parts []Part) int {
 	n := 0
 	for _, p := range parts {
 		if k := l.byID[p.ID]; k == nil || k.users == 0 {
@@ -45,9 +45,9 @@
 	return n
 }
 
-// take notes that a running request uses the parts of its prompt, and forgets
+// Take notes that a running request uses the parts of its prompt, and forgets
 // the idle ones that must make room.
-func (l *partList) take(parts []Part, room int) {
+func (l *PartList) Take(parts []Part, room int) {
 	if l.idle == nil {
 		l.idle = list.New()
 		l.byID = map[uint64]*keptPart{}
@@ -74,8 +74,8 @@
 	}
 }
 
-// leave ends a request's use of the parts of its prompt.
-func (l *partList) leave(parts []Part) {
+// Leave ends a request's use of the parts of its prompt.
+func (l *PartList) Leave(parts []Part) {
 	for _, p := range parts {
 		k := l.byID[p.ID]
 		if k == nil || k.users == 0 {
--- a/internal/schedule/batch_test.go
+++ b/internal/schedule/batch_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/beechhead/beechhead/internal/batching"
 )
 
 // batchSite replays a load against a cell in front of simulated engines that
@@ -32,7 +34,7 @@
 type simEngine struct {
 	rate  float64
 	ready time.Duration
-	parts partList
+	parts batching.PartList
 }
 
 type simRequest struct {
@@ -41,7 +43,11 @@
 	request Request
 }
 
-const simOverhead = 100 * time.Millisecond
+const (
+	simOverhead = 100 * time.Millisecond
+	// simRecent is how long after it was read a part counts as read again.
+	simRecent = 10 * time.Second
+)
 
 func newBatchSite(engines int, classes ...ClassPolicy) *batchSite {
 	s := &batchSite{
@@ -92,20 +98,20 @@
 // run has an engine read a prompt; the first token is told when it has.
 func (s *batchSite) run(d Decision, r *simRequest) {
 	e := s.engines[d.Endpoint]
-	has := e.parts.cached(r.request.Parts)
+	has := e.parts.Cached(r.request.Parts)
 	if d.FetchFrom != "" {
-		if n := s.engines[d.FetchFrom].parts.cached(r.request.Parts); n > has {
+		if n := s.engines[d.FetchFrom].parts.Cached(r.request.Parts); n > has {
 			s.fetched += n - has
 			has = n
 		}
 	}
 	shared := r.request.Parts[0]
-	if last, ok := s.lastRead[shared.ID]; ok && has < shared.Tokens && s.now-last < recentUse {
+	if last, ok := s.lastRead[shared.ID]; ok && has < shared.Tokens && s.now-last < simRecent {
 		s.again += shared.Tokens
 	}
 	s.lastRead[shared.ID] = s.now
-	e.parts.take(r.request.Parts, 600_000)
-	e.parts.leave(r.request.Parts)
+	e.parts.Take(r.request.Parts, 600_000)
+	e.parts.Leave(r.request.Parts)
 	e.ready = max(e.ready, s.now) + time.Duration(float64(r.request.PromptTokens-has)/e.rate*float64(time.Second))
 	at := e.ready + simOverhead
 	id, began, granted := d.ID, r.arrived, s.now
@@ -245,7 +251,7 @@
 			s.arrive("long", "a", 1<<40|s.nextID, 1000, 5000)
 		}
 		for _, e := range s.cell.entries {
-			if e.endpoint != nil && e.granted == s.cell.now() {
+			if e.endpoint != nil && e.Granted == s.cell.now() {
 				counts[e.endpoint.policy.Name]++
 			}
 		}
@@ -269,8 +275,8 @@
 		})
 	}
 	e := s.cell.endpoints["e00"]
-	if len(e.batch.unread) != 1 || e.batch.held != 2*7100 {
-		t.Errorf("%d unread, %d held", len(e.batch.unread), e.batch.held)
+	if e.Unread() != 1 || e.Held() != 2*7100 {
+		t.Errorf("%d unread, %d held", e.Unread(), e.Held())
 	}
 }
 
@@ -280,8 +286,7 @@
 	for i := range 12 {
 		s.arrive("long", "a", uint64(i), 50_000, 5_000)
 	}
-	b := &s.cell.endpoints["e00"].batch
-	if held := b.held + b.parts.inUse; held > 600_000 {
+	if held := s.cell.endpoints["e00"].Held(); held > 600_000 {
 		t.Errorf("%d tokens are held", held)
 	}
 	if s.cell.waiting == 0 {
@@ -299,8 +304,7 @@
 		s.arrive("long", "a", 7, 20_000, 100)
 		s.play(100*time.Millisecond, func() {})
 	}
-	b := &s.cell.endpoints["e00"].batch
-	if n := b.parts.cached([]Part{{ID: 5, Tokens: 20_000}}); n == 0 {
+	if n := s.cell.endpoints["e00"].Kept([]Part{{ID: 5, Tokens: 20_000}}); n == 0 {
 		t.Error("a part is taken for dropped")
 	}
 	if s.cell.waiting > 0 {
@@ -308,18 +312,6 @@
 	}
 }
 
-// Parts that running requests use can't make room, however long ago they began.
-func TestPartsInUseStay(t *testing.T) {
-	var l partList
-	l.take([]Part{{ID: 1, Tokens: 60}}, 100)
-	l.take([]Part{{ID: 2, Tokens: 30}}, 100)
-	l.leave([]Part{{ID: 2, Tokens: 30}})
-	l.take([]Part{{ID: 3, Tokens: 30}}, 100)
-	if l.cached([]Part{{ID: 1, Tokens: 60}}) != 60 || l.cached([]Part{{ID: 2, Tokens: 30}}) != 0 || l.inUse != 90 || l.tokens != 90 {
-		t.Errorf("%d tokens, %d in use", l.tokens, l.inUse)
-	}
-}
-
 // In an overload hundreds of requests wait, and each that comes or goes would
 // have all of them tried on all engines: the coordinator would be busy with
 // that alone. With 118 engines an event took 5.4 ms before classes were blocked
--- a/internal/schedule/cell.go
+++ b/internal/schedule/cell.go
@@ -3,7 +3,8 @@
 import (
 	"time"
 
-	"github.com/beechhead/beechhead/internal/interference"
+	"github.com/beechhead/beechhead/internal/batching"
+	"github.com/beechhead/beechhead/internal/stat"
 )
 
 // Cell holds the queue and the places of a bounded set of endpoints. It is not
@@ -26,8 +27,8 @@
 	list []*endpointState
 	// places is the sum of the endpoints' concurrency.
 	places int
-	// batching says that some endpoint batches its requests.
-	batching bool
+	// pool chooses among the endpoints that batch their requests.
+	pool     *batching.Pool
 	prefixes prefixTable
 
 	entries map[RequestID]*entry
@@ -46,48 +47,15 @@
 	decisions, handedOut []Decision
 
 	estimates   *Estimator
-	meanWork    average
+	meanWork    stat.Mean
 	medianToken float64
 	medianPace  float64
 	// firstPerToken is the time to the first token per token of the prompt,
 	// in seconds.
-	firstPerToken average
+	firstPerToken stat.Mean
 	judged        time.Duration
-	// readRate is how many tokens an engine reads a second, overhead the time
-	// from then to the first token.
-	readRate float64
-	overhead time.Duration
-	// readRates and overheads count the samples of both.
-	readRates, overheads int
-	// lastUse has when each part of a prompt was last used, usesSwept when
-	// old ones were last dropped.
-	lastUse   map[uint64]time.Duration
-	usesSwept time.Duration
-	// streamsNow is how many hurried streams run, wait and are about to come,
-	// decodeDemand its recent peak, for which decode engines are planned,
-	// decodeTier the least urgent tier that has any; negative is none.
-	streamsNow      float64
-	decodeDemand    float64
-	decodeTier      Tier
-	decodeReviewed  time.Duration
+	// tooLateReviewed is when all that wait were last looked at.
 	tooLateReviewed time.Duration
-	// decodeEngines counts the decode engines, decodeEach is how many streams each of
-	// them is planned for.
-	decodeEngines int
-	decodeEach    float64
-	// pauses tells what reading does to streams, bearable is the longest pause
-	// that the protected classes allow; zero if there are none.
-	pauses   interference.Model
-	bearable time.Duration
-	// mostHurried is the shortest pause that any class with streams allows.
-	mostHurried time.Duration
-	// longReads is the demand for reads that protected streams can't bear,
-	// longPeak its recent peak. fade is what is left of a peak since the last
-	// review.
-	fade      float64
-	longReads demand
-	firstLong time.Duration
-	longPeak  float64
 	// unjudged says that something was measured since the last judgement.
 	unjudged bool
 	scratch  []float64
@@ -104,10 +72,8 @@
 		entries:   map[RequestID]*entry{},
 		sinceAged: agedEvery,
 		estimates: NewEstimator(),
-		meanWork:  average{value: defaultTokens},
-		readRate:  firstReadRate,
-		overhead:  firstOverhead,
-		lastUse:   map[uint64]time.Duration{},
+		meanWork:  stat.Mean{Value: defaultTokens},
+		pool:      batching.NewPool(),
 	}
 }
 
@@ -133,8 +99,7 @@
 func (c *Cell) Step() []Decision {
 	now := c.now()
 	c.judge(now)
-	c.forgetUses(now)
-	c.reviewDecode(now)
+	c.pool.Review(now)
 	c.shedTooLate(now)
 	c.grantAll(now)
 	c.shedExpired(now)
--- a/internal/schedule/configure.go
+++ b/internal/schedule/configure.go
@@ -1,6 +1,10 @@
 package schedule
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/beechhead/beechhead/internal/batching"
+)
 
 // Configure puts a new table in force. Waiting requests of classes that are
 // gone are refused at the next step; grants stay.
@@ -13,6 +17,20 @@
 	}
 	c.configureEndpoints(cfg.Endpoints)
 	c.configureClasses(cfg.Classes)
+	c.configurePool(cfg.Disabled)
+}
+
+// configurePool tells the choice among engines what is in force.
+func (c *Cell) configurePool(disabled []Mechanism) {
+	engines := make([]*batching.Engine, len(c.list))
+	for i, e := range c.list {
+		engines[i] = &e.Engine
+	}
+	classes := make([]*batching.Class, len(c.order))
+	for i, q := range c.order {
+		classes[i] = &q.Class
+	}
+	c.pool.Configure(engines, classes, disabled)
 }
 
 func (c *Cell) configureClasses(policies []ClassPolicy) {
@@ -35,7 +53,7 @@
 			q.tier = t
 			q.virtual = t.virtual
 		}
-		q.policy = p
+		q.setPolicy(p)
 		t.classes = append(t.classes, q)
 		c.classes[p.Name] = q
 		c.order = append(c.order, q)
@@ -78,21 +96,19 @@
 	c.endpoints = map[Endpoint]*endpointState{}
 	c.list = c.list[:0]
 	c.places = 0
-	c.batching = false
 	for _, p := range policies {
 		e := old[p.Name]
 		delete(old, p.Name)
 		if e == nil {
-			e = &endpointState{}
+			e = c.newEndpoint()
 		}
-		e.policy = p
+		e.setPolicy(p)
 		c.endpoints[p.Name] = e
 		c.list = append(c.list, e)
 		c.places += p.Concurrency
-		c.batching = c.batching || p.Memory > 0
 	}
 	for _, e := range old {
-		e.gone = true
+		e.gone, e.Closed = true, true
 	}
 	slices.SortFunc(c.list, func(a, b *endpointState) int {
 		if a.policy.Name < b.policy.Name {
--- a/internal/schedule/decode_test.go
+++ b/internal/schedule/decode_test.go
@@ -55,7 +55,7 @@
 func (c *decodeCell) decodeNames() map[Endpoint]bool {
 	names := map[Endpoint]bool{}
 	for _, e := range c.list {
-		if e.decode {
+		if e.Decode {
 			names[e.policy.Name] = true
 		}
 	}
@@ -157,22 +157,6 @@
 	}
 }
 
-// A burst takes all places, and requests wait until their target is nearly
-// missed. Each was then given to an engine with as much to read as if it had
-// just come, so that all of them were late instead of some.
-func TestWaitingUsesUpPatience(t *testing.T) {
-	c := newDecodeCell(1, heavyClass)
-	e := &entry{request: Request{Class: "heavy", PromptTokens: 2000}, class: c.class("heavy")}
-	fresh := c.patience(e, 0)
-	if waited := c.patience(e, 900*time.Millisecond); waited >= fresh {
-		t.Errorf("the patience is %v after 0.9 s, %v at first", waited, fresh)
-	}
-	e.late = true
-	if late := c.patience(e, 5*time.Second); late != fresh {
-		t.Errorf("a late request's patience is %v, want %v: it has no target to meet", late, fresh)
-	}
-}
-
 // Urgent streams begin to come, or come much faster. Each runs for seconds, so
 // that those which run show how many engines they need only then; long
 // requests had taken all engines meanwhile, and the first seconds of each burst
@@ -184,7 +168,7 @@
 		c.clock.Advance(5 * time.Millisecond)
 		c.Progress(id, Progress{FirstToken: time.Millisecond, Tokens: 1, Elapsed: time.Millisecond})
 	}
-	c.clock.Advance(decodeInterval)
+	c.clock.Advance(100 * time.Millisecond)
 	c.Step()
 	// 200 a second for 2 s each are 400 streams, though 100 run.
 	if n := len(c.decodeNames()); n < 10 {
--- a/internal/schedule/endpoint.go
+++ b/internal/schedule/endpoint.go
@@ -3,31 +3,43 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/beechhead/beechhead/internal/batching"
 )
 
 // endpointState is what the cell knows of one endpoint.
 type endpointState struct {
+	// Engine is what the choice among engines knows of it. Running counts
+	// grants; it exceeds the concurrency only by grants that another
+	// coordinator gave.
+	batching.Engine
 	policy EndpointPolicy
-	// running counts grants; it exceeds the concurrency only by grants that
-	// another coordinator gave.
-	running int
 	// outstanding is the estimated work of the running grants, in tokens.
 	outstanding float64
 	// turn is the number of the last grant, which breaks ties.
 	turn   uint64
 	load   loadReport
 	health health
-	batch  batch
-	// decode engines take no long requests that are less urgent than hurried
-	// streams; longRuns counts the long requests that run.
-	decode   bool
-	longRuns int
-	// emptying decode engines take no more protected streams either.
-	emptying bool
 	// gone says that the table no longer has the endpoint.
 	gone bool
 }
 
+// newEndpoint returns an endpoint without a policy.
+func (c *Cell) newEndpoint() *endpointState {
+	e := &endpointState{}
+	e.Free = e.free
+	e.Ejected = e.health.ejected
+	e.Sluggishness = func() float64 { return c.sluggishness(&e.health) }
+	return e
+}
+
+// setPolicy puts what the table says of the endpoint in force.
+func (e *endpointState) setPolicy(p EndpointPolicy) {
+	e.policy = p
+	e.Name, e.Memory, e.Concurrency, e.Zone = string(p.Name), p.Memory, p.Concurrency, p.Zone
+	e.Closed = p.Draining
+}
+
 // loadReport is the newest load report with what the cell itself ran then.
 type loadReport struct {
 	at    time.Duration
@@ -73,15 +85,15 @@
 		return false
 	}
 	limit := e.health.limit(e.policy.Concurrency, now)
-	if e.running >= limit {
+	if e.Running >= limit {
 		return false
 	}
-	return e.running == 0 || e.running+e.foreign(now) < limit
+	return e.Running == 0 || e.Running+e.foreign(now) < limit
 }
 
 // choose returns the endpoint for a request, or nil if none is free.
 // It also returns the engine from which parts of the prompt are to be fetched.
-func (c *Cell) choose(g *entry, now time.Duration) (best, source *endpointState) {
+func (c *Cell) choose(g *entry, now time.Duration) (best *endpointState, source *batching.Engine) {
 	r := &g.request
 	switch c.discipline {
 	case RoundRobin:
@@ -89,16 +101,16 @@
 	case LeastOutstanding:
 		return c.fewestGrants(r), nil
 	}
-	p := prompt{Request: r}
-	if c.batching {
-		p = c.prompt(g, now)
+	p := batching.Candidate{Prompt: &g.Prompt}
+	if c.pool.Batches() {
+		p = c.pool.Candidate(&g.Work, now)
 	}
-	if home := c.prefixes.get(r.Prefix); home != nil && c.withinBound(home) && c.usable(home, &p, now) {
+	if home := c.prefixes.get(r.Prefix); home != nil && c.withinBound(home) && c.usable(home, r, &p, now) {
 		return home, nil
 	}
 	var least float64
 	for _, e := range c.list {
-		if !c.usable(e, &p, now) {
+		if !c.usable(e, r, &p, now) {
 			continue
 		}
 		cost, from := c.costOf(e, &p, g.work, now)
@@ -109,14 +121,14 @@
 	return best, source
 }
 
-func (c *Cell) usable(e *endpointState, r *prompt, now time.Duration) bool {
-	return e.free(now) && c.takesPrompt(e, r, now) && (len(r.Excluded) == 0 || !slices.Contains(r.Excluded, e.policy.Name))
+func (c *Cell) usable(e *endpointState, r *Request, p *batching.Candidate, now time.Duration) bool {
+	return e.free(now) && c.pool.Takes(&e.Engine, p, now) && (len(r.Excluded) == 0 || !slices.Contains(r.Excluded, e.policy.Name))
 }
 
 // costOf is the cost of a request at an endpoint; the least is best.
-func (c *Cell) costOf(e *endpointState, r *prompt, work float64, now time.Duration) (float64, *endpointState) {
-	if e.policy.Memory > 0 {
-		return c.batchCost(e, r, now)
+func (c *Cell) costOf(e *endpointState, p *batching.Candidate, work float64, now time.Duration) (float64, *batching.Engine) {
+	if e.Memory > 0 {
+		return c.pool.Cost(&e.Engine, p, now)
 	}
 	return c.cost(e, work, now), nil
 }
@@ -124,7 +136,7 @@
 // cost is how long the endpoint is expected to be busy with its work and the
 // request's, in tokens of an endpoint of median speed per place.
 func (c *Cell) cost(e *endpointState, work float64, now time.Duration) float64 {
-	total := e.outstanding + work + float64(e.foreign(now))*c.meanWork.value
+	total := e.outstanding + work + float64(e.foreign(now))*c.meanWork.Value
 	return total * e.health.slowness(c.medianToken) / float64(e.policy.Concurrency)
 }
 
@@ -132,7 +144,7 @@
 // for a request to follow its prefix there.
 func (c *Cell) withinBound(e *endpointState) bool {
 	share := float64(c.running+1) * float64(e.policy.Concurrency) / float64(max(1, c.places))
-	return float64(e.running) < affinityBound*share
+	return float64(e.Running) < affinityBound*share
 }
 
 // inTurn is the choice of the baseline RoundRobin.
@@ -154,7 +166,7 @@
 		if !e.plainlyFree(r) {
 			continue
 		}
-		if best == nil || e.running < best.running || (e.running == best.running && e.turn < best.turn) {
+		if best == nil || e.Running < best.Running || (e.Running == best.Running && e.turn < best.turn) {
 			best = e
 		}
 	}
@@ -162,7 +174,7 @@
 }
 
 func (e *endpointState) plainlyFree(r *Request) bool {
-	return !e.policy.Draining && e.running < e.policy.Concurrency && !slices.Contains(r.Excluded, e.policy.Name)
+	return !e.policy.Draining && e.Running < e.policy.Concurrency && !slices.Contains(r.Excluded, e.policy.Name)
 }
 
 // prefixSlots is how many prefixes a cell remembers.
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/beechhead/beechhead/internal/stat"
 )
 
 // EjectReason is why an endpoint gets no grants for a while.
@@ -40,10 +42,10 @@
 type health struct {
 	// token is the time per generated token, first the time to the first
 	// token per token of the prompt; both in seconds.
-	token, first average
+	token, first stat.Mean
 	// pace is token by what the engine had to do meanwhile, by which
-	// stragglers are judged; see paceOf.
-	pace average
+	// stragglers are judged; see batching.Pool.Pace.
+	pace stat.Mean
 	// failures counts those in a row.
 	failures int
 	reason   EjectReason
@@ -73,10 +75,10 @@
 
 // slowness returns how much slower the endpoint is than the median.
 func (h *health) slowness(median float64) float64 {
-	if h.token.n < samplesToEject || median == 0 {
+	if h.token.N < samplesToEject || median == 0 {
 		return 1
 	}
-	return min(max(h.token.value/median, 0.5), slowFactor*2)
+	return min(max(h.token.Value/median, 0.5), slowFactor*2)
 }
 
 // sluggishness is slowness for engines that batch. The plain time per token
@@ -84,10 +86,10 @@
 // wrong where reading does not slow down the tokens: the engine is only taken
 // to be as slow, or as fast, as both say. Small differences count as none.
 func (c *Cell) sluggishness(h *health) float64 {
-	if h.token.n < samplesToEject || c.medianToken == 0 || c.medianPace == 0 {
+	if h.token.N < samplesToEject || c.medianToken == 0 || c.medianPace == 0 {
 		return 1
 	}
-	plain, pace := h.token.value/c.medianToken, h.pace.value/c.medianPace
+	plain, pace := h.token.Value/c.medianToken, h.pace.Value/c.medianPace
 	slow, fast := min(plain, pace), max(plain, pace)
 	switch {
 	case slow > plainRatio:
@@ -107,7 +109,7 @@
 	h.reason = reason
 	h.since = now
 	h.until = now + h.backoff
-	h.token, h.first, h.pace = average{}, average{}, average{}
+	h.token, h.first, h.pace = stat.Mean{}, stat.Mean{}, stat.Mean{}
 }
 
 func (h *health) readmit() {
@@ -150,18 +152,18 @@
 func (c *Cell) measured(g *entry, p Progress, now time.Duration) {
 	e, promptTokens := g.endpoint, g.request.PromptTokens
 	h := &e.health
-	if h.stale(g.granted) {
+	if h.stale(g.Granted) {
 		return
 	}
 	if p.FirstToken > 0 && e.policy.Memory == 0 {
 		perToken := p.FirstToken.Seconds() / float64(promptTokens+firstTokenBase)
-		h.first.add(perToken)
-		c.firstPerToken.add(perToken)
+		h.first.Add(perToken)
+		c.firstPerToken.Add(perToken)
 	}
 	if p.Tokens > 1 && p.Elapsed > p.FirstToken {
 		perToken := (p.Elapsed - p.FirstToken).Seconds() / float64(p.Tokens-1)
-		h.token.add(perToken)
-		h.pace.add(c.paceOf(g, perToken, now-(p.Elapsed-p.FirstToken), now))
+		h.token.Add(perToken)
+		h.pace.Add(c.pool.Pace(&e.Engine, perToken, now-(p.Elapsed-p.FirstToken), now))
 	}
 	if h.reason == EjectedSlow {
 		c.judgeProbe(e, now)
@@ -169,25 +171,13 @@
 	c.unjudged = true
 }
 
-// paceOf returns a request's time per token by what its engine had to do
-// meanwhile.
-func (c *Cell) paceOf(g *entry, perToken float64, from, to time.Duration) float64 {
-	if g.endpoint.policy.Memory == 0 {
-		return perToken
-	}
-	step := g.stepTime(perToken, from, to)
-	running := g.endpoint.running
-	c.pauses.ObserveEvent(running, seconds(step))
-	return step / (1 + c.pauses.PerRun()*float64(running))
-}
-
 // judgeProbe decides by one measurement whether a straggler is well again.
 func (c *Cell) judgeProbe(e *endpointState, now time.Duration) {
 	h := &e.health
-	if h.pace.n == 0 {
+	if h.pace.N == 0 {
 		return
 	}
-	if c.medianPace > 0 && h.pace.value > slowFactor*c.medianPace && h.token.value > slowFactor*c.medianToken {
+	if c.medianPace > 0 && h.pace.Value > slowFactor*c.medianPace && h.token.Value > slowFactor*c.medianToken {
 		h.eject(EjectedSlow, now)
 		return
 	}
@@ -214,9 +204,9 @@
 		return
 	}
 	c.judged, c.unjudged = now, false
-	medianFirst := c.median(func(h *health) average { return h.first })
-	c.medianToken = c.median(func(h *health) average { return h.token })
-	c.medianPace = c.median(func(h *health) average { return h.pace })
+	medianFirst := c.median(func(h *health) stat.Mean { return h.first })
+	c.medianToken = c.median(func(h *health) stat.Mean { return h.token })
+	c.medianPace = c.median(func(h *health) stat.Mean { return h.pace })
 	for _, e := range c.list {
 		h := &e.health
 		if h.reason != "" || !(tooSlow(h.pace, c.medianPace) && tooSlow(h.token, c.medianToken) || tooSlow(h.first, medianFirst)) {
@@ -230,17 +220,17 @@
 	}
 }
 
-func tooSlow(a average, median float64) bool {
-	return median > 0 && a.n >= samplesToEject && a.value > slowFactor*median
+func tooSlow(a stat.Mean, median float64) bool {
+	return median > 0 && a.N >= samplesToEject && a.Value > slowFactor*median
 }
 
 // median returns the lower median of a figure over the endpoints that have
 // been measured, or zero if there are fewer than two.
-func (c *Cell) median(of func(*health) average) float64 {
+func (c *Cell) median(of func(*health) stat.Mean) float64 {
 	c.scratch = c.scratch[:0]
 	for _, e := range c.list {
-		if a := of(&e.health); a.n > 0 {
-			c.scratch = append(c.scratch, a.value)
+		if a := of(&e.health); a.N > 0 {
+			c.scratch = append(c.scratch, a.Value)
 		}
 	}
 	if len(c.scratch) < 2 {
@@ -257,7 +247,7 @@
 		return
 	}
 	now := c.now()
-	e.load = loadReport{at: now, known: true, foreign: max(0, l.Running+l.Waiting-e.load.peak), peak: e.running}
+	e.load = loadReport{at: now, known: true, foreign: max(0, l.Running+l.Waiting-e.load.peak), peak: e.Running}
 	if e.health.unreachable {
 		e.health.unreachable = false
 		e.health.until = min(e.health.until, now)
--- a/internal/schedule/heap.go
+++ b/internal/schedule/heap.go
@@ -21,10 +21,10 @@
 
 // before tells whether a stands above b.
 func (h *entryHeap) before(a, b *entry) bool {
-	if a.since == b.since {
+	if a.Since == b.Since {
 		return (a.order < b.order) != (h.kind == byYouth)
 	}
-	return (a.since < b.since) != (h.kind == byYouth)
+	return (a.Since < b.Since) != (h.kind == byYouth)
 }
 
 func (h *entryHeap) first() *entry {
--- a/internal/schedule/interference_test.go
+++ b/internal/schedule/interference_test.go
@@ -81,18 +81,18 @@
 	c := newProtectedCell(t, 10, 40)
 	patient := quickClass
 	patient.Target = 2 * time.Second
-	c.class("quick").policy = patient
+	c.class("quick").setPolicy(patient)
 	c.clock.Advance(time.Second)
 	c.Step()
 	given := map[Endpoint]time.Duration{}
 	for range 30 {
 		_, e := c.ask("quick", 2000, 300)
 		if e != "" {
-			given[e] += seconds(readCost(2000, 0) / c.readRate)
+			given[e] += c.pool.ReadTime(2000)
 		}
 	}
 	for e, read := range given {
-		if c.decodeNames()[e] && c.breaks(c.endpoints[e].running, read, 2000) {
+		if c.decodeNames()[e] && c.pool.Breaks(&c.endpoints[e].Engine, read, 2000) {
 			t.Errorf("%s was given %v to read at once", e, read)
 		}
 	}
@@ -123,8 +123,8 @@
 		c.Step()
 		c.ask("report", longPrompt, 50)
 		for _, e := range c.list {
-			if decoding[e.policy.Name] && !e.decode && e.batch.protected > 0 {
-				t.Fatalf("%s takes long reads beside %d streams", e.policy.Name, e.batch.protected)
+			if decoding[e.policy.Name] && !e.Decode && e.Protected() > 0 {
+				t.Fatalf("%s takes long reads beside %d streams", e.policy.Name, e.Protected())
 			}
 		}
 	}
--- a/internal/schedule/mechanism.go
+++ b/internal/schedule/mechanism.go
@@ -1,38 +1,38 @@
 package schedule
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/beechhead/beechhead/internal/batching"
+)
 
 // Mechanism is a part of the decisions that can be switched off, to measure
 // what it is worth.
-type Mechanism string
+type Mechanism = batching.Mechanism
+
+// The mechanisms of the choice among engines.
+const (
+	DecodeEngines  = batching.DecodeEngines
+	Spacing        = batching.Spacing
+	Disturbance    = batching.Disturbance
+	Headroom       = batching.Headroom
+	Fetch          = batching.Fetch
+	ReadAgain      = batching.ReadAgain
+	ZoneWeight     = batching.ZoneWeight
+	WaitPatience   = batching.WaitPatience
+	DecodeSlowdown = batching.DecodeSlowdown
+)
 
-// The mechanisms.
+// The mechanisms of the queue and of endpoints' health.
 const (
-	// DecodeEngines keeps long reads and the streams that they break apart.
-	DecodeEngines Mechanism = "decodeEngines"
-	// Spacing bounds what a decode engine reads within the time of an event.
-	Spacing Mechanism = "spacing"
-	// Disturbance weighs what reads and streams on one engine do to each other.
-	Disturbance Mechanism = "disturbance"
-	// Headroom keeps engines free for more urgent classes.
-	Headroom Mechanism = "headroom"
-	// Fetch lets engines fetch parts of prompts from each other.
-	Fetch Mechanism = "fetch"
-	// ReadAgain avoids to read parts that another engine has read lately.
-	ReadAgain Mechanism = "readAgain"
-	// ZoneWeight prefers engines of the caller's availability zone.
-	ZoneWeight Mechanism = "zoneWeight"
-	// WaitPatience lets a request that has waited find less backlog.
-	WaitPatience Mechanism = "waitPatience"
-	// DecodeSlowdown expects engines with many requests to read more slowly.
-	DecodeSlowdown Mechanism = "decodeSlowdown"
 	// SlowEjection gives stragglers no requests for a while, FailedEjection
 	// endpoints that fail.
 	SlowEjection   Mechanism = "slowEjection"
 	FailedEjection Mechanism = "failedEjection"
 	// Ageing gives places to requests that have waited past their bound.
 	Ageing Mechanism = "ageing"
-	// Shedding refuses requests of the lowest tier that wait for a turn that will not come.
+	// Shedding refuses requests of the lowest tier whose turn will not come in
+	// time.
 	Shedding Mechanism = "shedding"
 	// TooLate refuses requests whose callers leave before an answer begins.
 	TooLate Mechanism = "tooLate"
--- a/internal/schedule/meter.go
+++ b/internal/schedule/meter.go
@@ -43,18 +43,3 @@
 	seen := 1 - math.Exp(-float64(now-m.first)/float64(meterWindow))
 	return m.count / (meterWindow.Seconds() * seen), true
 }
-
-// average is an exponentially weighted mean.
-type average struct {
-	value float64
-	n     int
-}
-
-// averageShare is the weight of a new sample once a few have come.
-const averageShare = 0.25
-
-func (a *average) add(v float64) {
-	a.n++
-	share := max(averageShare, 1/float64(a.n))
-	a.value += share * (v - a.value)
-}
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/beechhead/beechhead/internal/batching"
 )
 
 const (
@@ -36,7 +38,7 @@
 		if e == nil {
 			break
 		}
-		if e.isLong && e.class.longBlocked {
+		if e.LongRead && e.class.longBlocked {
 			c.skip(e, now)
 			continue
 		}
@@ -45,7 +47,7 @@
 			c.grant(e, to, source, aged, now)
 			continue
 		}
-		if len(e.request.Excluded) == 0 && !c.batching {
+		if len(e.request.Excluded) == 0 && !c.pool.Batches() {
 			break
 		}
 		c.passOver(e, now)
@@ -64,11 +66,11 @@
 func (c *Cell) passOver(e *entry, now time.Duration) {
 	q := e.class
 	c.putAside(e)
-	if c.batching && e.isLong {
+	if c.pool.Batches() && e.LongRead {
 		q.longBlocked = true
 		return
 	}
-	if q.tried++; c.batching && q.tried >= triesPerClass {
+	if q.tried++; c.pool.Batches() && q.tried >= triesPerClass {
 		q.blockedUntil = now + blockedPause
 	}
 }
@@ -150,7 +152,7 @@
 	return worst.oldest.first()
 }
 
-func (c *Cell) grant(e *entry, to, source *endpointState, aged bool, now time.Duration) {
+func (c *Cell) grant(e *entry, to *endpointState, source *batching.Engine, aged bool, now time.Duration) {
 	q := e.class
 	if aged {
 		c.sinceAged = 0
@@ -167,15 +169,15 @@
 	q.tier.grants.add(now)
 	q.wants = false
 	q.figures.granted++
-	q.figures.longestWait = max(q.figures.longestWait, now-e.since)
+	q.figures.longestWait = max(q.figures.longestWait, now-e.Since)
 	e.aged = aged
 	d := Decision{
 		ID: e.request.ID, Endpoint: to.policy.Name,
-		Backlog: to.batch.backlog(now), Unread: e.unread, Decode: to.decode,
+		Backlog: to.Backlog(now), Unread: e.Unread, Decode: to.Decode,
 	}
 	if source != nil {
-		e.fetched = source.batch.parts.cached(e.request.Parts)
-		d.FetchFrom = source.policy.Name
+		e.Fetched = source.Kept(e.request.Parts)
+		d.FetchFrom = Endpoint(source.Name)
 	}
 	c.run(e, to, now)
 	c.prefixes.put(e.request.Prefix, to, now)
@@ -186,14 +188,14 @@
 func (c *Cell) run(e *entry, to *endpointState, now time.Duration) {
 	c.grants++
 	to.turn = c.grants
-	to.running++
-	to.load.peak = max(to.load.peak, to.running)
+	to.Running++
+	to.load.peak = max(to.load.peak, to.Running)
 	to.outstanding += e.work
-	c.book(to, e, now)
+	c.pool.Book(&to.Engine, &e.Work, now)
 	c.running++
 	e.endpoint = to
-	e.granted = now
-	e.class.running++
+	e.Granted = now
+	e.class.Running++
 	if e.class.policy.Preemptible && !e.aged && to.policy.CanPreempt {
 		e.class.tier.preemptible.push(e)
 	}
@@ -201,11 +203,11 @@
 
 // stop ends the booking of a running entry.
 func (c *Cell) stop(e *entry) {
-	e.endpoint.running--
+	e.endpoint.Running--
 	e.endpoint.outstanding = max(0, e.endpoint.outstanding-e.work)
-	e.endpoint.unbook(e)
+	e.endpoint.Unbook(&e.Work)
 	c.running--
-	e.class.running--
+	e.class.Running--
 	if e.aged {
 		c.agedRunning--
 	}
--- a/internal/schedule/preempt.go
+++ b/internal/schedule/preempt.go
@@ -50,7 +50,7 @@
 // impatient tells whether a class of the tier has waited long enough.
 func (t *tierQueue) impatient(now time.Duration) bool {
 	for _, q := range t.classes {
-		if e := q.oldest.first(); e != nil && now-e.since >= q.policy.Target/patience {
+		if e := q.oldest.first(); e != nil && now-e.Since >= q.policy.Target/patience {
 			return true
 		}
 	}
@@ -73,12 +73,12 @@
 // nearlyDone tells whether a grant is expected to end by itself soon. One
 // that runs longer than estimated is not: nobody knows how long it will be.
 func (c *Cell) nearlyDone(e *entry, now time.Duration) bool {
-	perToken := e.endpoint.health.token.value
+	perToken := e.endpoint.health.token.Value
 	if perToken == 0 {
 		return false
 	}
 	whole := time.Duration(e.work * perToken * float64(time.Second))
-	rest := whole - (now - e.granted)
+	rest := whole - (now - e.Granted)
 	return rest >= 0 && rest < nearlyDone
 }
 
--- a/internal/schedule/property_test.go
+++ b/internal/schedule/property_test.go
@@ -155,8 +155,8 @@
 		m.t.Fatalf("the cell has %d waiting and %d running of %d; the callers %d and %d", m.cell.waiting, m.cell.running, len(m.cell.entries), len(m.waiting), len(m.running))
 	}
 	for _, e := range m.cell.list {
-		if e.running < 0 || e.running > e.policy.Concurrency {
-			m.t.Fatalf("%s runs %d", e.policy.Name, e.running)
+		if e.Running < 0 || e.Running > e.policy.Concurrency {
+			m.t.Fatalf("%s runs %d", e.policy.Name, e.Running)
 		}
 	}
 }
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -1,45 +1,29 @@
 package schedule
 
-import "time"
+import (
+	"time"
+
+	"github.com/beechhead/beechhead/internal/batching"
+)
 
 // entry is one request while it waits or runs. Entries are reused.
 type entry struct {
+	// Work is what the choice among engines knows of the request. Since and
+	// Granted are on the cell's time; a late entry stands in the late heap of
+	// its class.
+	batching.Work
 	request Request
 	class   *classQueue
 	account *accountQueue
-	// since is when the wait began, on the cell's time; order is the number
-	// of the arrival, which breaks ties.
-	since time.Duration
+	// order is the number of the arrival, which breaks ties.
 	order uint64
 	// work is the estimated work in tokens, as charged to class and account.
 	work float64
-	// late says that the entry stands in the late heap of its class.
-	late bool
 	// position is the entry's place in each heap, or noPosition.
 	position [entryHeaps]int
 
-	// reads is what the engine had to read of the prompt, held what it keeps
-	// for the entry, fetched what it fetches from another engine; in tokens.
-	reads   float64
-	held    int
-	fetched int
-	// unread is how long an engine would read that fetches what others keep.
-	unread time.Duration
-	// idle says that the engine had nothing else to read.
-	idle bool
-	// sensitivity is how much the stream suffers from what is read beside it.
-	sensitivity float64
-	// protected says that the stream was booked as one that suffers from long
-	// reads, isLong that its own read was one when it was last looked at.
-	protected, isLong bool
-	// long says that the request was taken for one that stays long.
-	long bool
-	// due is when the first token was expected, as booked when the engine's
-	// corrections summed up to shift.
-	due, shift time.Duration
 	// endpoint is set while the entry runs.
 	endpoint *endpointState
-	granted  time.Duration
 	// aged says that the grant was given by ageing; it is never preempted.
 	aged bool
 	// preempting says that the grant has been asked back.
@@ -63,6 +47,8 @@
 
 // classQueue is the waiting requests of one class.
 type classQueue struct {
+	// Class is what the choice among engines knows of the class.
+	batching.Class
 	policy ClassPolicy
 	tier   *tierQueue
 	// virtual is the work granted, divided by the weight.
@@ -76,7 +62,6 @@
 	oldest entryHeap
 	// largest has the accounts by the number of their entries.
 	largest accountHeap
-	running int
 	// wanting is since when the class has asked for places, without getting
 	// one; it counts while wants is set.
 	wanting time.Duration
@@ -87,25 +72,7 @@
 	tried, skipped int
 	longBlocked    bool
 	blockedUntil   time.Duration
-	// demand is how much of batching engines the class asks for.
-	demand demand
-	// meanSensitivity is that of its requests.
-	meanSensitivity average
-	// arrivals is the rate of its requests, firstArrival when the first came;
-	// stay is how long they run, in seconds.
-	arrivals     demand
-	firstArrival time.Duration
-	stay         average
-	// meanRead is how long engines read for its requests, in seconds; meanAnswer
-	// how many tokens they are expected to make. protected says that its streams
-	// suffer from the long reads that come.
-	meanRead, meanAnswer average
-	protected            bool
-	// breakers counts the reads that would break its streams, breakersPeak is
-	// its recent peak.
-	breakers     demand
-	breakersPeak float64
-	figures      classFigures
+	figures        classFigures
 }
 
 // accountQueue is the waiting requests of one account in one class.
@@ -154,14 +121,22 @@
 }
 
 func newClassQueue(p ClassPolicy) *classQueue {
-	return &classQueue{
-		policy:   p,
+	q := &classQueue{
 		figures:  classFigures{refused: map[Refusal]int64{}},
 		accounts: map[Account]*accountQueue{},
 		late:     entryHeap{kind: byTurn},
 		oldest:   entryHeap{kind: byAge},
 		largest:  accountHeap{kind: bySize},
 	}
+	q.Waiting = q.waiting
+	q.setPolicy(p)
+	return q
+}
+
+// setPolicy puts what the table says of the class in force.
+func (q *classQueue) setPolicy(p ClassPolicy) {
+	q.policy = p
+	q.Tier, q.Target, q.Pause = int(p.Tier), p.Target, p.Pause
 }
 
 func (q *classQueue) waiting() int { return len(q.oldest.items) }
@@ -215,8 +190,8 @@
 	}
 	q.tier.waiting++
 	q.oldest.push(e)
-	e.class = q
-	e.late = false
+	e.setClass(q)
+	e.Late = false
 	a := q.account(e.request.Account)
 	e.account = a
 	a.youngest.push(e)
@@ -243,7 +218,7 @@
 	} else {
 		q.largest.fix(a.position[bySize])
 	}
-	if e.late {
+	if e.Late {
 		q.late.remove(e)
 		return
 	}
@@ -273,11 +248,11 @@
 			return q.late.first()
 		}
 		e := a.entries.first()
-		if q.policy.Target == 0 || now-e.since+lead(e) < q.policy.Target {
+		if q.policy.Target == 0 || now-e.Since+lead(e) < q.policy.Target {
 			return e
 		}
 		q.removeFromAccount(e)
-		e.late = true
+		e.Late = true
 		q.late.push(e)
 	}
 }
@@ -290,9 +265,9 @@
 // most half of the target, so that a class with an ambitious one is not late
 // from the start.
 func (c *Cell) lead(e *entry) time.Duration {
-	expected := time.Duration(c.firstPerToken.value * float64(e.request.PromptTokens+firstTokenBase) * float64(time.Second))
-	if c.batching {
-		expected = c.overhead + e.unread
+	expected := time.Duration(c.firstPerToken.Value * float64(e.request.PromptTokens+firstTokenBase) * float64(time.Second))
+	if c.pool.Batches() {
+		expected = c.pool.FirstToken(&e.Work)
 	}
 	return min(time.Duration(leadSlack*float64(expected)), e.class.policy.Target/2)
 }
@@ -329,6 +304,6 @@
 	if q.waiting() == 0 || q.policy.MaxWait == 0 {
 		return 0, false
 	}
-	by = now - q.oldest.first().since - q.policy.MaxWait
+	by = now - q.oldest.first().Since - q.policy.MaxWait
 	return by, by >= 0
 }
--- a/internal/schedule/request.go
+++ b/internal/schedule/request.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/beechhead/beechhead/internal/batching"
 )
 
 // Reserve queues a request. One that has been granted already is granted
@@ -23,19 +25,14 @@
 		c.refuseArrival(q, r.ID, refusal, now)
 		return
 	}
-	if c.batching {
-		if q.arrivals.rate == 0 {
-			q.firstArrival = now
-		}
-		q.arrivals.add(now, time.Second)
-		q.meanSensitivity.add(q.sensitivity(&r))
-		q.meanAnswer.add(float64(r.EstimatedTokens))
-		q.demand.add(now, time.Duration(readCost(r.PromptTokens, 0)/c.readRate*float64(time.Second)))
+	if c.pool.Batches() {
+		p := r.prompt()
+		c.pool.Arrived(&q.Class, &p, now)
 	}
 	e := c.newEntry(r, now)
-	e.class = q
-	if c.batching {
-		c.weigh(e, now)
+	e.setClass(q)
+	if c.pool.Batches() {
+		c.pool.Weigh(&e.Work, now)
 	}
 	if c.discipline != ByTier {
 		e.request.Account = ""
@@ -45,6 +42,16 @@
 	c.shedOverflow(now)
 }
 
+// prompt returns what the request asks of an engine.
+func (r *Request) prompt() batching.Prompt {
+	return batching.Prompt{Tokens: r.PromptTokens, Answer: r.EstimatedTokens, Parts: r.Parts, Zone: r.Zone}
+}
+
+// setClass notes the class of an entry that neither waits nor runs yet.
+func (e *entry) setClass(q *classQueue) {
+	e.class, e.Class = q, &q.Class
+}
+
 // admit returns why a request may not wait.
 func (c *Cell) admit(q *classQueue, r *Request, now time.Duration) Refusal {
 	switch {
@@ -83,8 +90,8 @@
 	}
 	c.arrivals++
 	*e = entry{
+		Work:    batching.Work{Prompt: r.prompt(), Since: now - r.Waited},
 		request: r,
-		since:   now - r.Waited,
 		order:   c.arrivals,
 		work:    workOf(r.PromptTokens, r.EstimatedTokens),
 	}
@@ -141,11 +148,11 @@
 		PromptTokens:    h.PromptTokens,
 		Parts:           h.Parts,
 	}, now)
-	e.class = q
+	e.setClass(q)
 	e.account = q.account(h.Account)
 	c.run(e, to, now)
 	if h.Begun {
-		to.batch.forget(e)
+		to.Forget(&e.Work)
 	}
 }
 
@@ -165,16 +172,18 @@
 // answer, and the work that was charged by estimate.
 func (c *Cell) learn(e *entry, r Report, now time.Duration) {
 	if r.Failed {
-		c.failed(e.endpoint, e.granted, now)
+		c.failed(e.endpoint, e.Granted, now)
 	} else if r.Tokens > 0 || r.Done {
 		c.succeeded(e.endpoint, now)
 		c.measured(e, Progress{FirstToken: r.FirstToken, Tokens: r.Tokens, Elapsed: r.Duration}, now)
 	}
-	c.observePauses(e, r)
+	if r.Done {
+		c.pool.Observe(&e.Work, &e.endpoint.Engine, batching.Stream{Events: r.Tokens, FirstToken: r.FirstToken, Longest: r.Longest})
+	}
 	if r.Done && r.Tokens > 0 {
-		e.class.stay.add(r.Duration.Seconds())
+		e.class.Stayed(r.Duration)
 		c.estimates.Observe(e.request.Class, e.request.Account, e.request.EstimatedTokens, r.Tokens)
-		c.meanWork.add(workOf(e.request.PromptTokens, r.Tokens))
+		c.meanWork.Add(workOf(e.request.PromptTokens, r.Tokens))
 	}
 	if r.Tokens > 0 {
 		e.class.charge(e.account, workOf(e.request.PromptTokens, r.Tokens)-e.work)
@@ -190,7 +199,7 @@
 	now := c.now()
 	c.succeeded(e.endpoint, now)
 	c.measured(e, p, now)
-	c.begin(e, now)
+	c.pool.Begin(&e.endpoint.Engine, &e.Work, now)
 }
 
 func (c *Cell) refuseArrival(q *classQueue, id RequestID, why Refusal, now time.Duration) {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -3,7 +3,11 @@
 // input or output, starts no goroutines and is handed its clock.
 package schedule
 
-import "time"
+import (
+	"time"
+
+	"github.com/beechhead/beechhead/internal/batching"
+)
 
 // Clock tells the time.
 type Clock interface {
@@ -58,7 +62,7 @@
 	// resumed elsewhere.
 	CanPreempt bool
 	// Memory is what an engine keeps, in tokens. If it is positive, the engine
-	// batches its requests and is chosen by what it has to read; see batch.go.
+	// batches its requests and is chosen by what it has to read; see package batching.
 	Memory int
 	// Zone is the availability zone.
 	Zone string
@@ -114,12 +118,8 @@
 	Excluded []Endpoint
 }
 
-// Part is a part of a prompt. Engines keep parts by id and don't read one
-// again while they keep it and all parts before it.
-type Part struct {
-	ID     uint64
-	Tokens int
-}
+// Part is a part of a prompt.
+type Part = batching.Part
 
 // Holding is a grant in use that another coordinator gave.
 type Holding struct {
--- a/internal/schedule/shed.go
+++ b/internal/schedule/shed.go
@@ -126,7 +126,7 @@
 	}
 	// The oldest stands at 0 in the heap, the next oldest at 1 or 2.
 	for i := 1; i < min(3, q.waiting()); i++ {
-		if e := q.oldest.items[i]; now-e.since > limit {
+		if e := q.oldest.items[i]; now-e.Since > limit {
 			return e
 		}
 	}
--- a/internal/schedule/status.go
+++ b/internal/schedule/status.go
@@ -78,12 +78,12 @@
 		s.Endpoints = append(s.Endpoints, EndpointStatus{
 			Endpoint:          e.policy.Name,
 			Concurrency:       e.policy.Concurrency,
-			Running:           e.running,
+			Running:           e.Running,
 			Foreign:           e.foreign(now),
 			OutstandingTokens: int(e.outstanding),
 			Draining:          e.policy.Draining,
 			Ejected:           e.health.reason,
-			BetweenTokensMS:   e.health.token.value * 1000,
+			BetweenTokensMS:   e.health.token.Value * 1000,
 		})
 	}
 	return s
@@ -94,7 +94,7 @@
 		Class:         q.policy.Name,
 		Tier:          q.policy.Tier,
 		Waiting:       q.waiting(),
-		Running:       q.running,
+		Running:       q.Running,
 		Granted:       q.figures.granted,
 		Aged:          q.figures.aged,
 		Preempted:     q.figures.preempted,
@@ -103,7 +103,7 @@
 		LongestWaitMS: q.figures.longestWait.Milliseconds(),
 	}
 	if e := q.oldest.first(); e != nil {
-		s.OldestWaitMS = (now - e.since).Milliseconds()
+		s.OldestWaitMS = (now - e.Since).Milliseconds()
 	}
 	return s
 }
--- a/internal/schedule/toolate.go
+++ b/internal/schedule/toolate.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/beechhead/beechhead/internal/stat"
 )
 
 // In an overload a request may wait until its caller is about to leave, and is
@@ -33,9 +35,9 @@
 	if useful == 0 {
 		return false
 	}
-	begins := now - e.since + answerSlack
-	if c.batching {
-		begins += c.overhead + e.unread
+	begins := now - e.Since + answerSlack
+	if c.pool.Batches() {
+		begins += c.pool.FirstToken(&e.Work)
 	}
 	return begins > useful
 }
@@ -74,7 +76,7 @@
 func (c *Cell) comeBack(e *entry, now time.Duration) time.Duration {
 	wait := minReturn
 	if rate, ok := e.class.tier.grants.rate(now); ok && rate > 0 {
-		wait = seconds(float64(e.class.tier.waiting) / rate)
+		wait = stat.Seconds(float64(e.class.tier.waiting) / rate)
 	}
 	_, part := math.Modf(float64(e.order) * goldenShare)
 	spread := 1 + returnSpread*(part-0.5)
--- a/internal/schedule/toolate_test.go
+++ b/internal/schedule/toolate_test.go
@@ -32,7 +32,7 @@
 		for _, d := range c.Step() {
 			at := c.clock.Since(asked)
 			switch {
-			case d.Endpoint != "" && at+c.overhead > useful:
+			case d.Endpoint != "" && at+c.pool.Overhead() > useful:
 				t.Errorf("a request was sent after %v, its caller leaves after %v", at, useful)
 			case d.Refusal == RefusedTooLate && at > useful:
 				t.Errorf("a request was refused after %v, its caller has left after %v", at, useful)
