--- a/internal/facts/facts_test.go
+++ b/internal/facts/facts_test.go
@@ -42,9 +42,8 @@
 
 func (s *site) now() storetime.Instant { return storetime.Instant(s.boot.Now() / time.Millisecond) }
 
-// An operator's edit is in force; a daemon that was cut off comes back and
-// tells of the one before. The older one must change nothing, nor make the
-// newer one look fresh.
+// Guards against an older configuration that replaces a newer one, or makes it
+// look fresh.
 func TestConfigNeverFalls(t *testing.T) {
 	s := newSite()
 	if err := s.holder.SetConfig(Config{Version: 7, Data: []byte("seven")}, 0); err != nil {
@@ -59,9 +58,8 @@
 	}
 }
 
-// A key is taken away while this daemon is cut off from the store. Another
-// daemon that has the newer configuration tells that it is fresh; that must
-// not make the old one here look fresh, or the key would be used on.
+// Guards against keys that are used on because another daemon's newer
+// configuration makes the old one here look fresh.
 func TestFreshnessOfANewerVersionDoesNotCount(t *testing.T) {
 	s := newSite()
 	if err := s.holder.SetConfig(Config{Version: 7, Data: []byte("seven")}, 0); err != nil {
@@ -93,8 +91,7 @@
 	}
 }
 
-// A daemon hears from a reader that nothing changed after the position that it
-// has itself; it is as fresh as the reader. If something did, it is not.
+// Guards against taking a reader's word for a list that lacks a change.
 func TestEndpointsAreVouchedForOnlyWithoutGaps(t *testing.T) {
 	s := newSite()
 	s.holder.Merge(News{Endpoints: []Endpoint{{ID: "a", Changed: 10}}, Position: 12, Whole: true})
@@ -157,9 +154,8 @@
 	return strings.Join(all, " ")
 }
 
-// The store is down for seconds and every entry lapses. After its return the
-// endpoints register again one by one. Requests must not be refused meanwhile
-// for want of endpoints; one that does not come back is gone after the grace.
+// Guards against empty pools after an outage of the store in which all
+// registrations lapse, and against endpoints that never come back and stay.
 func TestEntriesThatLapsedInAnOutageAreHeld(t *testing.T) {
 	s := newSite()
 	r := newEndpointReader(s)
@@ -211,8 +207,7 @@
 	}
 }
 
-// Somebody else writes an entry that can't be read over an endpoint's, and one
-// of its own. Neither names an endpoint, and the others stay.
+// Guards against entries of other writers that are taken for endpoints.
 func TestForeignEntriesNameNoEndpoint(t *testing.T) {
 	s := newSite()
 	r := newEndpointReader(s)
@@ -223,8 +218,7 @@
 	}
 }
 
-// An endpoint starts again under its old id. It has another name, so that what
-// was known of its load, health and memory does not count.
+// Guards against a new start under an old id that inherits load and health.
 func TestNewStartIsAnotherEndpoint(t *testing.T) {
 	before := Endpoint{ID: "a", Born: 1000}
 	after := Endpoint{ID: "a", Born: 2000}
--- a/internal/facts/gap_test.go
+++ b/internal/facts/gap_test.go
@@ -276,11 +276,8 @@
 	return ""
 }
 
-// The store's feeds keep quiet for a second while an operator takes a key away
-// and an endpoint leaves; then the store forgets its history. A daemon whose
-// feed was answered meanwhile without the news went on from the store's newest
-// version, never heard of the change, and vouched for the old configuration
-// until the next edit: callers got 404 on new routes, and the key stayed good.
+// Guards against news that is lost for good, or made up, whatever the order of
+// reads, questions, starts, outages and gaps in the store's feeds.
 func TestQuietFeedHidesNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		if fault := playGaps(t, newGapStore(), 3, newGapDaemon); fault != "" {
@@ -289,8 +286,8 @@
 	})
 }
 
-// The same daemons following their feeds from the store's newest version must
-// be found out, or the test above would prove nothing.
+// Daemons that follow their feeds from the store's newest version must be found
+// out, or the test above would prove nothing.
 func TestQuietFeedHidesChangesFromTheNewestVersion(t *testing.T) {
 	found := false
 	for seed := 0; seed < 200 && !found; seed++ {
@@ -328,9 +325,7 @@
 	}
 }
 
-// An endpoint leaves; then a daemon starts, reads the whole list, which does
-// not name it, and becomes the reader. A daemon that had missed the departure
-// heard that nothing had changed lately, and sent requests to the endpoint on.
+// Guards against a new reader that vouches for departures it never knew of.
 func TestNewReaderDoesNotVouchForWhatItNeverKnew(t *testing.T) {
 	s := newGapStore()
 	s.put("e1", "up")
@@ -346,8 +341,7 @@
 	}
 }
 
-// A store that answers a read with a state from before what it has shown must
-// not make the old state look new.
+// Guards against an answer from before what the store has shown already.
 func TestAnswerFromThePastDoesNotCount(t *testing.T) {
 	s := newGapStore()
 	s.put("c", "1")
@@ -367,8 +361,8 @@
 	}
 }
 
-// An edit that this daemon can't read must not leave the one before in force
-// as the newest: the keys that it took away would stay good.
+// Guards against keys that stay good because the edit that takes them away
+// can't be read.
 func TestUnreadableEditIsNotConfirmed(t *testing.T) {
 	s := newGapStore()
 	s.put("c", "1")
