--- /dev/null
+++ b/internal/factsync/simnet_test.go
@@ -0,0 +1,101 @@
+package factsync
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/beechhead/beechhead/internal/peer/peerv1"
+)
+
+// send loses datagrams as the site does.
+func (d *simDaemon) send(addresses []string, b *peerv1.Beacon) error {
+	if !d.reached() {
+		return nil
+	}
+	b, _ = proto.Clone(b).(*peerv1.Beacon)
+	d.sent.Add(int64(len(addresses)) * int64(proto.Size(b)+datagramHead))
+	for _, address := range addresses {
+		i, err := strconv.Atoi(address)
+		if err != nil || d.site.chance(d.site.loss) {
+			continue
+		}
+		time.AfterFunc(hostDelay, func() {
+			if to := d.site.daemon(i); to.reached() {
+				one, _ := proto.Clone(b).(*peerv1.Beacon)
+				to.sync.OnBeacon(to.heard(one))
+			}
+		})
+	}
+	return nil
+}
+
+// heard returns what the daemon makes of a beacon.
+func (d *simDaemon) heard(b *peerv1.Beacon) *peerv1.Beacon {
+	if !d.site.blind {
+		return b
+	}
+	own := d.holder.Summary()
+	return &peerv1.Beacon{
+		Host: b.GetHost(), Address: b.GetAddress(),
+		ConfigVersion: uint64(own.Config), ConfigAsOf: b.GetConfigAsOf(),
+		Changed: uint64(own.Changed), Position: b.GetPosition(), EndpointsAsOf: b.GetEndpointsAsOf(),
+	}
+}
+
+// reach lets a call pass to the daemon at an address and returns it.
+func (d *simDaemon) reach(ctx context.Context, address string) (*simDaemon, error) {
+	i, err := strconv.Atoi(address)
+	if err != nil {
+		return nil, err
+	}
+	if err := d.pass(ctx, hostDelay); err != nil {
+		return nil, err
+	}
+	to := d.site.daemon(i)
+	to.mu.Lock()
+	slow := to.slow
+	to.mu.Unlock()
+	return to, to.pass(ctx, hostDelay+slow)
+}
+
+func (d *simDaemon) ask(ctx context.Context, address string, req *peerv1.FactsRequest) (*peerv1.FactsResponse, error) {
+	to, err := d.reach(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	resp := to.sync.Answer(req)
+	return resp, to.carry(ctx, len(resp.GetConfig()))
+}
+
+// carry lets a document of n bytes leave the daemon's host.
+func (d *simDaemon) carry(ctx context.Context, n int) error {
+	if n == 0 {
+		return nil
+	}
+	now := time.Now()
+	d.mu.Lock()
+	if d.linkFree.Before(now) {
+		d.linkFree = now
+	}
+	d.longest = max(d.longest, d.linkFree.Sub(now))
+	d.linkFree = d.linkFree.Add(time.Duration(float64(n) / d.site.link(d.id) * float64(time.Second)))
+	left := d.linkFree.Sub(now)
+	d.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(left):
+		return nil
+	}
+}
+
+func (d *simDaemon) beat(ctx context.Context, address string, req *peerv1.HeartbeatRequest) (*peerv1.HeartbeatResponse, error) {
+	to, err := d.reach(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return to.beats.Answer(req), nil
+}
--- /dev/null
+++ b/internal/factsync/simstore_test.go
@@ -0,0 +1,104 @@
+package factsync
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/beechhead/beechhead/internal/facts"
+	"github.com/beechhead/beechhead/internal/platform"
+)
+
+// simStore is the platform's store as the readers see it.
+type simStore struct {
+	mu      sync.Mutex
+	clock   bubbleClock
+	version uint64
+	// floor is the version since which the history is known.
+	floor uint64
+	rows  []platform.FeedRow
+	// news is closed and replaced with each change.
+	news chan struct{}
+}
+
+// put writes a row; an empty value removes it. It returns the version.
+func (s *simStore) put(key, value string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.rows = append(s.rows, platform.FeedRow{Key: key, Version: s.version, Value: []byte(value), Removed: value == ""})
+	close(s.news)
+	s.news = make(chan struct{})
+	return s.version
+}
+
+func (s *simStore) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.floor = s.version
+}
+
+func (s *simStore) answer(keep func(platform.FeedRow) bool) platform.Rows {
+	a := platform.Rows{Version: s.version, NowMs: s.clock.Now().Milliseconds()}
+	for _, row := range s.rows {
+		if keep(row) {
+			a.Rows = append(a.Rows, row)
+		}
+	}
+	return a
+}
+
+func (s *simStore) snapshot(prefix string) platform.Rows {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := map[string]uint64{}
+	for _, row := range s.rows {
+		newest[row.Key] = row.Version
+	}
+	return s.answer(func(r platform.FeedRow) bool {
+		return strings.HasPrefix(r.Key, prefix) && newest[r.Key] == r.Version && !r.Removed
+	})
+}
+
+// changes returns the rows after a version, or a channel that is closed with
+// the next change.
+func (s *simStore) changes(prefix string, since uint64) (platform.Rows, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if since < s.floor {
+		return platform.Rows{}, nil, platform.ErrHistoryGone
+	}
+	return s.answer(func(r platform.FeedRow) bool { return strings.HasPrefix(r.Key, prefix) && r.Version > since }), s.news, nil
+}
+
+func (s *simStore) feed(d *simDaemon, prefix string) facts.Feed {
+	return facts.Feed{
+		Snapshot: func(ctx context.Context) (platform.Rows, error) {
+			if err := d.pass(ctx, storeDelay); err != nil {
+				return platform.Rows{}, platform.ErrUnavailable
+			}
+			return s.snapshot(prefix), nil
+		},
+		Changes: func(ctx context.Context, since uint64, wait time.Duration) (platform.Rows, error) {
+			timeout := time.After(wait)
+			for {
+				if err := d.pass(ctx, storeDelay); err != nil {
+					return platform.Rows{}, platform.ErrUnavailable
+				}
+				rows, news, err := s.changes(prefix, since)
+				if err != nil || len(rows.Rows) > 0 {
+					return rows, err
+				}
+				select {
+				case <-ctx.Done():
+					return rows, ctx.Err()
+				case <-timeout:
+					rows, _, err = s.changes(prefix, since)
+					return rows, err
+				case <-news:
+				}
+			}
+		},
+	}
+}
