Name hosts by four bytes in beacons that are passed on

The change before listed peer addresses in full.

Change: the list has the lower half of the xxHash of each host's id; the host that passes a beacon on finds the addresses in its own view.

--- a/internal/factsync/beacons.go
+++ b/internal/factsync/beacons.go
@@ -2,6 +2,9 @@
 
 import (
 	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/beechhead/beechhead/internal/membership"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
@@ -33,48 +36,67 @@
 // each time: a host that is down cuts others off from one beacon only.
 func (s *Syncer) Tell() {
 	b := s.Beacon()
-	var addresses []string
-	for _, h := range s.others() {
-		addresses = append(addresses, h.PeerAddress)
-	}
-	if len(addresses) <= directHosts {
-		s.send(addresses, b)
+	hosts := s.others()
+	if len(hosts) <= directHosts {
+		s.send(hosts, b)
 		return
 	}
-	for _, group := range s.groups(addresses) {
-		b.PassTo = group[1:]
+	for _, group := range s.groups(hosts) {
+		b.PassTo = b.PassTo[:0]
+		for _, h := range group[1:] {
+			b.PassTo = append(b.PassTo, shortName(h.ID))
+		}
 		s.send(group[:1], b)
 	}
 }
 
-// groups divides addresses at random into groups of the square root of their
+// shortName names a host in the list of those to whom a beacon is passed on.
+// Two hosts of one name both get it.
+func shortName(id membership.HostID) uint32 { return uint32(xxhash.Sum64String(string(id))) }
+
+// groups divides hosts at random into groups of the square root of their
 // number.
-func (s *Syncer) groups(addresses []string) (groups [][]string) {
-	for i := len(addresses) - 1; i > 0; i-- {
+func (s *Syncer) groups(hosts []membership.Host) (groups [][]membership.Host) {
+	for i := len(hosts) - 1; i > 0; i-- {
 		j := s.Pick(i + 1)
-		addresses[i], addresses[j] = addresses[j], addresses[i]
+		hosts[i], hosts[j] = hosts[j], hosts[i]
 	}
-	size := int(math.Ceil(math.Sqrt(float64(len(addresses)))))
-	for len(addresses) > 0 {
-		n := min(size, len(addresses))
-		groups = append(groups, addresses[:n])
-		addresses = addresses[n:]
+	size := int(math.Ceil(math.Sqrt(float64(len(hosts)))))
+	for len(hosts) > 0 {
+		n := min(size, len(hosts))
+		groups = append(groups, hosts[:n])
+		hosts = hosts[n:]
 	}
 	return groups
 }
 
-func (s *Syncer) send(addresses []string, b *peerv1.Beacon) {
+func (s *Syncer) send(hosts []membership.Host, b *peerv1.Beacon) {
+	addresses := make([]string, 0, len(hosts))
+	for _, h := range hosts {
+		addresses = append(addresses, h.PeerAddress)
+	}
 	if err := s.Send(addresses, b); err != nil {
 		s.Logger.Error("beacon not sent", "error", err)
 	}
 }
 
+// named returns the hosts of short names. One that is not known here gets the
+// next beacon by another way.
+func (s *Syncer) named(names []uint32) (hosts []membership.Host) {
+	for _, h := range s.others() {
+		if slices.Contains(names, shortName(h.ID)) {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
 // OnBeacon takes in what a reader tells, and passes it on where it asks for
 // that.
 func (s *Syncer) OnBeacon(b *peerv1.Beacon) {
-	if to := b.GetPassTo(); len(to) > 0 {
+	if names := b.GetPassTo(); len(names) > 0 {
 		b.PassTo = nil
-		s.send(to, b)
+		s.send(s.named(names), b)
 	}
 	s.mu.Lock()
 	s.heard[membership.HostID(b.GetHost())] = s.Boot.Now()
--- a/internal/factsync/beacons_test.go
+++ b/internal/factsync/beacons_test.go
@@ -1,53 +1,104 @@
 package factsync
 
 import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
 	"testing"
-	"testing/synctest"
-	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/beechhead/beechhead/internal/boottime"
+	"github.com/beechhead/beechhead/internal/catalog"
 	"github.com/beechhead/beechhead/internal/facts"
+	"github.com/beechhead/beechhead/internal/membership"
+	"github.com/beechhead/beechhead/internal/metric"
+	"github.com/beechhead/beechhead/internal/peer/peerv1"
+	"github.com/beechhead/beechhead/internal/storetime"
+)
+
+const (
+	// controlBudget is how many bytes a second a daemon may spend on control.
+	controlBudget = 16 << 10
+	// tellsPerSecond is how often a reader tells at most.
+	tellsPerSecond = 3
 )
 
-// controlBudget is how many bytes a second a daemon may spend on control.
-const controlBudget = 16 << 10
+// beaconSite is a number of daemons whose datagrams arrive at once.
+type beaconSite struct {
+	hosts   []membership.Host
+	daemons map[string]*Syncer
+	// sent counts the bytes that each host has sent, got the beacons that have
+	// reached it.
+	sent map[string]int
+	got  map[string]int
+}
+
+func newBeaconSite(n int) *beaconSite {
+	s := &beaconSite{daemons: map[string]*Syncer{}, sent: map[string]int{}, got: map[string]int{}}
+	for i := range n {
+		s.hosts = append(s.hosts, membership.Host{
+			ID:          membership.HostID(fmt.Sprintf("front-zone-%d", i)),
+			PeerAddress: fmt.Sprintf("10.200.%d.%d:47340", 100+i/200, 10+i%200),
+		})
+	}
+	random := rand.New(rand.NewPCG(1, 1)) //nolint:gosec // a fixed seed
+	boot := &boottime.Fake{}
+	for _, h := range s.hosts {
+		clock := storetime.NewClock(boot)
+		d := &Syncer{
+			Boot: boot, Store: clock, Logger: slog.New(slog.DiscardHandler), Metrics: metric.NewRegistry(),
+			Holder: newTestHolder(clock),
+			Self:   func() membership.Host { return h },
+			Hosts:  func() []membership.Host { return s.hosts },
+			Pick:   random.IntN,
+			Send:   func(to []string, b *peerv1.Beacon) error { s.deliver(h.PeerAddress, to, b); return nil },
+		}
+		d.Start()
+		s.daemons[h.PeerAddress] = d
+	}
+	return s
+}
+
+// newTestHolder returns facts with numbers as long as real ones.
+func newTestHolder(clock *storetime.Clock) *facts.Holder {
+	const moment = 1 << 41
+	h := facts.NewHolder(clock, func([]byte) (*catalog.Catalog, error) { return &catalog.Catalog{}, nil })
+	h.OpenGrace(moment)
+	h.Merge(facts.News{Endpoints: []facts.Endpoint{{ID: "a", Changed: 1 << 30}}, Position: 1 << 31, AsOf: moment, Whole: true})
+	_ = h.SetConfig(facts.Config{Version: 1 << 20}, moment)
+	return h
+}
+
+func (s *beaconSite) deliver(from string, to []string, b *peerv1.Beacon) {
+	s.sent[from] += len(to) * (proto.Size(b) + datagramHead)
+	for _, address := range to {
+		s.got[address]++
+		if one, ok := proto.Clone(b).(*peerv1.Beacon); ok {
+			s.daemons[address].OnBeacon(one)
+		}
+	}
+}
 
-// Guards against readers whose beacons grow with the fleet beyond what a
-// daemon may send, and against hosts that the passed on beacons do not reach.
+// Guards against readers whose beacons grow with the fleet beyond what a daemon
+// may send, and against hosts that beacons do not reach when passed on.
 func TestBeaconsOfALargeFleet(t *testing.T) {
-	const (
-		hosts  = 360
-		length = 3 * time.Second
-	)
-	synctest.Test(t, func(t *testing.T) {
-		p := &play{simSite: newSimSite(simTerms{seed: 1, hosts: hosts, loss: 0.01})}
-		time.Sleep(window)
-		before := make([]int64, hosts)
-		for i := range hosts {
-			before[i] = p.daemon(i).sent.Load()
+	for _, n := range []int{2, directHosts, directHosts + 2, 360} {
+		s := newBeaconSite(n)
+		reader := s.hosts[0].PeerAddress
+		for range tellsPerSecond {
+			s.daemons[reader].Tell()
 		}
-		p.store.put("c", "2")
-		p.store.put(endpointKey(1), "")
-		p.within("the news", bound, func(d *simDaemon) bool {
-			_, known := d.holder.Endpoint(facts.EndpointID(endpointKey(1)))
-			return known && d.holder.Summary().Config == 2 && len(d.holder.Endpoints()) == 5
-		})
-		time.Sleep(length)
-		most := 0.0
-		for i := range hosts {
-			d := p.daemon(i)
-			most = max(most, float64(d.sent.Load()-before[i])/length.Seconds())
-			if rate := float64(d.sent.Load()-before[i]) / length.Seconds(); rate > controlBudget {
-				t.Errorf("%s sends %.0f bytes of beacons a second", d.id, rate)
+		for _, h := range s.hosts[1:] {
+			if got := s.got[h.PeerAddress]; got != tellsPerSecond {
+				t.Errorf("%d hosts: %s got %d of %d beacons", n, h.ID, got, tellsPerSecond)
 			}
 		}
-		t.Logf("at most %.0f bytes a second", most)
-		p.wg.Wait()
-		for _, f := range p.faults {
-			t.Error(f)
-		}
-		for i := range hosts {
-			p.kill(i)
+		for address, sent := range s.sent {
+			if sent > controlBudget {
+				t.Errorf("%d hosts: %s sends %d bytes a second", n, address, sent)
+			}
 		}
-		time.Sleep(window)
-	})
+		t.Logf("%d hosts: the reader sends %d bytes a second", n, s.sent[reader])
+	}
 }
--- a/internal/factsync/bound_test.go
+++ b/internal/factsync/bound_test.go
@@ -205,15 +205,22 @@
 func TestNewsIsKnownWithinTheBound(t *testing.T) {
 	for seed := range uint64(30) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				p := &play{simSite: newSimSite(simTerms{seed: seed, hosts: 7, loss: losses[seed%3]})}
-				p.run(12)
-				for _, f := range p.faults {
-					t.Error(f)
-				}
-			})
+			playBound(t, simTerms{seed: seed, hosts: 7, loss: losses[seed%3]}, 12)
 		})
 	}
+	t.Run("beacons passed on", func(t *testing.T) {
+		playBound(t, simTerms{seed: 1, hosts: directHosts + 8, loss: losses[0]}, 6)
+	})
+}
+
+func playBound(t *testing.T, terms simTerms, steps int) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &play{simSite: newSimSite(terms)}
+		p.run(steps)
+		for _, f := range p.faults {
+			t.Error(f)
+		}
+	})
 }
 
 // Daemons that take any word for what they know must be found out, or the test
