Start a simulated daemon's exchange before others reach it

The simulation entered a daemon that starts again into the site's list before Syncer.Start had made its maps, and a beacon that arrives in the same simulated instant met it half made. The gateway starts the exchange before it listens, so that the daemon itself has no such race.

The simulation does the same now.

--- a/internal/factsync/sim_test.go
+++ b/internal/factsync/sim_test.go
@@ -207,7 +207,6 @@
 		before.end()
 	}
 	reader := s.newReader(d)
-	d.sync.Start()
 	go reader.Run(ctx)
 	go d.sync.Run(ctx)
 	go d.beats.Run(ctx)
@@ -249,6 +248,7 @@
 		Send: d.send, Ask: d.ask, Pick: s.pick,
 		DocumentRate: documentPart * s.link(id),
 	}
+	d.sync.Start()
 	d.beats = &heartbeat.Exchanger{
 		Clock: clock, View: d.view, Count: func(string) {}, Call: d.beat,
 		Replace:  func(string) {},
