--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -68,6 +68,7 @@
 	host := membership.Host{ID: "host-1", Incarnation: 1, State: membership.Ready, Region: "r"}
 	coordinator := cell.NewCoordinator(clock, host.ID, cell.DefaultSize, settings.PolicyCells)
 	coordinator.Configure(tbl)
+	ready := membership.NewSnapshot([]membership.Host{host})
 	var bytes atomic.Int64
 	address := servePeer(b, coordinator, &bytes)
 	client := peer.NewClient(peer.NewTransport(nil), "http", address)
@@ -85,9 +86,9 @@
 		}
 		g.Release(placement.Report{Outcome: peerv1.ReleaseOutcome_RELEASE_OUTCOME_DONE, FirstToken: 50 * time.Millisecond, Duration: time.Second, Tokens: 100})
 	}
-	coordinator.Tick([]membership.Host{host}, nil)
+	coordinator.Tick(ready, nil)
 	time.Sleep(600 * time.Millisecond)
-	coordinator.Tick([]membership.Host{host}, nil)
+	coordinator.Tick(ready, nil)
 	one()
 	bytes.Store(0)
 	before := processorTime()
--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -159,7 +159,7 @@
 // Tick lets time-driven decisions happen. The hosts are those that take work,
 // the suspects those of them that this daemon can't reach: their reports are
 // not waited for.
-func (c *Coordinator) Tick(hosts []membership.Host, suspects map[membership.HostID]bool) {
+func (c *Coordinator) Tick(hosts *membership.Snapshot, suspects map[membership.HostID]bool) {
 	c.mu.Lock()
 	c.suspects = suspects
 	if c.plan == nil {
@@ -236,12 +236,12 @@
 }
 
 func (c *Coordinator) allReported(cell *coordinated) bool {
-	for _, h := range c.ranking.Hosts() {
+	for _, h := range c.ranking.Hosts().All() {
 		if !cell.reported[schedule.Host(h.ID)] && !c.suspects[h.ID] {
 			return false
 		}
 	}
-	return len(c.ranking.Hosts()) > 0
+	return c.ranking.Hosts().Len() > 0
 }
 
 // delivery is what a step decided, by session. It is sent after the lock is
--- a/internal/cell/fuzz_test.go
+++ b/internal/cell/fuzz_test.go
@@ -44,7 +44,7 @@
 		clock := clockwork.NewFakeClock()
 		c := cell.NewCoordinator(clock, "host-1", 8, settings.PolicyCells)
 		c.Configure(fuzzTable())
-		hosts := []membership.Host{{ID: "host-1", State: membership.Ready}}
+		hosts := membership.NewSnapshot([]membership.Host{{ID: "host-1", State: membership.Ready}})
 		c.Tick(hosts, nil)
 		hostile := c.Attach(&peerv1.Hello{Host: "host-2", Incarnation: 2}, func(*peerv1.ReservationsResponse) {})
 		hostile.Handle(&req)
--- a/internal/cell/orphans.go
+++ b/internal/cell/orphans.go
@@ -16,8 +16,7 @@
 )
 
 // Sweep drops what incarnations hold that have ended, and returns how many such
-// incarnations there were. The function alive returns the hosts that live; it
-// is called only when a search is due, since the list is long in a large fleet.
+// incarnations there were. The function alive returns the hosts that live.
 //
 // A batch can come after news of its daemon's end: it lay in the socket of a
 // coordinator that was paused. Nobody ever releases what it reserved, and each
@@ -25,7 +24,7 @@
 // look further behind with every second, until no request is sent there any
 // more. Events alone can't close that gap, so the whole state is compared with
 // the view from time to time.
-func (c *Coordinator) Sweep(alive func() []membership.Host) int {
+func (c *Coordinator) Sweep(alive func() *membership.Snapshot) int {
 	c.mu.Lock()
 	now := c.clock.Now()
 	if now.Sub(c.swept) < sweepInterval {
@@ -34,11 +33,7 @@
 	}
 	c.swept = now
 	c.mu.Unlock()
-	living := map[schedule.Host]uint64{}
-	for _, h := range alive() {
-		living[schedule.Host(h.ID)] = h.Incarnation
-	}
-	orphans := c.orphans(living, now)
+	orphans := c.orphans(alive(), now)
 	for _, h := range orphans {
 		c.DropHost(string(h.Host), h.Incarnation)
 	}
@@ -46,7 +41,7 @@
 }
 
 // orphans returns the holders that have ended.
-func (c *Coordinator) orphans(living map[schedule.Host]uint64, now time.Time) []schedule.Holder {
+func (c *Coordinator) orphans(living *membership.Snapshot, now time.Time) []schedule.Holder {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var orphans []schedule.Holder
@@ -63,10 +58,9 @@
 // orphaned tells whether an incarnation has ended: another one lives, or none
 // does and it has been silent. One that the view has lost by mistake still
 // sends.
-func (c *Coordinator) orphaned(h schedule.Holder, living map[schedule.Host]uint64, now time.Time) bool {
-	incarnation, known := living[h.Host]
-	if known {
-		return incarnation > h.Incarnation
+func (c *Coordinator) orphaned(h schedule.Holder, living *membership.Snapshot, now time.Time) bool {
+	if host, ok := living.Find(membership.HostID(h.Host)); ok {
+		return host.Incarnation > h.Incarnation
 	}
 	s := c.sessions[sessionKey{h.Host, h.Incarnation}]
 	return s == nil || now.Sub(s.heard) >= orphanSilence
--- a/internal/cell/orphans_test.go
+++ b/internal/cell/orphans_test.go
@@ -31,7 +31,7 @@
 	s := &orphanSite{Coordinator: NewCoordinator(clock, "host", DefaultSize, settings.PolicyCells), clock: clock}
 	s.entry = membership.Host{ID: "entry", Incarnation: 7, State: membership.Ready, Region: "r"}
 	s.Configure(tbl)
-	s.Tick([]membership.Host{s.selfHost()}, nil)
+	s.Tick(membership.NewSnapshot([]membership.Host{s.selfHost()}), nil)
 	clock.Advance(time.Second)
 	return s
 }
@@ -100,11 +100,11 @@
 				s.entry.Incarnation = tt.alive
 				alive = append(alive, s.entry)
 			}
-			dropped := s.Sweep(func() []membership.Host { return alive })
+			dropped := s.Sweep(func() *membership.Snapshot { return membership.NewSnapshot(alive) })
 			if s.running() != tt.want || dropped != 1-tt.want {
 				t.Errorf("%d places are taken, %d were dropped, want %d taken", s.running(), dropped, tt.want)
 			}
-			if again := s.Sweep(func() []membership.Host { return alive }); again != 0 {
+			if again := s.Sweep(func() *membership.Snapshot { return membership.NewSnapshot(alive) }); again != 0 {
 				t.Error("swept again at once")
 			}
 		})
--- a/internal/cell/poll_test.go
+++ b/internal/cell/poll_test.go
@@ -27,7 +27,7 @@
 		}
 		c := NewCoordinator(clockwork.NewRealClock(), "host", DefaultSize, settings.PolicyCells)
 		c.Configure(tbl)
-		c.Tick([]membership.Host{{ID: "host", Incarnation: 1, State: membership.Ready, Region: "r"}}, nil)
+		c.Tick(membership.NewSnapshot([]membership.Host{{ID: "host", Incarnation: 1, State: membership.Ready, Region: "r"}}), nil)
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		defer cancel()
 		c.Poll(ctx, func(ctx context.Context, e *table.Endpoint) (engine.Load, error) {
--- a/internal/cell/ranking.go
+++ b/internal/cell/ranking.go
@@ -11,22 +11,19 @@
 // cell. It computes an order once and keeps it while the hosts stay the same.
 // It is not safe for concurrent use.
 type Ranking struct {
-	hosts []membership.Host
+	hosts *membership.Snapshot
 	ranks map[ID][]membership.Host
 }
 
 // NewRanking returns a ranking without hosts.
 func NewRanking() *Ranking {
-	return &Ranking{ranks: map[ID][]membership.Host{}}
+	return &Ranking{hosts: &membership.Snapshot{}, ranks: map[ID][]membership.Host{}}
 }
 
 // Update takes in the hosts that take work; true means that they are others
 // than before.
-func (r *Ranking) Update(hosts []membership.Host) (changed bool) {
-	same := slices.EqualFunc(r.hosts, hosts, func(a, b membership.Host) bool {
-		return a.ID == b.ID && a.Incarnation == b.Incarnation && a.PeerAddress == b.PeerAddress
-	})
-	if same {
+func (r *Ranking) Update(hosts *membership.Snapshot) (changed bool) {
+	if r.hosts == hosts {
 		return false
 	}
 	r.hosts = hosts
@@ -35,7 +32,7 @@
 }
 
 // Hosts returns the hosts that take work.
-func (r *Ranking) Hosts() []membership.Host { return r.hosts }
+func (r *Ranking) Hosts() *membership.Snapshot { return r.hosts }
 
 // Rank returns the hosts for a cell, the coordinator first. Hosts of the
 // cell's own region come before all others, and capable ones before those that
@@ -45,7 +42,7 @@
 	if ranked, ok := r.ranks[id]; ok {
 		return ranked
 	}
-	ranked := membership.Rank(string(id), r.hosts)
+	ranked := membership.Rank(string(id), r.hosts.All())
 	most := membership.MostCapacity(ranked)
 	slices.SortStableFunc(ranked, func(a, b membership.Host) int {
 		return cmp.Or(foreign(a, region)-foreign(b, region), a.Weakness(most)-b.Weakness(most))
--- a/internal/cell/ranking_test.go
+++ b/internal/cell/ranking_test.go
@@ -20,7 +20,7 @@
 	}
 	first := func(all []membership.Host) map[membership.HostID]int {
 		r := NewRanking()
-		r.Update(all)
+		r.Update(membership.NewSnapshot(all))
 		n := map[membership.HostID]int{}
 		for i := range 200 {
 			n[r.Rank(ID(fmt.Sprintf("cell-%d", i)), "r")[0].ID]++
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -23,12 +23,8 @@
 	holder := claim.Holder{Host: string(self.ID), Incarnation: self.Incarnation}
 	s := claim.NewStore(d.clock, d.platform.For(platform.UseClaims), holder, d.metrics)
 	s.Gone = func(h claim.Holder) bool {
-		for _, known := range d.view.Hosts() {
-			if known.ID == membership.HostID(h.Host) && known.Incarnation == h.Incarnation {
-				return false
-			}
-		}
-		return true
+		known, ok := d.view.Hosts().Find(membership.HostID(h.Host))
+		return !ok || known.Incarnation != h.Incarnation
 	}
 	return s
 }
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/beechhead/beechhead/internal/endpoint"
 	"github.com/beechhead/beechhead/internal/engine"
-	"github.com/beechhead/beechhead/internal/membership"
 	"github.com/beechhead/beechhead/internal/order"
 	"github.com/beechhead/beechhead/pkg/table"
 )
@@ -17,8 +16,8 @@
 		Clock:   d.clock,
 		Metrics: d.metrics,
 		Mine: func(g order.Group) bool {
-			ranked := membership.Rank(g.Name(), d.view.Ready())
-			return len(ranked) > 0 && ranked[0].ID == d.view.Self().ID
+			position, ok := d.view.Ready().Order(g.Name()).Position(d.view.Self().ID)
+			return ok && position == 0
 		},
 		Table: func() *table.Table {
 			if v := d.keeper.Current(); v != nil {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -125,7 +125,7 @@
 	defer cancel()
 	inForce = d.spread(ctx, v)
 	var missing []membership.Host
-	for _, h := range d.view.Hosts() {
+	for _, h := range d.view.Hosts().All() {
 		if !slices.Contains(inForce, string(h.ID)) {
 			missing = append(missing, h)
 		}
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -86,7 +86,7 @@
 	var silent []string
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for _, h := range d.view.Hosts() {
+	for _, h := range d.view.Hosts().All() {
 		if h.ID == self.ID {
 			continue
 		}
--- a/internal/facts/duty.go
+++ b/internal/facts/duty.go
@@ -1,10 +1,6 @@
 package facts
 
-import (
-	"time"
-
-	"github.com/beechhead/beechhead/internal/membership"
-)
+import "time"
 
 const (
 	// Readers is how many daemons read each feed of the store at a time. One
@@ -20,18 +16,24 @@
 	maxStep = 1200 * time.Millisecond
 )
 
+// MaxPatience is the longest time for which a reader that was heard of is
+// waited for.
+const MaxPatience = readerSilence + maxStep
+
 // Duty decides whether a daemon is to read the store: it is one of the first
 // in order, or too few of those before it have been heard to read lately.
 // The later a daemon stands, the longer it waits, so that the one before it
-// is heard first. The function ago tells how long ago a host was last heard
-// to have read.
-func Duty(self membership.HostID, order []membership.Host, ago func(membership.HostID) time.Duration) bool {
-	ahead, rank := 0, 0
-	for ; rank < len(order) && order[rank].ID != self; rank++ {
-	}
+// is heard first. The rank is how many hosts come before it; heard has how long
+// ago those of them were heard to read that were heard at all, and unheard what
+// counts for the others.
+func Duty(rank int, heard []time.Duration, unheard time.Duration) bool {
 	patience := readerSilence + min(time.Duration(max(rank-Readers, 0))*stepAside, maxStep)
-	for _, h := range order[:rank] {
-		if ago(h.ID) <= patience {
+	ahead := 0
+	if unheard <= patience {
+		ahead = rank - len(heard)
+	}
+	for _, ago := range heard {
+		if ago <= patience {
 			ahead++
 		}
 	}
--- a/internal/facts/duty_test.go
+++ b/internal/facts/duty_test.go
@@ -31,17 +31,12 @@
 			for _, id := range tt.Readers {
 				want[id] = true
 			}
-			var order []membership.Host
-			for _, id := range tt.Order {
-				order = append(order, membership.Host{ID: id})
-			}
-			ago := func(id membership.HostID) time.Duration {
-				return time.Duration(tt.AgoMs[id]) * time.Millisecond
-			}
-			for _, id := range tt.Order {
-				if got := Duty(id, order, ago); got != want[id] {
+			var heard []time.Duration
+			for rank, id := range tt.Order {
+				if got := Duty(rank, heard, MaxPatience+1); got != want[id] {
 					t.Errorf("%s reads: %v, want %v", id, got, want[id])
 				}
+				heard = append(heard, time.Duration(tt.AgoMs[id])*time.Millisecond)
 			}
 		})
 	}
--- a/internal/factsync/beacons.go
+++ b/internal/factsync/beacons.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -80,14 +79,30 @@
 	}
 }
 
+// shortNames has the hosts of a snapshot by their short names.
+type shortNames struct {
+	of    *membership.Snapshot
+	hosts map[uint32][]membership.Host
+}
+
 // named returns the hosts of short names. One that is not known here gets the
 // next beacon by another way.
 func (s *Syncer) named(names []uint32) (hosts []membership.Host) {
-	for _, h := range s.others() {
-		if slices.Contains(names, shortName(h.ID)) {
-			hosts = append(hosts, h)
+	known := s.Hosts()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.names.of != known {
+		s.names = shortNames{of: known, hosts: map[uint32][]membership.Host{}}
+		self := s.Self().ID
+		for _, h := range known.All() {
+			if h.ID != self {
+				s.names.hosts[shortName(h.ID)] = append(s.names.hosts[shortName(h.ID)], h)
+			}
 		}
 	}
+	for _, name := range names {
+		hosts = append(hosts, s.names.hosts[name]...)
+	}
 	return hosts
 }
 
--- a/internal/factsync/beacons_test.go
+++ b/internal/factsync/beacons_test.go
@@ -27,6 +27,7 @@
 // beaconSite is a number of daemons whose datagrams arrive at once.
 type beaconSite struct {
 	hosts   []membership.Host
+	known   *membership.Snapshot
 	daemons map[string]*Syncer
 	// sent counts the bytes that each host has sent, got the beacons that have
 	// reached it.
@@ -42,6 +43,7 @@
 			PeerAddress: fmt.Sprintf("10.200.%d.%d:47340", 100+i/200, 10+i%200),
 		})
 	}
+	s.known = membership.NewSnapshot(s.hosts)
 	random := rand.New(rand.NewPCG(1, 1)) //nolint:gosec // a fixed seed
 	boot := &boottime.Fake{}
 	for _, h := range s.hosts {
@@ -50,7 +52,7 @@
 			Boot: boot, Store: clock, Logger: slog.New(slog.DiscardHandler), Metrics: metric.NewRegistry(),
 			Holder: newTestHolder(clock),
 			Self:   func() membership.Host { return h },
-			Hosts:  func() []membership.Host { return s.hosts },
+			Hosts:  func() *membership.Snapshot { return s.known },
 			Pick:   random.IntN,
 			Send:   func(to []string, b *peerv1.Beacon) error { s.deliver(h.PeerAddress, to, b); return nil },
 		}
--- a/internal/factsync/bound_test.go
+++ b/internal/factsync/bound_test.go
@@ -100,7 +100,7 @@
 	d.mu.Unlock()
 	d.view.UpdateSelf(func(h *membership.Host) { h.State = membership.Leaving })
 	p.within("departure of "+string(d.id), leaveBound, func(other *simDaemon) bool {
-		for _, h := range other.view.Ready() {
+		for _, h := range other.view.Ready().All() {
 			if h.ID == d.id && h.Incarnation == d.view.Self().Incarnation {
 				return false
 			}
--- a/internal/factsync/syncer.go
+++ b/internal/factsync/syncer.go
@@ -56,7 +56,7 @@
 	// Self returns this host, Hosts all that are known, Ready those that take
 	// requests.
 	Self         func() membership.Host
-	Hosts, Ready func() []membership.Host
+	Hosts, Ready func() *membership.Snapshot
 	// Send sends a beacon to the hosts of peer addresses.
 	Send func(addresses []string, b *peerv1.Beacon) error
 	// Ask asks the daemon at a peer address for its facts.
@@ -70,8 +70,10 @@
 	started time.Duration
 
 	mu sync.Mutex
-	// heard has when each host was last heard to have read the store.
+	// heard has when hosts were last heard to have read the store, as far as
+	// that is of use to OnDuty.
 	heard   map[membership.HostID]time.Duration
+	names   shortNames
 	sources sources
 	share   share
 	// asked is when the last round of questions without a cause began.
@@ -115,17 +117,31 @@
 	if self.State == membership.Leaving {
 		return false
 	}
+	order := s.Ready().CapableOrder(readerKey)
+	rank, ok := order.Position(self.ID)
+	if !ok {
+		rank = len(order.Hosts)
+	}
 	now := s.Boot.Now()
-	order := membership.CapableFirst(membership.Rank(readerKey, s.Ready()))
-	return facts.Duty(self.ID, order, func(id membership.HostID) time.Duration {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if at, ok := s.heard[id]; ok {
-			return now - at
+	// A new daemon waits for the readers before it reads.
+	return facts.Duty(rank, s.heardAhead(order, rank, now), now-s.started)
+}
+
+// heardAhead returns how long ago the first hosts in an order were heard to
+// have read, as far as they were, and forgets what is of no use any more.
+func (s *Syncer) heardAhead(order *membership.Order, rank int, now time.Duration) (ago []time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, at := range s.heard {
+		position, ok := order.Position(id)
+		switch {
+		case now-at > facts.MaxPatience:
+			delete(s.heard, id)
+		case ok && position < rank:
+			ago = append(ago, now-at)
 		}
-		// A new daemon waits for the readers before it reads.
-		return now - s.started
-	})
+	}
+	return ago
 }
 
 // OnTold takes in what any daemon tells of its facts, and asks it for what is
@@ -196,7 +212,7 @@
 // others returns the hosts but this one.
 func (s *Syncer) others() (others []membership.Host) {
 	self := s.Self().ID
-	for _, h := range s.Hosts() {
+	for _, h := range s.Hosts().All() {
 		if h.ID != self {
 			others = append(others, h)
 		}
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -42,8 +42,8 @@
 	if age, ok := g.holder.EndpointsAge(); ok {
 		g.metrics.Set("endpoints.ageMs", age.Milliseconds())
 	}
-	g.metrics.Set("hosts.ready", int64(len(g.view.Ready())))
-	g.metrics.Set("hosts.known", int64(len(g.view.Hosts())))
+	g.metrics.Set("hosts.ready", int64(g.view.Ready().Len()))
+	g.metrics.Set("hosts.known", int64(g.view.Hosts().Len()))
 	g.metrics.Set("cells.coordinated", int64(len(g.coordinator.Status().Cells)))
 	g.metrics.Set("requests.inProgress", g.inProgress.Load())
 	g.metrics.Set("connections.opened", g.forwarder.Pool.Opened.Load())
--- /dev/null
+++ b/internal/gateway/fleet_bench_test.go
@@ -0,0 +1,174 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/beechhead/beechhead/internal/facts"
+	"github.com/beechhead/beechhead/internal/membership"
+	"github.com/beechhead/beechhead/internal/peer/peerv1"
+	"github.com/beechhead/beechhead/internal/settings"
+	"github.com/beechhead/beechhead/internal/storetime"
+	"github.com/beechhead/beechhead/pkg/table"
+	"github.com/beechhead/beechhead/platform/standin"
+)
+
+const (
+	fleetZones = 6
+	// fleetMoment is the time at the store, fleetPosition the version up to
+	// which the daemon knows it.
+	fleetMoment   = storetime.Instant(1 << 40)
+	fleetPosition = facts.Position(1 << 20)
+)
+
+// fleetDaemon returns a daemon that runs nothing by itself and knows a fleet of
+// hosts, itself included, and endpoints. It neither reads nor coordinates.
+func fleetDaemon(tb testing.TB, hosts, endpoints int) *Gateway {
+	tb.Helper()
+	g := New(&settings.Settings{
+		Host: "front-z0-0", Region: "r", Zone: "z0", CallerAddress: "10.0.0.0:8227", PeerAddress: "10.0.0.0:8229",
+		CellSize: 256,
+		Platform: settings.Platform{URL: "http://127.0.0.1:1", Timeout: table.Duration(time.Second)},
+		Gateway: &settings.Gateway{
+			AddressLifetime: table.Duration(2 * time.Second), RevokeAfter: table.Duration(time.Hour),
+			Retry:   settings.Retry{Share: 0.2, Slack: 100, Window: table.Duration(10 * time.Second)},
+			Machine: &settings.Machine{ProcessorShare: 0.2, ProcessorSpeed: 1, LinkMbps: 20},
+		},
+	}, slog.New(slog.DiscardHandler))
+	for i := 1; i < hosts; i++ {
+		g.view.Apply(membership.News{Status: membership.Alive, Host: fleetHost(i)})
+	}
+	for len(g.view.TakeChanges(hosts)) > 0 {
+	}
+	g.learnFleet(tb, endpoints)
+	for _, h := range fleetReaders(g) {
+		g.sync.OnBeacon(&peerv1.Beacon{Host: string(h), Address: "10.0.0.1:8229"})
+	}
+	g.tickOnce(context.Background())
+	return g
+}
+
+// fleetHost returns one of the hosts, of which one in ten is strong.
+func fleetHost(i int) membership.Host {
+	h := membership.Host{
+		ID:            membership.HostID(fmt.Sprintf("front-z%d-%d", i%fleetZones, i)),
+		Incarnation:   1,
+		State:         membership.Ready,
+		Region:        "r",
+		Zone:          fmt.Sprintf("z%d", i%fleetZones),
+		CallerAddress: fmt.Sprintf("10.0.%d.%d:8227", i/256, i%256),
+		PeerAddress:   fmt.Sprintf("10.0.%d.%d:8229", i/256, i%256),
+		Capacity:      80,
+	}
+	if i%10 == 1 {
+		h.Capacity = 600
+	}
+	return h
+}
+
+func fleetReaders(g *Gateway) (readers []membership.HostID) {
+	for _, h := range g.view.Ready().CapableOrder("reader").Hosts[:facts.Readers] {
+		readers = append(readers, h.ID)
+	}
+	return readers
+}
+
+// learnFleet gives a daemon a configuration and endpoints.
+func (g *Gateway) learnFleet(tb testing.TB, endpoints int) {
+	tb.Helper()
+	g.storeTime.Observe(g.boot.Now(), fleetMoment)
+	document := standin.SampleDocument()
+	data, err := json.Marshal(document)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	if err := g.holder.SetConfig(facts.Config{Version: 1, Data: data}, fleetMoment); err != nil {
+		tb.Fatal(err)
+	}
+	news := facts.News{Whole: true, Position: fleetPosition, AsOf: fleetMoment}
+	for i := range endpoints {
+		news.Endpoints = append(news.Endpoints, facts.Endpoint{
+			ID: facts.EndpointID(fmt.Sprintf("i-%06d", i)), Pool: "llm", Address: fmt.Sprintf("10.1.%d.%d:80", i/256, i%256),
+			Zone: fmt.Sprintf("z%d", i%fleetZones), Slots: 12, Born: 1, Changed: fleetPosition,
+		})
+	}
+	g.holder.Merge(news)
+}
+
+// benchFleets runs a benchmark for fleets of several sizes.
+func benchFleets(b *testing.B, run func(b *testing.B, g *Gateway)) {
+	for _, endpoints := range []int{20, 900} {
+		for _, hosts := range []int{20, 200, 400} {
+			b.Run(fmt.Sprintf("hosts=%d/endpoints=%d", hosts, endpoints), func(b *testing.B) {
+				g := fleetDaemon(b, hosts, endpoints)
+				b.ReportAllocs()
+				b.ResetTimer()
+				run(b, g)
+			})
+		}
+	}
+}
+
+func BenchmarkIdleTick(b *testing.B) {
+	benchFleets(b, func(b *testing.B, g *Gateway) {
+		for b.Loop() {
+			g.tickOnce(context.Background())
+		}
+	})
+}
+
+func BenchmarkOnDuty(b *testing.B) {
+	benchFleets(b, func(b *testing.B, g *Gateway) {
+		for b.Loop() {
+			g.sync.OnDuty()
+		}
+	})
+}
+
+func BenchmarkBeacon(b *testing.B) {
+	benchFleets(b, func(b *testing.B, g *Gateway) {
+		beacon := g.sync.Beacon()
+		beacon.Host = string(fleetReaders(g)[0])
+		b.ResetTimer()
+		for b.Loop() {
+			g.sync.OnBeacon(beacon)
+		}
+	})
+}
+
+func BenchmarkAddresses(b *testing.B) {
+	benchFleets(b, func(b *testing.B, g *Gateway) {
+		for i := 0; b.Loop(); i++ {
+			g.addresses("z0", fmt.Sprintf("10.9.0.%d:1", i%64))
+		}
+	})
+}
+
+func BenchmarkRetryBudget(b *testing.B) {
+	benchFleets(b, func(b *testing.B, g *Gateway) {
+		for b.Loop() {
+			g.budget("llm")
+		}
+	})
+}
+
+// fleetHeartbeat returns what a partner sends that has no news.
+func fleetHeartbeat() *peerv1.HeartbeatRequest {
+	h := fleetHost(1)
+	return &peerv1.HeartbeatRequest{Self: &peerv1.HostInfo{
+		Host: string(h.ID), Incarnation: h.Incarnation, State: peerv1.HostState(h.State), Status: peerv1.HostStatus(membership.Alive),
+		Region: h.Region, Zone: h.Zone, CallerAddress: h.CallerAddress, PeerAddress: h.PeerAddress, Capacity: h.Capacity,
+	}}
+}
+
+func BenchmarkHeartbeat(b *testing.B) {
+	benchFleets(b, func(b *testing.B, g *Gateway) {
+		for b.Loop() {
+			g.beats.Answer(fleetHeartbeat())
+		}
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -272,13 +272,17 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
-			if g.cells.RefreshAfterPause(ctx) {
-				g.logger.Warn("this daemon was paused")
-			}
-			g.view.Sweep()
-			g.coordinator.Tick(g.view.Ready(), g.placer.Suspects())
-			g.cells.SweepOrphans()
-			g.placer.Tick()
+			g.tickOnce(ctx)
 		}
 	}
 }
+
+func (g *Gateway) tickOnce(ctx context.Context) {
+	if g.cells.RefreshAfterPause(ctx) {
+		g.logger.Warn("this daemon was paused")
+	}
+	g.view.Sweep()
+	g.coordinator.Tick(g.view.Ready(), g.placer.Suspects())
+	g.cells.SweepOrphans()
+	g.placer.Tick()
+}
--- a/internal/gateway/interfaces.go
+++ b/internal/gateway/interfaces.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/http"
-	"slices"
 
 	"github.com/labstack/echo/v5"
 
@@ -70,12 +69,12 @@
 // of them at random.
 func (g *Gateway) addresses(zone, caller string) []string {
 	ready := g.view.Ready()
-	own := slices.DeleteFunc(slices.Clone(ready), func(h membership.Host) bool { return h.Zone != zone })
-	if len(own) < minOwnZone {
+	own := ready.Zone(zone)
+	if own.Len() < minOwnZone {
 		own = ready
 	}
 	var addresses []string
-	for _, h := range membership.Spread(callerHost(caller), own, mostAddresses) {
+	for _, h := range own.Spread(callerHost(caller), mostAddresses) {
 		addresses = append(addresses, h.CallerAddress)
 	}
 	return addresses
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -116,7 +116,7 @@
 // limitConnections divides what endpoints accept over the hosts.
 func (g *Gateway) limitConnections() {
 	if c := g.holder.Catalog(); c != nil {
-		g.forwarder.Pool.SetMaxIdle(c.IdleConnections(len(g.view.Hosts())))
+		g.forwarder.Pool.SetMaxIdle(c.IdleConnections(g.view.Hosts().Len()))
 	}
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -38,7 +38,6 @@
 		OnFacts:  g.sync.OnTold,
 		StoreAge: func() time.Duration { return 0 },
 		Seeds:    g.seeds,
-		Load:     func() uint32 { return uint32(g.inProgress.Load()) },
 		Count:    g.metrics.Inc,
 	}
 }
@@ -76,7 +75,7 @@
 		if !written {
 			written = g.writeSelf(ctx)
 		}
-		if len(g.view.Hosts()) < 2 {
+		if g.view.Hosts().Len() < 2 {
 			g.readListed(ctx)
 		}
 	}
@@ -126,7 +125,7 @@
 	g.budgetMu.Lock()
 	defer g.budgetMu.Unlock()
 	retry := g.conf().Gateway.Retry
-	slack := budgetSlackPart * retry.Slack / float64(max(1, len(g.view.Hosts())))
+	slack := budgetSlackPart * retry.Slack / float64(max(1, g.view.Hosts().Len()))
 	terms := retrybudget.Terms{
 		Share:  budgetPart * retry.Share,
 		Most:   max(1, slack),
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -72,7 +72,7 @@
 		s.addDaemon()
 	}
 	for _, d := range s.daemons {
-		s.await("ready", func() bool { return d.g.takesCallers() && len(d.g.view.Ready()) >= n })
+		s.await("ready", func() bool { return d.g.takesCallers() && d.g.view.Ready().Len() >= n })
 	}
 	return s
 }
--- a/internal/heartbeat/exchanger.go
+++ b/internal/heartbeat/exchanger.go
@@ -57,7 +57,8 @@
 	OnFacts func(*peerv1.Beacon)
 	// Seeds returns peer addresses that the platform or the settings name.
 	Seeds func() []string
-	// Load returns the number of requests in progress.
+	// Load returns the number of requests in progress; nil where no daemon goes
+	// by the load of others.
 	Load func() uint32
 	// Count counts an event by name.
 	Count func(name string)
@@ -75,7 +76,9 @@
 	look := x.Clock.NewTicker(lookInterval)
 	defer look.Stop()
 	for turn := 0; ; turn++ {
-		x.View.SetLoad(x.Load())
+		if x.Load != nil {
+			x.View.SetLoad(x.Load())
+		}
 		partners := x.View.Partners()
 		pause := Interval
 		if len(partners) == 0 {
@@ -133,17 +136,15 @@
 }
 
 func (x *Exchanger) unreached() []string {
-	seen := map[string]bool{"": true}
-	for _, h := range x.View.Hosts() {
-		seen[h.PeerAddress] = true
-	}
+	known := x.View.Hosts()
 	candidates := x.Seeds()
-	for _, h := range x.View.Unreached() {
+	for _, h := range x.View.Unreached().All() {
 		candidates = append(candidates, h.PeerAddress)
 	}
+	seen := map[string]bool{"": true}
 	var addresses []string
 	for _, address := range candidates {
-		if !seen[address] {
+		if !seen[address] && !known.HasPeer(address) {
 			seen[address] = true
 			addresses = append(addresses, address)
 		}
--- a/internal/heartbeat/exchanger_test.go
+++ b/internal/heartbeat/exchanger_test.go
@@ -243,10 +243,10 @@
 // host of all.
 func (n *network) look() {
 	for _, nd := range n.running() {
-		if len(nd.view.Hosts()) == 1 {
+		if nd.view.Hosts().Len() == 1 {
 			nd.x.Try(context.Background(), name(0))
 		}
-		if gone := nd.view.Unreached(); len(gone) > 0 {
+		if gone := nd.view.Unreached().All(); len(gone) > 0 {
 			nd.x.Try(context.Background(), gone[0].PeerAddress)
 		}
 	}
@@ -258,10 +258,10 @@
 		if e.By != nil && !slices.Contains(e.By, nd.number) {
 			continue
 		}
-		if got := len(nd.view.Hosts()); e.Known != nil && got != *e.Known {
+		if got := nd.view.Hosts().Len(); e.Known != nil && got != *e.Known {
 			n.t.Errorf("%s knows %d hosts, want %d", name(nd.number), got, *e.Known)
 		}
-		if got := len(nd.view.Ready()); e.Ready != nil && got != *e.Ready {
+		if got := nd.view.Ready().Len(); e.Ready != nil && got != *e.Ready {
 			n.t.Errorf("%s knows %d ready hosts, want %d", name(nd.number), got, *e.Ready)
 		}
 		if got := nd.view.InMinority(); e.Minority != nil && got != *e.Minority {
--- a/internal/limit/keeper.go
+++ b/internal/limit/keeper.go
@@ -44,7 +44,7 @@
 	// asking has the owners that a call is on its way to.
 	asking map[membership.HostID]bool
 	// ready are the hosts that ranked was worked out for.
-	ready  []membership.Host
+	ready  *membership.Snapshot
 	ranked [shards]membership.Host
 	// sequence numbers the calls.
 	sequence uint64
--- a/internal/limit/owner.go
+++ b/internal/limit/owner.go
@@ -69,7 +69,7 @@
 
 // Update takes in the hosts that are heard now, this one included, and how
 // many daemons the platform lists. It must be called several times a second.
-func (o *Owner) Update(hosts []membership.Host, listed int) {
+func (o *Owner) Update(hosts *membership.Snapshot, listed int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.clock.Now()
--- a/internal/limit/quorum.go
+++ b/internal/limit/quorum.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"slices"
 	"time"
 
 	"github.com/beechhead/beechhead/internal/membership"
@@ -38,8 +37,10 @@
 	// since is from when on each incarnation was heard without a break.
 	since   map[hostRun]time.Time
 	updated time.Time
+	// newest is the latest time in since.
+	newest time.Time
 	// hosts are those of the last update.
-	hosts []hostRun
+	hosts *membership.Snapshot
 	// listed is the number of daemons that the platform lists.
 	listed int
 }
@@ -48,36 +49,35 @@
 type hostRun struct {
 	id          membership.HostID
 	incarnation uint64
-	// ready is false in the keys of quorum.since.
-	ready bool
 }
 
 // update takes in the hosts that are heard now, this one included. It returns
 // whether they are others than before, or stand in other states.
-func (q *quorum) update(now time.Time, hosts []membership.Host, listed int) (changed bool) {
+func (q *quorum) update(now time.Time, hosts *membership.Snapshot, listed int) (changed bool) {
 	// A daemon that was paused does not know what happened in the meantime;
 	// it begins to listen anew.
 	paused := now.Sub(q.updated) > pauseTime
 	if paused {
 		q.since = nil
 	}
-	since := make(map[hostRun]time.Time, len(hosts))
-	runs := make([]hostRun, 0, len(hosts))
-	for _, h := range hosts {
-		run := hostRun{id: h.ID, incarnation: h.Incarnation, ready: h.State == membership.Ready}
-		runs = append(runs, run)
-		run.ready = false
+	q.updated = now
+	q.listed = max(listed, hosts.Len())
+	if !paused && hosts == q.hosts {
+		return false
+	}
+	q.hosts = hosts
+	since := make(map[hostRun]time.Time, hosts.Len())
+	for _, h := range hosts.All() {
+		run := hostRun{id: h.ID, incarnation: h.Incarnation}
 		at, known := q.since[run]
 		if !known {
 			at = now
+			q.newest = now
 		}
 		since[run] = at
 	}
-	changed = paused || !slices.Equal(runs, q.hosts)
-	q.since, q.hosts = since, runs
-	q.updated = now
-	q.listed = max(listed, len(hosts))
-	return changed
+	q.since = since
+	return true
 }
 
 // share returns the part of every limit that may be handed out, 0 to 1.
@@ -85,16 +85,28 @@
 	if q.listed == 0 || now.Sub(q.updated) > pauseTime {
 		return 0
 	}
-	settled := 0
+	return float64(q.settled(now)) / float64(q.listed)
+}
+
+// settled returns how many hosts were heard without a break for settleTime.
+func (q *quorum) settled(now time.Time) int {
+	if now.Sub(q.newest) >= settleTime {
+		return len(q.since)
+	}
+	n := 0
 	for _, at := range q.since {
 		if now.Sub(at) >= settleTime {
-			settled++
+			n++
 		}
 	}
-	return float64(settled) / float64(q.listed)
+	return n
 }
 
 // hears tells whether a host is heard.
 func (q *quorum) hears(id membership.HostID) bool {
-	return slices.ContainsFunc(q.hosts, func(r hostRun) bool { return r.id == id })
+	if q.hosts == nil {
+		return false
+	}
+	_, ok := q.hosts.Find(id)
+	return ok
 }
--- a/internal/limit/renew.go
+++ b/internal/limit/renew.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/beechhead/beechhead/internal/membership"
@@ -16,23 +15,19 @@
 	hosts := k.view.Ready()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if slices.EqualFunc(hosts, k.ready, sameHost) {
+	if hosts == k.ready {
 		return k.ranked
 	}
 	k.ready = hosts
 	for s := range shard(shards) {
-		k.ranked[s], _ = s.owner(hosts)
+		k.ranked[s], _ = s.owner(hosts.All())
 	}
 	return k.ranked
 }
 
-func sameHost(a, b membership.Host) bool {
-	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.PeerAddress == b.PeerAddress
-}
-
 // runOf returns the incarnation of a host.
 func runOf(h membership.Host) hostRun {
-	return hostRun{id: h.ID, incarnation: h.Incarnation, ready: true}
+	return hostRun{id: h.ID, incarnation: h.Incarnation}
 }
 
 // Run tells owners what changes until ctx ends.
--- a/internal/limit/tenure.go
+++ b/internal/limit/tenure.go
@@ -32,8 +32,8 @@
 }
 
 // readyOf returns the hosts that take work.
-func readyOf(hosts []membership.Host) []membership.Host {
-	return slices.DeleteFunc(slices.Clone(hosts), func(h membership.Host) bool { return h.State != membership.Ready })
+func readyOf(hosts *membership.Snapshot) []membership.Host {
+	return slices.DeleteFunc(slices.Clone(hosts.All()), func(h membership.Host) bool { return h.State != membership.Ready })
 }
 
 // tenure is which shards this daemon owns, and since when.
--- a/internal/membership/addresses.go
+++ b/internal/membership/addresses.go
@@ -21,7 +21,7 @@
 // less load tend to come first, so that callers who all take the first spread
 // over the hosts. Overloaded hosts are left out unless there are no others.
 func (v *View) Addresses(zone string) []string {
-	hosts := withoutOverloaded(v.Ready())
+	hosts := withoutOverloaded(v.current(v.Ready()))
 	own := slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return h.Zone != zone })
 	others := slices.DeleteFunc(hosts, func(h Host) bool { return h.Zone == zone })
 	addresses := append(v.spread(own, maxOwnZone), v.spread(others, maxOtherZones)...)
--- a/internal/membership/hosts.go
+++ b/internal/membership/hosts.go
@@ -1,56 +1,87 @@
 package membership
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
 
-// Hosts returns the hosts that are not gone, the daemon itself included,
-// sorted by id.
-func (v *View) Hosts() []Host {
-	return v.filter(func(e *entry) bool { return !e.gone() }, true)
+// Hosts returns the hosts that are not gone, the daemon itself included.
+func (v *View) Hosts() *Snapshot {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.rebuild()
+	return v.known
 }
 
 // Ready returns the hosts that take work.
-func (v *View) Ready() []Host {
-	self := v.Self()
-	return v.filter(func(e *entry) bool {
-		return e.news.Status == Alive && e.news.Host.State == Ready && !e.listedLeaving
-	}, self.State == Ready)
+func (v *View) Ready() *Snapshot {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.rebuild()
+	return v.ready
 }
 
 // Unreached returns the hosts that are gone, which may come back.
-func (v *View) Unreached() []Host {
-	return v.filter((*entry).gone, false)
+func (v *View) Unreached() *Snapshot {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.rebuild()
+	return v.unreached
 }
 
-// filter returns the hosts to keep, sorted by id. It is called several times
-// a tick, so that the order is kept from one call to the next.
-func (v *View) filter(keep func(*entry) bool, withSelf bool) []Host {
+// Current returns the hosts that are not gone, sorted by id, with the load and
+// table version that they told last.
+func (v *View) Current() []Host { return v.current(v.Hosts()) }
+
+// current returns the hosts of a snapshot as they are known now.
+func (v *View) current(s *Snapshot) []Host {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.sorted == nil {
-		v.sorted = slices.SortedFunc(maps.Values(v.hosts), compareEntries)
+	hosts := slices.Clone(s.hosts)
+	for i, h := range hosts {
+		if h.ID == v.self.ID {
+			hosts[i] = v.self
+		} else if e := v.hosts[h.ID]; e != nil {
+			hosts[i] = e.news.Host
+		}
 	}
-	hosts := make([]Host, 0, len(v.sorted)+1)
-	for _, e := range v.sorted {
-		if withSelf && v.self.ID < e.news.Host.ID {
-			hosts = append(hosts, v.self)
-			withSelf = false
+	return hosts
+}
+
+// takeSnapshots brings the snapshots up to date. The caller holds the lock.
+func (v *View) takeSnapshots() {
+	known, ready, unreached := []Host{v.self}, []Host{}, []Host{}
+	if v.self.State == Ready {
+		ready = append(ready, v.self)
+	}
+	for _, e := range v.hosts {
+		h := e.news.Host
+		if e.gone() {
+			unreached = append(unreached, h)
+			continue
 		}
-		if keep(e) {
-			hosts = append(hosts, e.news.Host)
+		known = append(known, h)
+		if e.takesWork() {
+			ready = append(ready, h)
 		}
 	}
-	if withSelf {
-		hosts = append(hosts, v.self)
-	}
-	return hosts
+	v.known = v.known.replaced(known)
+	v.ready = v.ready.replaced(ready)
+	v.unreached = v.unreached.replaced(unreached)
 }
 
-func compareEntries(a, b *entry) int { return cmp.Compare(a.news.Host.ID, b.news.Host.ID) }
+func (e *entry) takesWork() bool {
+	return e.news.Status == Alive && e.news.Host.State == Ready && !e.listedLeaving
+}
+
+// replaced returns a snapshot of hosts: this one if it has the same.
+func (s *Snapshot) replaced(hosts []Host) *Snapshot {
+	next := NewSnapshot(hosts)
+	if slices.Equal(s.hosts, next.hosts) {
+		return s
+	}
+	return next
+}
 
 // missedFor is how long a host that did not leave by itself counts as missed.
 const missedFor = 10 * time.Minute
--- a/internal/membership/ring.go
+++ b/internal/membership/ring.go
@@ -32,7 +32,8 @@
 	return v.digest
 }
 
-// rebuild brings rings and digest up to date. The caller holds the lock.
+// rebuild brings rings, digest and snapshots up to date. The caller holds the
+// lock.
 func (v *View) rebuild() {
 	if !v.stale {
 		return
@@ -50,6 +51,7 @@
 		}
 	}
 	v.rings = successors(v.self.ID, others)
+	v.takeSnapshots()
 }
 
 func fingerprint(h Host) uint64 {
--- /dev/null
+++ b/internal/membership/snapshot.go
@@ -0,0 +1,152 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+)
+
+// maxSpreads bounds the answers of Spread that a snapshot keeps.
+const maxSpreads = 256
+
+// Snapshot is the hosts of one kind at one moment. A view hands out the same
+// pointer until one of these hosts comes, goes or changes its state, so that
+// what follows from the hosts is derived once. It is safe for concurrent use.
+type Snapshot struct {
+	// hosts are sorted by id and never change. Sequence, Load and TableVersion
+	// are zero: they change without a change of the hosts.
+	hosts []Host
+
+	mu      sync.Mutex
+	orders  map[orderKey]*Order
+	zones   map[string]*Snapshot
+	spreads map[string][]Host
+	// addresses has the peer addresses; nil until it is asked for.
+	addresses map[string]bool
+}
+
+// orderKey names an order of the hosts of a snapshot.
+type orderKey struct {
+	key     string
+	capable bool
+}
+
+// NewSnapshot returns a snapshot of some hosts.
+func NewSnapshot(hosts []Host) *Snapshot {
+	s := &Snapshot{hosts: make([]Host, 0, len(hosts))}
+	for _, h := range hosts {
+		s.hosts = append(s.hosts, h.lasting())
+	}
+	slices.SortFunc(s.hosts, func(a, b Host) int { return cmp.Compare(a.ID, b.ID) })
+	return s
+}
+
+// lasting returns the host without what changes all the time.
+func (h Host) lasting() Host {
+	h.Sequence, h.Load, h.TableVersion = 0, 0, 0
+	return h
+}
+
+// Len returns the number of hosts.
+func (s *Snapshot) Len() int { return len(s.hosts) }
+
+// All returns the hosts, sorted by id. The caller must not change them.
+func (s *Snapshot) All() []Host { return s.hosts }
+
+// Find returns the host of an id.
+func (s *Snapshot) Find(id HostID) (Host, bool) {
+	i, ok := slices.BinarySearchFunc(s.hosts, id, func(h Host, id HostID) int { return cmp.Compare(h.ID, id) })
+	if !ok {
+		return Host{}, false
+	}
+	return s.hosts[i], true
+}
+
+// HasPeer tells whether a host has a peer address.
+func (s *Snapshot) HasPeer(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.addresses == nil {
+		s.addresses = make(map[string]bool, len(s.hosts))
+		for _, h := range s.hosts {
+			s.addresses[h.PeerAddress] = true
+		}
+	}
+	return s.addresses[address]
+}
+
+// Order is hosts in the order of their rendezvous scores for a key.
+type Order struct {
+	// Hosts has the highest score first. It must not be changed.
+	Hosts     []Host
+	positions map[HostID]int
+}
+
+// Position returns how many hosts come before one.
+func (o *Order) Position(id HostID) (int, bool) {
+	n, ok := o.positions[id]
+	return n, ok
+}
+
+// Order returns the hosts in the order of a key.
+func (s *Snapshot) Order(key string) *Order { return s.order(orderKey{key: key}) }
+
+// CapableOrder returns the hosts in the order of a key, the capable ones first;
+// see CapableFirst.
+func (s *Snapshot) CapableOrder(key string) *Order { return s.order(orderKey{key: key, capable: true}) }
+
+func (s *Snapshot) order(k orderKey) *Order {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o := s.orders[k]; o != nil {
+		return o
+	}
+	o := &Order{Hosts: Rank(k.key, s.hosts), positions: make(map[HostID]int, len(s.hosts))}
+	if k.capable {
+		o.Hosts = CapableFirst(o.Hosts)
+	}
+	for i, h := range o.Hosts {
+		o.positions[h.ID] = i
+	}
+	if s.orders == nil {
+		s.orders = map[orderKey]*Order{}
+	}
+	s.orders[k] = o
+	return o
+}
+
+// Zone returns the hosts of an availability zone.
+func (s *Snapshot) Zone(zone string) *Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.zones == nil {
+		s.zones = map[string]*Snapshot{}
+		for _, h := range s.hosts {
+			if s.zones[h.Zone] == nil {
+				s.zones[h.Zone] = &Snapshot{}
+			}
+			s.zones[h.Zone].hosts = append(s.zones[h.Zone].hosts, h)
+		}
+	}
+	if one := s.zones[zone]; one != nil {
+		return one
+	}
+	return &Snapshot{}
+}
+
+// Spread returns at most n hosts for a key, as the function Spread does, and
+// keeps the answer: the same keys ask again and again. The result must not be
+// changed.
+func (s *Snapshot) Spread(key string, n int) []Host {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if chosen, ok := s.spreads[key]; ok && len(chosen) == min(n, len(s.hosts)) {
+		return chosen
+	}
+	if s.spreads == nil || len(s.spreads) >= maxSpreads {
+		s.spreads = map[string][]Host{}
+	}
+	chosen := Spread(key, s.hosts, n)
+	s.spreads[key] = chosen
+	return chosen
+}
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -21,33 +21,66 @@
 	}
 	e.news.Status = Suspect
 	e.since = v.clock.Now()
+	v.schedule(e)
 	v.Count("hosts.suspected")
 	v.changed(id, true)
 }
 
+// schedule has Sweep look at a host when its time is over. The caller holds the
+// lock.
+func (v *View) schedule(e *entry) {
+	at, ok := e.ends()
+	if ok && (v.sweepAt.IsZero() || at.Before(v.sweepAt)) {
+		v.sweepAt = at
+	}
+}
+
+// ends returns when a host that stays silent is gone or forgotten.
+func (e *entry) ends() (at time.Time, ok bool) {
+	switch e.news.Status {
+	case Suspect:
+		return e.since.Add(SuspicionTimeout), true
+	case Gone:
+		return e.since.Add(rememberGone), true
+	}
+	return time.Time{}, false
+}
+
 // Sweep finds the suspects that did not refute it in time, and forgets hosts
 // that have been gone for long.
 func (v *View) Sweep() {
-	var ended []Host
+	for _, h := range v.sweep() {
+		v.OnGone(h)
+	}
+}
+
+func (v *View) sweep() (ended []Host) {
 	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.clock.Now()
+	if v.sweepAt.IsZero() || now.Before(v.sweepAt) {
+		return nil
+	}
+	v.sweepAt = time.Time{}
 	for id, e := range v.hosts {
-		age := v.clock.Since(e.since)
+		at, ok := e.ends()
 		switch {
-		case e.news.Status == Suspect && age >= SuspicionTimeout:
+		case !ok:
+			continue
+		case now.Before(at):
+		case e.gone():
+			delete(v.hosts, id)
+			v.stale = true
+			continue
+		default:
 			e.news.Status = Gone
-			e.since = v.clock.Now()
+			e.since = now
 			v.changed(id, true)
 			ended = append(ended, e.news.Host)
-		case e.gone() && age >= rememberGone:
-			delete(v.hosts, id)
-			v.sorted = nil
-			v.stale = true
 		}
+		v.schedule(e)
 	}
-	v.mu.Unlock()
-	for _, h := range ended {
-		v.OnGone(h)
-	}
+	return ended
 }
 
 // Forgive gives every suspect its full time again. A daemon that was paused
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -33,12 +33,15 @@
 	leavingSince time.Time
 	hosts        map[HostID]*entry
 	changes      changes
-	// sorted has the entries of hosts by id; it is rebuilt when nil.
-	sorted []*entry
-	// rings and digest are rebuilt when stale is set.
+	// sweepAt is no later than when Sweep has something to do.
+	sweepAt time.Time
+	// rings, digest and the snapshots are rebuilt when stale is set.
 	stale  bool
 	rings  []Host
 	digest uint64
+	// known has the hosts that are not gone, ready those that take work, and
+	// unreached those that are gone.
+	known, ready, unreached *Snapshot
 }
 
 type entry struct {
@@ -64,6 +67,10 @@
 		Wake:    make(chan struct{}, 1),
 		changes: changes{},
 		stale:   true,
+
+		known:     &Snapshot{},
+		ready:     &Snapshot{},
+		unreached: &Snapshot{},
 	}
 }
 
@@ -203,8 +210,9 @@
 func (v *View) merge(n News) []Host {
 	e := v.hosts[n.Host.ID]
 	if e == nil {
-		v.hosts[n.Host.ID] = &entry{news: n, since: v.clock.Now()}
-		v.sorted = nil
+		e = &entry{news: n, since: v.clock.Now()}
+		v.hosts[n.Host.ID] = e
+		v.schedule(e)
 		v.changed(n.Host.ID, true)
 		return nil
 	}
@@ -219,6 +227,7 @@
 	}
 	if replaced || n.Status != old.news.Status {
 		e.since = v.clock.Now()
+		v.schedule(e)
 	}
 	v.changed(n.Host.ID, replaced || n.Status != old.news.Status || n.Host.State != old.news.Host.State)
 	if !old.gone() && (replaced || n.Status == Gone) {
@@ -243,5 +252,6 @@
 	defer v.mu.Unlock()
 	if e := v.hosts[id]; e != nil && !e.gone() {
 		e.listedLeaving = true
+		v.stale = true
 	}
 }
--- a/internal/operator/host.go
+++ b/internal/operator/host.go
@@ -24,7 +24,7 @@
 
 func (s *Server) hosts(c *echo.Context) error {
 	hosts := []Host{}
-	for _, h := range s.View.Hosts() {
+	for _, h := range s.View.Current() {
 		hosts = append(hosts, Host{
 			Host: string(h.ID), State: h.State.String(), Region: h.Region, Zone: h.Zone,
 			CallerAddress: h.CallerAddress, PeerAddress: h.PeerAddress,
--- a/internal/placement/link.go
+++ b/internal/placement/link.go
@@ -142,20 +142,26 @@
 // over.
 func (p *Placer) checkLinks() {
 	now := p.clock.Now()
-	waits := map[membership.HostID]bool{}
-	for _, w := range p.pending {
-		waits[w.host.ID] = true
-	}
 	for id, l := range p.links {
 		switch {
 		case l.batch > l.acked && now.Sub(l.unacked) >= ackTimeout:
 			p.replace(l)
-		case waits[id] && now.Sub(l.lastSent) >= keepAlive:
+		case now.Sub(l.lastSent) >= keepAlive && p.waitsFor(id):
 			p.sendOn(l, &peerv1.ReservationsRequest{})
 		}
 	}
 }
 
+// waitsFor tells whether anything is pending at a host.
+func (p *Placer) waitsFor(id membership.HostID) bool {
+	for _, w := range p.pending {
+		if w.host.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Placer) replace(l *hostLink) {
 	p.metrics.Inc("links.silent")
 	delete(p.links, l.host.ID)
--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -42,11 +42,15 @@
 	}
 }
 
-// Suspects returns the hosts that can't be reached at the moment.
+// Suspects returns the hosts that can't be reached at the moment, nil if there
+// are none.
 func (p *Placer) Suspects() map[membership.HostID]bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	suspects := map[membership.HostID]bool{}
+	if len(p.suspects) == 0 {
+		return nil
+	}
+	suspects := make(map[membership.HostID]bool, len(p.suspects))
 	for id := range p.suspects {
 		suspects[id] = true
 	}
@@ -58,12 +62,8 @@
 // there before, it would be unknown to the coordinator that works meanwhile.
 func (p *Placer) expireSuspicions() {
 	now := p.clock.Now()
-	hosts := map[membership.HostID]membership.Host{}
-	for _, h := range p.ranking.Hosts() {
-		hosts[h.ID] = h
-	}
 	for id, s := range p.suspects {
-		host, ok := hosts[id]
+		host, ok := p.ranking.Hosts().Find(id)
 		switch {
 		case !ok:
 			delete(p.suspects, id)
@@ -86,7 +86,7 @@
 	if p.decidesAlone() {
 		return self
 	}
-	if len(p.ranking.Hosts()) == 0 {
+	if p.ranking.Hosts().Len() == 0 {
 		p.ranking.Update(p.view.Ready())
 	}
 	for _, h := range p.ranking.Rank(id, region) {
@@ -169,7 +169,7 @@
 // before, as this daemon sees it. In a large fleet the daemons that have
 // nothing to report don't open links for it.
 func (p *Placer) newlyCoordinated() []cell.ID {
-	if p.decidesAlone() || len(p.ranking.Hosts()) > reportAllBelow {
+	if p.decidesAlone() || p.ranking.Hosts().Len() > reportAllBelow {
 		return nil
 	}
 	var ids []cell.ID
@@ -197,16 +197,13 @@
 // payOwed opens links to the hosts that a release could not be sent to. The
 // report with which a link begins settles it.
 func (p *Placer) payOwed() {
-	known := map[membership.HostID]bool{}
-	for _, h := range p.ranking.Hosts() {
-		known[h.ID] = true
-		if p.owed[h.ID] && !p.isSuspect(h.ID) {
-			p.link(h)
-			delete(p.owed, h.ID)
-		}
-	}
-	for id := range p.owed {
-		if !known[id] {
+	for id, owed := range p.owed {
+		host, known := p.ranking.Hosts().Find(id)
+		switch {
+		case !known || !owed:
+			delete(p.owed, id)
+		case !p.isSuspect(id):
+			p.link(host)
 			delete(p.owed, id)
 		}
 	}
@@ -227,7 +224,7 @@
 
 func (p *Placer) reachesOthers() bool {
 	self := p.view.Self()
-	return slices.ContainsFunc(p.ranking.Hosts(), func(h membership.Host) bool {
+	return slices.ContainsFunc(p.ranking.Hosts().All(), func(h membership.Host) bool {
 		return h.ID != self.ID && !p.isSuspect(h.ID)
 	})
 }
