Let few daemons read the store when many start

Cause: a daemon that knows nothing read the store whatever others did, until the operators' first document was there as well; only ready hosts stood in the order of readers, and none is ready at a start. Each daemon also wrote a row.

Change: the order of readers is over all hosts that are alive and stay. A new daemon waits up to 300 ms to hear of another one or for its answer; seeds are asked each 100 ms, with a timeout of 150 ms, so that one that starts a moment later is found. 16 hosts are listed in the store instead of all.

--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -29,8 +29,9 @@
 	// endpointsWait is how long the store holds back an answer without news.
 	endpointsWait = 400 * time.Millisecond
 	// idlePause is how often a daemon that does not read looks whether it
-	// should.
-	idlePause = 100 * time.Millisecond
+	// should, startPause the same for one that knows nothing yet.
+	idlePause  = 100 * time.Millisecond
+	startPause = 20 * time.Millisecond
 	// firstRetry and maxRetry bound the pause after a failed read.
 	firstRetry = 150 * time.Millisecond
 	maxRetry   = 1200 * time.Millisecond
@@ -124,10 +125,9 @@
 // follow keeps up with one feed while the daemon is on duty.
 func (r *Reader) follow(ctx context.Context, t *topic) {
 	for ctx.Err() == nil {
-		known := r.Holder.Summary()
-		if known.Config > 0 && known.Position > 0 && !r.OnDuty() {
+		if !r.OnDuty() {
 			t.synced, t.forgotten, t.fails = false, false, 0
-			r.sleep(ctx, idlePause)
+			r.sleep(ctx, r.idlePause())
 			continue
 		}
 		if err := r.read(ctx, t); err != nil {
@@ -143,6 +143,13 @@
 	}
 }
 
+func (r *Reader) idlePause() time.Duration {
+	if known := r.Holder.Summary(); known.Config == 0 || known.Position == 0 {
+		return startPause
+	}
+	return idlePause
+}
+
 // read asks once for what is new.
 func (r *Reader) read(ctx context.Context, t *topic) error {
 	t.takeUp()
--- a/internal/factsync/sim_test.go
+++ b/internal/factsync/sim_test.go
@@ -233,7 +233,7 @@
 	id := membership.HostID(fmt.Sprintf(hostName, i))
 	d := &simDaemon{site: s, id: id, steady: time.Now()}
 	d.view = membership.NewView(clock, membership.Host{
-		ID: id, Incarnation: uint64(time.Now().UnixNano()), State: membership.Ready, PeerAddress: strconv.Itoa(i),
+		ID: id, Incarnation: uint64(time.Now().UnixNano()), State: membership.Starting, PeerAddress: strconv.Itoa(i),
 	})
 	storeTime := storetime.NewClock(s.clock)
 	d.holder = facts.NewHolder(storeTime, func([]byte) (*catalog.Catalog, error) {
@@ -241,11 +241,12 @@
 		c.Index()
 		return c, nil
 	})
+	d.holder.OnChange = d.adopt
 	d.sync = &Syncer{
 		Clock: clock, Boot: s.clock, Store: storeTime, Holder: d.holder,
 		Logger: slog.New(slog.DiscardHandler), Metrics: metric.NewRegistry(),
-		Self: d.view.Self, Hosts: d.view.Hosts, Ready: d.view.Ready,
-		Send: d.send, Ask: d.ask, Pick: s.pick,
+		Self: d.view.Self, Hosts: d.view.Hosts, Staying: d.view.Staying,
+		Send: d.send, Ask: d.ask, Pick: s.pick, Expected: func() bool { return true },
 		DocumentRate: documentPart * s.link(id),
 	}
 	d.sync.Start()
@@ -261,6 +262,18 @@
 	return d
 }
 
+// adopt makes the daemon ready once it has facts.
+func (d *simDaemon) adopt() {
+	if sum := d.holder.Summary(); sum.Config == 0 || sum.Position == 0 {
+		return
+	}
+	d.view.UpdateSelf(func(h *membership.Host) {
+		if h.State == membership.Starting {
+			h.State = membership.Ready
+		}
+	})
+}
+
 func (s *simSite) newReader(d *simDaemon) *facts.Reader {
 	return &facts.Reader{
 		Clock: d.sync.Clock, Boot: s.clock, Store: d.sync.Store, Holder: d.holder,
--- a/internal/factsync/simstore_test.go
+++ b/internal/factsync/simstore_test.go
@@ -20,6 +20,8 @@
 	rows  []platform.FeedRow
 	// news is closed and replaced with each change.
 	news chan struct{}
+	// calls counts the calls that have come.
+	calls int
 }
 
 // put writes a row; an empty value removes it. It returns the version.
@@ -52,6 +54,7 @@
 func (s *simStore) snapshot(prefix string) platform.Rows {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	newest := map[string]uint64{}
 	for _, row := range s.rows {
 		newest[row.Key] = row.Version
@@ -72,6 +75,12 @@
 	return s.answer(func(r platform.FeedRow) bool { return strings.HasPrefix(r.Key, prefix) && r.Version > since }), s.news, nil
 }
 
+func (s *simStore) count() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+}
+
 func (s *simStore) feed(d *simDaemon, prefix string) facts.Feed {
 	return facts.Feed{
 		Snapshot: func(ctx context.Context) (platform.Rows, error) {
@@ -82,6 +91,7 @@
 		},
 		Changes: func(ctx context.Context, since uint64, wait time.Duration) (platform.Rows, error) {
 			timeout := time.After(wait)
+			s.count()
 			for {
 				if err := d.pass(ctx, storeDelay); err != nil {
 					return platform.Rows{}, platform.ErrUnavailable
@@ -102,3 +112,9 @@
 		},
 	}
 }
+
+func (s *simStore) called() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
--- a/internal/factsync/syncer.go
+++ b/internal/factsync/syncer.go
@@ -39,6 +39,9 @@
 	// outagePause is the time between two rounds of questions while nobody
 	// seems to know more, or none has been told anything yet.
 	outagePause = 500 * time.Millisecond
+	// meetTime is how long a new daemon waits to hear of another one, or for its
+	// answer, before it reads the store by itself.
+	meetTime = 300 * time.Millisecond
 	// questionsAtOnce bounds the questions under way, so that one host that is
 	// silent does not hold up the answer of another.
 	questionsAtOnce = 2
@@ -53,16 +56,19 @@
 	Holder  *facts.Holder
 	Logger  *slog.Logger
 	Metrics *metric.Registry
-	// Self returns this host, Hosts all that are known, Ready those that take
-	// requests.
-	Self         func() membership.Host
-	Hosts, Ready func() *membership.Snapshot
+	// Self returns this host, Hosts all that are known, Staying those of them
+	// that are alive and not on their way out.
+	Self           func() membership.Host
+	Hosts, Staying func() *membership.Snapshot
 	// Send sends a beacon to the hosts of peer addresses.
 	Send func(addresses []string, b *peerv1.Beacon) error
 	// Ask asks the daemon at a peer address for its facts.
 	Ask func(ctx context.Context, address string, req *peerv1.FactsRequest) (*peerv1.FactsResponse, error)
 	// Pick returns a random number below n.
 	Pick func(n int) int
+	// Expected tells whether other hosts are expected to be there, though none
+	// is known yet.
+	Expected func() bool
 	// DocumentRate is how many bytes a second of configurations this host sends
 	// to others; zero is no limit.
 	DocumentRate float64
@@ -110,14 +116,18 @@
 
 // OnDuty tells whether this daemon is to read the store.
 func (s *Syncer) OnDuty() bool {
-	if age, known := s.age(); known && age > readAfter {
+	age, known := s.age()
+	if known && age > readAfter {
 		return true
 	}
 	self := s.Self()
 	if self.State == membership.Leaving {
 		return false
 	}
-	order := s.Ready().CapableOrder(readerKey)
+	if !known && s.meeting() {
+		return false
+	}
+	order := s.Staying().CapableOrder(readerKey)
 	rank, ok := order.Position(self.ID)
 	if !ok {
 		rank = len(order.Hosts)
@@ -127,6 +137,19 @@
 	return facts.Duty(rank, s.heardAhead(order, rank, now), now-s.started)
 }
 
+// meeting tells whether this daemon is new and may soon hear of others, or
+// learn what it has asked one for. All daemons that start at once would read
+// the store otherwise.
+func (s *Syncer) meeting() bool {
+	if s.Boot.Now()-s.started >= meetTime {
+		return false
+	}
+	s.mu.Lock()
+	asking := len(s.sources.asking) > 0
+	s.mu.Unlock()
+	return asking || s.Hosts().Len() == 1 && s.Expected()
+}
+
 // heardAhead returns how long ago the first hosts in an order were heard to
 // have read, as far as they were, and forgets what is of no use any more.
 func (s *Syncer) heardAhead(order *membership.Order, rank int, now time.Duration) (ago []time.Duration) {
--- a/internal/gateway/fleet_bench_test.go
+++ b/internal/gateway/fleet_bench_test.go
@@ -71,7 +71,7 @@
 }
 
 func fleetReaders(g *Gateway) (readers []membership.HostID) {
-	for _, h := range g.view.Ready().CapableOrder("reader").Hosts[:facts.Readers] {
+	for _, h := range g.view.Staying().CapableOrder("reader").Hosts[:facts.Readers] {
 		readers = append(readers, h.ID)
 	}
 	return readers
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,8 @@
 	listedMu sync.Mutex
 	// listed has the peer addresses that the store listed.
 	listed []string
+	// listedSelf says that the store lists this daemon.
+	listedSelf atomic.Bool
 
 	budgetMu sync.Mutex
 	budgets  map[table.Pool]*retrybudget.Budget
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -46,10 +46,11 @@
 		Metrics:      g.metrics,
 		Self:         g.view.Self,
 		Hosts:        g.view.Hosts,
-		Ready:        g.view.Ready,
+		Staying:      g.view.Staying,
 		Send:         func(addresses []string, b *peerv1.Beacon) error { return g.beacons.Send(addresses, b) },
 		Ask:          g.askFacts,
 		Pick:         rand.IntN,
+		Expected:     g.expectsHosts,
 		DocumentRate: documentRate(g.conf().Gateway.Machine),
 	}
 	g.sync.Start()
--- a/internal/gateway/leave.go
+++ b/internal/gateway/leave.go
@@ -78,6 +78,9 @@
 // unregister takes this daemon off the list in the store, as far as the store
 // can be reached at once.
 func (g *Gateway) unregister(ctx context.Context) {
+	if !g.listedSelf.Swap(false) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout/2)
 	defer cancel()
 	if err := g.store.RemoveRow(ctx, wire.TableHosts, string(g.view.Self().ID)); err != nil {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/beechhead/beechhead/internal/forward"
@@ -16,11 +17,16 @@
 	wire "github.com/beechhead/beechhead/platform"
 )
 
-// registerTimeout bounds a call to the store about the list of daemons, and
-// registerPause is the time between two tries.
 const (
+	// registerTimeout bounds a call to the store about the list of daemons, and
+	// registerPause is the time between two looks at what is to be listed.
 	registerTimeout = time.Second
 	registerPause   = 2 * time.Second
+	// registerKey ranks the hosts for the list.
+	registerKey = "listed"
+	// registered is how many hosts the list has that live. A newcomer needs one
+	// of them, when the hosts are gone that its settings name.
+	registered = 16
 )
 
 // buildPeers prepares the calls to other daemons.
@@ -61,19 +67,24 @@
 	return append(g.listed[:len(g.listed):len(g.listed)], g.conf().Peers...)
 }
 
-// register lists this daemon in the store, so that a newcomer finds it when
-// the hosts are gone that the newcomer's settings name; and reads the list
-// while this daemon itself knows no other.
+// expectsHosts tells whether the settings name another host.
+func (g *Gateway) expectsHosts() bool {
+	self := g.view.Self().PeerAddress
+	return slices.ContainsFunc(g.conf().Peers, func(address string) bool { return address != self })
+}
+
+// register lists this daemon in the store if it is one of those that stand for
+// all, so that a newcomer finds it when the hosts are gone that the newcomer's
+// settings name; and reads the list while this daemon itself knows no other.
 func (g *Gateway) register(ctx context.Context) {
-	written := false
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return
 		case <-g.clock.After(registerPause):
 		}
-		if !written {
-			written = g.writeSelf(ctx)
+		if !g.leaving() && !g.listedSelf.Load() && g.standsForAll() {
+			g.listedSelf.Store(g.writeSelf(ctx))
 		}
 		if g.view.Hosts().Len() < 2 {
 			g.readListed(ctx)
@@ -81,6 +92,12 @@
 	}
 }
 
+// standsForAll tells whether this host is one of those to be listed.
+func (g *Gateway) standsForAll() bool {
+	position, ok := g.view.Hosts().Order(registerKey).Position(g.view.Self().ID)
+	return ok && position < registered
+}
+
 func (g *Gateway) writeSelf(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
--- a/internal/heartbeat/exchanger.go
+++ b/internal/heartbeat/exchanger.go
@@ -27,8 +27,13 @@
 	// lookInterval is the time between two tries to reach a host that is
 	// gone, or listed by the platform and unknown.
 	lookInterval = 2 * time.Second
-	// seedsAtOnce is how many seeds a daemon asks that knows nobody.
+	// seedsAtOnce is how many seeds a daemon asks that knows nobody, again and
+	// again with the pause seedPause.
 	seedsAtOnce = 3
+	seedPause   = 100 * time.Millisecond
+	// seedTimeout bounds a heartbeat to a host that is not known to be there:
+	// one that starts a moment later is found by the next.
+	seedTimeout = 150 * time.Millisecond
 	// maxChanges bounds the news in one message.
 	maxChanges = 8
 	// maxDiffering is how many heartbeats running two partners may know
@@ -80,12 +85,12 @@
 			x.View.SetLoad(x.Load())
 		}
 		partners := x.View.Partners()
-		pause := Interval
+		pause := seedPause
 		if len(partners) == 0 {
 			x.look(ctx, seedsAtOnce)
 		} else {
 			go x.Beat(ctx, partners[turn%len(partners)])
-			pause /= time.Duration(len(partners))
+			pause = Interval / time.Duration(len(partners))
 		}
 		select {
 		case <-ctx.Done():
@@ -158,7 +163,7 @@
 		return
 	}
 	defer x.end(address)
-	if _, err := x.exchange(ctx, address, true); err != nil {
+	if _, err := x.exchange(ctx, address, seedTimeout, true); err != nil {
 		x.Replace(address)
 	}
 }
@@ -175,11 +180,11 @@
 	}
 	defer x.end(h.PeerAddress)
 	full := x.differs(h.ID) >= maxDiffering
-	resp, err := x.exchange(ctx, h.PeerAddress, full)
+	resp, err := x.exchange(ctx, h.PeerAddress, Timeout, full)
 	if err != nil && ctx.Err() == nil {
 		x.Count("heartbeat.failed")
 		x.Replace(h.PeerAddress)
-		if resp, err = x.exchange(ctx, h.PeerAddress, full); err == nil {
+		if resp, err = x.exchange(ctx, h.PeerAddress, Timeout, full); err == nil {
 			x.Count("heartbeat.connectionReplaced")
 		}
 	}
@@ -193,8 +198,8 @@
 }
 
 // exchange sends one heartbeat and takes in the answer.
-func (x *Exchanger) exchange(ctx context.Context, address string, full bool) (*peerv1.HeartbeatResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, Timeout)
+func (x *Exchanger) exchange(ctx context.Context, address string, timeout time.Duration, full bool) (*peerv1.HeartbeatResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req := &peerv1.HeartbeatRequest{
 		Self:       toInfo(x.View.SelfNews()),
--- a/internal/membership/hosts.go
+++ b/internal/membership/hosts.go
@@ -21,6 +21,15 @@
 	return v.ready
 }
 
+// Staying returns the hosts that are alive and not on their way out: those that
+// take work and those that will.
+func (v *View) Staying() *Snapshot {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.rebuild()
+	return v.staying
+}
+
 // Unreached returns the hosts that are gone, which may come back.
 func (v *View) Unreached() *Snapshot {
 	v.mu.Lock()
@@ -50,10 +59,13 @@
 
 // takeSnapshots brings the snapshots up to date. The caller holds the lock.
 func (v *View) takeSnapshots() {
-	known, ready, unreached := []Host{v.self}, []Host{}, []Host{}
+	known, staying, ready, unreached := []Host{v.self}, []Host{}, []Host{}, []Host{}
 	if v.self.State == Ready {
 		ready = append(ready, v.self)
 	}
+	if v.self.State != Leaving {
+		staying = append(staying, v.self)
+	}
 	for _, e := range v.hosts {
 		h := e.news.Host
 		if e.gone() {
@@ -61,17 +73,21 @@
 			continue
 		}
 		known = append(known, h)
-		if e.takesWork() {
+		if e.stays() {
+			staying = append(staying, h)
+		}
+		if e.stays() && h.State == Ready {
 			ready = append(ready, h)
 		}
 	}
 	v.known = v.known.replaced(known)
+	v.staying = v.staying.replaced(staying)
 	v.ready = v.ready.replaced(ready)
 	v.unreached = v.unreached.replaced(unreached)
 }
 
-func (e *entry) takesWork() bool {
-	return e.news.Status == Alive && e.news.Host.State == Ready && !e.listedLeaving
+func (e *entry) stays() bool {
+	return e.news.Status == Alive && e.news.Host.State != Leaving && !e.listedLeaving
 }
 
 // replaced returns a snapshot of hosts: this one if it has the same.
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -39,9 +39,10 @@
 	stale  bool
 	rings  []Host
 	digest uint64
-	// known has the hosts that are not gone, ready those that take work, and
-	// unreached those that are gone.
-	known, ready, unreached *Snapshot
+	// known has the hosts that are not gone, staying those that are alive and
+	// not on their way out, ready those that take work, and unreached those that
+	// are gone.
+	known, staying, ready, unreached *Snapshot
 }
 
 type entry struct {
@@ -69,6 +70,7 @@
 		stale:   true,
 
 		known:     &Snapshot{},
+		staying:   &Snapshot{},
 		ready:     &Snapshot{},
 		unreached: &Snapshot{},
 	}
