Send acknowledgements with the next answer

Each batch of an entry daemon was answered by a message of its own that said only that it had come, two or more for each request beside the grant. The first acknowledgement of a stream still goes at once, since a host gets nothing until it has come; others travel with the next answer or after 100 ms, far below the 500 ms after which a link counts as silent.

--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -51,6 +51,8 @@
 	suspects map[membership.HostID]bool
 	// sessions has the newest session of each incarnation of an entry daemon.
 	sessions map[sessionKey]*Session
+	// owing has the sessions with a batch to acknowledge.
+	owing []*Session
 	// dirty has the cells with decisions still to be taken.
 	dirty     map[ID]bool
 	published time.Time
@@ -172,6 +174,7 @@
 	}
 	out := c.step()
 	c.publish(out)
+	c.acknowledge(out)
 	c.mu.Unlock()
 	out.deliver()
 }
@@ -257,7 +260,9 @@
 func (d delivery) to(s *Session) *peerv1.ReservationsResponse {
 	resp := d[s]
 	if resp == nil {
-		resp = &peerv1.ReservationsResponse{}
+		resp = &peerv1.ReservationsResponse{Acked: s.unacked}
+		s.begun = s.begun || s.unacked > 0
+		s.unacked = 0
 		d[s] = resp
 	}
 	return resp
--- a/internal/cell/session.go
+++ b/internal/cell/session.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
@@ -22,8 +23,19 @@
 	forgotten bool
 	// heard is when the last batch came.
 	heard time.Time
+	// begun says that a batch was acknowledged.
+	begun bool
+	// unacked is the last batch if it is still to be acknowledged, since the
+	// time unackedSince; owing says that the coordinator's list has the session.
+	unacked      uint64
+	unackedSince time.Time
+	owing        bool
 }
 
+// ackDelay is how long an acknowledgement may wait for an answer that it can
+// travel with. It is far below the time after which a link counts as silent.
+const ackDelay = 100 * time.Millisecond
+
 // Attach opens a session. The function send must not block.
 func (c *Coordinator) Attach(hello *peerv1.Hello, send func(*peerv1.ReservationsResponse)) *Session {
 	s := &Session{
@@ -70,9 +82,11 @@
 	if !reset {
 		s.take(req)
 	}
+	s.received(req.GetBatch())
 	out := c.step()
-	if req.GetBatch() > 0 {
-		out.to(s).Acked = req.GetBatch()
+	if !s.begun && s.unacked > 0 {
+		// The first acknowledgement tells that the coordinator is there.
+		out.to(s)
 	}
 	if reset {
 		// What the batch says comes again with the report. Taken now, it would
@@ -83,6 +97,34 @@
 	out.deliver()
 }
 
+// received notes a batch that is to be acknowledged.
+func (s *Session) received(batch uint64) {
+	if batch == 0 {
+		return
+	}
+	if s.unacked == 0 {
+		s.unackedSince = s.heard
+	}
+	s.unacked = batch
+	if !s.owing {
+		s.owing = true
+		s.c.owing = append(s.c.owing, s)
+	}
+}
+
+// acknowledge sends the acknowledgements that have found no answer to travel
+// with. The caller holds the lock.
+func (c *Coordinator) acknowledge(out delivery) {
+	now := c.clock.Now()
+	c.owing = slices.DeleteFunc(c.owing, func(s *Session) bool {
+		if s.unacked > 0 && now.Sub(s.unackedSince) >= ackDelay && c.sessions[s.key] == s {
+			out.to(s)
+		}
+		s.owing = s.unacked > 0 && c.sessions[s.key] == s
+		return !s.owing
+	})
+}
+
 // take gives a batch to the cells. A batch may be merged from several, so a
 // reserve and its cancel can stand in one: cancels and releases come last.
 func (s *Session) take(req *peerv1.ReservationsRequest) {
