Eject only endpoints that fail more than others

What callers saw: while all endpoints of a pool fail part of their requests, all but one or two are out, and a request that one of these has failed waits for a place elsewhere until its deadline instead of getting an answer.

Cause: three failures in a row took an endpoint out, whatever the others did; at 45% failures that comes within half a second on each of them.

Change: an endpoint is out only if it fails more than the others do.

--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -17,8 +17,22 @@
 )
 
 const (
-	// failuresToEject is how many failures in a row eject an endpoint.
+	// failuresToEject is how many failures in a row eject an endpoint, and
+	// failedToEject the share of its requests that it failed lately.
 	failuresToEject = 3
+	failedToEject   = 0.25
+	// failedWeight is the weight of a new outcome in the share that failed.
+	failedWeight = 1.0 / 16
+	// outcomesToCompare is how many outcomes an endpoint must have for others
+	// to be compared with it.
+	outcomesToCompare = 16
+	// wellShare is the part of the endpoints, as a divisor, that is taken to
+	// show what a well one fails.
+	wellShare = 8
+	// An endpoint fails more than the others do if its share is failedFactor
+	// times theirs and failedSlack more.
+	failedFactor = 2
+	failedSlack  = 0.2
 	// samplesToEject is how many measurements a straggler is judged by.
 	samplesToEject = 3
 	// slowFactor is by how much a straggler exceeds the pool's median.
@@ -46,8 +60,11 @@
 	// pace is token by what the engine had to do meanwhile, by which
 	// stragglers are judged; see batching.Pool.Pace.
 	pace stat.Mean
-	// failures counts those in a row.
+	// failures counts those in a row, failed is the share of the requests that
+	// failed lately, and outcomes counts what it was taken from.
 	failures int
+	failed   float64
+	outcomes int
 	reason   EjectReason
 	// until is when an ejected endpoint may be probed.
 	until   time.Duration
@@ -128,21 +145,54 @@
 		return
 	}
 	h.failures++
+	h.outcome(1)
 	probing := h.reason != ""
-	if !probing && h.failures < failuresToEject {
+	switch {
+	case probing && !c.failsMost(h):
+		h.readmit()
 		return
-	}
-	if !probing && c.out("")+1 >= len(c.list) {
+	case probing:
+	case h.failures < failuresToEject && !h.failsOften():
+		return
+	case c.out("")+1 >= len(c.list) || !c.failsMost(h):
 		return
 	}
 	h.eject(EjectedFailed, now)
 	c.figures.ejections++
 }
 
+// outcome takes in one more outcome: 1 is a failure, 0 none.
+func (h *health) outcome(failed float64) {
+	h.outcomes++
+	h.failed += failedWeight * (failed - h.failed)
+}
+
+func (h *health) failsOften() bool {
+	return h.outcomes >= outcomesToCompare && h.failed > failedToEject
+}
+
+// failsMost tells whether an endpoint fails more of its requests than others
+// do. While all fail alike, to shut some only leaves the others with more.
+func (c *Cell) failsMost(h *health) bool {
+	c.scratch = c.scratch[:0]
+	for _, e := range c.list {
+		if e.health.outcomes >= outcomesToCompare && !e.policy.Draining {
+			c.scratch = append(c.scratch, e.health.failed)
+		}
+	}
+	if len(c.scratch) == 0 {
+		return true
+	}
+	slices.Sort(c.scratch)
+	well := c.scratch[(len(c.scratch)-1)/wellShare]
+	return h.failed > failedFactor*well+failedSlack
+}
+
 // succeeded takes in that an endpoint worked.
 func (c *Cell) succeeded(e *endpointState, now time.Duration) {
 	h := &e.health
 	h.failures = 0
+	h.outcome(0)
 	if h.reason == EjectedFailed && now >= h.until {
 		h.readmit()
 	}
