End a takeover's wait when no more reports come

Cause: cells were made when the hosts changed, not when the table did. Since hosts are ready sooner, endpoints register after the last of such changes, and the first request made the cell, which then waited for reports of hosts that have nothing to report: in a fleet of more than 32 hosts always the full time, at each change of a coordinator.

Change: cells are made when the table changes as well, and the wait ends when no report has come for 100 ms. Hosts notice a change within a tick of each other.

Tests: a pool that comes later; a takeover with one report (granted after 525 ms before); a takeover during which reports keep coming.

--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -19,6 +19,9 @@
 	// recoveryWait bounds how long a new coordinator waits for the reports
 	// of the hosts that it knows before it grants.
 	recoveryWait = 500 * time.Millisecond
+	// reportPause is how long no report must have come for the wait to end
+	// sooner: hosts that hold nothing don't report in a large fleet.
+	reportPause = 100 * time.Millisecond
 	// pressureInterval is the time between two publications of the cells'
 	// pressure to the entry daemons.
 	pressureInterval = 500 * time.Millisecond
@@ -39,7 +42,9 @@
 	mu    sync.Mutex
 	table *table.Table
 	plan  *Plan
-	cells map[ID]*coordinated
+	// unprepared says that the plan has changed since cells were prepared.
+	unprepared bool
+	cells      map[ID]*coordinated
 	// draining has the endpoints that get no new grants.
 	draining map[table.EndpointName]bool
 	// share divides the endpoints' concurrency while this daemon decides
@@ -66,6 +71,8 @@
 	*schedule.Cell
 	// until is when the cell grants at the latest; zero once it does.
 	until time.Time
+	// heard is when the last report of what is held came, or the cell was made.
+	heard time.Time
 	// reported has the hosts whose holdings are known.
 	reported map[schedule.Host]bool
 }
@@ -98,6 +105,7 @@
 	c.mu.Lock()
 	c.table = t
 	c.plan = NewPlan(t, c.size)
+	c.unprepared = true
 	out := c.reconfigure()
 	c.mu.Unlock()
 	out.deliver()
@@ -168,7 +176,7 @@
 		c.mu.Unlock()
 		return
 	}
-	c.prepare(c.ranking.Update(hosts))
+	c.prepare(c.ranking.Update(hosts) || c.unprepared)
 	for id := range c.cells {
 		c.dirty[id] = true
 	}
@@ -192,6 +200,7 @@
 	if !changed {
 		return
 	}
+	c.unprepared = false
 	for _, id := range c.plan.All() {
 		if c.coordinates(id) {
 			c.cell(id)
@@ -214,6 +223,7 @@
 	cell := &coordinated{
 		Cell:     schedule.NewCell(c.clock),
 		until:    c.clock.Now().Add(recoveryWait),
+		heard:    c.clock.Now(),
 		reported: map[schedule.Host]bool{},
 	}
 	if c.discipline != schedule.ByTier {
@@ -231,7 +241,8 @@
 	if cell.until.IsZero() {
 		return false
 	}
-	if c.clock.Now().Before(cell.until) && !c.allReported(cell) {
+	now := c.clock.Now()
+	if now.Before(cell.until) && now.Sub(cell.heard) < reportPause && !c.allReported(cell) {
 		return true
 	}
 	cell.until = time.Time{}
--- /dev/null
+++ b/internal/cell/recovery_test.go
@@ -0,0 +1,127 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/beechhead/beechhead/internal/membership"
+	"github.com/beechhead/beechhead/internal/peer/peerv1"
+	"github.com/beechhead/beechhead/internal/settings"
+	"github.com/beechhead/beechhead/pkg/table"
+)
+
+const (
+	takeoverHosts = 60
+	takeoverTick  = 25 * time.Millisecond
+)
+
+// takeover is a coordinator of a fleet whose hosts don't all report.
+type takeover struct {
+	*Coordinator
+	clock *clockwork.FakeClock
+	hosts *membership.Snapshot
+	// granted has when each request got its place, by its sequence.
+	granted map[uint64]time.Duration
+	began   time.Time
+}
+
+func newTakeover() *takeover {
+	clock := clockwork.NewFakeClock()
+	c := &takeover{
+		Coordinator: NewCoordinator(clock, "host-00", DefaultSize, settings.PolicyCells),
+		clock:       clock, granted: map[uint64]time.Duration{}, began: clock.Now(),
+	}
+	// The coordinator is the only capable host, so that it has every cell.
+	hosts := []membership.Host{{ID: "host-00", Incarnation: 1, State: membership.Ready, Region: "r", Capacity: 100}}
+	for i := 1; i < takeoverHosts; i++ {
+		hosts = append(hosts, membership.Host{ID: membership.HostID(fmt.Sprintf("host-%02d", i)), Incarnation: 1, State: membership.Ready, Region: "r", Capacity: 1})
+	}
+	c.hosts = membership.NewSnapshot(hosts)
+	return c
+}
+
+func takeoverTable(pools ...table.Pool) *table.Table {
+	tbl := &table.Table{Classes: []table.Class{{Name: "c", Weight: 1, Pools: pools}}}
+	for _, pool := range pools {
+		tbl.Endpoints = append(tbl.Endpoints, table.Endpoint{Name: table.EndpointName("e-" + pool), Kind: table.KindService, Pool: pool, Region: "r", Concurrency: 4})
+	}
+	tbl.BuildIndex()
+	return tbl
+}
+
+func (c *takeover) run(d time.Duration) {
+	for range d / takeoverTick {
+		c.clock.Advance(takeoverTick)
+		c.Tick(c.hosts, nil)
+	}
+}
+
+func (c *takeover) attach(host string) *Session {
+	return c.Attach(&peerv1.Hello{Host: host, Incarnation: 1}, func(r *peerv1.ReservationsResponse) {
+		for _, g := range r.GetGrants() {
+			c.granted[g.GetSequence()] = c.clock.Since(c.began)
+		}
+	})
+}
+
+func (c *takeover) reserve(host string, sequence uint64, pool table.Pool) {
+	c.attach(host).Handle(&peerv1.ReservationsRequest{Batch: 1, HoldingsComplete: true, Reserves: []*peerv1.Reserve{
+		{Sequence: sequence, Cell: fmt.Sprintf("%s@r/0", pool), Class: "c"},
+	}})
+}
+
+func (c *takeover) report(host string, sequence uint64, pool table.Pool) {
+	c.attach(host).Handle(&peerv1.ReservationsRequest{Batch: 1, HoldingsComplete: true, Holdings: []*peerv1.Holding{
+		{Sequence: sequence, Cell: fmt.Sprintf("%s@r/0", pool), Class: "c", Endpoint: string("e-" + pool)},
+	}})
+}
+
+// Guards against the first requests of a pool waiting for reports that nobody
+// has: its endpoints registered after the hosts were known.
+func TestPoolThatComesLaterIsServedAtOnce(t *testing.T) {
+	c := newTakeover()
+	c.Configure(takeoverTable("early"))
+	c.run(time.Second)
+	c.Configure(takeoverTable("early", "late"))
+	c.run(time.Second)
+	asked := c.clock.Since(c.began)
+	c.reserve("host-07", 1, "late")
+	if at, ok := c.granted[1]; !ok || at > asked {
+		t.Errorf("asked at %v, granted at %v (%v)", asked, at, ok)
+	}
+}
+
+// Guards against a takeover in a large fleet that waits for the reports of
+// hosts which have nothing to report.
+func TestTakeoverEndsWithTheReports(t *testing.T) {
+	c := newTakeover()
+	c.Configure(takeoverTable("pool"))
+	c.run(takeoverTick)
+	c.report("host-03", 3, "pool")
+	c.reserve("host-07", 7, "pool")
+	c.run(recoveryWait)
+	if at, ok := c.granted[7]; !ok || at > recoveryWait/2 {
+		t.Errorf("granted at %v (%v), the last report came at %v", at, ok, takeoverTick)
+	}
+}
+
+// Guards against a coordinator that grants while reports still come, and gives
+// places that are taken.
+func TestTakeoverWaitsWhileReportsCome(t *testing.T) {
+	c := newTakeover()
+	c.Configure(takeoverTable("pool"))
+	c.run(takeoverTick)
+	c.reserve("host-07", 7, "pool")
+	for i := range 3 {
+		c.run(3 * takeoverTick)
+		c.report(fmt.Sprintf("host-%02d", 10+i), uint64(10+i), "pool")
+	}
+	last := c.clock.Since(c.began)
+	c.run(recoveryWait)
+	if at := c.granted[7]; at < last {
+		t.Errorf("granted at %v, a report came at %v", at, last)
+	}
+}
--- a/internal/cell/session.go
+++ b/internal/cell/session.go
@@ -130,7 +130,9 @@
 func (s *Session) take(req *peerv1.ReservationsRequest) {
 	c := s.c
 	for _, h := range req.GetHoldings() {
-		c.cell(ID(h.GetCell())).Hold(s.holding(h))
+		cell := c.cell(ID(h.GetCell()))
+		cell.heard = s.heard
+		cell.Hold(s.holding(h))
 	}
 	for _, r := range req.GetReserves() {
 		c.cell(ID(r.GetCell())).Reserve(s.request(r))
@@ -145,7 +147,9 @@
 		s.release(r)
 	}
 	for _, id := range req.GetReported() {
-		c.cell(ID(id)).reported[s.key.host] = true
+		cell := c.cell(ID(id))
+		cell.heard = s.heard
+		cell.reported[s.key.host] = true
 	}
 	if req.GetHoldingsComplete() {
 		s.reconcile(req)
--- a/internal/replay/player.go
+++ b/internal/replay/player.go
@@ -314,7 +314,7 @@
 			continue
 		}
 		p.cell.Hold(schedule.Holding{
-			ID: id, Class: r.Request.Class, Endpoint: r.engine.name, EstimatedTokens: r.EstimatedTokens,
+			ID: id, Class: r.Class, Endpoint: r.engine.name, EstimatedTokens: r.EstimatedTokens,
 			PromptTokens: r.PromptTokens, Parts: r.Parts, Begun: r.events > 0,
 		})
 	}
