Don't have an engine that hangs attract the parts that belong to it

Cause: until its first tokens are overdue, an engine that hangs looks idle, and the home of parts counts as a reason to go there.

Change: an engine with two requests that wait for their first token attracts nothing.

--- a/internal/batching/choice.go
+++ b/internal/batching/choice.go
@@ -17,6 +17,9 @@
 	decodeWait = 2
 	// minFetch is how many tokens a fetch must save to be worth its set-up.
 	minFetch = 64
+	// homeUnread is how many requests without a first token keep an engine from
+	// attracting the parts that belong to it: it is busy, or hangs.
+	homeUnread = 2
 	// recentUse is how long after its last use a part counts as read lately.
 	recentUse = 10 * time.Second
 )
@@ -155,7 +158,7 @@
 	}
 	backlog := e.Backlog(now)
 	cost = backlog.Seconds() * p.readRate
-	if c.home == e {
+	if c.home == e && e.Unread() < homeUnread {
 		cost -= homeWeight * float64(c.homeless)
 	}
 	if c.headroom.crowds(backlog, c.unread) {
