Have few daemons probe a store that is away

Cause: a daemon whose facts were 1.4 s old read, and each that had heard no reader for 2.1 s, whatever the others did.

Change: of daemons that others answer, the first eight in the order of readers read after 1.4 s and twice as many with each further 2 s. One that nobody answers reads by itself as before, so that a host alone keeps its bound. The later a daemon stands in the order, the longer it waits for a reader, without a limit.

--- a/internal/facts/duty.go
+++ b/internal/facts/duty.go
@@ -1,6 +1,9 @@
 package facts
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// Readers is how many daemons read each feed of the store at a time. One
@@ -12,13 +15,33 @@
 	// stepAside is by how much later each following daemon in the order takes
 	// over, so that a reader's death wakes one daemon and not all.
 	stepAside = 150 * time.Millisecond
-	// maxStep bounds that: in a large fleet the last would wait for a minute.
-	maxStep = 1200 * time.Millisecond
+	// probers is how many daemons read once the facts are of the age
+	// probeAfter; with each further probeDouble there are twice as many.
+	probers     = 8
+	probeAfter  = 1400 * time.Millisecond
+	probeDouble = 2 * time.Second
 )
 
-// MaxPatience is the longest time for which a reader that was heard of is
-// waited for.
-const MaxPatience = readerSilence + maxStep
+// Patience is how long a daemon waits for the readers, that so many hosts come
+// before in order.
+func Patience(rank int) time.Duration {
+	return readerSilence + time.Duration(max(rank-Readers, 0))*stepAside
+}
+
+// Probes tells whether a daemon is to read the store since the facts are old
+// everywhere that it reaches. That is so in an outage of the store, in which
+// only some need to find out when it ends, and where all readers are turned
+// away, so that others must try.
+func Probes(rank int, age time.Duration) bool {
+	if age <= probeAfter {
+		return false
+	}
+	return float64(rank) < probers*math.Exp2(float64(age-probeAfter)/float64(probeDouble))
+}
+
+// Isolated tells whether facts are so old that a daemon reads the store which
+// nobody answers.
+func Isolated(age time.Duration) bool { return age > probeAfter }
 
 // Duty decides whether a daemon is to read the store: it is one of the first
 // in order, or too few of those before it have been heard to read lately.
@@ -27,7 +50,7 @@
 // ago those of them were heard to read that were heard at all, and unheard what
 // counts for the others.
 func Duty(rank int, heard []time.Duration, unheard time.Duration) bool {
-	patience := readerSilence + min(time.Duration(max(rank-Readers, 0))*stepAside, maxStep)
+	patience := Patience(rank)
 	ahead := 0
 	if unheard <= patience {
 		ahead = rank - len(heard)
--- a/internal/facts/duty_test.go
+++ b/internal/facts/duty_test.go
@@ -33,7 +33,7 @@
 			}
 			var heard []time.Duration
 			for rank, id := range tt.Order {
-				if got := Duty(rank, heard, MaxPatience+1); got != want[id] {
+				if got := Duty(rank, heard, Patience(rank)+1); got != want[id] {
 					t.Errorf("%s reads: %v, want %v", id, got, want[id])
 				}
 				heard = append(heard, time.Duration(tt.AgoMs[id])*time.Millisecond)
--- a/internal/factsync/simstore_test.go
+++ b/internal/factsync/simstore_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/beechhead/beechhead/internal/facts"
+	"github.com/beechhead/beechhead/internal/membership"
 	"github.com/beechhead/beechhead/internal/platform"
 )
 
@@ -22,6 +23,10 @@
 	news chan struct{}
 	// calls counts the calls that have come.
 	calls int
+	// away says that the store refuses all calls, refused has the hosts whose
+	// calls it refuses.
+	away    bool
+	refused map[membership.HostID]bool
 }
 
 // put writes a row; an empty value removes it. It returns the version.
@@ -81,12 +86,36 @@
 	s.calls++
 }
 
+// setAway lets the store go away, or come back.
+func (s *simStore) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+// refuse has the store turn some hosts away.
+func (s *simStore) refuse(hosts map[membership.HostID]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused = hosts
+}
+
+func (s *simStore) refuses(id membership.HostID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away || s.refused[id]
+}
+
 func (s *simStore) feed(d *simDaemon, prefix string) facts.Feed {
 	return facts.Feed{
 		Snapshot: func(ctx context.Context) (platform.Rows, error) {
 			if err := d.pass(ctx, storeDelay); err != nil {
 				return platform.Rows{}, platform.ErrUnavailable
 			}
+			if s.refuses(d.id) {
+				s.count()
+				return platform.Rows{}, platform.ErrUnavailable
+			}
 			return s.snapshot(prefix), nil
 		},
 		Changes: func(ctx context.Context, since uint64, wait time.Duration) (platform.Rows, error) {
@@ -96,6 +125,9 @@
 				if err := d.pass(ctx, storeDelay); err != nil {
 					return platform.Rows{}, platform.ErrUnavailable
 				}
+				if s.refuses(d.id) {
+					return platform.Rows{}, platform.ErrUnavailable
+				}
 				rows, news, err := s.changes(prefix, since)
 				if err != nil || len(rows.Rows) > 0 {
 					return rows, err
--- a/internal/factsync/syncer.go
+++ b/internal/factsync/syncer.go
@@ -32,8 +32,9 @@
 	// askAfter is how old the facts may be before this daemon asks others for
 	// theirs, though nobody told it of newer ones.
 	askAfter = time.Second
-	// readAfter is how old they may be before it reads the store itself.
-	readAfter = 1400 * time.Millisecond
+	// answerLife is how long an answer shows that others can be reached: two
+	// rounds of questions in an outage.
+	answerLife = 2 * outagePause
 	// tickPause is the time between two looks at the age of the facts.
 	tickPause = 100 * time.Millisecond
 	// outagePause is the time between two rounds of questions while nobody
@@ -82,8 +83,9 @@
 	names   shortNames
 	sources sources
 	share   share
-	// asked is when the last round of questions without a cause began.
-	asked time.Duration
+	// asked is when the last round of questions without a cause began, answered
+	// when a daemon last answered a question.
+	asked, answered time.Duration
 }
 
 // Start must be called once before the others are.
@@ -116,27 +118,33 @@
 
 // OnDuty tells whether this daemon is to read the store.
 func (s *Syncer) OnDuty() bool {
+	now := s.Boot.Now()
 	age, known := s.age()
-	if known && age > readAfter {
-		return true
-	}
-	self := s.Self()
-	if self.State == membership.Leaving {
-		return false
-	}
-	if !known && s.meeting() {
-		return false
+	if !known {
+		age = now - s.started
 	}
 	order := s.Staying().CapableOrder(readerKey)
-	rank, ok := order.Position(self.ID)
-	if !ok {
+	rank, stays := order.Position(s.Self().ID)
+	if !stays {
 		rank = len(order.Hosts)
 	}
-	now := s.Boot.Now()
+	switch {
+	case facts.Isolated(age) && s.unanswered(now), known && facts.Probes(rank, age):
+		return true
+	case !stays || !known && s.meeting():
+		return false
+	}
 	// A new daemon waits for the readers before it reads.
 	return facts.Duty(rank, s.heardAhead(order, rank, now), now-s.started)
 }
 
+// unanswered tells whether no other daemon has answered a question lately.
+func (s *Syncer) unanswered(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answered == 0 || now-s.answered > answerLife
+}
+
 // meeting tells whether this daemon is new and may soon hear of others, or
 // learn what it has asked one for. All daemons that start at once would read
 // the store otherwise.
@@ -158,7 +166,7 @@
 	for id, at := range s.heard {
 		position, ok := order.Position(id)
 		switch {
-		case now-at > facts.MaxPatience:
+		case now-at > facts.Patience(len(order.Hosts)):
 			delete(s.heard, id)
 		case ok && position < rank:
 			ago = append(ago, now-at)
@@ -248,6 +256,9 @@
 	err := s.learnFrom(q)
 	s.mu.Lock()
 	s.sources.end(q.address, s.Boot.Now(), err == nil)
+	if err == nil {
+		s.answered = s.Boot.Now()
+	}
 	s.mu.Unlock()
 	if err != nil {
 		s.Metrics.Inc("facts.fetchFailed")
