--- a/internal/gateway/fleet_bench_test.go
+++ b/internal/gateway/fleet_bench_test.go
@@ -172,3 +172,21 @@
 		}
 	})
 }
+
+// BenchmarkEndpointChanged measures what one endpoint that comes, drains or
+// goes costs a daemon.
+func BenchmarkEndpointChanged(b *testing.B) {
+	for _, endpoints := range []int{20, 900, 3000} {
+		b.Run(fmt.Sprintf("endpoints=%d", endpoints), func(b *testing.B) {
+			g := fleetDaemon(b, 200, endpoints)
+			position := fleetPosition
+			b.ReportAllocs()
+			for b.Loop() {
+				position++
+				g.holder.Merge(facts.News{Position: position, AsOf: fleetMoment, Endpoints: []facts.Endpoint{{
+					ID: "i-000007", Pool: "llm", Address: "10.1.0.7:80", Zone: "z1", Slots: 12, Born: 1, Draining: position%2 == 0, Changed: position,
+				}}})
+			}
+		})
+	}
+}
