Let a daemon that stays alone ask its seeds once a second

Found on reading the diff: since seeds are asked each 100 ms, a daemon that is cut off, or whose seeds are gone for good, went on so for ever, with up to 30 new connections a second. After 30 rounds it asks once a second, as it did before.

facts.Isolated is named Stale, which is what it tells.

--- a/internal/facts/duty.go
+++ b/internal/facts/duty.go
@@ -39,9 +39,9 @@
 	return float64(rank) < probers*math.Exp2(float64(age-probeAfter)/float64(probeDouble))
 }
 
-// Isolated tells whether facts are so old that a daemon reads the store which
-// nobody answers.
-func Isolated(age time.Duration) bool { return age > probeAfter }
+// Stale tells whether facts are so old that a daemon reads the store by itself
+// if no other daemon answers its questions.
+func Stale(age time.Duration) bool { return age > probeAfter }
 
 // Duty decides whether a daemon is to read the store: it is one of the first
 // in order, or too few of those before it have been heard to read lately.
--- a/internal/factsync/syncer.go
+++ b/internal/factsync/syncer.go
@@ -129,7 +129,7 @@
 		rank = len(order.Hosts)
 	}
 	switch {
-	case facts.Isolated(age) && s.unanswered(now), known && facts.Probes(rank, age):
+	case facts.Stale(age) && s.unanswered(now), known && facts.Probes(rank, age):
 		return true
 	case !stays || !known && s.meeting():
 		return false
--- a/internal/heartbeat/exchanger.go
+++ b/internal/heartbeat/exchanger.go
@@ -27,10 +27,11 @@
 	// lookInterval is the time between two tries to reach a host that is
 	// gone, or listed by the platform and unknown.
 	lookInterval = 2 * time.Second
-	// seedsAtOnce is how many seeds a daemon asks that knows nobody, again and
-	// again with the pause seedPause.
+	// seedsAtOnce is how many seeds a daemon asks that knows nobody. It pauses
+	// for seedPause between the first seedHurry rounds, and for Interval then.
 	seedsAtOnce = 3
 	seedPause   = 100 * time.Millisecond
+	seedHurry   = 30
 	// seedTimeout bounds a heartbeat to a host that is not known to be there:
 	// one that starts a moment later is found by the next.
 	seedTimeout = 150 * time.Millisecond
@@ -80,17 +81,18 @@
 func (x *Exchanger) Run(ctx context.Context) {
 	look := x.Clock.NewTicker(lookInterval)
 	defer look.Stop()
+	alone := 0
 	for turn := 0; ; turn++ {
 		if x.Load != nil {
 			x.View.SetLoad(x.Load())
 		}
 		partners := x.View.Partners()
-		pause := seedPause
 		if len(partners) == 0 {
+			alone++
 			x.look(ctx, seedsAtOnce)
 		} else {
+			alone = 0
 			go x.Beat(ctx, partners[turn%len(partners)])
-			pause = Interval / time.Duration(len(partners))
 		}
 		select {
 		case <-ctx.Done():
@@ -100,11 +102,23 @@
 		case <-x.View.Wake:
 			x.beatAll(ctx)
 			x.sleep(ctx, urgentGap)
-		case <-x.Clock.After(pause):
+		case <-x.Clock.After(pauseAfter(len(partners), alone)):
 		}
 	}
 }
 
+// pauseAfter returns the time until the next heartbeat of a daemon with so many
+// partners, or that has been alone for so many rounds.
+func pauseAfter(partners, alone int) time.Duration {
+	switch {
+	case partners > 0:
+		return Interval / time.Duration(partners)
+	case alone <= seedHurry:
+		return seedPause
+	}
+	return Interval
+}
+
 func (x *Exchanger) sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
