--- a/internal/batching/home.go
+++ b/internal/batching/home.go
@@ -1,6 +1,10 @@
 package batching
 
-import "time"
+import (
+	"time"
+
+	"github.com/beechhead/beechhead/internal/stat"
+)
 
 // Each chain of shared parts belongs to one engine, its home, which follows from
 // the parts and the engines alone. A coordinator that takes a cell over does not
@@ -16,7 +20,7 @@
 	tokens, chain := 0, uint64(0)
 	for _, part := range c.Parts[:len(c.Parts)-1] {
 		tokens += part.Tokens
-		chain = mix(chain ^ part.ID)
+		chain = stat.Mix(chain ^ part.ID)
 	}
 	if tokens <= c.kept {
 		return
@@ -27,15 +31,8 @@
 		if e.Memory == 0 || e.Closed || e.Ejected(now) {
 			continue
 		}
-		if score := mix(chain ^ e.hash); c.home == nil || score > best {
+		if score := stat.Mix(chain ^ e.hash); c.home == nil || score > best {
 			c.home, best = e, score
 		}
 	}
 }
-
-// mix spreads the bits of x, as the last step of SplitMix64 does.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/membership/ring.go
+++ b/internal/membership/ring.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/beechhead/beechhead/internal/stat"
 )
 
 // Rings is the number of rings on which hosts watch each other. Each host
@@ -55,14 +57,7 @@
 }
 
 func fingerprint(h Host) uint64 {
-	return mix(mix(xxhash.Sum64String(string(h.ID))^h.Incarnation) + uint64(h.State))
-}
-
-// mix spreads the bits of x, as the last step of SplitMix64 does.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	return stat.Mix(stat.Mix(xxhash.Sum64String(string(h.ID))^h.Incarnation) + uint64(h.State))
 }
 
 func successors(self HostID, others []Host) []Host {
@@ -98,7 +93,7 @@
 }
 
 func position(ring uint64, id HostID) uint64 {
-	return mix(xxhash.Sum64String(string(id)) + ring)
+	return stat.Mix(xxhash.Sum64String(string(id)) + ring)
 }
 
 // Rank sorts hosts by their rendezvous score for a key, highest first.
