Name in the log which requests are the same, and whether the endpoint ended

The log could not tell whether one request came again and again, or many were beside engines that ended for another reason: ids are new each time, and 'truncated' says nothing of the endpoint.

Lines of a request have its fingerprint now, a hash of client account, method, host, target and body, and a failed attempt says whether nobody listens at the endpoint any longer (one connection, kept if it opens). explain takes a fingerprint too.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -18,6 +18,7 @@
 	"github.com/beechhead/beechhead/internal/metric"
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/placement"
+	"github.com/beechhead/beechhead/internal/quarantine"
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
@@ -25,6 +26,8 @@
 type Request struct {
 	// ID is the caller's; each of its attempts has another.
 	ID string
+	// Fingerprint is the same for all attempts of a caller at one request.
+	Fingerprint quarantine.Fingerprint
 	// Method, Target, Host and Body reach the endpoint unchanged. Header has
 	// what the caller sent, without what concerns one connection only.
 	Method, Target, Host string
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -68,6 +68,8 @@
 	reason outcome.Reason
 	// ran says that the endpoint may have run the request.
 	ran bool
+	// ended says that the endpoint itself ended, and not only the connection.
+	ended bool
 	// report tells the coordinator.
 	report peerv1.ReleaseOutcome
 }
@@ -104,7 +106,7 @@
 	if grant.FetchFrom != nil {
 		fetchFrom = grant.FetchFrom.Name
 	}
-	r.f.Logger.Info("placed", "request", r.r.ID, "class", r.r.Class, "account", r.r.Account, "endpoint", grant.Endpoint.Name,
+	r.f.Logger.Info("placed", "request", r.r.ID, "fingerprint", r.r.Fingerprint.String(), "class", r.r.Class, "account", r.r.Account, "endpoint", grant.Endpoint.Name,
 		"coordinator", grant.Coordinator(), "fetchFrom", fetchFrom, "attempt", r.ran+r.refused, "waitMs", waited.Milliseconds(),
 		"leftMs", (r.r.End - r.f.Boot.Now()).Milliseconds(), "promptTokens", r.r.PromptTokens,
 		"backlogMs", grant.Choice.Backlog.Milliseconds(), "unreadMs", grant.Choice.Unread.Milliseconds(), "decode", grant.Choice.Decode)
@@ -158,8 +160,12 @@
 		r.refused++
 	}
 	r.f.Metrics.Inc("attempts." + string(e.reason))
+	if e.ended {
+		r.f.Metrics.Inc("attempts.endpointEnded")
+	}
 	r.f.Logger.Info("attempt failed", "request", r.r.ID, "class", r.r.Class, "endpoint", grant.Endpoint.Name,
-		"coordinator", grant.Coordinator(), "reason", e.reason, "mayHaveRun", e.ran, "events", r.events,
+		"fingerprint", r.r.Fingerprint.String(), "coordinator", grant.Coordinator(),
+		"reason", e.reason, "mayHaveRun", e.ran, "endpointEnded", e.ended, "events", r.events,
 		"sinceBeginMs", r.f.Clock.Since(r.began).Milliseconds(), "cause", e.err.Error())
 }
 
@@ -347,10 +353,20 @@
 		} else if e.reason == outcome.ReasonSilent || e.reason == outcome.ReasonConnectionLost {
 			r.f.Pool.Drop(address(endpoint))
 		}
+		e.ended = r.endpointEnded(ctx, e, endpoint)
 	}
 	return e
 }
 
+// endpointEnded tells whether an endpoint ended while it had the request.
+func (r *run) endpointEnded(ctx context.Context, e end, endpoint *table.Endpoint) bool {
+	lost := e.reason == outcome.ReasonTruncated || e.reason == outcome.ReasonConnectionLost
+	if !e.ran || !lost || ctx.Err() != nil {
+		return false
+	}
+	return r.f.Pool.Ended(ctx, address(endpoint))
+}
+
 // errLeft says that the endpoint took no more work when the request was to be
 // written.
 var errLeft = errors.New("the endpoint has left")
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -16,6 +16,7 @@
 	"github.com/beechhead/beechhead/internal/forward"
 	"github.com/beechhead/beechhead/internal/framing"
 	"github.com/beechhead/beechhead/internal/outcome"
+	"github.com/beechhead/beechhead/internal/quarantine"
 	"github.com/beechhead/beechhead/pkg/table"
 
 	wire "github.com/beechhead/beechhead/platform"
@@ -111,6 +112,7 @@
 	}
 	req := g.request(r, call, m, body, began)
 	req.Target = target
+	req.Fingerprint = quarantine.FingerprintOf(req.Account, r.Method, r.Host, target, body)
 	req.MaySend = func() *outcome.Refusal {
 		_, refusal := g.match(r.Host, path, call.Key)
 		return refusal
--- /dev/null
+++ b/internal/http1/ended_test.go
@@ -0,0 +1,38 @@
+package http1
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+)
+
+// Guards against taking an endpoint whose connection was lost for one that has
+// ended, and the other way round.
+func TestEnded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := newTestPool()
+	address := l.Addr().String()
+	if p.Ended(context.Background(), address) {
+		t.Error("an endpoint that listens has ended")
+	}
+	if len(p.idle[address]) != 1 {
+		t.Error("the connection was not kept")
+	}
+	_ = l.Close()
+	if !p.Ended(context.Background(), address) {
+		t.Error("an endpoint that refuses connections has not ended")
+	}
+	p.dial = func(ctx context.Context, _ string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, time.Nanosecond)
+		defer cancel()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if p.Ended(context.Background(), address) {
+		t.Error("an endpoint that can't be reached has ended")
+	}
+}
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -168,6 +168,11 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
+	return p.opened(c), nil
+}
+
+// opened counts a new connection.
+func (p *Pool) opened(c net.Conn) *conn {
 	p.Opened.Add(1)
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, bufferSize)}, nil
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, bufferSize)}
 }
--- a/internal/logline/story.go
+++ b/internal/logline/story.go
@@ -29,6 +29,7 @@
 
 // Story is what logs say of one request.
 type Story struct {
+	// Request is its id, or the fingerprint that all attempts of a caller have.
 	Request string
 	// Entries are in order of time.
 	Entries []Entry
@@ -51,7 +52,8 @@
 	"configuration not taken": true, "requests are cut off": true,
 }
 
-// Tell reads logs and returns the story of one request. What stands before the
+// Tell reads logs and returns the story of one request, by its id, or by the
+// fingerprint that all attempts of a caller at it have. What stands before the
 // JSON object of a line is passed over, as other programs put times there.
 func Tell(request string, logs ...io.Reader) (*Story, error) {
 	s := &Story{Request: request}
@@ -67,7 +69,7 @@
 				continue
 			}
 			switch {
-			case e.Fields["request"] == request:
+			case e.Fields["request"] == request, e.Fields["fingerprint"] == request:
 				s.Entries = append(s.Entries, e)
 			case beliefs[e.Message]:
 				all = append(all, e)
@@ -142,7 +144,7 @@
 	begin := s.Entries[0].Time
 	fmt.Fprintf(w, "request %s, from %s\n", s.Request, begin.Format(time.RFC3339Nano))
 	show := func(e Entry) {
-		fmt.Fprintf(w, "%+9.3f s  %-12s  %-18s  %s\n", e.Time.Sub(begin).Seconds(), e.Host, e.Message, e.details())
+		fmt.Fprintf(w, "%+9.3f s  %-12s  %-18s  %s\n", e.Time.Sub(begin).Seconds(), e.Host, e.Message, e.details(s.Request))
 	}
 	for _, e := range s.Entries {
 		show(e)
@@ -158,10 +160,11 @@
 	}
 }
 
-func (e *Entry) details() string {
+// details returns the fields but for the one that all lines share.
+func (e *Entry) details(shared string) string {
 	var parts []string
 	for _, name := range slices.Sorted(maps.Keys(e.Fields)) {
-		if name != "request" && e.Fields[name] != "" {
+		if e.Fields[name] != shared && e.Fields[name] != "" {
 			parts = append(parts, name+"="+e.Fields[name])
 		}
 	}
--- a/internal/logline/story_test.go
+++ b/internal/logline/story_test.go
@@ -45,3 +45,21 @@
 		t.Errorf("printed %q", b.String())
 	}
 }
+
+// Repeats of one request have ids of their own; their fingerprint brings the
+// lines of all of them together.
+func TestTellFingerprint(t *testing.T) {
+	log := `{"time":"2026-01-01T00:00:10Z","msg":"attempt failed","host":"a","request":"r1","fingerprint":"f"}
+{"time":"2026-01-01T00:00:11Z","msg":"attempt failed","host":"b","request":"r2","fingerprint":"f"}
+{"time":"2026-01-01T00:00:12Z","msg":"attempt failed","host":"b","request":"r3","fingerprint":"g"}
+`
+	s, err := Tell("f", strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b bytes.Buffer
+	s.Write(&b)
+	if len(s.Entries) != 2 || !strings.Contains(b.String(), "request=r2") {
+		t.Errorf("printed %q", b.String())
+	}
+}
