--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -83,6 +83,10 @@
 	e := &testEngine{Engine: &standin.Engine{ID: id, Slots: 8, Events: 5, Pause: 5 * time.Millisecond}}
 	e.server = httptest.NewServer(e.Engine)
 	s.t.Cleanup(func() { e.server.CloseClientConnections(); e.server.Close() })
+	e.End = func() {
+		_ = e.server.Listener.Close()
+		go e.server.CloseClientConnections()
+	}
 	e.pool, e.address = service, strings.TrimPrefix(e.server.URL, "http://")
 	s.engines[id] = e
 	s.store.Put(platform.TableEngines, id, standin.EntryOf(e.pool, e.address, false))
