Don't take an answer without a length for a completed request

An answer without a length ends with its connection, as it does when the endpoint ends. A request that ends endpoints of that kind would have counted as completed with the first one and never been kept back.

Only framed answers with success count now; the test has the cases. Found by reading; no play has shown it.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -37,9 +37,12 @@
 	return end{err: err, reason: reason, ran: true, report: peerv1.ReleaseOutcome_RELEASE_OUTCOME_ENDPOINT_FAILED}
 }
 
-// done is the end of an answer that was passed on whole.
-func done(status int) end {
-	return end{success: status/100 == 2, report: peerv1.ReleaseOutcome_RELEASE_OUTCOME_DONE}
+// done is the end of an answer that was passed on whole. One that ends with its
+// connection does not tell an endpoint that has completed it from one that has
+// ended.
+func done(resp *http.Response) end {
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	return end{success: framed && resp.StatusCode/100 == 2, report: peerv1.ReleaseOutcome_RELEASE_OUTCOME_DONE}
 }
 
 // exchange reads the answer and passes it on.
@@ -107,7 +110,7 @@
 	if err := r.passAnswer(a); err != nil {
 		return end{err: err, reason: outcome.ReasonCallerGone, ran: true, report: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE}
 	}
-	return done(a.status)
+	return done(resp)
 }
 
 // long passes on an answer that is too long to be gathered.
@@ -128,7 +131,7 @@
 				return failure(outcome.ReasonCallerGone, err)
 			}
 			x.Finish()
-			return done(a.status)
+			return done(resp)
 		default:
 			return failure(readReason(ctx, err), err)
 		}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -58,7 +58,7 @@
 	}
 	r.head(resp)
 	x.Finish()
-	return done(resp.StatusCode)
+	return done(resp)
 }
 
 // head passes on the head of the first answer; later ones go on under it.
