Read and log the limits that endpoints name

Engines in need got as many requests as before they had said how few they take. The logs could not tell which limit an engine had named, when, and which host knew: the header went by like any other.

An answer's limit is read (it says nothing where it can't be read, or is another engine's), kept by the host that got it, and logged when it changes. Nothing is decided by it yet.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -53,6 +53,7 @@
 		return failure(readReason(ctx, err), err)
 	}
 	verdict := r.f.Wire.Read(resp.StatusCode, resp.Header)
+	grant.Answered(verdict.Limit)
 	if verdict.NotRun {
 		r.discard(x, resp)
 		return end{
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -95,6 +95,8 @@
 	NotRun bool
 	// Signed says that the answer bears the endpoint's signature.
 	Signed bool
+	// Limit is how many requests the endpoint says that it takes.
+	Limit placement.Limit
 }
 
 // Wire has the names of the protocol towards endpoints.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -156,6 +156,10 @@
 		}
 		g.logger.Warn("coordinator lost", "coordinator", host)
 	}
+	g.placer.OnLimit = func(endpoint table.EndpointName, perSecond float64) {
+		g.metrics.Inc("limits.changed")
+		g.logger.Info("endpoint limit", "endpoint", endpoint, "perSecond", perSecond)
+	}
 	g.forwarder = &forward.Forwarder{
 		Clock:   g.clock,
 		Boot:    g.boot,
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -74,6 +74,9 @@
 	// OnReach is called, with the placer's lock held, when a coordinator is
 	// passed over because it does not answer, and when it answers again.
 	OnReach func(host membership.HostID, reached bool)
+	// OnLimit is called, with the placer's lock held, when an endpoint names
+	// another limit than before, in requests a second; zero is none.
+	OnLimit func(endpoint table.EndpointName, perSecond float64)
 
 	mu       sync.Mutex
 	sequence uint64
@@ -86,6 +89,7 @@
 	// owed has the hosts that a release could not be sent to.
 	owed      map[membership.HostID]bool
 	pressures map[cell.ID]pressure
+	limits    map[table.EndpointName]seenLimit
 	// share is how many hosts the endpoints are shared among while this
 	// daemon decides alone; 1 otherwise.
 	share int
@@ -138,12 +142,14 @@
 		policy:    policy,
 		OnAlone:   func(int) {},
 		OnReach:   func(membership.HostID, bool) {},
+		OnLimit:   func(table.EndpointName, float64) {},
 		ranking:   cell.NewRanking(),
 		links:     map[membership.HostID]*hostLink{},
 		suspects:  map[membership.HostID]*suspicion{},
 		pending:   map[uint64]*pending{},
 		owed:      map[membership.HostID]bool{},
 		pressures: map[cell.ID]pressure{},
+		limits:    map[table.EndpointName]seenLimit{},
 
 		coordinators: map[cell.ID]membership.Host{},
 	}
@@ -155,6 +161,7 @@
 	defer p.mu.Unlock()
 	p.table = t
 	p.plan = cell.NewPlan(t, p.size)
+	p.forgetLimits()
 	p.moved = true
 }
 
