Hold endpoints to the limits that they name

Cause: what an endpoint says of itself in answers was passed on to the caller and reached no decision.

The host that gets such an answer tells the endpoint's coordinator at once; every send needs a place from it, so it keeps the sum, and paces the endpoint. A limit ends with an answer without one to a request granted after the last that named it. A daemon that decides alone takes its share.

--- a/internal/batching/engine.go
+++ b/internal/batching/engine.go
@@ -35,9 +35,11 @@
 	// Running counts the requests that run there.
 	Running int
 	// Free tells whether one more request fits, Ejected whether the engine gets
-	// none for a while, Sluggishness by how much slower than others it is.
+	// none for a while, Paced whether it gets none for the moment by a limit
+	// that it has named, Sluggishness by how much slower than others it is.
 	Free         func(now time.Duration) bool
 	Ejected      func(now time.Duration) bool
+	Paced        func(now time.Duration) bool
 	Sluggishness func() float64
 	// Decode engines take no long requests that are less urgent than hurried
 	// streams.
--- a/internal/batching/home.go
+++ b/internal/batching/home.go
@@ -28,7 +28,7 @@
 	c.homeless = tokens - c.kept
 	best := uint64(0)
 	for _, e := range p.engines {
-		if e.Memory == 0 || e.Closed || e.Ejected(now) {
+		if e.Memory == 0 || e.Closed || e.Paced(now) || e.Ejected(now) {
 			continue
 		}
 		if score := stat.Mix(chain ^ e.hash); c.home == nil || score > best {
--- a/internal/cell/convert.go
+++ b/internal/cell/convert.go
@@ -14,7 +14,7 @@
 
 // config translates the table for one cell.
 func (c *Coordinator) config(id ID) schedule.Config {
-	cfg := schedule.Config{Discipline: c.discipline, Disabled: c.Disabled}
+	cfg := schedule.Config{Discipline: c.discipline, Disabled: c.Disabled, Share: c.share}
 	endpoints := c.plan.Endpoints(id)
 	for _, e := range endpoints {
 		cfg.Endpoints = append(cfg.Endpoints, schedule.EndpointPolicy{
@@ -103,6 +103,7 @@
 		Tokens:     int(r.GetTokens()),
 		Done:       r.GetOutcome() == peerv1.ReleaseOutcome_RELEASE_OUTCOME_DONE,
 		Failed:     failed(r.GetOutcome()),
+		Unlimited:  r.GetUnlimited(),
 	}
 }
 
--- a/internal/cell/session.go
+++ b/internal/cell/session.go
@@ -137,6 +137,10 @@
 	for _, r := range req.GetReserves() {
 		c.cell(ID(r.GetCell())).Reserve(s.request(r))
 	}
+	for _, l := range req.GetLimits() {
+		age := time.Duration(l.GetAgeMs()) * time.Millisecond
+		c.cell(ID(l.GetCell())).Limit(schedule.Endpoint(l.GetEndpoint()), l.GetPerSecond(), age)
+	}
 	for _, p := range req.GetProgress() {
 		c.cell(ID(p.GetCell())).Progress(s.id(p.GetSequence()), progress(p))
 	}
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/beechhead/beechhead/internal/cell"
 )
 
 // figuresInterval is the time between two lines with the counters.
@@ -44,7 +46,9 @@
 	}
 	g.metrics.Set("hosts.ready", int64(g.view.Ready().Len()))
 	g.metrics.Set("hosts.known", int64(g.view.Hosts().Len()))
-	g.metrics.Set("cells.coordinated", int64(len(g.coordinator.Status().Cells)))
+	cells := g.coordinator.Status().Cells
+	g.metrics.Set("cells.coordinated", int64(len(cells)))
+	g.metrics.Set("endpoints.limited", limitedEndpoints(cells))
 	g.metrics.Set("quarantine.requests", int64(g.suspects.Len()))
 	g.metrics.Set("requests.inProgress", g.inProgress.Load())
 	g.metrics.Set("connections.opened", g.forwarder.Pool.Opened.Load())
@@ -54,6 +58,18 @@
 	}
 }
 
+// limitedEndpoints returns how many endpoints of some cells are held to a limit.
+func limitedEndpoints(cells []cell.OneStatus) (n int64) {
+	for _, one := range cells {
+		for _, e := range one.Endpoints {
+			if e.LimitPerSecond > 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // configAgeMs returns the configuration's greatest age; -1 is unknown.
 func (g *Gateway) configAgeMs() int64 {
 	age, ok := g.holder.ConfigAge()
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -46,6 +46,8 @@
 	last      time.Time
 	longest   time.Duration
 	longestAt int
+	// unlimited says that an answer came that named no limit.
+	unlimited bool
 	// nextProgress is the number of tokens at which progress is told next.
 	nextProgress int
 }
@@ -145,5 +147,6 @@
 		Outcome:      r.Outcome,
 
 		LongestPauseUs: uint32(g.longest / time.Microsecond),
+		Unlimited:      g.unlimited,
 	}}})
 }
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/beechhead/beechhead/internal/cell"
+	"github.com/beechhead/beechhead/internal/membership"
+	"github.com/beechhead/beechhead/internal/peer/peerv1"
+	"github.com/beechhead/beechhead/pkg/table"
 )
 
 // leastLimit is the least limit that is kept, in requests a second: an endpoint
@@ -46,16 +49,57 @@
 	defer p.mu.Unlock()
 	name := g.Endpoint.Name
 	old, known := p.limits[name]
-	if l.PerSecond == 0 {
+	g.unlimited = l.PerSecond == 0
+	if g.unlimited {
 		delete(p.limits, name)
 	} else {
-		p.limits[name] = seenLimit{cell: cell.ID(g.pending.reserve.GetCell()), perSecond: l.PerSecond, at: p.clock.Now()}
+		seen := seenLimit{cell: cell.ID(g.pending.reserve.GetCell()), perSecond: l.PerSecond, at: p.clock.Now()}
+		p.limits[name] = seen
+		p.sendLimit(g.pending.host, p.toLimit(name, seen))
 	}
 	if known != (l.PerSecond > 0) || old.perSecond != l.PerSecond {
 		p.OnLimit(name, l.PerSecond)
 	}
 }
 
+// sendLimit tells a coordinator at once what an endpoint takes.
+func (p *Placer) sendLimit(host membership.Host, l *peerv1.EndpointLimit) {
+	if link := p.links[host.ID]; link != nil {
+		p.sendOn(link, &peerv1.ReservationsRequest{Limits: []*peerv1.EndpointLimit{l}})
+	}
+}
+
+// limitsOf returns the limits in a cell. Every reserve has them with it, so that
+// no change of coordinator loses them. The caller holds the lock.
+func (p *Placer) limitsOf(id cell.ID) (limits []*peerv1.EndpointLimit) {
+	for name, seen := range p.limits {
+		if seen.cell == id {
+			limits = append(limits, p.toLimit(name, seen))
+		}
+	}
+	return limits
+}
+
+// limitsAt returns the limits in the cells that a host coordinates. The caller
+// holds the lock.
+func (p *Placer) limitsAt(host membership.HostID) (limits []*peerv1.EndpointLimit) {
+	for name, seen := range p.limits {
+		if p.coordinator(seen.cell, p.plan.Region(seen.cell)).ID == host {
+			limits = append(limits, p.toLimit(name, seen))
+		}
+	}
+	return limits
+}
+
+func (p *Placer) toLimit(name table.EndpointName, seen seenLimit) *peerv1.EndpointLimit {
+	return &peerv1.EndpointLimit{
+		Cell:      string(seen.cell),
+		Endpoint:  string(name),
+		PerSecond: seen.perSecond,
+		AgeMs:     uint32(min(p.clock.Since(seen.at)/time.Millisecond, math.MaxUint32)),
+	}
+}
+
 // forgetLimits forgets the limits of endpoints that the table no longer has.
 // The caller holds the lock.
 func (p *Placer) forgetLimits() {
--- a/internal/placement/link.go
+++ b/internal/placement/link.go
@@ -74,7 +74,7 @@
 
 // report lists all that is pending at a host.
 func (p *Placer) report(host membership.Host) *peerv1.ReservationsRequest {
-	req := &peerv1.ReservationsRequest{HoldingsComplete: true}
+	req := &peerv1.ReservationsRequest{HoldingsComplete: true, Limits: p.limitsAt(host.ID)}
 	for _, w := range p.pending {
 		if w.host.ID == host.ID {
 			w.host = host
--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -161,7 +161,7 @@
 		p.sendMoved(l, m.moved)
 	}
 	if len(m.reported) > 0 {
-		p.sendOn(l, &peerv1.ReservationsRequest{Reported: m.reported})
+		p.sendOn(l, &peerv1.ReservationsRequest{Reported: m.reported, Limits: p.limitsAt(m.host.ID)})
 	}
 }
 
--- a/internal/schedule/cell.go
+++ b/internal/schedule/cell.go
@@ -16,6 +16,7 @@
 	discipline Discipline
 	maxWaiting int
 	disabled   []Mechanism
+	share      int
 
 	classes map[Class]*classQueue
 	order   []*classQueue
--- a/internal/schedule/configure.go
+++ b/internal/schedule/configure.go
@@ -12,6 +12,7 @@
 	c.discipline = cfg.Discipline
 	c.maxWaiting = cfg.MaxWaiting
 	c.disabled = cfg.Disabled
+	c.share = cfg.Share
 	if c.discipline != ByTier {
 		cfg.Classes = []ClassPolicy{{}}
 	}
--- a/internal/schedule/endpoint.go
+++ b/internal/schedule/endpoint.go
@@ -20,6 +20,7 @@
 	turn   uint64
 	load   loadReport
 	health health
+	limit  limit
 	// gone says that the table no longer has the endpoint.
 	gone bool
 }
@@ -29,6 +30,7 @@
 	e := &endpointState{}
 	e.Free = e.free
 	e.Ejected = e.health.ejected
+	e.Paced = e.limit.paced
 	e.Sluggishness = func() float64 { return c.sluggishness(&e.health) }
 	return e
 }
@@ -82,7 +84,7 @@
 // places too, so that requests wait here, where they are in order, and not in
 // the engine; but one place always stays, because the report may be wrong.
 func (e *endpointState) free(now time.Duration) bool {
-	if e.policy.Draining || e.gone {
+	if e.policy.Draining || e.gone || e.limit.paced(now) {
 		return false
 	}
 	limit := e.health.limit(e.policy.Concurrency, now)
@@ -98,9 +100,9 @@
 	r := &g.request
 	switch c.discipline {
 	case RoundRobin:
-		return c.inTurn(r), nil
+		return c.inTurn(r, now), nil
 	case LeastOutstanding:
-		return c.fewestGrants(r), nil
+		return c.fewestGrants(r, now), nil
 	}
 	p := batching.Candidate{Prompt: &g.Prompt}
 	if c.pool.Batches() {
@@ -149,11 +151,11 @@
 }
 
 // inTurn is the choice of the baseline RoundRobin.
-func (c *Cell) inTurn(r *Request) *endpointState {
+func (c *Cell) inTurn(r *Request, now time.Duration) *endpointState {
 	for range c.list {
 		e := c.list[c.turn%len(c.list)]
 		c.turn++
-		if e.plainlyFree(r) {
+		if e.plainlyFree(r, now) {
 			return e
 		}
 	}
@@ -161,10 +163,10 @@
 }
 
 // fewestGrants is the choice of the baseline LeastOutstanding.
-func (c *Cell) fewestGrants(r *Request) *endpointState {
+func (c *Cell) fewestGrants(r *Request, now time.Duration) *endpointState {
 	var best *endpointState
 	for _, e := range c.list {
-		if !e.plainlyFree(r) {
+		if !e.plainlyFree(r, now) {
 			continue
 		}
 		if best == nil || e.Running < best.Running || (e.Running == best.Running && e.turn < best.turn) {
@@ -174,8 +176,8 @@
 	return best
 }
 
-func (e *endpointState) plainlyFree(r *Request) bool {
-	return !e.policy.Draining && e.Running < e.policy.Concurrency && !slices.Contains(r.Excluded, e.policy.Name)
+func (e *endpointState) plainlyFree(r *Request, now time.Duration) bool {
+	return !e.policy.Draining && !e.limit.paced(now) && e.Running < e.policy.Concurrency && !slices.Contains(r.Excluded, e.policy.Name)
 }
 
 // prefixSlots is how many prefixes a cell remembers.
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -180,6 +180,7 @@
 		d.FetchFrom = Endpoint(source.Name)
 	}
 	c.run(e, to, now)
+	c.book(&to.limit, now)
 	c.prefixes.put(e.request.Prefix, to, now)
 	c.decide(d)
 }
--- a/internal/schedule/preempt.go
+++ b/internal/schedule/preempt.go
@@ -62,7 +62,7 @@
 func (c *Cell) victim(t Tier, now time.Duration) *entry {
 	for i := len(c.tiers) - 1; i >= 0 && c.tiers[i].tier > t; i-- {
 		for e := c.tiers[i].preemptible.last; e != nil; e = e.prev {
-			if e.endpoint.health.reason == "" && !e.endpoint.policy.Draining && !c.nearlyDone(e, now) {
+			if e.endpoint.health.reason == "" && !e.endpoint.policy.Draining && !e.endpoint.limit.paced(now) && !c.nearlyDone(e, now) {
 				return e
 			}
 		}
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -24,6 +24,8 @@
 
 	// endpoint is set while the entry runs.
 	endpoint *endpointState
+	// held says that another coordinator gave the grant.
+	held bool
 	// aged says that the grant was given by ageing; it is never preempted.
 	aged bool
 	// preempting says that the grant has been asked back.
--- a/internal/schedule/request.go
+++ b/internal/schedule/request.go
@@ -151,6 +151,7 @@
 	e.setClass(q)
 	e.account = q.account(h.Account)
 	c.run(e, to, now)
+	e.held = true
 	if h.Begun {
 		to.Forget(&e.Work)
 	}
@@ -165,6 +166,9 @@
 	now := c.now()
 	c.stop(e)
 	c.learn(e, r, now)
+	if r.Unlimited {
+		c.lift(e)
+	}
 	c.free(e)
 }
 
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -92,6 +92,9 @@
 	Discipline Discipline
 	// Disabled mechanisms take no part.
 	Disabled []Mechanism
+	// Share is how many hosts may decide alone for the same endpoints; what
+	// these take is divided by it. Zero is one.
+	Share int
 }
 
 // Request asks for a place.
@@ -146,6 +149,8 @@
 	Done bool
 	// Failed says that the endpoint failed the request.
 	Failed bool
+	// Unlimited says that an answer came that named no limit.
+	Unlimited bool
 }
 
 // Progress is what is known of a grant while it runs.
--- a/internal/schedule/script_test.go
+++ b/internal/schedule/script_test.go
@@ -65,6 +65,8 @@
 		})
 	case "limit":
 		s.cfg.MaxWaiting = s.number(args, "waiting")
+	case "share":
+		s.cfg.Share = s.count(args[0])
 	case "discipline":
 		s.cfg.Discipline = map[string]Discipline{"roundRobin": RoundRobin, "leastOutstanding": LeastOutstanding}[args[0]]
 	case "drain":
@@ -104,12 +106,14 @@
 	case "release":
 		s.cell.Release(s.id(args[0]), Report{
 			FirstToken: s.duration(args, "first"), Duration: s.duration(args, "duration"), Tokens: s.number(args, "tokens"),
-			Done: s.has(args, "done"), Failed: s.has(args, "failed"),
+			Done: s.has(args, "done"), Failed: s.has(args, "failed"), Unlimited: s.has(args, "unlimited"),
 		})
 	case "progress":
 		s.cell.Progress(s.id(args[0]), Progress{
 			FirstToken: s.duration(args, "first"), Elapsed: s.duration(args, "elapsed"), Tokens: s.number(args, "tokens"),
 		})
+	case "named":
+		s.cell.Limit(Endpoint(args[0]), float64(s.number(args, "perSecond")), s.duration(args, "age"))
 	case "load":
 		s.cell.ObserveLoad(Endpoint(args[0]), Load{Running: s.number(args, "running"), Waiting: s.number(args, "waiting")})
 	case "loadFailed":
@@ -141,11 +145,7 @@
 }
 
 func (s *script) id(text string) RequestID {
-	n, err := strconv.Atoi(text)
-	if err != nil {
-		s.t.Fatalf("%s: %v", s.line, err)
-	}
-	return id(n)
+	return id(s.count(text))
 }
 
 func (s *script) has(args []string, name string) bool {
@@ -171,6 +171,10 @@
 	if text == "" {
 		return 0
 	}
+	return s.count(text)
+}
+
+func (s *script) count(text string) int {
 	n, err := strconv.Atoi(text)
 	if err != nil {
 		s.t.Fatalf("%s: %v", s.line, err)
--- a/internal/schedule/status.go
+++ b/internal/schedule/status.go
@@ -57,6 +57,8 @@
 	OutstandingTokens int         `json:"outstandingTokens"`
 	Draining          bool        `json:"draining"`
 	Ejected           EjectReason `json:"ejected,omitempty"`
+	// LimitPerSecond is the limit that the endpoint names; zero is none.
+	LimitPerSecond float64 `json:"limitPerSecond,omitempty"`
 	// BetweenTokensMS is the measured time per token; zero is unknown.
 	BetweenTokensMS float64 `json:"betweenTokensMs"`
 }
@@ -83,6 +85,7 @@
 			OutstandingTokens: int(e.outstanding),
 			Draining:          e.policy.Draining,
 			Ejected:           e.health.reason,
+			LimitPerSecond:    e.limit.perSecond,
 			BetweenTokensMS:   e.health.token.Value * 1000,
 		})
 	}
