Play requests that end engines and engines with limits in the soak

An engine that ends resets its connections, refuses new ones through its relay and starts again under another id. Two checks hold the users' rules to what engines see. The bound of a fault's length in TestPlanFollowsFromSeed holds for the old kinds as before; lasting ones must have none.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -41,6 +41,8 @@
 	{"retry budget", retryBudget},
 	{"graceful stop", gracefulStop},
 	{"recovery", recovered},
+	{"ending requests", endingRequests},
+	{"engine limits", engineLimits},
 }
 
 // Find returns all violations in a record.
@@ -125,7 +127,7 @@
 		switch {
 		case c == nil:
 			found = append(found, fmt.Sprintf("%q ran, which nobody sent", r.ID))
-		case r.Method != http.MethodPost || r.Target != "/"+c.Route+"/x" || r.Body != c.ID:
+		case r.Method != http.MethodPost || r.Target != c.Target() || r.Body != c.Content():
 			found = append(found, fmt.Sprintf("%s ran as %s %s with body %q", r.ID, r.Method, r.Target, r.Body))
 		case r.Key != "" || (r.Account != "acme") != (c.Route == "open" || strings.HasPrefix(c.Route, "extra")):
 			found = append(found, fmt.Sprintf("%s (%s) ran with key %q for account %q", r.ID, c.Route, r.Key, r.Account))
@@ -172,10 +174,7 @@
 // drained looks for runs at an engine after all daemons in touch must have
 // heard that it leaves.
 func drained(rec *Record) (found []string) {
-	daemons := map[string]int{}
-	for _, c := range rec.Calls {
-		daemons[c.ID] = c.Daemon
-	}
+	daemons := rec.daemonsByID()
 	for _, d := range rec.Drains {
 		for _, r := range rec.Runs {
 			late := r.Began.After(d.From.Add(drainBound)) && r.Began.Before(d.To)
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -38,6 +39,36 @@
 	return rec
 }
 
+// addEnds adds a request under which an engine ends each second.
+func addEnds(rec *Record, n int) {
+	for i := range n {
+		id, sent := fmt.Sprint("ends-", i), 14+2*float64(i)
+		if i < enoughEnds {
+			sent = 5 + float64(i)
+		}
+		c := Call{Call: standin.Call{ID: id, Route: "look", Body: endingBody + "1"}, Sent: at(sent), Ended: at(sent)}
+		c.Answer.Status = http.StatusBadGateway
+		rec.Calls = append(rec.Calls, c)
+		r := Run{Engine: 1}
+		r.ID, r.Method, r.Target, r.Body, r.Account, r.Began = id, http.MethodPost, c.Target(), c.Content(), "acme", at(sent)
+		rec.Runs = append(rec.Runs, r)
+	}
+}
+
+// addLimited adds requests to an engine with a limit within two seconds.
+func addLimited(rec *Record, n int) {
+	rec.Faults = append(rec.Faults, Struck{Fault: Fault{Kind: KindEngineLimit, Target: 1}, From: at(15), To: at(25)})
+	for i := range n {
+		id, sent := fmt.Sprint("limited-", i), 19+2*float64(i)/float64(n)
+		c := Call{Call: standin.Call{ID: id, Route: "look"}, Sent: at(sent), Ended: at(sent)}
+		c.Answer.Status = http.StatusBadGateway
+		rec.Calls = append(rec.Calls, c)
+		r := Run{Engine: 1}
+		r.ID, r.Method, r.Target, r.Body, r.Account, r.Began = id, http.MethodPost, c.Target(), c.Content(), "acme", at(sent)
+		rec.Runs = append(rec.Runs, r)
+	}
+}
+
 func TestNothingIsFoundWhereAllIsWell(t *testing.T) {
 	if found := Find(goodRecord()); len(found) > 0 {
 		t.Errorf("found %v", found)
@@ -81,6 +112,8 @@
 		{"a daemon obeys an old document", "recovery", func(r *Record) { r.Final[0].Newest = http.StatusNotFound }},
 		{"a daemon takes an old key", "recovery", func(r *Record) { r.Final[0].Revoked = http.StatusOK }},
 		{"a daemon never came back", "recovery", func(r *Record) { r.Daemons = 2 }},
+		{"a request that ends engines is sent on", "ending requests", func(r *Record) { addEnds(r, 7) }},
+		{"an engine gets more than its limit", "engine limits", func(r *Record) { addLimited(r, 18) }},
 		{"too many repeats", "retry budget", func(r *Record) {
 			for range retrySlack + 2 {
 				r.Runs = append(r.Runs, r.Runs[2])
@@ -117,6 +150,12 @@
 			r.Runs[3].Began = at(23)
 			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindPause}, From: at(21), To: at(23)})
 		}},
+		{"a request that ends engines, as often as it may be sent", func(r *Record) { addEnds(r, 6) }},
+		{"as many requests as a limit allows", func(r *Record) { addLimited(r, 17) }},
+		{"more by a daemon that was paused", func(r *Record) {
+			addLimited(r, 18)
+			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindPause}, From: at(18), To: at(18.5)})
+		}},
 		{"a safe request that runs again", func(r *Record) { r.Runs = append(r.Runs, r.Runs[2]) }},
 	}
 	for _, tt := range tests {
@@ -162,13 +201,17 @@
 	for seed := range uint64(40) {
 		for _, f := range Plan(seed, 4, 4, 12*time.Second) {
 			seen[f.Kind] = true
-			if f.Target < 0 || f.Target > 3 || f.For < minFault || f.For > maxFault {
+			least, most := minFault, maxFault
+			if f.lasts() {
+				least, most = 0, 0
+			}
+			if f.Target < 0 || f.Target > 3 || f.For < least || f.For > most {
 				t.Errorf("%v", f)
 			}
 		}
 	}
-	if len(seen) != len(kinds) {
-		t.Errorf("%d of %d kinds are drawn", len(seen), len(kinds))
+	if n := len(kinds) + len(lastingKinds); len(seen) != n {
+		t.Errorf("%d of %d kinds are drawn", len(seen), n)
 	}
 }
 
--- /dev/null
+++ b/internal/soak/ending.go
@@ -0,0 +1,143 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/beechhead/beechhead/platform"
+	"github.com/beechhead/beechhead/platform/standin"
+)
+
+const (
+	// endingBody begins the bodies of requests that end engines.
+	endingBody = "ends "
+	// endingPause is the time between two sends of such a request.
+	endingPause = 300 * time.Millisecond
+	// backAfter is how long an engine is gone that has ended, lookPause the time
+	// between two looks at which have.
+	backAfter = time.Second
+	lookPause = 50 * time.Millisecond
+	// enoughEnds is how many engines may end before a request must be kept back,
+	// sendsAfterwards how often it may be sent when all daemons know.
+	enoughEnds      = 3
+	sendsAfterwards = 3
+)
+
+// Faults that are planted where they strike.
+const (
+	// plantHideLimit has engines name no limit where they have one.
+	plantHideLimit = "hideLimit"
+	// plantOtherTarget has repeats of a request look like others.
+	plantOtherTarget = "otherTarget"
+)
+
+// plantedFault returns the fault that a plan must have for its planted
+// variant, or "".
+func (o *Options) plantedFault() Kind {
+	return map[string]Kind{plantHideLimit: KindEngineLimit, plantOtherTarget: KindEndingRequest}[o.Plant]
+}
+
+// plan returns the faults of the run; a planted variant has its fault alone, as
+// daemons that are in trouble need not keep the promise.
+func (o *Options) plan() []Fault {
+	if kind := o.plantedFault(); kind != "" {
+		return []Fault{{Kind: kind, At: time.Second}}
+	}
+	return Plan(o.Seed, o.Daemons, o.Engines, o.Length)
+}
+
+// endEngines sends a request that ends the engines that run it, again and again
+// at any daemon.
+func (r *run) endEngines(f Fault) {
+	route := []string{"chat", "draft", "look"}[f.Target%3]
+	random := rand.New(rand.NewPCG(r.o.Seed, uint64(f.At))) //nolint:gosec // a load
+	client := &http.Client{Timeout: callDeadline, Transport: &http.Transport{DisableKeepAlives: true}}
+	var sends sync.WaitGroup
+	defer sends.Wait()
+	for n := 0; r.sleep(endingPause) && r.lasting.Err() == nil; n++ {
+		call := standin.Call{
+			ID:    fmt.Sprintf("ends-%d-%d", f.At, n),
+			Route: route, Key: standin.SampleKey, Body: endingBody + f.At.String(), Deadline: callDeadline,
+		}
+		if r.o.Plant == plantOtherTarget {
+			call.Query = fmt.Sprint("?n=", n)
+		}
+		address := r.site.address(firstDaemon+random.IntN(r.o.Daemons), portCallers)
+		sends.Go(func() { r.call(client, address, call) })
+	}
+}
+
+// registerStarts lists engines that have ended under the ids of their new
+// starts.
+func (r *run) registerStarts(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(lookPause):
+		}
+		for i := range r.o.Engines {
+			if id, err := r.site.currentID(i); err == nil && id != r.site.engine(i) {
+				r.startAgain(i, id)
+			}
+		}
+	}
+}
+
+// startAgain brings an engine back that has ended. While it is announced that
+// the engine leaves, nothing is changed.
+func (r *run) startAgain(i int, id string) {
+	r.drainLock.Lock()
+	defer r.drainLock.Unlock()
+	time.Sleep(backAfter)
+	r.must(r.site.edit(standin.Edit{Table: platform.TableEngines, Key: r.site.engine(i)}))
+	r.site.mu.Lock()
+	r.site.engines[i] = id
+	r.site.mu.Unlock()
+	r.must(r.site.post(r.site.relayURL(fmt.Sprintf("engine%d", i), "listen"), nil))
+	r.must(r.site.putEngine(i, false))
+}
+
+// currentID asks an engine for its id.
+func (s *site) currentID(i int) (string, error) {
+	resp, err := s.client.Get(s.engineURL(i, "/healthz"))
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.Header.Get(standin.HeaderInstance), nil
+}
+
+// endingRequests looks for requests that are sent on after all daemons in touch
+// must have heard that enough engines have ended under them.
+func endingRequests(rec *Record) (found []string) {
+	daemons := rec.daemonsByID()
+	ended := map[string][]Run{}
+	for _, r := range rec.Runs {
+		if strings.HasPrefix(r.Body, endingBody) {
+			ended[r.Body] = append(ended[r.Body], r)
+		}
+	}
+	for body, runs := range ended {
+		sortByTime(runs)
+		if len(runs) < enoughEnds {
+			continue
+		}
+		known := runs[enoughEnds-1].Began.Add(touchWindow)
+		late := 0
+		for _, r := range runs {
+			if d := daemons[r.ID]; r.Began.After(known) && !rec.outOfTouch(d, r.Began) {
+				late++
+			}
+		}
+		if late > sendsAfterwards {
+			found = append(found, fmt.Sprintf("%q was sent %d times more, %d engines ended in all", body, late, len(runs)))
+		}
+	}
+	return found
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -18,6 +18,10 @@
 	began := time.Now()
 	note := r.noteFault(f, began)
 	switch {
+	case f.Kind == KindEndingRequest:
+		r.endEngines(f)
+	case f.Kind == KindEngineLimit:
+		r.limitEngine(f.Target)
 	case f.Kind == KindConfig || f.Kind == KindRevoke:
 		r.edit(f.Kind == KindRevoke)
 	case f.ofDaemon():
@@ -132,9 +136,19 @@
 		KindEngineCut:    {CutAfter: 5},
 		KindEngineTwice:  {Twice: true},
 	}
-	r.must(r.site.post(r.site.engineURL(f.Target, "/faults"), faults[f.Kind]))
+	r.must(r.setFaults(f.Target, faults[f.Kind]))
 	time.Sleep(f.For)
-	r.must(r.site.post(r.site.engineURL(f.Target, "/faults"), form.EngineFaults{}))
+	r.must(r.setFaults(f.Target, form.EngineFaults{}))
+}
+
+// setFaults switches an engine's faults but for its limit and the requests that
+// end it. The caller holds the engine's lock.
+func (r *run) setFaults(engine int, f form.EngineFaults) error {
+	f.EndsOn = endingBody
+	if r.limited[engine] {
+		f.Limit, f.HideLimit = engineLimit, r.o.Plant == plantHideLimit
+	}
+	return r.site.post(r.site.engineURL(engine, "/faults"), f)
 }
 
 // drain has an engine announce that it leaves, and come back later. One engine
--- /dev/null
+++ b/internal/soak/limit.go
@@ -0,0 +1,90 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	form "github.com/beechhead/beechhead/platform/standin"
+)
+
+const (
+	// engineLimit is what engines in need name, in requests a second.
+	engineLimit = 2
+	// limitWindow is the span in which an engine gets at most limitExcess times
+	// what its limit allows, and limitSlack more.
+	limitWindow = 4 * time.Second
+	limitExcess = 1.5
+	limitSlack  = 5
+)
+
+// limitEngine has an engine name a limit.
+func (r *run) limitEngine(engine int) {
+	set := func(limited bool) {
+		r.engineLocks[engine].Lock()
+		defer r.engineLocks[engine].Unlock()
+		r.limited[engine] = limited
+		r.must(r.setFaults(engine, form.EngineFaults{}))
+	}
+	set(true)
+	<-r.lasting.Done()
+	set(false)
+}
+
+// engineLimits looks for windows in which an engine that named a limit got too
+// much from daemons in touch.
+func engineLimits(rec *Record) (found []string) {
+	daemons := rec.daemonsByID()
+	for _, f := range rec.Faults {
+		if f.Kind != KindEngineLimit {
+			continue
+		}
+		var counted []Run
+		for _, r := range rec.Runs {
+			during := r.Began.After(f.From.Add(touchWindow)) && r.Began.Before(f.To)
+			if r.Engine == f.Target && during && !rec.outOfTouch(daemons[r.ID], r.Began) {
+				counted = append(counted, r)
+			}
+		}
+		sortByTime(counted)
+		allowed := int(limitExcess*engineLimit*limitWindow.Seconds()) + limitSlack
+		if most := mostWithin(counted, limitWindow); most > allowed {
+			found = append(found, fmt.Sprintf("engine %d got %d requests in %v, at most %d may be sent", f.Target, most, limitWindow, allowed))
+		}
+	}
+	return found
+}
+
+// mostWithin returns the greatest number of runs that began within a span; they
+// are in order of time.
+func mostWithin(runs []Run, span time.Duration) (most int) {
+	from := 0
+	for i := range runs {
+		for runs[i].Began.Sub(runs[from].Began) >= span {
+			from++
+		}
+		most = max(most, i-from+1)
+	}
+	return most
+}
+
+func sortByTime(runs []Run) {
+	slices.SortFunc(runs, func(a, b Run) int { return a.Began.Compare(b.Began) })
+}
+
+// daemonsByID returns the daemon that each request was sent to.
+func (rec *Record) daemonsByID() map[string]int {
+	daemons := map[string]int{}
+	for _, c := range rec.Calls {
+		daemons[c.ID] = c.Daemon
+	}
+	return daemons
+}
+
+// outOfTouch tells whether something has struck a daemon shortly before a time,
+// so that bounds in time don't hold for it.
+func (rec *Record) outOfTouch(daemon int, at time.Time) bool {
+	return slices.ContainsFunc(rec.Faults, func(f Struck) bool {
+		return f.ofDaemon() && f.Target == daemon && f.overlaps(at.Add(-touchWindow), at)
+	})
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -37,6 +37,10 @@
 	KindEngineSilence Kind = "engineSilence"
 	KindEngineDelay   Kind = "engineDelay"
 	KindEngineDrain   Kind = "engineDrain"
+	KindEngineLimit   Kind = "engineLimit"
+	// KindEndingRequest is a request that ends each engine that begins to run
+	// it, and that its caller sends again and again.
+	KindEndingRequest Kind = "endingRequest"
 
 	KindConfig Kind = "config"
 	KindRevoke Kind = "revoke"
@@ -57,7 +61,8 @@
 // Fault is one fault of a plan.
 type Fault struct {
 	Kind Kind `json:"kind"`
-	// At is counted from the beginning, For how long it lasts.
+	// At is counted from the beginning, For how long it lasts; zero is beyond
+	// all others.
 	At  time.Duration `json:"at"`
 	For time.Duration `json:"for"`
 	// Target is the number of the daemon or engine, where the kind has one.
@@ -69,11 +74,11 @@
 	return fmt.Sprintf("%6.2fs %-13s %d for %v", f.At.Seconds(), f.Kind, f.Target, f.For.Round(10*time.Millisecond))
 }
 
-// planned tells whether a fault is work that an operator plans, beside which
-// nothing may be cut off.
+// planned tells whether a fault is one beside which nothing may be cut off, such
+// as work that an operator plans.
 func (f Fault) planned() bool {
 	switch f.Kind {
-	case KindStop, KindReload, KindConfig, KindRevoke, KindEngineDrain:
+	case KindStop, KindReload, KindConfig, KindRevoke, KindEngineDrain, KindEngineLimit:
 		return true
 	}
 	return false
@@ -130,10 +135,32 @@
 		}
 		at += time.Duration(random.ExpFloat64() * float64(faultGap))
 	}
+	plan = append(plan, lastingFaults(seed, engines, length)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
 
+// lastingShare is how often a run has a fault of each kind that lasts.
+const lastingShare = 0.5
+
+// lastingKinds has the kinds that go on for a while after the others: what
+// daemons do about them is looked at when nothing else troubles them.
+var lastingKinds = []Kind{KindEngineLimit, KindEndingRequest}
+
+func (f Fault) lasts() bool { return slices.Contains(lastingKinds, f.Kind) }
+
+// lastingFaults draws them apart from the others, which so stay as they are.
+func lastingFaults(seed uint64, engines int, length time.Duration) (plan []Fault) {
+	random := rand.New(rand.NewPCG(seed, 2)) //nolint:gosec // a plan
+	for _, kind := range lastingKinds {
+		f := Fault{Kind: kind, At: time.Duration(random.Int64N(int64(length))), Target: random.IntN(engines)}
+		if random.Float64() < lastingShare {
+			plan = append(plan, f)
+		}
+	}
+	return plan
+}
+
 func drawKind(random *rand.Rand) Kind {
 	total := 0
 	for _, k := range kinds {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,6 +44,8 @@
 const (
 	// recovery is how long after the last fault everything must be well again.
 	recovery = 8 * time.Second
+	// lastingTime is how long faults that last go on after the others.
+	lastingTime = 8 * time.Second
 	// calmTime is how long it is then looked at.
 	calmTime = 2 * time.Second
 	// Networks is how many runs may go on at once, each in a network of its
@@ -59,7 +62,11 @@
 	ctx  context.Context
 
 	daemonLocks, engineLocks []sync.Mutex
-	storeLock, drainLock     sync.Mutex
+	// limited has the engines that name a limit, each under its lock.
+	limited []bool
+	// lasting ends with the faults that last.
+	lasting              context.Context
+	storeLock, drainLock sync.Mutex
 }
 
 // Verdict is what a run has shown.
@@ -89,6 +96,7 @@
 		o: o, ctx: ctx,
 		daemonLocks: make([]sync.Mutex, o.Daemons),
 		engineLocks: make([]sync.Mutex, o.Engines),
+		limited:     make([]bool, o.Engines),
 	}
 	r.site = &site{
 		o: o, procs: newProcesses(dir), network: firstNetwork + o.Network%Networks,
@@ -111,9 +119,17 @@
 
 // plant switches on the planted fault.
 func (r *run) plant() error {
+	for i := range r.o.Engines {
+		if err := r.setFaults(i, standin.EngineFaults{}); err != nil {
+			return err
+		}
+	}
 	if r.o.Plant == "" {
 		return nil
 	}
+	if r.o.plantedFault() != "" {
+		return nil
+	}
 	faults := map[string]bool{r.o.Plant: true}
 	if r.o.Plant == "runRefused" {
 		faults["refuse"] = true
@@ -131,16 +147,31 @@
 	ctx, cancel := context.WithCancel(r.ctx)
 	defer cancel()
 	r.rec.Began = time.Now()
-	var callers, faults sync.WaitGroup
+	var endLasting context.CancelFunc
+	r.lasting, endLasting = context.WithCancel(ctx)
+	defer endLasting()
+	var callers, faults, lasting sync.WaitGroup
 	callers.Go(func() { r.callers(ctx) })
-	for _, f := range Plan(r.o.Seed, r.o.Daemons, r.o.Engines, r.o.Length) {
-		faults.Go(func() {
+	callers.Go(func() { r.registerStarts(ctx) })
+	plan := r.o.plan()
+	for _, f := range plan {
+		group := &faults
+		if f.lasts() {
+			group = &lasting
+		}
+		group.Go(func() {
 			if r.sleep(time.Until(r.rec.Began.Add(f.At))) {
 				r.strike(f)
 			}
 		})
 	}
 	faults.Wait()
+	if slices.ContainsFunc(plan, Fault.lasts) {
+		r.sleep(time.Until(r.rec.Began.Add(r.o.Length)))
+		r.sleep(lastingTime)
+	}
+	endLasting()
+	lasting.Wait()
 	r.sleep(recovery)
 	r.rec.Calm = time.Now()
 	r.sleep(calmTime)
@@ -235,7 +266,7 @@
 		fmt.Fprintf(o.Out, "  %s: %s\n", one.Promise, one.What)
 	}
 	fmt.Fprintf(o.Out, "  logs and record are in %s; the plan was\n", v.Kept)
-	for _, f := range Plan(o.Seed, o.Daemons, o.Engines, o.Length) {
+	for _, f := range o.plan() {
 		fmt.Fprintf(o.Out, "    %s\n", f)
 	}
 }
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -55,11 +55,11 @@
 	procs   *processes
 	network int
 	client  *http.Client
-	// engines has the ids by number; a drained engine is replaced by another
-	// start under a new id, at the same number.
-	engines []string
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// engines has the ids by number; an engine that has ended starts again under
+	// a new id, at the same number.
+	engines []string
 	daemons []*process
 	config  standin.Document
 	// extra is the route that the newest edit added, keys the keys in force
@@ -89,7 +89,8 @@
 		id := fmt.Sprintf("engine-%d", i)
 		s.engines = append(s.engines, id)
 		address := s.address(standinAddress, portEngines+i)
-		if _, err := s.procs.start(id, s.binary("beechhead-standin"), "gateway-engine", "--listen", address, "--id", id); err != nil {
+		if _, err := s.procs.start(id, s.binary("beechhead-standin"), "gateway-engine", "--listen", address, "--id", id,
+			"--end", s.relayURL(fmt.Sprintf("engine%d", i), "end")); err != nil {
 			return err
 		}
 		args = append(args, "--relay", fmt.Sprintf("engine%d=%s=%s", i, s.address(standinAddress, portEngineWay+i), address))
@@ -135,7 +136,14 @@
 
 func (s *site) putEngine(i int, draining bool) error {
 	entry := standin.EntryOf(s.pool(i), s.address(standinAddress, portEngineWay+i), draining)
-	return s.operate(platform.TableEngines, s.engines[i], entry)
+	return s.operate(platform.TableEngines, s.engine(i), entry)
+}
+
+// engine returns the id of an engine.
+func (s *site) engine(i int) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engines[i]
 }
 
 // putConfig writes the operators' document and returns when it is accepted.
@@ -148,7 +156,11 @@
 	if err != nil {
 		return err
 	}
-	return s.post("http://"+s.address(standinAddress, portStore)+"/operator", standin.Edit{Table: tableName, Key: key, Value: data})
+	return s.edit(standin.Edit{Table: tableName, Key: key, Value: data})
+}
+
+func (s *site) edit(e standin.Edit) error {
+	return s.post("http://"+s.address(standinAddress, portStore)+"/operator", e)
 }
 
 // startDaemon starts a daemon, for the first time or again.
--- a/internal/standin/main.go
+++ b/internal/standin/main.go
@@ -148,11 +148,22 @@
 	Slots  int           `long:"slots" default:"8" description:"Requests run at once"`
 	Events int           `long:"events" default:"20" description:"Events of a stream"`
 	Pause  time.Duration `long:"pause" default:"40ms" description:"Time before each event and before other answers"`
+	End    string        `long:"end" description:"URL that is posted to when a request ends the engine"`
 }
 
 // Execute runs the stand-in of an endpoint of the users' platform.
 func (c *endpointCommand) Execute([]string) error {
-	return c.serve(&gatewayform.Engine{ID: c.ID, Slots: c.Slots, Events: c.Events, Pause: c.Pause})
+	return c.serve(&gatewayform.Engine{ID: c.ID, Slots: c.Slots, Events: c.Events, Pause: c.Pause, End: c.end})
+}
+
+// end has the way to the engine closed.
+func (c *endpointCommand) end() {
+	resp, err := http.Post(c.End, "", nil)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "end the engine:", err)
+		return
+	}
+	_ = resp.Body.Close()
 }
 
 type sampleCommand struct {
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -14,12 +14,12 @@
 // silent for good while new ones work, as a firewall does that has lost track
 // of them: neither end is told, and bytes sent are still acknowledged.
 type Relay struct {
-	listener net.Listener
-	target   string
+	address, target string
 
-	mu     sync.Mutex
-	pairs  map[*relayed]bool
-	faults RelayFaults
+	mu       sync.Mutex
+	listener net.Listener
+	pairs    map[*relayed]bool
+	faults   RelayFaults
 }
 
 // RelayFaults are the faults of a relay's connections, old and new.
@@ -77,8 +77,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	r = &Relay{listener: l, target: target, pairs: map[*relayed]bool{}}
-	go r.accept()
+	r = &Relay{address: l.Addr().String(), listener: l, target: target, pairs: map[*relayed]bool{}}
+	go r.accept(l)
 	return r, nil
 }
 
@@ -97,7 +97,29 @@
 }
 
 // Address returns where to connect to.
-func (r *Relay) Address() string { return r.listener.Addr().String() }
+func (r *Relay) Address() string { return r.address }
+
+// End refuses new connections and resets the open ones, as if the target had
+// ended, until it listens again.
+func (r *Relay) End() {
+	r.mu.Lock()
+	_ = r.listener.Close()
+	r.mu.Unlock()
+	r.Reset()
+}
+
+// Listen listens again after End.
+func (r *Relay) Listen() error {
+	l, err := net.Listen("tcp", r.address)
+	if err != nil {
+		return errors.Wrap(err, "listen again")
+	}
+	r.mu.Lock()
+	r.listener = l
+	r.mu.Unlock()
+	go r.accept(l)
+	return nil
+}
 
 // Silence makes the open connections pass nothing any more, and returns how
 // many there were.
@@ -112,18 +134,18 @@
 
 // Close ends the relay and its connections.
 func (r *Relay) Close() {
-	_ = r.listener.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	_ = r.listener.Close()
 	for p := range r.pairs {
 		_ = p.near.Close()
 		_ = p.far.Close()
 	}
 }
 
-func (r *Relay) accept() {
+func (r *Relay) accept(l net.Listener) {
 	for {
-		near, err := r.listener.Accept()
+		near, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/standin/relays.go
+++ b/internal/standin/relays.go
@@ -33,7 +33,8 @@
 }
 
 // relayControl switches the faults of named relays: POST /NAME/faults with
-// RelayFaults, POST /NAME/reset and POST /NAME/silence.
+// RelayFaults, POST /NAME/reset, POST /NAME/silence, POST /NAME/end and POST
+// /NAME/listen.
 func relayControl(relays map[string]*Relay) http.Handler {
 	mux := http.NewServeMux()
 	handle := func(action string, do func(*Relay, *http.Request) error) {
@@ -50,6 +51,8 @@
 	}
 	handle("reset", func(relay *Relay, _ *http.Request) error { relay.Reset(); return nil })
 	handle("silence", func(relay *Relay, _ *http.Request) error { relay.Silence(); return nil })
+	handle("end", func(relay *Relay, _ *http.Request) error { relay.End(); return nil })
+	handle("listen", func(relay *Relay, _ *http.Request) error { return relay.Listen() })
 	handle("faults", func(relay *Relay, r *http.Request) error {
 		var f RelayFaults
 		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
