Keep back requests that end engines behind a daemon's own table, too

The same fault as at gateways: a request that ends the engine that runs it went to the next one, by the daemon's own retries and whenever its caller came again.

Dispatch notes ends by a refused connection, asks before each attempt, and tells callers with 422, so that their clients don't repeat it. The news rides on the same heartbeats.

--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -11,6 +11,7 @@
 	"github.com/beechhead/beechhead/internal/claim"
 	"github.com/beechhead/beechhead/internal/dispatch"
 	"github.com/beechhead/beechhead/internal/outcome"
+	"github.com/beechhead/beechhead/internal/quarantine"
 	"github.com/beechhead/beechhead/internal/service"
 	"github.com/beechhead/beechhead/pkg/table"
 )
@@ -77,6 +78,8 @@
 		return nil, outcome.NotRunError(outcome.ReasonUnknownService, "class "+string(cl.Name)+" has no service "+name)
 	}
 	return &dispatch.Call{
+		Fingerprint: quarantine.FingerprintOf(account(c).Name, r.Method, name, target, body),
+
 		Account: account(c).Name,
 		Class:   cl,
 		Pool:    table.Pool(name),
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -12,6 +12,7 @@
 	"github.com/beechhead/beechhead/internal/dispatch"
 	"github.com/beechhead/beechhead/internal/engine"
 	"github.com/beechhead/beechhead/internal/outcome"
+	"github.com/beechhead/beechhead/internal/quarantine"
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
@@ -75,8 +76,10 @@
 	if !slices.Contains(cl.Pools, b.Model) || tableInForce(c).Table.PoolKind(b.Model) != table.KindEngine {
 		return nil, nil, outcome.NotRunError(outcome.ReasonUnknownModel, "class "+string(cl.Name)+" has no model "+string(b.Model))
 	}
+	r := c.Request()
 	return &dispatch.Chat{
 		ID:           requestID(c),
+		Fingerprint:  quarantine.FingerprintOf(account(c).Name, r.Method, "", r.URL.RequestURI(), body),
 		Account:      account(c).Name,
 		Class:        cl,
 		Pool:         b.Model,
--- a/internal/caller/refuse.go
+++ b/internal/caller/refuse.go
@@ -38,6 +38,7 @@
 	outcome.ReasonUnknownClass:    http.StatusNotFound,
 	outcome.ReasonUnknownService:  http.StatusNotFound,
 	outcome.ReasonOtherBody:       http.StatusUnprocessableEntity,
+	outcome.ReasonQuarantined:     http.StatusUnprocessableEntity,
 	outcome.ReasonInProgress:      http.StatusConflict,
 	outcome.ReasonClaimUnknown:    http.StatusConflict,
 	outcome.ReasonRateLimit:       http.StatusTooManyRequests,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,6 +32,7 @@
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
 	"github.com/beechhead/beechhead/internal/placement"
 	"github.com/beechhead/beechhead/internal/platform"
+	"github.com/beechhead/beechhead/internal/quarantine"
 	"github.com/beechhead/beechhead/internal/service"
 	"github.com/beechhead/beechhead/internal/settings"
 	"github.com/beechhead/beechhead/internal/tablesync"
@@ -56,6 +57,7 @@
 	coordinator *cell.Coordinator
 	placer      *placement.Placer
 	front       *caller.Server
+	suspects    *quarantine.List
 	peers       *peer.Pool
 	beats       *heartbeat.Exchanger
 	spreader    *tablesync.Spreader
@@ -108,6 +110,8 @@
 	d.view.Count = d.metrics.Inc
 	d.keeper.InMinority = d.view.InMinority
 	d.keeper.FromPeers = d.fetchFromPartner
+	d.suspects = quarantine.NewList(d.clock)
+	d.suspects.Changed = quarantine.Note(d.logger, d.metrics.Inc)
 	d.buildPeers()
 	d.buildSpreader()
 	d.cells = &cellhost.Host{
@@ -141,7 +145,7 @@
 		Logger:     d.logger,
 		Keeper:     d.keeper,
 		View:       d.view,
-		Dispatcher: dispatch.NewDispatcher(d.clock, d.limits, d.placer, engine.NewClient(sender), service.NewClient(sender), d.metrics),
+		Dispatcher: dispatch.NewDispatcher(d.clock, d.limits, d.placer, engine.NewClient(sender), service.NewClient(sender), d.suspects, d.metrics),
 		Claims:     d.claims,
 		Metrics:    d.metrics,
 		Attainment: d.attainment,
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -45,6 +45,7 @@
 		Seeds:    d.seeds,
 		Load:     func() uint32 { return uint32(d.front.InProgress()) },
 		Count:    d.metrics.Inc,
+		Suspects: d.suspects,
 	}
 }
 
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -8,6 +8,7 @@
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
 	"github.com/beechhead/beechhead/internal/placement"
+	"github.com/beechhead/beechhead/internal/quarantine"
 	"github.com/beechhead/beechhead/internal/retrybudget"
 	"github.com/beechhead/beechhead/internal/service"
 	"github.com/beechhead/beechhead/pkg/table"
@@ -15,6 +16,9 @@
 
 // Call is one call of a plain service.
 type Call struct {
+	// Fingerprint is the same for all attempts of a caller at one request.
+	Fingerprint quarantine.Fingerprint
+
 	Account table.AccountName
 	Class   *table.Class
 	Pool    table.Pool
@@ -58,6 +62,9 @@
 func (r *callRun) do(ctx context.Context) (*service.Response, error) {
 	began := r.d.clock.Now()
 	for attempt := 0; ; attempt++ {
+		if r.d.suspects.Kept(r.call.Fingerprint) {
+			return nil, r.refusal(outcome.ReasonQuarantined, quarantine.Message)
+		}
 		grant, err := r.d.placer.Reserve(ctx, placement.Request{
 			Pool:     r.call.Pool,
 			Class:    r.call.Class.Name,
@@ -71,6 +78,9 @@
 		}
 		resp, err := r.send(ctx, grant)
 		if err == nil {
+			if resp.Status/100 == 2 {
+				r.d.suspects.Completed(r.call.Fingerprint)
+			}
 			return resp, nil
 		}
 		if err := r.mayGoOn(ctx, attempt, err); err != nil {
@@ -94,6 +104,7 @@
 	grant.Release(placement.Report{Outcome: o, Duration: r.d.clock.Since(began)})
 	if err != nil && !errors.Is(err, service.ErrNotSent) {
 		r.sent = true
+		r.d.noteFailure(ctx, r.call.Fingerprint, &grant.Endpoint, callReason(err))
 	}
 	return resp, err
 }
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -12,6 +12,7 @@
 	"github.com/beechhead/beechhead/internal/engine"
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
+	"github.com/beechhead/beechhead/internal/quarantine"
 	"github.com/beechhead/beechhead/internal/retrybudget"
 	"github.com/beechhead/beechhead/pkg/table"
 )
@@ -64,11 +65,15 @@
 // do runs legs until one delivers the rest of the answer.
 func (r *chatRun) do(ctx context.Context) error {
 	for {
+		if r.d.suspects.Kept(r.chat.Fingerprint) {
+			return r.refusal(outcome.ReasonQuarantined, quarantine.Message)
+		}
 		l, err := r.open(ctx)
 		if err == nil {
 			err = r.deliver(l)
 		}
 		if err == nil {
+			r.d.suspects.Completed(r.chat.Fingerprint)
 			return nil
 		}
 		if ctx.Err() != nil {
@@ -211,6 +216,8 @@
 	}
 	if l.mayHaveRun {
 		r.sent = true
+		// The leg's own context may have ended with it.
+		r.d.noteFailure(context.WithoutCancel(l.ctx), r.chat.Fingerprint, &l.grant.Endpoint, reasonOf(l.err))
 	}
 	if reasonOf(l.err) != outcome.ReasonPreempted {
 		r.failed = append(r.failed, l.endpoint())
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"github.com/beechhead/beechhead/internal/metric"
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/placement"
+	"github.com/beechhead/beechhead/internal/quarantine"
 	"github.com/beechhead/beechhead/internal/service"
 	"github.com/beechhead/beechhead/pkg/table"
 )
@@ -28,10 +29,11 @@
 	services *service.Client
 	metrics  *metric.Registry
 	budgets  *budgets
+	suspects *quarantine.List
 }
 
 // NewDispatcher returns a dispatcher.
-func NewDispatcher(clock clockwork.Clock, limits *limit.Keeper, placer *placement.Placer, engines *engine.Client, services *service.Client, metrics *metric.Registry) *Dispatcher {
+func NewDispatcher(clock clockwork.Clock, limits *limit.Keeper, placer *placement.Placer, engines *engine.Client, services *service.Client, suspects *quarantine.List, metrics *metric.Registry) *Dispatcher {
 	return &Dispatcher{
 		clock:    clock,
 		limits:   limits,
@@ -40,12 +42,16 @@
 		services: services,
 		metrics:  metrics,
 		budgets:  newBudgets(clock),
+		suspects: suspects,
 	}
 }
 
 // Chat is one chat request.
 type Chat struct {
-	ID      string
+	ID string
+	// Fingerprint is the same for all attempts of a caller at one request.
+	Fingerprint quarantine.Fingerprint
+
 	Account table.AccountName
 	Class   *table.Class
 	Pool    table.Pool
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -12,6 +12,7 @@
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
 	"github.com/beechhead/beechhead/internal/placement"
+	"github.com/beechhead/beechhead/internal/quarantine"
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
@@ -385,7 +386,7 @@
 	}
 	if r.f.Suspects.Kept(r.r.Fingerprint) {
 		// Without a time to come back after: a repeat would end as this one.
-		return outcome.NotRunError(outcome.ReasonQuarantined, "endpoints have ended under this request")
+		return outcome.NotRunError(outcome.ReasonQuarantined, quarantine.Message)
 	}
 	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,7 +123,7 @@
 	g.view.OnGone = g.hostGone
 	g.view.Count = g.metrics.Inc
 	g.suspects = quarantine.NewList(g.clock)
-	g.suspects.Changed = g.noteSuspect
+	g.suspects.Changed = quarantine.Note(g.logger, g.metrics.Inc)
 	g.buildFacts()
 	g.buildPeers()
 	g.buildPlacing()
@@ -208,17 +208,6 @@
 	g.coordinator.DropHost(string(h.ID), h.Incarnation)
 }
 
-// noteSuspect notes that requests of a fingerprint are sent no more, or again.
-func (g *Gateway) noteSuspect(f quarantine.Fingerprint, kept bool) {
-	if kept {
-		g.metrics.Inc("quarantine.begun")
-		g.logger.Warn("request quarantined", "fingerprint", f.String())
-		return
-	}
-	g.metrics.Inc("quarantine.ended")
-	g.logger.Warn("request released", "fingerprint", f.String())
-}
-
 // Run serves until ctx ends or a graceful stop is complete.
 func (g *Gateway) Run(ctx context.Context) (err error) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/http1/ended.go
+++ b/internal/http1/ended.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"syscall"
 
-	"github.com/go-faster/errors"
+	"github.com/beechhead/beechhead/internal/endpoint"
 )
 
 // Ended tells whether nobody listens at an address any longer: its machine
@@ -12,7 +11,7 @@
 func (p *Pool) Ended(ctx context.Context, address string) bool {
 	c, err := p.dial(ctx, address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return endpoint.Refused(err)
 	}
 	p.put(address, p.opened(c), defaultIdle)
 	return false
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -1,7 +1,9 @@
 package standin
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -45,6 +47,9 @@
 	NoEndMarker bool `json:"noEndMarker"`
 	// CutAfter drops the connection after that many tokens; zero never does.
 	CutAfter int `json:"cutAfter"`
+	// EndsOn is part of the bodies of requests that end the engine when it begins
+	// to run them; empty is none.
+	EndsOn string `json:"endsOn"`
 	// FreezeLoad keeps the load report as it is.
 	FreezeLoad bool `json:"freezeLoad"`
 	// LoseCacheEvents leaves gaps in the cache events.
@@ -68,6 +73,9 @@
 type Engine struct {
 	// Orders takes the orders that load models and adapters.
 	Orders *Orders
+	// End ends the engine: it listens no more, and all of its connections are
+	// cut off. It must be set for EndsOn.
+	End func()
 
 	speed    EngineSpeed
 	slots    *slots
@@ -167,14 +175,23 @@
 
 // chat answers a chat request as a stream.
 func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
 	var req chatRequest
-	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+	if err := json.Unmarshal(body, &req); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	e.mu.Lock()
 	e.stats.Requests++
+	endsOn := e.faults.EndsOn
 	e.mu.Unlock()
+	if endsOn != "" && bytes.Contains(body, []byte(endsOn)) {
+		e.End()
+		return
+	}
 	if err := e.slots.acquire(r.Context(), req.Priority); err != nil {
 		e.countCancelled()
 		return
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -123,6 +123,8 @@
 		if err != nil {
 			return nil, err
 		}
+		server := s.servers[len(s.servers)-1]
+		e.End = func() { _ = server.Close() }
 		s.Engines = append(s.Engines, e)
 		s.engineURLs = append(s.engineURLs, url)
 		endpoints = append(endpoints, table.Endpoint{
