Add a failing test of a store that comes back from a copy

In a drill the store comes back from a copy some seconds old, gives versions out again and counts an era in its answers.

--- a/internal/factsync/simstore_test.go
+++ b/internal/factsync/simstore_test.go
@@ -19,6 +19,9 @@
 	// floor is the version since which the history is known.
 	floor uint64
 	rows  []platform.FeedRow
+	// written has when each of the rows was written.
+	written []time.Duration
+	era     platform.Era
 	// news is closed and replaced with each change.
 	news chan struct{}
 	// calls counts the calls that have come.
@@ -35,9 +38,30 @@
 	defer s.mu.Unlock()
 	s.version++
 	s.rows = append(s.rows, platform.FeedRow{Key: key, Version: s.version, Value: []byte(value), Removed: value == ""})
+	s.written = append(s.written, s.clock.Now())
+	s.wake()
+	return s.version
+}
+
+func (s *simStore) wake() {
 	close(s.news)
 	s.news = make(chan struct{})
-	return s.version
+}
+
+// comeBack has the store return from a copy that is some time old. What was
+// written since is gone, and its versions are given out again.
+func (s *simStore) comeBack(ago time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := s.clock.Now() - ago
+	for n := len(s.rows); n > 0 && s.written[n-1] > at; n = len(s.rows) {
+		s.version = s.rows[n-1].Version - 1
+		s.rows, s.written = s.rows[:n-1], s.written[:n-1]
+	}
+	s.floor = min(s.floor, s.version)
+	s.era++
+	s.away = false
+	s.wake()
 }
 
 func (s *simStore) forget() {
@@ -47,7 +71,7 @@
 }
 
 func (s *simStore) answer(keep func(platform.FeedRow) bool) platform.Rows {
-	a := platform.Rows{Version: s.version, NowMs: s.clock.Now().Milliseconds()}
+	a := platform.Rows{Version: s.version, NowMs: s.clock.Now().Milliseconds(), Era: s.era, HasEra: true}
 	for _, row := range s.rows {
 		if keep(row) {
 			a.Rows = append(a.Rows, row)
@@ -74,7 +98,7 @@
 func (s *simStore) changes(prefix string, since uint64) (platform.Rows, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if since < s.floor {
+	if since < s.floor || since > s.version {
 		return platform.Rows{}, nil, platform.ErrHistoryGone
 	}
 	return s.answer(func(r platform.FeedRow) bool { return strings.HasPrefix(r.Key, prefix) && r.Version > since }), s.news, nil
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -31,8 +31,15 @@
 	NowMs   int64
 	// More says that there are more rows after the last one.
 	More bool
+	// Era counts how often the store has come back from a copy; it is of use if
+	// HasEra is set. Versions of different eras can't be compared.
+	Era    Era
+	HasEra bool
 }
 
+// Era counts how often a store has come back from a copy of its state.
+type Era uint64
+
 // Exchange is one HTTP request to the store as a wire writes it.
 type Exchange struct {
 	Method string
