Order what the store tells by its era, and then by version

What would be seen: after a drill in which the store comes back from a copy, hosts miss departures that are told at versions given out again, and keep endpoints that went with what was lost.

Cause: everything was ordered by the store's version, which goes back.

A position is the era, from the header of every answer, above the version, in the one number that all comparisons use; era 0 is as before. Nobody gets into an era but by a whole list. Hosts list themselves again. One line and a counter for each return.

Not guarded: the daemon with its own table (docs/design/storeera.md).

--- a/internal/facts/change.go
+++ b/internal/facts/change.go
@@ -4,8 +4,8 @@
 
 // Change tells which endpoints one piece of news changed here.
 type Change struct {
-	// From is the host that told; empty is the store, fromGrace that the time
-	// to register again is over.
+	// From is the host that told; empty is the store, fromTime that some time
+	// after the store's return is over.
 	From string
 	// Before is the position before the news, Position that up to which the
 	// news leads; zero says that it does not move the position.
@@ -17,8 +17,8 @@
 	Registered, Draining, Gone, Kept []EndpointID
 }
 
-// fromGrace stands for the host that told in changes that time alone makes.
-const fromGrace = "grace"
+// fromTime stands for the host that told in changes that time alone makes.
+const fromTime = "grace"
 
 // add sorts an endpoint in that counts as e says; removed says that its
 // registration is gone.
@@ -48,7 +48,10 @@
 	}
 	attrs := []slog.Attr{
 		slog.String("from", from), slog.Bool("whole", c.Whole),
-		slog.Uint64("before", uint64(c.Before)), slog.Uint64("position", uint64(c.Position)),
+		slog.Uint64("before", c.Before.Version()), slog.Uint64("position", c.Position.Version()),
+	}
+	if era := c.Position.Era(); era > 0 {
+		attrs = append(attrs, slog.Uint64("era", uint64(era)))
 	}
 	for _, kind := range []struct {
 		name string
--- a/internal/facts/endpoints.go
+++ b/internal/facts/endpoints.go
@@ -33,6 +33,7 @@
 
 // counted returns an endpoint as this daemon counts it.
 func (h *Holder) counted(e Endpoint, now storetime.Instant) Endpoint {
+	e = h.recall.apply(e, now)
 	e.Gone = e.Gone && !h.grace.keeps(e.ID, now)
 	return e
 }
@@ -48,12 +49,16 @@
 	h.mu.Lock()
 	c := Change{From: n.From, Before: h.registry.position, Position: n.Position, Whole: n.Whole}
 	now := h.now()
+	era, began := h.beginEra(n)
 	for _, e := range h.registry.merge(n) {
 		h.grace.note(e, now)
 		c.add(h.counted(e, now), e.Gone)
 	}
 	h.endpointsAsOf = max(h.endpointsAsOf, n.AsOf)
 	h.mu.Unlock()
+	if began {
+		h.OnEra(era, n.Position.Era())
+	}
 	h.tell(c)
 }
 
@@ -78,10 +83,17 @@
 	h.grace.until = max(h.grace.until, until)
 }
 
-// Expire drops the endpoints that did not register again in time.
+// Expire drops the endpoints that did not register again in time, and ends what
+// holds for some time after the store's return from a copy.
 func (h *Holder) Expire() {
 	h.mu.Lock()
-	c := Change{From: fromGrace, Before: h.registry.position, Gone: h.grace.expire(h.now())}
+	now := h.now()
+	c := Change{From: fromTime, Before: h.registry.position, Gone: h.grace.expire(now)}
+	for _, id := range h.recall.expire(now) {
+		if e := h.counted(h.registry.rows[id], now); !e.Gone {
+			c.add(e, false)
+		}
+	}
 	h.mu.Unlock()
 	h.tell(c)
 }
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -9,13 +9,11 @@
 	"time"
 
 	"github.com/beechhead/beechhead/internal/catalog"
+	"github.com/beechhead/beechhead/internal/platform"
 	"github.com/beechhead/beechhead/internal/storetime"
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
-// Position is a version of the store, which grows with each transaction.
-type Position uint64
-
 // EndpointID is the name under which an endpoint has registered.
 type EndpointID string
 
@@ -28,7 +26,9 @@
 	Slots   int
 	// Born is the start of the endpoint's process, in milliseconds. A new
 	// process under an old id is another endpoint, which holds nothing.
-	Born     int64
+	Born int64
+	// Sequence counts what the endpoint has written since its start.
+	Sequence uint64
 	Draining bool
 	// Gone says that the endpoint is no longer registered.
 	Gone bool
@@ -38,7 +38,7 @@
 
 // same tells whether two registrations say the same.
 func (e Endpoint) same(other Endpoint) bool {
-	e.Changed = other.Changed
+	e.Changed, e.Sequence = other.Changed, other.Sequence
 	return e == other
 }
 
@@ -103,13 +103,17 @@
 	OnChange func()
 	// OnNews is called with each change of endpoints, without the lock.
 	OnNews func(Change)
-	clock  *storetime.Clock
+	// OnEra is called, without the lock, when the store has come back from a
+	// copy.
+	OnEra func(from, to platform.Era)
+	clock *storetime.Clock
 
 	mu       sync.Mutex
 	data     []byte
 	catalog  *catalog.Catalog
 	registry registry
 	grace    grace
+	recall   recall
 	// config and configAsOf, endpointsAsOf are as in Summary.
 	config        catalog.Version
 	configAsOf    storetime.Instant
@@ -122,6 +126,7 @@
 		Parse:    parse,
 		OnChange: func() {},
 		OnNews:   func(Change) {},
+		OnEra:    func(_, _ platform.Era) {},
 		clock:    clock,
 		registry: registry{rows: map[EndpointID]Endpoint{}},
 		grace:    grace{kept: map[EndpointID]storetime.Instant{}},
--- a/internal/facts/facts_test.go
+++ b/internal/facts/facts_test.go
@@ -143,7 +143,7 @@
 }
 
 func (s *site) news(whole bool, version uint64, rows ...platform.FeedRow) news {
-	return news{rows: s.rows(version, rows...), upTo: version, whole: whole}
+	return news{rows: s.rows(version, rows...), upTo: PositionOf(0, version), whole: whole}
 }
 
 func ids(endpoints []Endpoint) string {
--- a/internal/facts/gap_test.go
+++ b/internal/facts/gap_test.go
@@ -34,6 +34,24 @@
 	quietUntil storetime.Instant
 	// away says that the store answers nobody.
 	away bool
+	// era counts the returns from a copy, returned is when the last one was.
+	era      platform.Era
+	returned storetime.Instant
+}
+
+// comeBack has the store return from a copy that lacks the last changes. The
+// operator writes the document again, endpoints don't.
+func (s *gapStore) comeBack(lacks, config int) {
+	s.changes = s.changes[:max(0, len(s.changes)-lacks)]
+	s.version = 0
+	if n := len(s.changes); n > 0 {
+		s.version = s.changes[n-1].row.Version
+	}
+	s.floor = min(s.floor, s.version)
+	s.quiet, s.away = false, false
+	s.era++
+	s.returned = s.now()
+	s.put("c", strconv.Itoa(config))
 }
 
 func newGapStore() *gapStore { return &gapStore{boot: &boottime.Fake{}} }
@@ -81,7 +99,7 @@
 }
 
 func (s *gapStore) answer(keep func(platform.FeedRow) bool) platform.Rows {
-	a := platform.Rows{Version: s.version, NowMs: int64(s.now())}
+	a := platform.Rows{Version: s.version, NowMs: int64(s.now()), Era: s.era, HasEra: true}
 	for _, c := range s.changes {
 		if keep(c.row) {
 			a.Rows = append(a.Rows, c.row)
@@ -109,7 +127,7 @@
 			if s.away {
 				return platform.Rows{}, platform.ErrUnavailable
 			}
-			if since < s.floor {
+			if since < s.floor || since > s.version {
 				return platform.Rows{}, platform.ErrHistoryGone
 			}
 			return s.answer(func(r platform.FeedRow) bool {
@@ -150,7 +168,7 @@
 	}
 	d := &gapDaemon{Reader: r, config: &topic{feed: s.feed("c")}}
 	d.config.apply = func(n news) { r.applyConfig(d.config, n) }
-	d.endpoints = &topic{feed: s.feed("e"), apply: r.applyEndpoints, resume: func() uint64 { return uint64(r.Holder.Summary().Position) }}
+	d.endpoints = &topic{feed: s.feed("e"), apply: r.applyEndpoints, resume: func() Position { return r.Holder.Summary().Position }}
 	return d
 }
 
@@ -185,12 +203,13 @@
 // are quiet nobody can know.
 func (d *gapDaemon) fault(s *gapStore) string {
 	sum := d.Holder.Summary()
-	if !s.quiet && sum.Config > 0 && sum.ConfigAsOf > s.quietUntil {
+	known := max(s.quietUntil, s.returned)
+	if !s.quiet && sum.Config > 0 && sum.ConfigAsOf > known {
 		if want := s.asOf("c", sum.ConfigAsOf); want != fmt.Sprint(sum.Config) {
 			return fmt.Sprintf("configuration %d counts as the newest at %d, it was %s", sum.Config, sum.ConfigAsOf, want)
 		}
 	}
-	if s.quiet || sum.Position == 0 || sum.EndpointsAsOf <= s.quietUntil {
+	if s.quiet || sum.Position == 0 || sum.EndpointsAsOf <= known {
 		return ""
 	}
 	for _, key := range gapEndpoints {
@@ -227,7 +246,7 @@
 	edits := 1
 	s.put("c", "1")
 	s.put("e1", "up")
-	actions := []string{"poll", "poll", "hear", "hear", "ask", "start", "edit", "endpoint", "quiet", "forget", "away", "back", "wait"}
+	actions := []string{"poll", "poll", "hear", "hear", "ask", "start", "edit", "endpoint", "quiet", "forget", "away", "back", "copy", "wait"}
 	for range rapid.IntRange(10, 60).Draw(t, "steps") {
 		i := rapid.IntRange(0, len(daemons)-1).Draw(t, "daemon")
 		d := daemons[i]
@@ -263,6 +282,8 @@
 		case "back":
 			s.away = false
 			s.boot.Advance(time.Second)
+		case "copy":
+			s.comeBack(rapid.IntRange(0, 5).Draw(t, "lacks"), edits)
 		case "wait":
 			s.boot.Advance(100 * time.Millisecond)
 		}
@@ -306,6 +327,41 @@
 	}
 }
 
+// Daemons that know of no eras must be found out by a store that comes back
+// from copies, or the test above would not guard against it.
+func TestCopyHidesChangesFromDaemonsWithoutEras(t *testing.T) {
+	found := false
+	for seed := 0; seed < 200 && !found; seed++ {
+		found = rapid.Custom(func(t *rapid.T) bool {
+			return playGaps(t, newGapStore(), 2, func(s *gapStore) *gapDaemon {
+				d := newGapDaemon(s)
+				for _, topic := range []*topic{d.config, d.endpoints} {
+					hideEras(topic)
+				}
+				return d
+			}) != ""
+		}).Example(seed)
+	}
+	if !found {
+		t.Error("no order of events shows the fault")
+	}
+}
+
+// hideEras has a topic hear of no eras.
+func hideEras(t *topic) {
+	feed := t.feed
+	t.feed.Snapshot = func(ctx context.Context) (platform.Rows, error) {
+		rows, err := feed.Snapshot(ctx)
+		rows.HasEra = false
+		return rows, err
+	}
+	t.feed.Changes = func(ctx context.Context, since uint64, wait time.Duration) (platform.Rows, error) {
+		rows, err := feed.Changes(ctx, since, wait)
+		rows.HasEra = false
+		return rows, err
+	}
+}
+
 // followFromNewest has a topic ask for what came after the newest version that
 // the store has answered with.
 func followFromNewest(t *topic) {
--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -68,14 +68,19 @@
 	// Told is called after each successful read.
 	Told func()
 
-	// newest is the greatest version that the store has answered with.
+	// newest is the greatest position that the store has answered with.
 	newest atomic.Uint64
+	// oddEra says that the store has answered with an era that can't be.
+	oddEra atomic.Bool
 }
 
 // errPast says that the store answered with a state that is older than one
 // which it had shown before the call.
 var errPast = errors.Wrap(platform.ErrUnavailable, "the answer is older than an earlier one")
 
+// errOtherEra says that the store has come back from a copy.
+var errOtherEra = errors.Wrap(platform.ErrHistoryGone, "the store has come back from a copy")
+
 // topic is one feed with what the reader does with its rows.
 type topic struct {
 	name  string
@@ -84,12 +89,12 @@
 	pause time.Duration
 	// apply takes an answer in.
 	apply func(news)
-	// resume returns the version up to which the rows are known from other
+	// resume returns the position up to which the rows are known from other
 	// daemons; zero is none.
-	resume func() uint64
-	// since is the version up to which the feed was read, if synced is set. An
+	resume func() Position
+	// since is the position up to which the feed was read, if synced is set. An
 	// empty store's version is zero.
-	since  uint64
+	since  Position
 	synced bool
 	// forgotten says that the store no longer tells what came after since.
 	forgotten bool
@@ -102,8 +107,8 @@
 // news is an answer of the store.
 type news struct {
 	rows platform.Rows
-	// upTo is the version up to which all rows of the topic have been told.
-	upTo uint64
+	// upTo is the position up to which all rows of the topic have been told.
+	upTo Position
 	// whole says that rows are all rows that there are.
 	whole bool
 	// failed says that the reads before this one have failed.
@@ -118,7 +123,7 @@
 	r.follow(ctx, &topic{
 		name: "endpoints", feed: r.Endpoints, wait: endpointsWait, pause: endpointsPause,
 		apply:  r.applyEndpoints,
-		resume: func() uint64 { return uint64(r.Holder.Summary().Position) },
+		resume: func() Position { return r.Holder.Summary().Position },
 	})
 }
 
@@ -152,30 +157,35 @@
 
 // read asks once for what is new.
 func (r *Reader) read(ctx context.Context, t *topic) error {
-	t.takeUp()
 	seen := r.seen()
+	t.takeUp(seen.Era())
 	sent := r.Boot.Now()
 	n := news{whole: !t.synced, failed: t.fails > 0}
 	var err error
 	if n.whole {
 		n.rows, err = t.feed.Snapshot(ctx)
 	} else {
-		n.rows, err = t.feed.Changes(ctx, t.since, t.wait)
+		n.rows, err = t.feed.Changes(ctx, t.since.Version(), t.wait)
 	}
 	if err != nil {
 		return err
 	}
-	if n.rows.Version < seen {
+	at := PositionOf(r.era(&n.rows, seen.Era()), n.rows.Version)
+	if at < seen {
 		// An old state would count as the newest: a configuration that has
 		// been replaced, an endpoint that has left.
 		return errPast
 	}
-	r.see(n.rows.Version)
+	r.see(at)
+	if !n.whole && at.Era() != t.since.Era() {
+		// The versions of another era say nothing of what came since.
+		return errOtherEra
+	}
 	r.Store.Observe(sent, storetime.Instant(n.rows.NowMs))
-	n.upTo = n.rows.Version
+	n.upTo = at
 	if !n.whole {
 		n.rows.Rows = newestRows(n.rows.Rows)
-		n.upTo = max(t.since, newestVersion(n.rows.Rows))
+		n.upTo = max(t.since, PositionOf(at.Era(), newestVersion(n.rows.Rows)))
 	}
 	t.apply(n)
 	t.since, t.synced, t.forgotten = n.upTo, true, false
@@ -184,8 +194,11 @@
 
 // takeUp goes on from what other daemons have told, unless the store has
 // forgotten what came since. To read everything anew would cost all daemons a
-// whole list.
-func (t *topic) takeUp() {
+// whole list. What was read in an earlier era leads nowhere.
+func (t *topic) takeUp(era platform.Era) {
+	if t.synced && t.since.Era() < era {
+		t.synced, t.forgotten = false, t.resume == nil
+	}
 	if t.synced || t.forgotten || t.resume == nil {
 		return
 	}
@@ -217,17 +230,32 @@
 	return newest
 }
 
-// seen returns the greatest version of the store that is known to exist.
-func (r *Reader) seen() uint64 {
+// seen returns the greatest position of the store that is known to exist.
+func (r *Reader) seen() Position {
 	s := r.Holder.Summary()
-	return max(r.newest.Load(), uint64(s.Position), uint64(s.Told()))
+	return max(Position(r.newest.Load()), s.Position, s.Told())
+}
+
+// era returns the era of an answer. One that can't be read, or that was over
+// when the store was asked, counts as the era before.
+func (r *Reader) era(rows *platform.Rows, before platform.Era) platform.Era {
+	if rows.HasEra && rows.Era >= before {
+		return rows.Era
+	}
+	if rows.HasEra || rows.OddEra {
+		r.Metrics.Inc("facts.eraInvalid")
+		if !r.oddEra.Swap(true) {
+			r.Logger.Error("the store names an era that can't be", "era", uint64(rows.Era), "known", uint64(before))
+		}
+	}
+	return before
 }
 
-// see notes a version of the store.
-func (r *Reader) see(version uint64) {
+// see notes a position of the store.
+func (r *Reader) see(p Position) {
 	for {
 		known := r.newest.Load()
-		if version <= known || r.newest.CompareAndSwap(known, version) {
+		if uint64(p) <= known || r.newest.CompareAndSwap(known, uint64(p)) {
 			return
 		}
 	}
--- a/internal/factsync/answer.go
+++ b/internal/factsync/answer.go
@@ -97,6 +97,7 @@
 			Draining: e.Draining,
 			Gone:     e.Gone,
 			Changed:  uint64(e.Changed),
+			Sequence: e.Sequence,
 		})
 	}
 	return resp
@@ -126,6 +127,7 @@
 			Draining: e.GetDraining(),
 			Gone:     e.GetGone(),
 			Changed:  facts.Position(e.GetChanged()),
+			Sequence: e.GetSequence(),
 		})
 	}
 	return d
--- a/internal/factsync/era_test.go
+++ b/internal/factsync/era_test.go
@@ -16,6 +16,9 @@
 	copyAge = 3 * time.Second
 	// awayTime is how long the store is away before.
 	awayTime = 400 * time.Millisecond
+	// returnCalls bounds the calls right after its return: what a start of 120
+	// daemons costs.
+	returnCalls = 31
 )
 
 // check compares what the daemons count with what they should: the configuration,
@@ -67,8 +70,18 @@
 	s.store.setAway(true)
 	time.Sleep(awayTime)
 	s.store.comeBack(copyAge)
+	before := s.store.called()
 	time.Sleep(bound / 2)
+	n := s.store.called() - before
+	t.Logf("%d hosts: %d calls", len(s.daemons), n)
+	if n > returnCalls {
+		t.Errorf("%d calls to the store in %v after its return, at most %d may be", n, bound/2, returnCalls)
+	}
 	s.check(t, "right after the return", 2, map[int]bool{0: true, 1: false, 2: false, 7: true})
+	// A version that was given out before is given out again for other news.
+	s.store.put(endpointKey(3), address(3)+" draining")
+	time.Sleep(bound)
+	s.check(t, "first news of the new era", 2, map[int]bool{0: true, 1: false, 2: false, 3: false})
 	// The operator and the endpoints write again what is lost.
 	s.store.put(endpointKey(1), address(1)+" draining")
 	s.store.put(endpointKey(2), "")
@@ -76,10 +89,10 @@
 	s.store.put("c", "2")
 	time.Sleep(bound)
 	s.check(t, "written again", 2, map[int]bool{0: true, 1: false, 2: false, 7: true})
-	s.store.put(endpointKey(3), address(3)+" draining")
+	s.store.put(endpointKey(4), "")
 	s.store.put("c", "3")
 	time.Sleep(bound)
-	s.check(t, "news of the new era", 3, map[int]bool{0: true, 1: false, 2: false, 3: false, 7: true})
+	s.check(t, "news of the new era", 3, map[int]bool{0: true, 1: false, 2: false, 3: false, 4: false, 7: true})
 	// An endpoint that has gone with what was lost does not stay.
 	s.store.put(endpointKey(8), address(8))
 	time.Sleep(bound)
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -37,6 +37,7 @@
 	g.holder = facts.NewHolder(g.storeTime, wire.ParseConfig)
 	g.holder.OnChange = g.adopt
 	g.holder.OnNews = g.logNews
+	g.holder.OnEra = g.noteEra
 	g.sync = &factsync.Syncer{
 		Clock:        g.clock,
 		Boot:         g.boot,
@@ -88,6 +89,14 @@
 	g.logger.LogAttrs(context.Background(), slog.LevelInfo, "endpoints changed", c.Attrs()...)
 }
 
+// noteEra notes that the store has come back from a copy. What this daemon has
+// written there may be lost, so it is written again.
+func (g *Gateway) noteEra(from, to platform.Era) {
+	g.metrics.Inc("store.eras")
+	g.logger.Warn("store came back from a copy", "fromEra", uint64(from), "era", uint64(to), "position", g.holder.Summary().Position.Version())
+	g.listedSelf.Store(false)
+}
+
 // adopt puts new facts in force.
 func (g *Gateway) adopt() {
 	g.adopting.Lock()
@@ -111,7 +120,7 @@
 	})
 	g.metrics.Set("config.version", int64(c.Version))
 	g.metrics.Set("endpoints.known", int64(len(endpoints)))
-	g.logger.Info("facts in force", "config", c.Version, "endpoints", len(endpoints), "draining", len(draining), "position", s.Position)
+	g.logger.Info("facts in force", "config", c.Version, "endpoints", len(endpoints), "draining", len(draining), "position", s.Position.Version(), "era", uint64(s.Position.Era()))
 }
 
 // limitConnections divides what endpoints accept over the hosts.
--- a/internal/logline/story.go
+++ b/internal/logline/story.go
@@ -48,6 +48,7 @@
 // of a dependency that was lost or came back.
 var beliefs = map[string]bool{
 	"started": true, "leaving": true, "left": true, "facts in force": true, "store lost": true, "store regained": true,
+	"store came back from a copy": true, "request quarantined": true, "request released": true,
 	"host gone": true, "this daemon was paused": true, "settings reloaded": true, "settings not reloaded": true,
 	"configuration not taken": true, "requests are cut off": true,
 }
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -132,7 +132,13 @@
 	if err := statusError(resp.StatusCode); err != nil {
 		return err
 	}
-	return decode(data, out)
+	return decode(resp.Header, data, out)
+}
+
+// rawAnswer takes an answer as it comes.
+type rawAnswer struct {
+	header http.Header
+	data   []byte
 }
 
 func statusError(status int) error {
@@ -151,13 +157,16 @@
 	return errors.Wrapf(ErrRejected, "status %d", status)
 }
 
-func decode(data []byte, out any) error {
+func decode(header http.Header, data []byte, out any) error {
 	switch v := out.(type) {
 	case nil:
 		return nil
 	case *[]byte:
 		*v = data
 		return nil
+	case *rawAnswer:
+		v.header, v.data = header, data
+		return nil
 	}
 	if err := json.Unmarshal(data, out); err != nil {
 		return errors.Wrap(ErrUnavailable, "answer is not JSON: "+err.Error())
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -32,9 +32,10 @@
 	// More says that there are more rows after the last one.
 	More bool
 	// Era counts how often the store has come back from a copy; it is of use if
-	// HasEra is set. Versions of different eras can't be compared.
-	Era    Era
-	HasEra bool
+	// HasEra is set. Versions of different eras can't be compared. OddEra says
+	// that the store names one which can't be read.
+	Era            Era
+	HasEra, OddEra bool
 }
 
 // Era counts how often a store has come back from a copy of its state.
@@ -61,7 +62,7 @@
 	Put    func(table, key string, value []byte) Exchange
 	Remove func(table, key string) Exchange
 	// Rows reads the answer to Scan and Changes.
-	Rows func(data []byte) (Rows, error)
+	Rows func(header http.Header, data []byte) (Rows, error)
 }
 
 // WithWire returns a client of a store that speaks w.
@@ -80,7 +81,11 @@
 			return Rows{}, errors.Wrapf(err, "read table %s", table)
 		}
 		if from == "" {
-			all.Version, all.NowMs = page.Version, page.NowMs
+			all = page
+			all.Rows, all.More = nil, false
+		}
+		if page.Era != all.Era {
+			return Rows{}, errors.Wrap(ErrUnavailable, "the store came back from a copy between two pages")
 		}
 		all.Rows = append(all.Rows, page.Rows...)
 		if !page.More || len(page.Rows) == 0 {
@@ -127,11 +132,11 @@
 }
 
 func (c *Client) rows(ctx context.Context, e Exchange, wait time.Duration) (Rows, error) {
-	var data []byte
-	if err := c.send(ctx, e, false, wait, &data); err != nil {
+	var a rawAnswer
+	if err := c.send(ctx, e, false, wait, &a); err != nil {
 		return Rows{}, err
 	}
-	rows, err := c.wire.Rows(data)
+	rows, err := c.wire.Rows(a.header, a.data)
 	if err != nil {
 		return Rows{}, errors.Wrap(ErrUnavailable, err.Error())
 	}
@@ -139,7 +144,7 @@
 }
 
 // send makes one attempt: those who follow a feed pace their own repeats.
-func (c *Client) send(ctx context.Context, e Exchange, write bool, wait time.Duration, out *[]byte) error {
+func (c *Client) send(ctx context.Context, e Exchange, write bool, wait time.Duration, out *rawAnswer) error {
 	x := exchange{method: e.Method, path: e.Path, body: e.Body, cost: 1, write: write, wait: wait}
 	if out == nil {
 		return c.attempt(ctx, x, nil)
