--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -210,7 +210,7 @@
 			}
 		}
 	}
-	if n := len(kinds) + len(lastingKinds); len(seen) != n {
+	if n := len(kinds) + len(lastingKinds) + 1; len(seen) != n {
 		t.Errorf("%d of %d kinds are drawn", len(seen), n)
 	}
 }
--- a/internal/soak/ending.go
+++ b/internal/soak/ending.go
@@ -34,19 +34,23 @@
 	plantHideLimit = "hideLimit"
 	// plantOtherTarget has repeats of a request look like others.
 	plantOtherTarget = "otherTarget"
+	// plantHideEra has the store name no era.
+	plantHideEra = "hideEra"
 )
 
 // plantedFault returns the fault that a plan must have for its planted
 // variant, or "".
 func (o *Options) plantedFault() Kind {
-	return map[string]Kind{plantHideLimit: KindEngineLimit, plantOtherTarget: KindEndingRequest}[o.Plant]
+	return map[string]Kind{
+		plantHideLimit: KindEngineLimit, plantOtherTarget: KindEndingRequest, plantHideEra: KindStoreCopy,
+	}[o.Plant]
 }
 
 // plan returns the faults of the run; a planted variant has its fault alone, as
 // daemons that are in trouble need not keep the promise.
 func (o *Options) plan() []Fault {
 	if kind := o.plantedFault(); kind != "" {
-		return []Fault{{Kind: kind, At: time.Second}}
+		return []Fault{{Kind: kind, At: time.Second, For: maxFault}}
 	}
 	return Plan(o.Seed, o.Daemons, o.Engines, o.Length)
 }
@@ -97,6 +101,7 @@
 	time.Sleep(backAfter)
 	r.must(r.site.edit(standin.Edit{Table: platform.TableEngines, Key: r.site.engine(i)}))
 	r.site.mu.Lock()
+	r.site.ended = append(r.site.ended, r.site.engines[i])
 	r.site.engines[i] = id
 	r.site.mu.Unlock()
 	r.must(r.site.post(r.site.relayURL(fmt.Sprintf("engine%d", i), "listen"), nil))
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -26,6 +26,8 @@
 		r.edit(f.Kind == KindRevoke)
 	case f.ofDaemon():
 		r.strikeDaemon(f)
+	case f.Kind == KindStoreCopy:
+		r.copyStore(f)
 	case f.ofStore():
 		r.strikeStore(f)
 	case f.Kind == KindEngineDrain:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -27,6 +27,8 @@
 	KindStoreLossy   Kind = "storeLossy"
 	KindStoreHistory Kind = "storeHistory"
 	KindStoreCut     Kind = "storeCut"
+	// KindStoreCopy has the store go away for a moment and come back from a copy.
+	KindStoreCopy Kind = "storeCopy"
 
 	KindEngineRefuse  Kind = "engineRefuse"
 	KindEngineFail    Kind = "engineFail"
@@ -96,7 +98,7 @@
 // ofStore tells whether all daemons find the store in trouble.
 func (f Fault) ofStore() bool {
 	switch f.Kind {
-	case KindStoreDown, KindStoreSilent, KindStoreSlow, KindStoreLossy, KindStoreHistory:
+	case KindStoreDown, KindStoreSilent, KindStoreSlow, KindStoreLossy, KindStoreHistory, KindStoreCopy:
 		return true
 	}
 	return false
@@ -136,6 +138,7 @@
 		at += time.Duration(random.ExpFloat64() * float64(faultGap))
 	}
 	plan = append(plan, lastingFaults(seed, engines, length)...)
+	plan = append(plan, storeCopies(seed, length)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
@@ -161,6 +164,30 @@
 	return plan
 }
 
+const (
+	// copyShare is how often a run has a store that comes back from a copy;
+	// half of these come back twice in a row.
+	copyShare = 0.5
+	// copyAway is how long the store is away before.
+	copyAway = 300 * time.Millisecond
+)
+
+// storeCopies draws returns of the store apart from the others. Their time is
+// the age of the copy.
+func storeCopies(seed uint64, length time.Duration) (plan []Fault) {
+	random := rand.New(rand.NewPCG(seed, 3)) //nolint:gosec // a plan
+	if random.Float64() >= copyShare {
+		return nil
+	}
+	f := Fault{Kind: KindStoreCopy, At: time.Duration(random.Int64N(int64(length)))}
+	for range 1 + random.IntN(2) {
+		f.For = minFault + time.Duration(random.Int64N(int64(maxFault-minFault)))
+		plan = append(plan, f)
+		f.At += seriesGap
+	}
+	return plan
+}
+
 func drawKind(random *rand.Rand) Kind {
 	total := 0
 	for _, k := range kinds {
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -60,6 +60,8 @@
 	// engines has the ids by number; an engine that has ended starts again under
 	// a new id, at the same number.
 	engines []string
+	// ended has the ids of the starts that are over.
+	ended   []string
 	daemons []*process
 	config  standin.Document
 	// extra is the route that the newest edit added, keys the keys in force
