Notice that an endpoint ends after its caller has left

A caller that gives up early closes its request, and the daemon closed the connection to the endpoint with it. If the endpoint ended a moment later, nobody took note: a request whose callers leave early could end endpoints for ever. Found by reading; callers that leave are on the users' list of troubles.

The endpoint is looked at 500 ms later: an idle connection shows that it is there, without one a connection is opened and kept. TestEndAfterTheCallerHasLeftIsNoticed failed before.

--- /dev/null
+++ b/internal/forward/left_test.go
@@ -0,0 +1,72 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/beechhead/beechhead/internal/boottime"
+	"github.com/beechhead/beechhead/internal/http1"
+	"github.com/beechhead/beechhead/internal/metric"
+	"github.com/beechhead/beechhead/internal/outcome"
+	"github.com/beechhead/beechhead/internal/quarantine"
+	"github.com/beechhead/beechhead/pkg/table"
+)
+
+// Guards against ends of endpoints that nobody notices because the caller had
+// left a moment before.
+func TestEndAfterTheCallerHasLeftIsNoticed(t *testing.T) {
+	const endpoints = 3
+	s := &site{}
+	var listeners []net.Listener
+	for range endpoints {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, l)
+		s.urls = append(s.urls, "http://"+l.Addr().String())
+	}
+	boot := boottime.System{}
+	f := &Forwarder{
+		Clock:    clockwork.NewRealClock(),
+		Boot:     boot,
+		Logger:   slog.New(slog.DiscardHandler),
+		Metrics:  metric.NewRegistry(),
+		Pool:     http1.NewPool(clockwork.NewRealClock(), http1.Dial),
+		Wire:     testWire,
+		Reserve:  s.reserve(s.placer()),
+		Usable:   func(*table.Endpoint) bool { return true },
+		Budget:   func(table.Pool) Budget { return &fixedBudget{} },
+		Suspects: quarantine.NewList(clockwork.NewRealClock()),
+	}
+	for _, l := range listeners {
+		ctx, leave := context.WithCancel(context.Background())
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 1))
+			leave()
+			_, _ = io.Copy(io.Discard, c)
+			_ = l.Close()
+		}()
+		now := boot.Now()
+		_ = f.Do(ctx, &Request{
+			ID: "r", Fingerprint: 1, Method: http.MethodPost, Target: "/x", Host: "h", Class: "c", Pool: "p", Attempts: 1,
+			Began: now, End: now + 20*time.Second, MaySend: func() *outcome.Refusal { return nil },
+		}, Sink{})
+	}
+	for end := time.Now().Add(20 * time.Second); !f.Suspects.Kept(1); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the ends were not noticed")
+		}
+	}
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -373,10 +373,31 @@
 // endpointEnded tells whether an endpoint ended while it had the request.
 func (r *run) endpointEnded(ctx context.Context, e end, endpoint *table.Endpoint) bool {
 	lost := e.reason == outcome.ReasonTruncated || e.reason == outcome.ReasonConnectionLost
-	if !e.ran || !lost || ctx.Err() != nil {
+	switch {
+	case !e.ran:
+		return false
+	case ctx.Err() != nil:
+		go r.f.lookAgain(r.r.Fingerprint, *endpoint)
 		return false
 	}
-	return r.f.Pool.Ended(ctx, address(endpoint))
+	return lost && r.f.Pool.Ended(ctx, address(endpoint))
+}
+
+// lookAgainAfter is when an endpoint is looked at again whose request was given
+// up: it may end a little later because of it, and is gone for longer.
+const lookAgainAfter = 500 * time.Millisecond
+
+// lookAgain finds out whether an endpoint has ended after a request there was
+// given up.
+func (f *Forwarder) lookAgain(request quarantine.Fingerprint, endpoint table.Endpoint) {
+	<-f.Clock.After(lookAgainAfter)
+	ctx, cancel := context.WithTimeout(context.Background(), lookAgainAfter)
+	defer cancel()
+	if f.Pool.Alive(address(&endpoint)) || !f.Pool.Ended(ctx, address(&endpoint)) {
+		return
+	}
+	f.Metrics.Inc("attempts.endpointEnded")
+	f.Suspects.Ended(request, endpoint.Name)
 }
 
 // maySend is asked before a place is asked for and right before each send.
--- a/internal/http1/ended_test.go
+++ b/internal/http1/ended_test.go
@@ -22,7 +22,18 @@
 	if len(p.idle[address]) != 1 {
 		t.Error("the connection was not kept")
 	}
+	if !p.Alive(address) || len(p.idle[address]) != 1 {
+		t.Error("an endpoint with an idle connection is not alive, or the connection was not kept")
+	}
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.Close()
 	_ = l.Close()
+	for p.Alive(address) {
+		time.Sleep(time.Millisecond)
+	}
 	if !p.Ended(context.Background(), address) {
 		t.Error("an endpoint that refuses connections has not ended")
 	}
