--- a/internal/factsync/sim_test.go
+++ b/internal/factsync/sim_test.go
@@ -22,6 +22,7 @@
 	"github.com/beechhead/beechhead/internal/metric"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
 	"github.com/beechhead/beechhead/internal/platform"
+	"github.com/beechhead/beechhead/internal/quarantine"
 	"github.com/beechhead/beechhead/internal/storetime"
 )
 
@@ -258,6 +259,8 @@
 		Facts:    d.sync.Beacon, OnFacts: func(b *peerv1.Beacon) { d.sync.OnTold(d.heard(b)) },
 		Seeds: func() []string { return []string{"0", "1", "2"} },
 		Load:  func() uint32 { return 0 },
+
+		Suspects: quarantine.NewList(clock),
 	}
 	return d
 }
