Tell a coordinator of a limit when it is news

Every reserve carried all limits of its cell, with 256 endpoints in need about 10 KB each, by far more than a daemon may send. Found by reading.

A limit is told at once when it is new on a stream or has changed, otherwise at most each 100 ms. TestLimitHoldsOverChangesOfCoordinator holds as before.

--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -14,6 +14,10 @@
 // that got none at all could not say that it takes more again.
 const leastLimit = 0.1
 
+// tellLimitAfter is the time after which a coordinator is told of a limit again
+// that it knows: it must know that the endpoint still names it.
+const tellLimitAfter = 100 * time.Millisecond
+
 // Limit is what an answer says of how many requests its endpoint takes from
 // all hosts together.
 type Limit struct {
@@ -55,25 +59,30 @@
 	} else {
 		seen := seenLimit{cell: cell.ID(g.pending.reserve.GetCell()), perSecond: l.PerSecond, at: p.clock.Now()}
 		p.limits[name] = seen
-		p.sendLimit(g.pending.host, p.toLimit(name, seen))
+		p.tellLimit(g.pending.host.ID, name, seen, old.perSecond != l.PerSecond)
 	}
 	if known != (l.PerSecond > 0) || old.perSecond != l.PerSecond {
 		p.OnLimit(name, l.PerSecond)
 	}
 }
 
-// sendLimit tells a coordinator at once what an endpoint takes.
-func (p *Placer) sendLimit(host membership.Host, l *peerv1.EndpointLimit) {
-	if link := p.links[host.ID]; link != nil {
-		p.sendOn(link, &peerv1.ReservationsRequest{Limits: []*peerv1.EndpointLimit{l}})
+// tellLimit tells a coordinator what an endpoint takes, at once if that is news.
+// The caller holds the lock.
+func (p *Placer) tellLimit(host membership.HostID, name table.EndpointName, seen seenLimit, news bool) {
+	l := p.links[host]
+	if l == nil || !news && seen.at.Sub(l.limits[name]) < tellLimitAfter {
+		return
 	}
+	l.limits[name] = seen.at
+	p.sendOn(l, &peerv1.ReservationsRequest{Limits: []*peerv1.EndpointLimit{p.toLimit(name, seen)}})
 }
 
-// limitsOf returns the limits in a cell. Every reserve has them with it, so that
-// no change of coordinator loses them. The caller holds the lock.
-func (p *Placer) limitsOf(id cell.ID) (limits []*peerv1.EndpointLimit) {
+// untoldLimits returns the limits in a cell of which nothing was told on a link
+// yet, so that no change of coordinator loses them. The caller holds the lock.
+func (p *Placer) untoldLimits(l *hostLink, id cell.ID) (limits []*peerv1.EndpointLimit) {
 	for name, seen := range p.limits {
-		if seen.cell == id {
+		if seen.cell == id && l.limits[name].IsZero() {
+			l.limits[name] = seen.at
 			limits = append(limits, p.toLimit(name, seen))
 		}
 	}
--- a/internal/placement/link.go
+++ b/internal/placement/link.go
@@ -35,6 +35,8 @@
 	// unacked is since when a batch has been waiting to be acknowledged.
 	unacked  time.Time
 	lastSent time.Time
+	// limits has when the endpoints named the limits that were last told.
+	limits map[table.EndpointName]time.Time
 	// replacement says that the link before this one was silent.
 	replacement bool
 }
@@ -63,7 +65,7 @@
 	if l := p.links[host.ID]; l != nil {
 		l.Close()
 	}
-	l := &hostLink{host: host}
+	l := &hostLink{host: host, limits: map[table.EndpointName]time.Time{}}
 	l.Link = p.dial(host, func(resp *peerv1.ReservationsResponse) { p.receive(l, resp) })
 	p.links[host.ID] = l
 	delete(p.owed, host.ID)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -264,7 +264,7 @@
 		answer:   make(chan answer, 1),
 	}
 	p.pending[w.sequence] = w
-	p.sendOn(l, &peerv1.ReservationsRequest{Reserves: []*peerv1.Reserve{reserve}, Limits: p.limitsOf(id)})
+	p.sendOn(l, &peerv1.ReservationsRequest{Reserves: []*peerv1.Reserve{reserve}, Limits: p.untoldLimits(l, id)})
 	return w
 }
 
