Log which fingerprint a request is kept back for

A caller with a 503 and its request's id could not be led to the attempts that ended endpoints: the line of the refusal has no fingerprint. The line 'request kept back' has both; the route is not looked up once more for the question.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -78,7 +78,7 @@
 }
 
 func (r *run) do(ctx context.Context) error {
-	if refusal := r.maySend(); refusal != nil {
+	if refusal := r.quarantined(); refusal != nil {
 		return refusal
 	}
 	for {
@@ -400,16 +400,22 @@
 	f.Suspects.Ended(request, endpoint.Name)
 }
 
-// maySend is asked before a place is asked for and right before each send.
+// maySend is asked when there is a place and right before each send.
 func (r *run) maySend() *outcome.Refusal {
 	if refusal := r.r.MaySend(); refusal != nil {
 		return refusal
 	}
-	if r.f.Suspects.Kept(r.r.Fingerprint) {
-		// Without a time to come back after: a repeat would end as this one.
-		return outcome.NotRunError(outcome.ReasonQuarantined, quarantine.Message)
-	}
-	return nil
+	return r.quarantined()
+}
+
+// quarantined returns the refusal of a request that is kept back. It has no time
+// to come back after: a repeat would end as this one.
+func (r *run) quarantined() *outcome.Refusal {
+	if !r.f.Suspects.Kept(r.r.Fingerprint) {
+		return nil
+	}
+	r.f.Logger.Info("request kept back", "request", r.r.ID, "fingerprint", r.r.Fingerprint.String(), "class", r.r.Class)
+	return outcome.NotRunError(outcome.ReasonQuarantined, quarantine.Message)
 }
 
 // errLeft says that the endpoint took no more work when the request was to be
