Take in no row that the last whole list was newer than

What would be seen: an endpoint that has left is used again by a daemon that had read the whole list after that.

Cause: a row no newer than the last whole list was passed over only if the endpoint was unknown, and a departure that was known from before let it in.

Such a row tells nothing that the list did not.

--- a/internal/facts/position_test.go
+++ b/internal/facts/position_test.go
@@ -73,3 +73,33 @@
 		t.Errorf("long after the outage the next reader knows %q, want e2", got)
 	}
 }
+
+// Guards against an endpoint that left twice and is taken in again, by a daemon
+// that has read the list after the second time, from one that knows the list
+// before.
+func TestEndpointThatLeftTwiceIsNotTakenInAgain(t *testing.T) {
+	s := newGapStore()
+	s.put("e1", "up")
+	s.put("e2", "up")
+	fresh, old := newGapDaemon(s), newGapDaemon(s)
+	fresh.poll()
+	s.put("e1", "")
+	s.boot.Advance(100 * time.Millisecond)
+	fresh.poll()
+	s.put("e1", "up again")
+	s.boot.Advance(100 * time.Millisecond)
+	old.poll()
+	s.put("e1", "")
+	s.boot.Advance(100 * time.Millisecond)
+	fresh.endpoints.synced, fresh.endpoints.forgotten = false, true
+	fresh.poll()
+	if err := fresh.Holder.Learn(old.Holder.Since(0, fresh.Holder.Summary().Position)); err != nil {
+		t.Fatal(err)
+	}
+	if err := fresh.Holder.Learn(old.Holder.Since(0, 0)); err != nil {
+		t.Fatal(err)
+	}
+	if got := ids(fresh.Holder.Endpoints()); got != "e2" {
+		t.Errorf("the daemon that has read the list knows %q, want e2", got)
+	}
+}
--- a/internal/facts/registry.go
+++ b/internal/facts/registry.go
@@ -38,12 +38,12 @@
 	return changed
 }
 
-// put takes in a row unless a newer one is known. A row that is unknown and no
-// newer than the last whole list has been removed since, unless it stands in a
+// put takes in a row unless a newer one is known. One that is no newer than the
+// last whole list tells nothing that the list did not, unless it stands in a
 // whole list itself.
 func (r *registry) put(e Endpoint, listed bool) (Endpoint, bool) {
 	known, ok := r.rows[e.ID]
-	if ok && known.Changed >= e.Changed || !ok && !listed && e.Changed <= r.base {
+	if ok && known.Changed >= e.Changed || !listed && e.Changed <= r.base {
 		return e, false
 	}
 	if e.Gone && ok && e.Address == "" {
