Write rows of the platform's store under conditions

Cause: leases need conditional writes, which the client had only for the project's own store protocol. Change: the store's protocol has requests for one row and for conditional transactions over several rows; Settle writes further rows in the same transaction. Answers name their era, which never falls.

--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -129,7 +129,11 @@
 	if err != nil {
 		return errors.Wrap(ErrUnavailable, err.Error())
 	}
-	if err := statusError(resp.StatusCode); err != nil {
+	err = statusError(resp.StatusCode)
+	if raw, ok := out.(*rawAnswer); ok && x.write && errors.Is(err, ErrExists) {
+		raw.conflict, err = true, nil
+	}
+	if err != nil {
 		return err
 	}
 	return decode(resp.Header, data, out)
@@ -139,6 +143,9 @@
 type rawAnswer struct {
 	header http.Header
 	data   []byte
+	// conflict says that the store has not applied a transaction, since an
+	// expected version does not hold.
+	conflict bool
 }
 
 func statusError(status int) error {
@@ -179,18 +186,20 @@
 // the condition now fails, and the row that is shown instead tells by own that
 // it is this very write's. That is read as part of a transaction, so that an
 // old version can't mislead. It returns the row as it stands after the write,
-// and whether it is this write's.
+// and whether it is this write's. Other writes are made in the same
+// transaction.
 //
 // An error other than ErrNotAsked leaves open whether the write took effect
 // or, if it is still on its way, will.
-func (c *Client) Settle(ctx context.Context, w Write, own func(Row) bool) (row Row, landed bool, err error) {
+func (c *Client) Settle(ctx context.Context, w Write, own func(Row) bool, others ...Write) (row Row, landed bool, err error) {
+	writes := append([]Write{w}, others...)
 	asked := false
 	for attempt := range settleAttempts {
 		if attempt > 0 && !c.backoff(ctx, attempt) {
 			break
 		}
 		var resp TransactResponse
-		resp, err = c.Transact(ctx, w)
+		resp, err = c.Transact(ctx, writes...)
 		if err == nil {
 			if asked {
 				c.count("settled")
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -47,6 +48,8 @@
 	budgets *budgets
 	// metrics may be nil.
 	metrics *metric.Registry
+	// era is the newest era that an answer to Read or Transact has named.
+	era atomic.Uint64
 }
 
 // NewClient returns a client of the platform at base, such as
@@ -77,6 +80,9 @@
 // Read returns a row for each key, in order. Absent rows have version zero.
 // The platform may answer with an older version.
 func (c *Client) Read(ctx context.Context, keys ...Key) (rows []Row, err error) {
+	if c.wire != nil {
+		return c.readWire(ctx, keys)
+	}
 	var resp ReadResponse
 	if err := c.post(ctx, PathRead, ReadRequest{Keys: keys}, len(keys), &resp); err != nil {
 		return nil, errors.Wrap(err, "read rows")
@@ -99,6 +105,9 @@
 // Transact applies the writes if every expected version holds. It asks once:
 // an error other than ErrNotAsked leaves open whether the writes took effect.
 func (c *Client) Transact(ctx context.Context, writes ...Write) (resp TransactResponse, err error) {
+	if c.wire != nil {
+		return c.transactWire(ctx, writes)
+	}
 	if err := c.post(ctx, PathTransact, TransactRequest{Writes: writes}, len(writes), &resp); err != nil {
 		return TransactResponse{}, errors.Wrap(err, "transact")
 	}
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -16,6 +16,8 @@
 
 // FeedRow is a row as a store with feeds tells of it.
 type FeedRow struct {
+	// Table is empty unless the answer names it.
+	Table   string
 	Key     string
 	Version uint64
 	Value   []byte
@@ -61,7 +63,11 @@
 	// Put writes a row whatever it holds, Remove deletes it.
 	Put    func(table, key string, value []byte) Exchange
 	Remove func(table, key string) Exchange
-	// Rows reads the answer to Scan and Changes.
+	// Row asks for one row. Transact writes rows if their versions still hold;
+	// if they don't, the store answers with status 412 and the rows as they are.
+	Row      func(key Key) Exchange
+	Transact func(writes []Write) Exchange
+	// Rows reads the answer to Scan, Changes, Row and Transact.
 	Rows func(header http.Header, data []byte) (Rows, error)
 }
 
--- a/internal/platform/protocol.go
+++ b/internal/platform/protocol.go
@@ -28,6 +28,8 @@
 // zero for a row that does not exist.
 type Row struct {
 	Key
+	// Era is the store's era as of the answer, zero for a store without eras.
+	Era     Era             `json:"-"`
 	Version uint64          `json:"version"`
 	Value   json.RawMessage `json:"value,omitempty"`
 }
