--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -6,6 +6,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/jonboulle/clockwork"
 )
 
 // Clock measures the time since a fixed moment.
@@ -32,3 +34,14 @@
 	defer f.mu.Unlock()
 	f.now += d
 }
+
+// FromClock returns a clock that follows another one, which may stop while the
+// machine is suspended. It is meant for simulated time.
+func FromClock(c clockwork.Clock) Clock { return follower{clock: c, start: c.Now().Add(-time.Hour)} }
+
+type follower struct {
+	clock clockwork.Clock
+	start time.Time
+}
+
+func (f follower) Now() time.Duration { return f.clock.Since(f.start) }
--- a/internal/order/group.go
+++ b/internal/order/group.go
@@ -82,7 +82,7 @@
 // wanted state, and returns the delay until the next check.
 func (g *group) reconcileEngine(ctx context.Context, e *table.Endpoint) time.Duration {
 	l := g.renewer.Lease()
-	if !e.ChecksFence && g.r.Clock.Since(l.AcquiredAt) < maxOrderDelay {
+	if !e.ChecksFence && g.renewer.HeldFor() < maxOrderDelay {
 		// An order of the previous holder may still take effect. The engine
 		// would not reject it, so the state must be read after that time to
 		// include its effect.
