Report usage and order engines under one lease

Cause: the platform asks one daemon at a time for usage reports and orders of engines; nothing in the code made these calls. Entry daemons count begun requests and demand, and send both to the first three hosts of an order. The holder of the lease fixes each window in the store before it is sent, and plans engines: spot engines in equal shares of all zones, on-demand ones until spot engines are ready.

--- /dev/null
+++ b/internal/autoscale/demand.go
@@ -0,0 +1,71 @@
+package autoscale
+
+import (
+	"math"
+	"time"
+)
+
+// Load is what all daemons ask of a pool at one moment.
+type Load struct {
+	// Prefill is the prefill time of the requests placed per second, in engines
+	// that do nothing else.
+	Prefill float64
+	// Running and Waiting are the requests that hold a slot or wait for one.
+	Running, Waiting int
+}
+
+const (
+	// prefillShare is the share of an engine's time that prefill may take
+	// without delaying the streams that run beside it too much.
+	prefillShare = 0.5
+	// slotShare is the share of an engine's slots that may be in use before
+	// its tokens become slow.
+	slotShare = 0.5
+	// burst is the growth of the load that is served without new engines: a
+	// burst is often over before they have booted.
+	burst = 2.0
+	// holdTime is how long the need of the past is provided for.
+	holdTime = 30 * time.Second
+)
+
+// Need returns the number of engines with the given number of slots that serve a
+// load within its targets.
+func (l Load) Need(slots int) float64 {
+	return l.Prefill/prefillShare + float64(l.Running+l.Waiting)/(slotShare*float64(max(1, slots)))
+}
+
+// History remembers the need of the recent past, so that engines are not ordered
+// down between two bursts. The zero value is empty.
+type History struct {
+	needs []pastNeed
+}
+
+type pastNeed struct {
+	at   time.Duration
+	need float64
+}
+
+// Add records the need at a time.
+func (h *History) Add(at time.Duration, need float64) {
+	h.needs = append(h.needs, pastNeed{at, need})
+	for len(h.needs) > 0 && at-h.needs[0].at > holdTime {
+		h.needs = h.needs[1:]
+	}
+}
+
+// Engines returns how many engines to have ready; false if the history is too
+// short to tell.
+func (h *History) Engines() (int, bool) {
+	if len(h.needs) == 0 || h.needs[len(h.needs)-1].at-h.needs[0].at < minHistory {
+		return 0, false
+	}
+	peak, mean := 0.0, 0.0
+	for _, one := range h.needs {
+		peak = max(peak, one.need)
+		mean += one.need / float64(len(h.needs))
+	}
+	return int(math.Ceil(max(peak, burst*mean))), true
+}
+
+// minHistory is the time of observation after which engines may be ordered down.
+const minHistory = 5 * time.Second
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/beechhead/beechhead/internal/autoscale"
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
@@ -86,6 +87,8 @@
 	// Slots is how many requests an engine runs concurrently. It applies if the
 	// endpoint's own registration has no number; zero means not configured.
 	Slots int
+	// Scaling is nil if engines of the pool can't be ordered.
+	Scaling *autoscale.Spec
 }
 
 // Limits bounds what a caller may send; zero means unlimited.
--- /dev/null
+++ b/internal/duty/exchange.go
@@ -0,0 +1,220 @@
+package duty
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/beechhead/beechhead/internal/autoscale"
+	"github.com/beechhead/beechhead/internal/boottime"
+	"github.com/beechhead/beechhead/internal/membership"
+	"github.com/beechhead/beechhead/internal/peer/peerv1"
+	"github.com/beechhead/beechhead/internal/truetime"
+	"github.com/beechhead/beechhead/internal/usage"
+	"github.com/beechhead/beechhead/pkg/table"
+)
+
+const (
+	// collectors is the number of candidates that receive all reports.
+	collectors = 3
+	// reportInterval is the interval at which a daemon reports. In between it
+	// reports once, finalDelay after the end of a window.
+	reportInterval = time.Second
+	finalDelay     = 100 * time.Millisecond
+	// announceInterval is the interval at which the holder makes itself known.
+	announceInterval = 400 * time.Millisecond
+	// exchangeInterval is the interval between two checks of what is due.
+	exchangeInterval = 50 * time.Millisecond
+	// maxDatagram bounds the counts in one datagram, in bytes.
+	maxDatagram = 900
+	// recentWindows is the number of windows in each report, allWindows that in
+	// the first report to a new set of collectors.
+	recentWindows = 2
+	allWindows    = 4
+)
+
+// Exchange sends this daemon's counts and demand to the hosts that may hold the
+// lease, and receives those of others. It is safe for concurrent use.
+type Exchange struct {
+	Clock   clockwork.Clock
+	Boot    boottime.Clock
+	Time    *truetime.Clock
+	Self    func() membership.Host
+	Hosts   func() *membership.Snapshot
+	Counter *usage.Counter
+	Ledger  *usage.Ledger
+	Demand  *autoscale.Meter
+	Totals  *autoscale.Totals
+	Tenure  *Tenure
+	Send    func(addresses []string, r *peerv1.DutyReport)
+	// Length is the length of a window.
+	Length time.Duration
+
+	mu          sync.Mutex
+	lastReport  time.Duration
+	lastWindow  usage.Window
+	lastSample  time.Duration
+	lastHolding time.Duration
+	// sentTo are the collectors of the last report.
+	sentTo []membership.HostID
+}
+
+// Run reports until ctx is cancelled.
+func (x *Exchange) Run(ctx context.Context) {
+	ticker := x.Clock.NewTicker(exchangeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			x.step()
+		}
+	}
+}
+
+func (x *Exchange) step() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := x.Boot.Now()
+	if now-x.lastSample >= time.Second {
+		x.lastSample = now
+		x.Time.Sample()
+	}
+	window := usage.WindowOf(x.Time.Now()-finalDelay, x.Length)
+	if now-x.lastReport >= reportInterval || window != x.lastWindow {
+		x.lastReport, x.lastWindow = now, window
+		x.report()
+	}
+	if fence, ok := x.Tenure.Held(); ok && now-x.lastHolding >= announceInterval {
+		x.lastHolding = now
+		x.Send(x.others(candidates), &peerv1.DutyReport{Host: string(x.Self().ID), Fence: fence})
+	}
+}
+
+// Flush reports at once, before the daemon ends.
+func (x *Exchange) Flush() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.report()
+}
+
+// report sends the counts to the collectors. The caller must hold the lock.
+func (x *Exchange) report() {
+	hosts := x.Hosts().Order(LeaseName).Hosts
+	hosts = hosts[:min(len(hosts), collectors)]
+	windows := recentWindows
+	to := make([]membership.HostID, 0, len(hosts))
+	for _, h := range hosts {
+		to = append(to, h.ID)
+		if !contains(x.sentTo, h.ID) {
+			windows = allWindows
+		}
+	}
+	x.sentTo = to
+	self := x.Self()
+	r := x.Counter.Report(windows)
+	r.Source = usage.Source{Host: string(self.ID), Incarnation: self.Incarnation}
+	demand := x.Demand.Snapshot()
+	if contains(to, self.ID) {
+		x.Ledger.Merge(r)
+		x.Totals.Record(r.Host, r.Incarnation, x.Boot.Now(), demand)
+	}
+	for _, datagram := range encodeReport(r, demand) {
+		x.Send(x.others(collectors), datagram)
+	}
+}
+
+func contains(ids []membership.HostID, id membership.HostID) bool {
+	for _, one := range ids {
+		if one == id {
+			return true
+		}
+	}
+	return false
+}
+
+// others returns the peer addresses of the first n hosts, without this one.
+func (x *Exchange) others(n int) (addresses []string) {
+	self := x.Self().ID
+	hosts := x.Hosts().Order(LeaseName).Hosts
+	for _, h := range hosts[:min(len(hosts), n)] {
+		if h.ID != self {
+			addresses = append(addresses, h.PeerAddress)
+		}
+	}
+	return addresses
+}
+
+// Receive handles a report of another daemon.
+func (x *Exchange) Receive(m *peerv1.DutyReport) {
+	if m.GetFence() > 0 {
+		x.Tenure.Heard()
+		return
+	}
+	r, demand := decodeReport(m)
+	x.Ledger.Merge(r)
+	if len(demand) > 0 {
+		x.Totals.Record(r.Host, r.Incarnation, x.Boot.Now(), demand)
+	}
+	x.Ledger.Forget(x.Time.Now() - ledgerTime)
+}
+
+// ledgerTime is how long the counts of a daemon that has ended are kept.
+const ledgerTime = time.Minute
+
+// encodeReport encodes a report in datagrams. Only the last one states the time
+// up to which the counts are complete.
+func encodeReport(r usage.Report, demand map[table.Pool]autoscale.Demand) (all []*peerv1.DutyReport) {
+	head := func() *peerv1.DutyReport {
+		return &peerv1.DutyReport{Host: r.Host, Incarnation: r.Incarnation, SinceMs: r.Since.Milliseconds()}
+	}
+	m, size := head(), 0
+	for number, counts := range r.Windows {
+		w := &peerv1.UsageWindow{Number: int64(number)}
+		m.Windows = append(m.Windows, w)
+		for account, n := range counts {
+			if size > maxDatagram {
+				all = append(all, m)
+				w = &peerv1.UsageWindow{Number: int64(number)}
+				m, size = head(), 0
+				m.Windows = append(m.Windows, w)
+			}
+			w.Counts = append(w.Counts, &peerv1.AccountCount{Account: string(account), Count: n})
+			size += len(account) + countSize
+		}
+	}
+	for pool, d := range demand {
+		m.Demands = append(m.Demands, &peerv1.PoolDemand{
+			Pool: string(pool), PrefillMs: d.PrefillMs, Placed: d.Placed, Running: d.Running, Waiting: d.Waiting,
+		})
+	}
+	m.UntilMs = r.Until.Milliseconds()
+	return append(all, m)
+}
+
+// countSize is the size of a count in a datagram, without the account's name.
+const countSize = 8
+
+func decodeReport(m *peerv1.DutyReport) (r usage.Report, demand map[table.Pool]autoscale.Demand) {
+	r = usage.Report{
+		Source:  usage.Source{Host: m.GetHost(), Incarnation: m.GetIncarnation()},
+		Since:   time.Duration(m.GetSinceMs()) * time.Millisecond,
+		Until:   time.Duration(m.GetUntilMs()) * time.Millisecond,
+		Windows: map[usage.Window]usage.Counts{},
+	}
+	for _, w := range m.GetWindows() {
+		counts := usage.Counts{}
+		for _, c := range w.GetCounts() {
+			counts[table.AccountName(c.GetAccount())] = c.GetCount()
+		}
+		r.Windows[usage.Window(w.GetNumber())] = counts
+	}
+	demand = map[table.Pool]autoscale.Demand{}
+	for _, d := range m.GetDemands() {
+		demand[table.Pool(d.GetPool())] = autoscale.Demand{PrefillMs: d.GetPrefillMs(), Placed: d.GetPlaced(), Running: d.GetRunning(), Waiting: d.GetWaiting()}
+	}
+	return r, demand
+}
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -30,6 +30,8 @@
 	// Sequence counts the endpoint's writes since its start.
 	Sequence uint64
 	Draining bool
+	// Spot is set for an engine that the platform may reclaim.
+	Spot bool
 	// Gone is set if the endpoint is no longer registered.
 	Gone bool
 	// Changed is the position of the store at which this was first seen.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -67,6 +67,9 @@
 			report: peerv1.ReleaseOutcome_RELEASE_OUTCOME_REFUSED_BY_ENDPOINT,
 		}
 	}
+	if r.req.Kind != catalog.Stream {
+		r.markBegun()
+	}
 	success := resp.StatusCode/100 == 2
 	switch {
 	case success && !verdict.Signed:
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -144,6 +144,9 @@
 	Quarantine *quarantine.List
 	// Budget returns the retry budget of a pool.
 	Budget func(pool table.Pool) Budget
+	// OnBegun is called, if set, when an endpoint has begun to run a request; for
+	// each endpoint if there are several.
+	OnBegun func(r *Request)
 }
 
 // ErrTruncated reports that a response was truncated after its head was forwarded.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -44,6 +44,9 @@
 	// that may be due to different table versions.
 	staleRetries int
 	failed       []table.EndpointName
+	// begun reports whether the endpoint of the current attempt has begun to run
+	// the request.
+	begun bool
 	// headSent reports whether the head of a response was forwarded.
 	headSent bool
 	// lastEvent is the id of the last event that the caller has received.
@@ -342,6 +345,7 @@
 
 // attempt sends the request to one endpoint and forwards the response.
 func (r *run) attempt(ctx context.Context, grant *placement.Grant) attemptResult {
+	r.begun = false
 	left := r.req.Deadline - r.f.BootClock.Now()
 	endpoint := &grant.Endpoint
 	send := Attempt{Request: r.req, Endpoint: endpoint, TimeRemaining: left, LastEvent: r.lastEvent}
@@ -372,6 +376,9 @@
 	e := r.readResponse(ctx, x, grant)
 	if e.err != nil {
 		x.Abort()
+		if e.responseLost(ctx) {
+			r.markBegun()
+		}
 		if ctx.Err() != nil && e.mayHaveRun {
 			e.report = peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE
 		} else if e.reason == outcome.ReasonSilent || e.reason == outcome.ReasonConnectionLost {
@@ -382,6 +389,30 @@
 	return e
 }
 
+// markBegun records that the endpoint has begun to run the request.
+func (r *run) markBegun() {
+	if r.begun {
+		return
+	}
+	r.begun = true
+	if r.f.OnBegun != nil {
+		r.f.OnBegun(r.req)
+	}
+}
+
+// responseLost reports whether the endpoint has probably run the request although
+// its response was not received.
+func (e *attemptResult) responseLost(ctx context.Context) bool {
+	if !e.mayHaveRun || ctx.Err() != nil {
+		return false
+	}
+	switch e.reason {
+	case outcome.ReasonConnectionLost, outcome.ReasonTruncated, outcome.ReasonWrongAnswer:
+		return true
+	}
+	return false
+}
+
 // checkSend returns a refusal if the request may not be sent. It is called after
 // a slot was granted and again right before the request is written.
 func (r *run) checkSend() *outcome.Refusal {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -76,6 +76,7 @@
 // forwardEvents forwards complete events, except those that the caller has
 // already received.
 func (r *run) forwardEvents(events []byte, resp *http.Response, grant *placement.Grant) error {
+	r.markBegun()
 	r.sendHead(resp)
 	var out []byte
 	for len(events) > 0 {
--- a/internal/gateway/facts.go
+++ b/internal/gateway/facts.go
@@ -98,6 +98,9 @@
 	g.metrics.Inc("store.eras")
 	g.logger.Warn("store came back from a copy", "fromEra", uint64(from), "era", uint64(to), "position", g.holder.Summary().Position.Version())
 	g.selfRegistered.Store(false)
+	if g.duties != nil && g.duties.reporter != nil {
+		g.duties.reporter.BeginEra()
+	}
 }
 
 // applyFacts applies new facts to the scheduling components.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,8 @@
 	coordinator *cell.Coordinator
 	placer      *placement.Placer
 	forwarder   *forward.Forwarder
+	// duties is nil if there are none.
+	duties *duties
 
 	registeredMu sync.Mutex
 	// registeredPeers contains the peer addresses that were last read from the
@@ -129,6 +131,7 @@
 	g.buildFacts()
 	g.buildPeers()
 	g.buildPlacement()
+	g.buildDuties()
 	g.buildServers()
 	return g
 }
@@ -169,9 +172,10 @@
 		Metrics:   g.metrics,
 		Pool:      http1.NewPool(g.clock, http1.Dial),
 		Protocol:  wire.EngineProtocol(),
-		Reserve:   g.placer.Reserve,
+		Reserve:   g.reserve,
 		Usable:    g.usable,
 		Budget:    g.retryBudget,
+		OnBegun:   func(r *forward.Request) { g.countBegun(r.Account) },
 
 		Quarantine: g.suspects,
 	}
@@ -229,13 +233,14 @@
 		return err
 	}
 	g.logger.Info("started", "incarnation", g.view.Self().Incarnation)
-	grp.Go(func() error { g.beacons.Receive(ctx, g.sync.OnBeacon); return nil })
+	grp.Go(func() error { g.beacons.Receive(ctx, g.onDatagram); return nil })
 	grp.Go(func() error { g.reader.Run(ctx); return nil })
 	grp.Go(func() error { g.heartbeats.Run(ctx); return nil })
 	grp.Go(func() error { g.tick(ctx); return nil })
 	grp.Go(func() error { g.sync.Run(ctx); return nil })
 	grp.Go(func() error { g.register(ctx); return nil })
 	grp.Go(func() error { g.logMetrics(ctx); return nil })
+	g.duties.run(ctx, grp)
 	grp.Go(func() error {
 		defer cancel()
 		return g.shutDown(ctx)
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -61,6 +61,9 @@
 	for g.inProgress.Load() > 0 && stopped.Err() == nil {
 		g.wait(ctx, leavePollInterval)
 	}
+	if g.duties != nil {
+		g.duties.exchange.Flush()
+	}
 	g.view.Depart()
 	g.heartbeats.Refresh(ctx)
 	g.wait(ctx, departureDelay)
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -40,6 +40,8 @@
 	engines map[string]*testEngine
 	daemons []*testDaemon
 	config  standin.Document
+	// change, if set, changes the settings of each daemon and the document.
+	change func(*settings.Settings, *standin.Document)
 }
 
 type testEngine struct {
@@ -60,7 +62,16 @@
 // and n daemons.
 func newTestSite(t *testing.T, n int) *testSite {
 	t.Helper()
-	s := &testSite{t: t, store: standin.NewStore(), engines: map[string]*testEngine{}, config: standin.SampleDocument()}
+	return newTestSiteWith(t, n, nil)
+}
+
+// newTestSiteWith starts a site with changed settings and document.
+func newTestSiteWith(t *testing.T, n int, change func(*settings.Settings, *standin.Document)) *testSite {
+	t.Helper()
+	s := &testSite{t: t, store: standin.NewStore(), engines: map[string]*testEngine{}, config: standin.SampleDocument(), change: change}
+	if change != nil {
+		change(&settings.Settings{Gateway: &settings.Gateway{}}, &s.config)
+	}
 	s.putConfig()
 	for _, id := range []string{"llm-1", "llm-2"} {
 		s.addEngine(id, "llm")
@@ -97,7 +108,7 @@
 	store := httptest.NewServer(s.store.HandlerFor(d.ip))
 	s.t.Cleanup(store.Close)
 	at := func(port int) string { return fmt.Sprintf("%s:%d", d.ip, port) }
-	d.g = New(&settings.Settings{
+	conf := &settings.Settings{
 		Host: fmt.Sprintf("host-%d", len(s.daemons)), Region: "r", Zone: "z",
 		CallerAddress: at(testCallerPort), PeerAddress: at(testPeerPort), OperatorAddress: at(testMetricsPort),
 		Peers:    []string{fmt.Sprintf("127.0.0.11:%d", testPeerPort)},
@@ -108,7 +119,11 @@
 			Grace: table.Duration(8 * time.Second),
 			Retry: settings.Retry{Share: 0.2, Slack: 100, Window: table.Duration(10 * time.Second)},
 		},
-	}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	}
+	if s.change != nil {
+		s.change(conf, &standin.Document{Services: []map[string]any{{}}})
+	}
+	d.g = New(conf, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	go func() {
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -37,6 +37,8 @@
 	// of the prompt, or nil.
 	FetchFrom *table.Endpoint
 	Choice    Choice
+	// OnRelease is called, if set, when the slot is returned.
+	OnRelease func()
 
 	placer     *Placer
 	pending    *pending
@@ -132,6 +134,9 @@
 	if g.tokens > 0 {
 		r.FirstToken = g.firstToken
 	}
+	if g.OnRelease != nil {
+		g.OnRelease()
+	}
 	p, w := g.placer, g.pending
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"net/url"
 	"time"
 
 	"github.com/beechhead/beechhead/pkg/table"
@@ -28,6 +29,43 @@
 	Retry Retry `json:"retry"`
 	// Machine is what this host has; absent where all hosts are alike.
 	Machine *Machine `json:"machine,omitempty"`
+	// Duties is what one daemon at a time does for all; absent if there is none.
+	Duties *Duties `json:"duties,omitempty"`
+}
+
+// Duties are the calls to the platform that one daemon at a time makes.
+type Duties struct {
+	// URL is the base of the platform's API, such as "http://10.0.0.1:7000".
+	URL string `json:"url"`
+	// Names lists the duties, in the platform's words.
+	Names []string `json:"names"`
+	// CallsPerSecond is how many of these calls the platform accepts.
+	CallsPerSecond float64 `json:"callsPerSecond"`
+	// ChecksFence is set if the platform refuses calls with a fencing token that
+	// is lower than one that it has seen.
+	ChecksFence bool `json:"checksFence"`
+	// LeaseDuration is the time within which two hosts must not act by turns.
+	LeaseDuration table.Duration `json:"leaseDuration"`
+	// UsageWindow is the length of a window of usage, UsageDue the time after
+	// its end within which it is to be reported.
+	UsageWindow table.Duration `json:"usageWindow"`
+	UsageDue    table.Duration `json:"usageDue"`
+}
+
+// minLease is the shortest duration of a lease that can be renewed in time.
+const minLease = time.Second
+
+func (d *Duties) check(c *checker) {
+	if d == nil {
+		return
+	}
+	u, err := url.Parse(d.URL)
+	c.require(err == nil && u.Scheme == "http" && u.Host != "", "gateway.duties.url", "%q is not a URL such as http://10.0.0.1:7000", d.URL)
+	c.require(len(d.Names) > 0, "gateway.duties.names", "is empty; leave duties out if there are none")
+	c.require(d.CallsPerSecond > 0, "gateway.duties.callsPerSecond", "%g is not positive", d.CallsPerSecond)
+	c.require(d.LeaseDuration.Std() >= minLease, "gateway.duties.leaseDuration", "%s is under %s", d.LeaseDuration.Std(), minLease)
+	c.require(d.UsageWindow.Std() >= time.Second, "gateway.duties.usageWindow", "%s is under %s", d.UsageWindow.Std(), time.Second)
+	c.require(d.UsageDue.Std() >= time.Second, "gateway.duties.usageDue", "%s is under %s", d.UsageDue.Std(), time.Second)
 }
 
 // Machine is what a host has for its daemon.
@@ -97,6 +135,7 @@
 	c.require(g.RevokeAfter.Std() >= minRevokeAfter, "gateway.revokeAfter", "%s is under %s", g.RevokeAfter.Std(), minRevokeAfter)
 	c.require(g.Grace.Std() >= minGrace, "gateway.grace", "%s is under %s", g.Grace.Std(), minGrace)
 	g.Machine.check(c)
+	g.Duties.check(c)
 	c.require(g.Retry.Share >= 0, "gateway.retry.share", "%g is negative", g.Retry.Share)
 	c.require(g.Retry.Slack >= 0, "gateway.retry.slack", "%g is negative", g.Retry.Slack)
 	c.require(g.Retry.Window > 0, "gateway.retry.window", "is missing; allowed: a duration such as 10s")
--- a/internal/settings/template_test.go
+++ b/internal/settings/template_test.go
@@ -12,9 +12,19 @@
 // placeholder is a value of the deployment's template, as JSON or as text.
 var placeholder = regexp.MustCompile(`\{\{([a-z0-9.-]+)(\|json)?\}\}`)
 
+// section is a part of the template that is left out if a value is absent.
+var section = regexp.MustCompile(`(?s)\{\{#([a-z0-9.-]+)\}\}(.*?)\{\{/[a-z0-9.-]+\}\}`)
+
 // render fills in a template from fields. It knows only what ours uses.
 func render(t *testing.T, template string, fields map[string]any) string {
 	t.Helper()
+	template = section.ReplaceAllStringFunc(template, func(text string) string {
+		m := section.FindStringSubmatch(text)
+		if group, _ := fields[strings.Split(m[1], ".")[0]].(map[string]any); group == nil {
+			return ""
+		}
+		return m[2]
+	})
 	return placeholder.ReplaceAllStringFunc(template, func(text string) string {
 		m := placeholder.FindStringSubmatch(text)
 		var v any = fields
@@ -67,6 +77,40 @@
 	}
 }
 
+// Guards against settings of a platform with duties that the daemon refuses, and
+// against duties where the platform has none.
+func TestTemplateWithDuties(t *testing.T) {
+	template, err := os.ReadFile("../../deploy/settings.json.tmpl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := os.ReadFile("testdata/boot.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(data, &fields); err != nil {
+		t.Fatal(err)
+	}
+	if s, _ := parse([]byte(render(t, string(template), fields))); s.Gateway.Duties != nil {
+		t.Error("there are duties without a platform that asks for them")
+	}
+	fields["cloud"] = map[string]any{"address": "10.200.0.1:8224", "duty-per-s": 50.0, "duties": []any{"usage_report"}}
+	bounds := fields["bounds"].(map[string]any) //nolint:forcetypeassert // a test's own data
+	for name, value := range map[string]any{"require-fence": true, "lease-ms": 3000, "report-window-s": 5, "usage-late-s": 10} {
+		bounds[name] = value
+	}
+	s, faults := parse([]byte(render(t, string(template), fields)))
+	if len(faults) > 0 {
+		t.Fatalf("faults:\n%v", faults)
+	}
+	d := s.Gateway.Duties
+	if d.URL != "http://10.200.0.1:8224" || !d.ChecksFence || d.LeaseDuration.Std() != 3*time.Second || len(d.Names) != 1 ||
+		d.UsageWindow.Std() != 5*time.Second || d.UsageDue.Std() != 10*time.Second {
+		t.Errorf("duties %+v", d)
+	}
+}
+
 // Every fault of the gateway's part is told at once.
 func TestGatewayFaults(t *testing.T) {
 	data := `{"host":"h","region":"r","zone":"z","callerAddress":"10.0.0.1:1","peerAddress":"10.0.0.1:2","operatorAddress":"10.0.0.1:3",
--- /dev/null
+++ b/internal/usage/ledger.go
@@ -0,0 +1,122 @@
+package usage
+
+import (
+	"sync"
+	"time"
+)
+
+// Ledger merges the reports of all daemons. The result does not depend on the
+// order of reports or on repetitions. It is safe for concurrent use.
+type Ledger struct {
+	length time.Duration
+
+	mu      sync.Mutex
+	sources map[Source]*source
+}
+
+// source is what is known of one source.
+type source struct {
+	since, until time.Duration
+	windows      map[Window]Counts
+}
+
+// NewLedger returns a ledger for windows of the given length.
+func NewLedger(length time.Duration) *Ledger {
+	return &Ledger{length: length, sources: map[Source]*source{}}
+}
+
+// Merge adds a report.
+func (l *Ledger) Merge(r Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.sources[r.Source]
+	if s == nil {
+		s = &source{since: r.Since, windows: map[Window]Counts{}}
+		l.sources[r.Source] = s
+	}
+	s.until = max(s.until, r.Until)
+	oldest := WindowOf(s.until, l.length) - keptWindows
+	for number, counts := range r.Windows {
+		if number <= oldest {
+			continue
+		}
+		known := s.windows[number]
+		if known == nil {
+			known = make(Counts, len(counts))
+			s.windows[number] = known
+		}
+		for account, n := range counts {
+			known[account] = max(known[account], n)
+		}
+	}
+	for number := range s.windows {
+		if number <= oldest {
+			delete(s.windows, number)
+		}
+	}
+}
+
+// Forget drops the sources that have not reported since the given time.
+func (l *Ledger) Forget(before time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, s := range l.sources {
+		if s.until < before {
+			delete(l.sources, id)
+		}
+	}
+}
+
+// Sum is the sum of all counts of a window.
+type Sum struct {
+	Window Window
+	Counts Counts
+	// Sources is the number of sources with counts of the window.
+	Sources int
+}
+
+// Sum returns the counts of a window.
+func (l *Ledger) Sum(w Window) Sum {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sum := Sum{Window: w, Counts: Counts{}}
+	for _, s := range l.sources {
+		counts, ok := s.windows[w]
+		if !ok {
+			continue
+		}
+		sum.Sources++
+		for account, n := range counts {
+			sum.Counts[account] += n
+		}
+	}
+	return sum
+}
+
+// Coverage states for how many of some sources the counts of a window are known.
+type Coverage struct {
+	// Complete sources have reported after the window's end, or did not exist
+	// before it. Since is the number of sources that have counted since before
+	// the window began.
+	Complete, Since, Total int
+}
+
+// Coverage returns the coverage of a window by the given sources.
+func (l *Ledger) Coverage(w Window, of []Source) Coverage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := Coverage{Total: len(of)}
+	for _, id := range of {
+		s := l.sources[id]
+		if s == nil {
+			continue
+		}
+		if s.until >= w.End(l.length) {
+			c.Complete++
+		}
+		if s.since <= w.Begin(l.length) {
+			c.Since++
+		}
+	}
+	return c
+}
