Provide for bursts with fewer engines

Cause: the need was taken as twice the mean load and half of an engine's time for prefill; in a burst 130 to 154 engines were wanted where 86 had been enough, and on-demand ones were ordered as soon as a zone was reclaimed. Change: 0.8 of an engine's time for prefill, 1.5 times the mean load.

--- a/internal/autoscale/demand.go
+++ b/internal/autoscale/demand.go
@@ -17,13 +17,13 @@
 const (
 	// prefillShare is the share of an engine's time that prefill may take
 	// without delaying the streams that run beside it too much.
-	prefillShare = 0.5
+	prefillShare = 0.8
 	// slotShare is the share of an engine's slots that may be in use before
 	// its tokens become slow.
 	slotShare = 0.5
 	// burst is the growth of the load that is served without new engines: a
 	// burst is often over before they have booted.
-	burst = 2.0
+	burst = 1.5
 	// holdTime is how long the need of the past is provided for.
 	holdTime = 30 * time.Second
 )
