Send counts to every host that may hold the duties

Cause: four hosts may take the lease, but only three received counts. Change: the candidates for the lease are those that receive all reports.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -103,7 +103,8 @@
 }
 
 const (
-	// candidates is the number of hosts that may acquire the lease.
+	// candidates is the number of hosts that may acquire the lease. They receive
+	// the reports of all daemons.
 	candidates = 4
 	// holderTimeout is how long the first candidate waits for news of a holder
 	// before it tries to acquire the lease; each further one waits that long
--- a/internal/duty/exchange.go
+++ b/internal/duty/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,8 +18,6 @@
 )
 
 const (
-	// collectors is the number of candidates that receive all reports.
-	collectors = 3
 	// reportInterval is the interval at which a daemon reports. In between it
 	// reports once, finalDelay after the end of a window.
 	reportInterval = time.Second
@@ -30,7 +29,7 @@
 	// maxDatagram bounds the counts in one datagram, in bytes.
 	maxDatagram = 900
 	// recentWindows is the number of windows in each report, allWindows that in
-	// the first report to a new set of collectors.
+	// the first report to a new candidate.
 	recentWindows = 2
 	allWindows    = 4
 )
@@ -57,7 +56,7 @@
 	lastWindow  usage.Window
 	lastSample  time.Duration
 	lastHolding time.Duration
-	// sentTo are the collectors of the last report.
+	// sentTo are the candidates that the last report was sent to.
 	sentTo []membership.HostID
 }
 
@@ -90,7 +89,7 @@
 	}
 	if fence, ok := x.Tenure.Held(); ok && now-x.lastHolding >= announceInterval {
 		x.lastHolding = now
-		x.Send(x.others(candidates), &peerv1.DutyReport{Host: string(x.Self().ID), Fence: fence})
+		x.Send(x.others(), &peerv1.DutyReport{Host: string(x.Self().ID), Fence: fence})
 	}
 }
 
@@ -101,15 +100,15 @@
 	x.report()
 }
 
-// report sends the counts to the collectors. The caller must hold the lock.
+// report sends the counts to all candidates. The caller must hold the lock.
 func (x *Exchange) report() {
 	hosts := x.Hosts().Order(LeaseName).Hosts
-	hosts = hosts[:min(len(hosts), collectors)]
+	hosts = hosts[:min(len(hosts), candidates)]
 	windows := recentWindows
 	to := make([]membership.HostID, 0, len(hosts))
 	for _, h := range hosts {
 		to = append(to, h.ID)
-		if !contains(x.sentTo, h.ID) {
+		if !slices.Contains(x.sentTo, h.ID) {
 			windows = allWindows
 		}
 	}
@@ -118,29 +117,20 @@
 	r := x.Counter.Report(windows)
 	r.Source = usage.Source{Host: string(self.ID), Incarnation: self.Incarnation}
 	demand := x.Demand.Snapshot()
-	if contains(to, self.ID) {
+	if slices.Contains(to, self.ID) {
 		x.Ledger.Merge(r)
 		x.Totals.Record(r.Host, r.Incarnation, x.Boot.Now(), demand)
 	}
 	for _, datagram := range encodeReport(r, demand) {
-		x.Send(x.others(collectors), datagram)
+		x.Send(x.others(), datagram)
 	}
 }
 
-func contains(ids []membership.HostID, id membership.HostID) bool {
-	for _, one := range ids {
-		if one == id {
-			return true
-		}
-	}
-	return false
-}
-
-// others returns the peer addresses of the first n hosts, without this one.
-func (x *Exchange) others(n int) (addresses []string) {
+// others returns the peer addresses of the candidates, without this host.
+func (x *Exchange) others() (addresses []string) {
 	self := x.Self().ID
 	hosts := x.Hosts().Order(LeaseName).Hosts
-	for _, h := range hosts[:min(len(hosts), n)] {
+	for _, h := range hosts[:min(len(hosts), candidates)] {
 		if h.ID != self {
 			addresses = append(addresses, h.PeerAddress)
 		}
