Take settings of platforms with some of the duties

Cause: a platform that names no window or no lease time, or no duties at all, would have kept daemons from starting; the number of calls that the platform accepts was not used. Change: what is absent has a default, or switches its duty off. Orders take at most half of the calls that are accepted.

--- a/internal/duty/scale.go
+++ b/internal/duty/scale.go
@@ -40,10 +40,14 @@
 	// initialTime is the time without new registrations after which all engines
 	// that the operators have started are known.
 	initialTime = 2500 * time.Millisecond
-	// ordersPerRound bounds the orders of one decision.
-	ordersPerRound = 16
 )
 
+// OrdersPerRound returns the number of orders in a round that use half of the
+// calls that the platform accepts per second.
+func OrdersPerRound(callsPerSecond float64) int {
+	return max(1, int(callsPerSecond*scaleInterval.Seconds()/2))
+}
+
 // Scaler orders engines while this daemon holds the lease.
 type Scaler struct {
 	Clock   clockwork.Clock
@@ -59,6 +63,9 @@
 	// Load returns what all daemons ask of a pool, and how many daemons have
 	// reported.
 	Load func(pool table.Pool) (autoscale.Load, int)
+	// MaxOrders bounds the orders of one round, so that they stay within the
+	// calls that the platform accepts.
+	MaxOrders int
 	// Order sends an order.
 	Order func(ctx context.Context, a Authority, o EngineOrder) error
 
@@ -139,7 +146,7 @@
 			}
 		}
 		for _, target := range autoscale.Plan(p.Spec, p.Zones, needed) {
-			if sent >= ordersPerRound || s.Boot.Now() < s.throttledUntil {
+			if sent >= s.MaxOrders || s.Boot.Now() < s.throttledUntil {
 				return
 			}
 			if !s.mayOrder(&p, target) {
--- a/internal/duty/sim_test.go
+++ b/internal/duty/sim_test.go
@@ -433,3 +433,13 @@
 		t.Error(broken)
 	}
 }
+
+// handlerTransport answers requests by a handler in the same process.
+type handlerTransport struct{ http.Handler }
+
+// RoundTrip answers a request.
+func (h handlerTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	rec := httptest.NewRecorder()
+	h.ServeHTTP(rec, r)
+	return rec.Result(), nil
+}
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -34,17 +35,25 @@
 	scaler   *duty.Scaler
 }
 
+// Values for platforms that state none. Without a window, usage is counted but not
+// reported.
+const (
+	defaultLeaseDuration = 3 * time.Second
+	defaultUsageWindow   = 5 * time.Second
+)
+
 // buildDuties creates the components for the duties, if there are any.
 func (g *Gateway) buildDuties() {
 	conf := g.conf().Gateway.Duties
-	if conf == nil {
+	if conf == nil || len(conf.Names) == 0 {
 		return
 	}
 	self := func() membership.HostID { return g.view.Self().ID }
 	clock := truetime.NewClock(g.boot, time.Now)
-	ledger, totals := usage.NewLedger(conf.UsageWindow.Std()), autoscale.NewTotals()
+	window := cmp.Or(conf.UsageWindow.Std(), defaultUsageWindow)
+	ledger, totals := usage.NewLedger(window), autoscale.NewTotals()
 	holder := lease.NewHolder(g.clock, g.store, g.metrics)
-	holder.Boot, holder.Terms = g.boot, duty.Terms(conf.LeaseDuration.Std())
+	holder.Boot, holder.Terms = g.boot, duty.Terms(cmp.Or(conf.LeaseDuration.Std(), defaultLeaseDuration))
 	renewer := lease.NewRenewer(holder, duty.LeaseName)
 	d := &duties{}
 	d.tenure = &duty.Tenure{
@@ -55,13 +64,13 @@
 	d.exchange = &duty.Exchange{
 		Clock: g.clock, Boot: g.boot, Time: clock,
 		Self: g.view.Self, Hosts: g.view.Active,
-		Counter: usage.NewCounter(conf.UsageWindow.Std(), clock.Now), Ledger: ledger,
+		Counter: usage.NewCounter(window, clock.Now), Ledger: ledger,
 		Demand: autoscale.NewMeter(), Totals: totals, Tenure: d.tenure,
 		Send:   g.sendDutyReport,
-		Length: conf.UsageWindow.Std(),
+		Length: window,
 	}
 	api := wire.DutyAPI(conf.URL, &http.Client{Transport: endpoint.NewTransport()})
-	if slices.Contains(conf.Names, wire.DutyUsage) {
+	if slices.Contains(conf.Names, wire.DutyUsage) && conf.UsageWindow > 0 {
 		d.reporter = g.newReporter(d.tenure, conf, clock, ledger, renewer, api)
 		d.tenure.WhileHeld = d.reporter.Step
 	}
@@ -69,8 +78,9 @@
 		d.scaler = &duty.Scaler{
 			Clock: g.clock, Boot: g.boot, Logger: g.logger, Metrics: g.metrics, Tenure: d.tenure,
 			Candidate: d.tenure.Eligible, Pools: g.scalablePools,
-			Load:  func(pool table.Pool) (autoscale.Load, int) { return totals.Load(pool, g.boot.Now()) },
-			Order: api.OrderEngines,
+			MaxOrders: duty.OrdersPerRound(conf.CallsPerSecond),
+			Load:      func(pool table.Pool) (autoscale.Load, int) { return totals.Load(pool, g.boot.Now()) },
+			Order:     api.OrderEngines,
 		}
 	}
 	g.duties = d
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -44,16 +44,18 @@
 	// ChecksFence is set if the platform refuses calls with a fencing token that
 	// is lower than one that it has seen.
 	ChecksFence bool `json:"checksFence"`
-	// LeaseDuration is the time within which two hosts must not act by turns.
+	// LeaseDuration is the time within which two hosts must not act by turns; zero
+	// means the default.
 	LeaseDuration table.Duration `json:"leaseDuration"`
 	// UsageWindow is the length of a window of usage, UsageDue the time after
-	// its end within which it is to be reported.
+	// its end within which it is to be reported; zero if there are none.
 	UsageWindow table.Duration `json:"usageWindow"`
 	UsageDue    table.Duration `json:"usageDue"`
 }
 
-// minLease is the shortest duration of a lease that can be renewed in time.
-const minLease = time.Second
+// minDutyTime is the shortest duration of a lease that can be renewed in time, and
+// the shortest window that can be reported.
+const minDutyTime = time.Second
 
 func (d *Duties) check(c *checker) {
 	if d == nil {
@@ -61,11 +63,16 @@
 	}
 	u, err := url.Parse(d.URL)
 	c.require(err == nil && u.Scheme == "http" && u.Host != "", "gateway.duties.url", "%q is not a URL such as http://10.0.0.1:7000", d.URL)
-	c.require(len(d.Names) > 0, "gateway.duties.names", "is empty; leave duties out if there are none")
 	c.require(d.CallsPerSecond > 0, "gateway.duties.callsPerSecond", "%g is not positive", d.CallsPerSecond)
-	c.require(d.LeaseDuration.Std() >= minLease, "gateway.duties.leaseDuration", "%s is under %s", d.LeaseDuration.Std(), minLease)
-	c.require(d.UsageWindow.Std() >= time.Second, "gateway.duties.usageWindow", "%s is under %s", d.UsageWindow.Std(), time.Second)
-	c.require(d.UsageDue.Std() >= time.Second, "gateway.duties.usageDue", "%s is under %s", d.UsageDue.Std(), time.Second)
+	for _, one := range []struct {
+		path  string
+		value time.Duration
+	}{
+		{"leaseDuration", d.LeaseDuration.Std()}, {"usageWindow", d.UsageWindow.Std()}, {"usageDue", d.UsageDue.Std()},
+	} {
+		c.require(one.value == 0 || one.value >= minDutyTime, "gateway.duties."+one.path, "%s is under %s", one.value, minDutyTime)
+	}
+	c.require(d.UsageWindow == 0 || d.UsageDue > 0, "gateway.duties.usageDue", "is missing; allowed: a duration such as 10s")
 }
 
 // Machine is what a host has for its daemon.
--- a/internal/settings/template_test.go
+++ b/internal/settings/template_test.go
@@ -12,30 +12,61 @@
 // placeholder is a value of the deployment's template, as JSON or as text.
 var placeholder = regexp.MustCompile(`\{\{([a-z0-9.-]+)(\|json)?\}\}`)
 
-// section is a part of the template that is left out if a value is absent.
-var section = regexp.MustCompile(`(?s)\{\{#([a-z0-9.-]+)\}\}(.*?)\{\{/[a-z0-9.-]+\}\}`)
+// section is a part of the template that is rendered for each entry of a list, or
+// once if a value is present.
+var section = regexp.MustCompile(`\{\{#([a-z0-9.-]+)\}\}`)
+
+// lookup returns the value of a field, or nil.
+func lookup(fields any, path string) any {
+	for _, name := range strings.Split(path, ".") {
+		switch at := fields.(type) {
+		case map[string]any:
+			fields = at[name]
+		case []any:
+			fields = at[int(name[0]-'0')]
+		default:
+			return nil
+		}
+	}
+	return fields
+}
+
+// renderSections renders the sections of a template, the outermost first.
+func renderSections(template string, fields map[string]any) string {
+	for {
+		at := section.FindStringSubmatchIndex(template)
+		if at == nil {
+			return template
+		}
+		name := template[at[2]:at[3]]
+		end := "{{/" + name + "}}"
+		body, rest, _ := strings.Cut(template[at[1]:], end)
+		out := ""
+		switch v := lookup(fields, name).(type) {
+		case nil:
+		case bool:
+			if v {
+				out = body
+			}
+		case []any:
+			for i, one := range v {
+				data, _ := json.Marshal(one)
+				text := strings.ReplaceAll(body, "{{.|json}}", string(data))
+				out += strings.ReplaceAll(text, "{{,}}", map[bool]string{true: ",", false: ""}[i < len(v)-1])
+			}
+		default:
+			out = body
+		}
+		template = template[:at[0]] + out + rest
+	}
+}
 
 // render fills in a template from fields. It knows only what ours uses.
 func render(t *testing.T, template string, fields map[string]any) string {
 	t.Helper()
-	template = section.ReplaceAllStringFunc(template, func(text string) string {
-		m := section.FindStringSubmatch(text)
-		if group, _ := fields[strings.Split(m[1], ".")[0]].(map[string]any); group == nil {
-			return ""
-		}
-		return m[2]
-	})
-	return placeholder.ReplaceAllStringFunc(template, func(text string) string {
+	return placeholder.ReplaceAllStringFunc(renderSections(template, fields), func(text string) string {
 		m := placeholder.FindStringSubmatch(text)
-		var v any = fields
-		for _, name := range strings.Split(m[1], ".") {
-			switch at := v.(type) {
-			case map[string]any:
-				v = at[name]
-			case []any:
-				v = at[int(name[0]-'0')]
-			}
-		}
+		v := lookup(fields, m[1])
 		data, err := json.Marshal(v)
 		if err != nil || v == nil {
 			t.Fatalf("no value for %s", text)
@@ -105,6 +136,12 @@
 		t.Fatalf("faults:\n%v", faults)
 	}
 	d := s.Gateway.Duties
+	for _, name := range []string{"require-fence", "lease-ms", "report-window-s", "usage-late-s"} {
+		delete(bounds, name)
+		if _, faults := parse([]byte(render(t, string(template), fields))); len(faults) > 0 {
+			t.Errorf("without %s and those before it: %v", name, faults)
+		}
+	}
 	if d.URL != "http://10.200.0.1:8224" || !d.ChecksFence || d.LeaseDuration.Std() != 3*time.Second || len(d.Names) != 1 ||
 		d.UsageWindow.Std() != 5*time.Second || d.UsageDue.Std() != 10*time.Second {
 		t.Errorf("duties %+v", d)
