Let ageing grant slots to requests that can still be in time

Cause: where engines are short in a burst of long prompts, the class whose oldest request exceeds its bound got each sixteenth slot for that request, which is late already, while others of the class missed their target. Change: the class still gets the slot, for the request that it would choose itself. A class without any grant gets it for its oldest request as before.

--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -126,8 +126,9 @@
 
 // overdue returns the entry that ageing grants the next slot to, or nil. It is
 // the oldest entry of the class that has gone without a grant the longest past
-// its MaxWait or, if there is none, of the class whose oldest entry exceeds
-// MaxWait by the most.
+// its MaxWait. If there is none, the class whose oldest entry exceeds MaxWait by
+// the most gets the slot, for the entry that it would choose itself: the oldest
+// one is late already, and the slot may let another one be in time.
 func (c *Cell) overdue(now time.Duration) *entry {
 	if c.isDisabled(Ageing) || c.grantsSinceAged < agedGrantInterval-1 || c.agedRunning >= max(1, c.totalSlots/agedSlotDivisor) {
 		return nil
@@ -135,7 +136,10 @@
 	if e := c.mostOverdue((*classQueue).starving, now); e != nil {
 		return e
 	}
-	return c.mostOverdue((*classQueue).overdue, now)
+	if e := c.mostOverdue((*classQueue).overdue, now); e != nil {
+		return e.class.next(now, c.leadTime)
+	}
+	return nil
 }
 
 // mostOverdue returns the oldest entry of the class that exceeds its bound by
