Report usage in the soak

Change: the stand-in of the store serves the API for usage reports and keeps what breaks its rules; the soak looks there. Daemons reach it through their relays, so that its faults are those of the store.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -43,6 +43,7 @@
 	{"recovery", recovered},
 	{"ending requests", endingRequests},
 	{"engine limits", engineLimits},
+	{"duties", func(rec *Record) []string { return rec.Duties.Broken }},
 }
 
 // Find returns all violations in a record.
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -114,6 +114,7 @@
 		{"a daemon never came back", "recovery", func(r *Record) { r.Daemons = 2 }},
 		{"a request that ends engines is sent on", "ending requests", func(r *Record) { addEnds(r, 7) }},
 		{"an engine gets more than its limit", "engine limits", func(r *Record) { addLimited(r, 18) }},
+		{"a window has two contents", "duties", func(r *Record) { r.Duties.Broken = []string{"window 3 has two contents"} }},
 		{"too many repeats", "retry budget", func(r *Record) {
 			for range retrySlack + 2 {
 				r.Runs = append(r.Runs, r.Runs[2])
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -23,6 +23,8 @@
 	Revoked []Revoke `json:"revoked"`
 	// Final has what each daemon answered at the very end.
 	Final []Final `json:"final"`
+	// Duties is what the platform's API has seen of the duties.
+	Duties standin.DutyRecord `json:"duties"`
 	// Noted are violations that were seen on the spot.
 	Noted []Violation `json:"noted,omitempty"`
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -218,7 +218,7 @@
 	}
 }
 
-// collect reads what the engines have run.
+// collect reads what the engines have run and what the API of the duties has seen.
 func (r *run) collect() error {
 	for i := range r.o.Engines {
 		runs, err := r.site.runs(i)
@@ -229,7 +229,7 @@
 			r.rec.Runs = append(r.rec.Runs, Run{Run: one, Engine: i})
 		}
 	}
-	return nil
+	return r.site.get("http://"+r.site.address(standinAddress, portStore)+standin.PathDuties, &r.rec.Duties)
 }
 
 // verdict checks the record. What a failed run has left stays for the search.
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -47,6 +47,12 @@
 	retryShare  = 0.2
 	retrySlack  = 40
 	retryWindow = 10 * time.Second
+
+	// The duties that the platform wants, and how many calls it accepts for them.
+	dutyLease   = 3 * time.Second
+	usageWindow = 2 * time.Second
+	usageDue    = 10 * time.Second
+	dutyCalls   = 20
 )
 
 // site is the processes of a run.
@@ -169,15 +175,20 @@
 func (s *site) startDaemon(i int) error {
 	name := fmt.Sprintf("host-%d", i)
 	host := firstDaemon + i
+	platformURL := "http://" + s.address(standinAddress, portStoreWay+i)
 	data, err := json.MarshalIndent(&settings.Settings{
 		Host: name, Region: "r", Zone: fmt.Sprintf("z%d", i%2),
 		CallerAddress: s.address(host, portCallers), PeerAddress: s.address(host, portPeers), OperatorAddress: s.address(host, portFigures),
 		Peers:    []string{s.address(firstDaemon, portPeers), s.address(firstDaemon+1, portPeers)},
-		Platform: settings.Platform{URL: "http://" + s.address(standinAddress, portStoreWay+i), Timeout: table.Duration(700 * time.Millisecond)},
+		Platform: settings.Platform{URL: platformURL, Timeout: table.Duration(700 * time.Millisecond)},
 		Gateway: &settings.Gateway{
 			ReadyAddress: s.address(host, portReady), DirectoryAddress: s.address(host, portDirectory), BeaconPort: portBeacons,
 			AddressLifetime: table.Duration(2 * time.Second), RevokeAfter: table.Duration(revokeAfter), Grace: table.Duration(grace),
 			Retry: settings.Retry{Share: retryShare, Slack: retrySlack, Window: table.Duration(retryWindow)},
+			Duties: &settings.Duties{
+				URL: platformURL, Names: []string{platform.DutyUsage}, CallsPerSecond: dutyCalls, ChecksFence: true,
+				LeaseDuration: table.Duration(dutyLease), UsageWindow: table.Duration(usageWindow), UsageDue: table.Duration(usageDue),
+			},
 		},
 	}, "", "  ")
 	if err != nil {
@@ -267,13 +278,19 @@
 
 // runs returns what an engine has run.
 func (s *site) runs(i int) (runs []standin.Run, err error) {
-	resp, err := s.client.Get(s.engineURL(i, "/runs"))
+	err = s.get(s.engineURL(i, "/runs"), &runs)
+	return runs, err
+}
+
+// get reads JSON.
+func (s *site) get(url string, out any) error {
+	resp, err := s.client.Get(url)
 	if err != nil {
-		return nil, errors.Wrap(err, "read runs")
+		return errors.Wrap(err, "read "+url)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := json.NewDecoder(resp.Body).Decode(&runs); err != nil {
-		return nil, errors.Wrap(err, "decode runs")
+	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+		return errors.Wrap(err, "decode "+url)
 	}
-	return runs, nil
+	return nil
 }
--- a/internal/standin/main.go
+++ b/internal/standin/main.go
@@ -139,8 +139,16 @@
 
 type storeCommand struct{ listenOption }
 
-// Execute runs the stand-in of the users' store.
-func (c *storeCommand) Execute([]string) error { return c.serve(gatewayform.NewStore().Handler()) }
+// Execute runs the stand-in of the users' store and of the platform's API for
+// duties.
+func (c *storeCommand) Execute([]string) error {
+	duties := gatewayform.NewDuties()
+	duties.ChecksFence = true
+	mux := http.NewServeMux()
+	mux.Handle("/", gatewayform.NewStore().Handler())
+	duties.Register(mux)
+	return c.serve(mux)
+}
 
 type endpointCommand struct {
 	listenOption
