Count seed probes between two rounds in a test

Cause: TestLoneDaemonSlowsDownSeedProbes failed once in a whole check beside other load (21 calls in ten seconds, 20 allowed) and once in 300 plays of it alone. Its ten seconds began and ended at the moments of rounds, which are on whole seconds, so that the calls of both ends could be counted. Change: the ten seconds begin and end half a round later. The bound stays.

--- a/internal/heartbeat/seeds_test.go
+++ b/internal/heartbeat/seeds_test.go
@@ -36,7 +36,8 @@
 		if n := calls.Load(); n < 8 {
 			t.Errorf("%d calls in the first second, want at least 8", n)
 		}
-		time.Sleep(9 * time.Second)
+		// Half a round later, so that no call is made at the moments of counting.
+		time.Sleep(9*time.Second + heartbeat.Interval/2)
 		before := calls.Load()
 		time.Sleep(10 * time.Second)
 		if n := calls.Load() - before; n > 20 {
