Keep hosts sorted and take updates without looking at all

While a fleet starts, every host has an update and every message changes hosts.

An order computes a position without sorting and copying all hosts.

--- a/internal/duty/exchange.go
+++ b/internal/duty/exchange.go
@@ -102,8 +102,7 @@
 
 // report sends the counts to all candidates. The caller must hold the lock.
 func (x *Exchange) report() {
-	hosts := x.Hosts().Order(LeaseName).Hosts
-	hosts = hosts[:min(len(hosts), candidates)]
+	hosts := x.Hosts().Order(LeaseName).First(candidates)
 	windows := recentWindows
 	to := make([]membership.HostID, 0, len(hosts))
 	for _, h := range hosts {
@@ -129,8 +128,7 @@
 // others returns the peer addresses of the candidates, without this host.
 func (x *Exchange) others() (addresses []string) {
 	self := x.Self().ID
-	hosts := x.Hosts().Order(LeaseName).Hosts
-	for _, h := range hosts[:min(len(hosts), candidates)] {
+	for _, h := range x.Hosts().Order(LeaseName).First(candidates) {
 		if h.ID != self {
 			addresses = append(addresses, h.PeerAddress)
 		}
--- a/internal/factsync/outage_test.go
+++ b/internal/factsync/outage_test.go
@@ -52,7 +52,7 @@
 		s := newStoppedSite(1, fleetHosts)
 		startFleet(s)
 		time.Sleep(2 * stableTime)
-		first := s.daemon(0).view.Active().HighCapacityOrder(readerKey).Hosts[:fleetHosts/20]
+		first := s.daemon(0).view.Active().HighCapacityOrder(readerKey).First(fleetHosts / 20)
 		refused := map[membership.HostID]bool{}
 		for _, h := range first {
 			refused[h.ID] = true
--- a/internal/factsync/syncer.go
+++ b/internal/factsync/syncer.go
@@ -127,7 +127,7 @@
 	order := s.Staying().HighCapacityOrder(readerKey)
 	rank, stays := order.Position(s.Self().ID)
 	if !stays {
-		rank = len(order.Hosts)
+		rank = order.Len()
 	}
 	switch {
 	case facts.Stale(age) && s.noRecentResponse(now), known && facts.ShouldProbe(rank, age):
@@ -169,7 +169,7 @@
 	for id, at := range s.lastReads {
 		position, ok := order.Position(id)
 		switch {
-		case now-at > facts.TakeoverDelay(len(order.Hosts)):
+		case now-at > facts.TakeoverDelay(order.Len()):
 			delete(s.lastReads, id)
 		case ok && position < rank:
 			ago = append(ago, now-at)
--- a/internal/membership/changes.go
+++ b/internal/membership/changes.go
@@ -1,18 +1,19 @@
 package membership
 
-import (
-	"cmp"
-	"slices"
-)
-
 // sendsPerChange is how often a daemon sends a change: once on each of the about
 // 2 × Rings connections on which it exchanges heartbeats, and twice more to make
 // up for lost messages. What is still missed shows as a difference of digests.
 const sendsPerChange = 2*Rings + 2
 
 // changes are the hosts with an update to send. The update is read from the view
-// when it is sent, so each host is listed at most once.
-type changes map[HostID]*change
+// when it is sent, so each host is listed at most once. Taking an update costs the
+// same however many are listed.
+type changes struct {
+	byHost map[HostID]change
+	// queues hold the hosts by their change. An entry that no longer equals the
+	// host's change is skipped.
+	queues map[change][]HostID
+}
 
 type change struct {
 	// sendsLeft is how often the change has yet to be sent; it is positive.
@@ -20,35 +21,44 @@
 	urgent    bool
 }
 
+func newChanges() changes {
+	return changes{byHost: map[HostID]change{}, queues: map[change][]HostID{}}
+}
+
 // put queues a change. A change that is queued as urgent stays urgent.
-func (c changes) put(id HostID, urgent bool) {
-	if old := c[id]; old != nil && old.urgent {
-		urgent = true
+func (c *changes) put(id HostID, urgent bool) {
+	old, ok := c.byHost[id]
+	next := change{sendsLeft: sendsPerChange, urgent: urgent || old.urgent}
+	if !ok || old != next {
+		c.set(id, next)
 	}
-	c[id] = &change{sendsLeft: sendsPerChange, urgent: urgent}
+}
+
+func (c *changes) set(id HostID, next change) {
+	c.byHost[id] = next
+	c.queues[next] = append(c.queues[next], id)
 }
 
 // take returns up to n hosts whose updates are to be sent, urgent changes first
 // and then those sent least often, and counts one send of each.
-func (c changes) take(n int) []HostID {
-	ids := make([]HostID, 0, len(c))
-	for id := range c {
-		ids = append(ids, id)
-	}
-	rank := func(id HostID) int {
-		if c[id].urgent {
-			return 0
+func (c *changes) take(n int) []HostID {
+	ids := make([]HostID, 0, min(n, len(c.byHost)))
+	var resend []change
+	for _, urgent := range []bool{true, false} {
+		for left := sendsPerChange; left > 0; left-- {
+			for one := (change{left, urgent}); len(ids) < n && len(c.queues[one]) > 0; {
+				id := c.queues[one][0]
+				c.queues[one] = c.queues[one][1:]
+				if c.byHost[id] == one {
+					delete(c.byHost, id)
+					ids, resend = append(ids, id), append(resend, change{left - 1, urgent})
+				}
+			}
 		}
-		return 1
 	}
-	slices.SortFunc(ids, func(a, b HostID) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(c[b].sendsLeft, c[a].sendsLeft), cmp.Compare(a, b))
-	})
-	ids = ids[:min(n, len(ids))]
-	for _, id := range ids {
-		c[id].sendsLeft--
-		if c[id].sendsLeft == 0 {
-			delete(c, id)
+	for i, id := range ids {
+		if resend[i].sendsLeft > 0 {
+			c.set(id, resend[i])
 		}
 	}
 	return ids
@@ -84,7 +94,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	updates := make([]Update, 0, len(v.hosts))
-	for _, e := range v.hosts {
+	for _, e := range v.sorted {
 		updates = append(updates, e.update)
 	}
 	return updates
--- a/internal/membership/hosts.go
+++ b/internal/membership/hosts.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -58,33 +59,17 @@
 	return hosts
 }
 
-// rebuildSnapshots updates the snapshots. The caller must hold the lock.
-func (v *View) rebuildSnapshots() {
-	known, active, ready, gone := []Host{v.self}, []Host{}, []Host{}, []Host{}
-	if v.self.State == Ready {
-		ready = append(ready, v.self)
+// rebuild updates the snapshots if they are stale. The caller must hold the lock.
+func (v *View) rebuild() {
+	if !v.stale {
+		return
 	}
-	if v.self.State != Leaving {
-		active = append(active, v.self)
-	}
-	for _, e := range v.hosts {
-		h := e.update.Host
-		if e.gone() {
-			gone = append(gone, h)
-			continue
-		}
-		known = append(known, h)
-		if e.active() {
-			active = append(active, h)
-		}
-		if e.active() && h.State == Ready {
-			ready = append(ready, h)
-		}
-	}
-	v.known = v.known.withHosts(known)
-	v.active = v.active.withHosts(active)
-	v.ready = v.ready.withHosts(ready)
-	v.gone = v.gone.withHosts(gone)
+	v.stale = false
+	self := &entry{update: Update{Host: v.self, Status: Alive}}
+	v.known = v.known.selected(v.sorted, self, func(e *entry) bool { return !e.gone() })
+	v.active = v.active.selected(v.sorted, self, (*entry).active)
+	v.ready = v.ready.selected(v.sorted, self, (*entry).ready)
+	v.gone = v.gone.selected(v.sorted, self, (*entry).gone)
 }
 
 // active reports whether the host is alive and not leaving.
@@ -92,14 +77,46 @@
 	return e.update.Status == Alive && e.update.Host.State != Leaving && !e.listedLeaving
 }
 
-// withHosts returns a snapshot of the hosts. It is s itself if the hosts are the
-// same, so that what s has derived from them is kept.
-func (s *Snapshot) withHosts(hosts []Host) *Snapshot {
-	next := NewSnapshot(hosts)
-	if slices.Equal(s.hosts, next.hosts) {
-		return s
+// ready reports whether the host accepts work.
+func (e *entry) ready() bool { return e.active() && e.update.Host.State == Ready }
+
+// selected returns a snapshot of the hosts for which keep returns true, among
+// entries sorted by id and self. It is s itself if the hosts are the same, so that
+// what s has derived from them is kept.
+func (s *Snapshot) selected(entries []*entry, self *entry, keep func(*entry) bool) *Snapshot {
+	// same counts the leading hosts that are in s as well. Only what differs is
+	// copied.
+	same := 0
+	var hosts []Host
+	add := func(e *entry) {
+		if !keep(e) {
+			return
+		}
+		h := e.update.Host.withoutVolatile()
+		if hosts == nil && same < len(s.hosts) && s.hosts[same] == h {
+			same++
+			return
+		}
+		if hosts == nil {
+			hosts = append(make([]Host, 0, len(s.hosts)+1), s.hosts[:same]...)
+		}
+		hosts = append(hosts, h)
+	}
+	at, _ := slices.BinarySearchFunc(entries, self.update.Host.ID, func(e *entry, id HostID) int { return cmp.Compare(e.update.Host.ID, id) })
+	for _, e := range entries[:at] {
+		add(e)
+	}
+	add(self)
+	for _, e := range entries[at:] {
+		add(e)
+	}
+	switch {
+	case hosts != nil:
+		return &Snapshot{hosts: hosts}
+	case same < len(s.hosts):
+		return &Snapshot{hosts: s.hosts[:same:same]}
 	}
-	return next
+	return s
 }
 
 // missingPeriod is how long a host that is gone without having left counts as
--- a/internal/membership/ring.go
+++ b/internal/membership/ring.go
@@ -21,8 +21,11 @@
 func (v *View) Partners() []Host {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.rebuild()
-	return slices.Clone(v.rings)
+	if v.partnersStale {
+		v.partnersStale = false
+		v.partners = v.successors()
+	}
+	return slices.Clone(v.partners)
 }
 
 // Digest returns a hash of the incarnations that are not gone and of their
@@ -30,91 +33,101 @@
 func (v *View) Digest() uint64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.rebuild()
 	return v.digest
 }
 
-// rebuild updates rings, digest and snapshots if they are stale. The caller must
+// selfChanged updates what depends on this daemon's own state. The caller must
 // hold the lock.
-func (v *View) rebuild() {
-	if !v.stale {
-		return
-	}
-	v.stale = false
-	var others []Host
-	v.digest = 0
+func (v *View) selfChanged() {
+	v.digest ^= v.selfHash
+	v.selfHash = 0
 	if !v.departed {
-		v.digest = hostHash(v.self)
-	}
-	for _, e := range v.hosts {
-		if !e.gone() {
-			others = append(others, e.update.Host)
-			v.digest ^= hostHash(e.update.Host)
-		}
+		v.selfHash = stateHash(idHash(v.self.ID), v.self)
 	}
-	v.rings = successors(v.self.ID, others)
-	v.rebuildSnapshots()
+	v.digest ^= v.selfHash
+	v.stale = true
 }
 
-// hostHash returns a hash of a host's incarnation and state.
-func hostHash(h Host) uint64 {
-	return stat.Mix(stat.Mix(xxhash.Sum64String(string(h.ID))^h.Incarnation) + uint64(h.State))
+func idHash(id HostID) uint64 { return xxhash.Sum64String(string(id)) }
+
+// stateHash returns a hash of a host's incarnation and state.
+func stateHash(idHash uint64, h Host) uint64 {
+	return stat.Mix(stat.Mix(idHash^h.Incarnation) + uint64(h.State))
 }
 
-// successors returns the partners of self: on each ring, the first host that is
-// not yet chosen on an earlier one.
-func successors(self HostID, others []Host) []Host {
-	chosen := map[HostID]bool{}
+// successors returns the partners of this daemon: on each ring, the first host
+// that is not yet chosen on an earlier one. The caller must hold the lock.
+func (v *View) successors() []Host {
+	chosen := map[*entry]bool{}
 	var partners []Host
 	for ring := range uint64(Rings) {
-		best, ok := successor(ring, self, others, chosen)
-		if !ok {
+		best := v.successor(ring, chosen)
+		if best == nil {
 			break
 		}
-		chosen[best.ID] = true
-		partners = append(partners, best)
+		chosen[best] = true
+		partners = append(partners, best.update.Host)
 	}
 	return partners
 }
 
-// successor returns the first host after self on a ring that is not yet chosen.
-func successor(ring uint64, self HostID, others []Host, chosen map[HostID]bool) (best Host, ok bool) {
-	own := ringPosition(ring, self)
+// successor returns the first host after this one on a ring that is not yet
+// chosen, or nil if there is none.
+func (v *View) successor(ring uint64, chosen map[*entry]bool) (best *entry) {
+	own := ringPosition(ring, idHash(v.self.ID))
 	var nearest uint64
-	for _, h := range others {
-		if chosen[h.ID] {
-			continue
-		}
+	for _, e := range v.sorted {
 		// The unsigned difference wraps around, as the ring does.
-		distance := ringPosition(ring, h.ID) - own
-		if !ok || distance < nearest {
-			best, nearest, ok = h, distance, true
+		distance := ringPosition(ring, e.idHash) - own
+		if (best == nil || distance < nearest) && !e.gone() && !chosen[e] {
+			best, nearest = e, distance
 		}
 	}
-	return best, ok
+	return best
 }
 
-// ringPosition returns a host's position on a ring.
-func ringPosition(ring uint64, id HostID) uint64 {
-	return stat.Mix(xxhash.Sum64String(string(id)) + ring)
-}
+// ringPosition returns the position on a ring of the host with the given hash of
+// its id.
+func ringPosition(ring, idHash uint64) uint64 { return stat.Mix(idHash + ring) }
 
 // Rank sorts hosts by their rendezvous score for a key, highest first.
 func Rank(key string, hosts []Host) []Host {
 	type scored struct {
-		host  Host
+		host  *Host
 		score uint64
 	}
 	all := make([]scored, 0, len(hosts))
-	for _, h := range hosts {
-		all = append(all, scored{h, xxhash.Sum64String(key + "\x00" + string(h.ID))})
+	scorer := NewScorer(key)
+	for i := range hosts {
+		all = append(all, scored{&hosts[i], scorer.Score(hosts[i].ID)})
 	}
 	slices.SortFunc(all, func(a, b scored) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.host.ID, b.host.ID))
 	})
 	ranked := make([]Host, 0, len(all))
 	for _, s := range all {
-		ranked = append(ranked, s.host)
+		ranked = append(ranked, *s.host)
 	}
 	return ranked
 }
+
+// Scorer computes the rendezvous scores of hosts for one key. It is not safe for
+// concurrent use.
+type Scorer struct {
+	// buffer begins with the key and its terminator, which take prefix bytes.
+	buffer []byte
+	prefix int
+}
+
+// NewScorer returns a scorer for a key.
+func NewScorer(key string) *Scorer {
+	s := &Scorer{buffer: append([]byte(key), 0)}
+	s.prefix = len(s.buffer)
+	return s
+}
+
+// Score returns the score of a host; the host with the highest one comes first.
+func (s *Scorer) Score(id HostID) uint64 {
+	s.buffer = append(s.buffer[:s.prefix], id...)
+	return xxhash.Sum64(s.buffer)
+}
--- a/internal/membership/snapshot.go
+++ b/internal/membership/snapshot.go
@@ -55,13 +55,17 @@
 
 // Find returns the host with the given id.
 func (s *Snapshot) Find(id HostID) (Host, bool) {
-	i, ok := slices.BinarySearchFunc(s.hosts, id, func(h Host, id HostID) int { return cmp.Compare(h.ID, id) })
+	i, ok := s.index(id)
 	if !ok {
 		return Host{}, false
 	}
 	return s.hosts[i], true
 }
 
+func (s *Snapshot) index(id HostID) (int, bool) {
+	return slices.BinarySearchFunc(s.hosts, id, func(h Host, id HostID) int { return cmp.Compare(h.ID, id) })
+}
+
 // HasPeer reports whether a host of the snapshot has the peer address.
 func (s *Snapshot) HasPeer(address string) bool {
 	s.mu.Lock()
@@ -75,20 +79,6 @@
 	return s.addresses[address]
 }
 
-// Order is a list of hosts sorted by their rendezvous scores for a key.
-type Order struct {
-	// Hosts must not be changed. Unless high-capacity hosts are put first, the
-	// host with the highest score is first.
-	Hosts     []Host
-	positions map[HostID]int
-}
-
-// Position returns how many hosts precede the given one.
-func (o *Order) Position(id HostID) (int, bool) {
-	n, ok := o.positions[id]
-	return n, ok
-}
-
 // Order returns the hosts sorted by their rendezvous scores for a key.
 func (s *Snapshot) Order(key string) *Order { return s.order(orderKey{key: key}) }
 
@@ -104,13 +94,7 @@
 	if o := s.orders[k]; o != nil {
 		return o
 	}
-	o := &Order{Hosts: Rank(k.key, s.hosts), positions: make(map[HostID]int, len(s.hosts))}
-	if k.highCapacityFirst {
-		o.Hosts = HighCapacityFirst(o.Hosts)
-	}
-	for i, h := range o.Hosts {
-		o.positions[h.ID] = i
-	}
+	o := &Order{snapshot: s, key: k}
 	if s.orders == nil {
 		s.orders = map[orderKey]*Order{}
 	}
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -23,7 +23,7 @@
 	e.since = v.clock.Now()
 	v.scheduleSweep(e)
 	v.Count("hosts.suspected")
-	v.changed(id, true)
+	v.changed(e, true)
 }
 
 // scheduleSweep makes Sweep run by the deadline of a host. The caller must hold
@@ -71,13 +71,12 @@
 			continue
 		case now.Before(at):
 		case e.gone():
-			delete(v.hosts, id)
-			v.stale = true
+			v.remove(id)
 			continue
 		default:
 			e.update.Status = Gone
 			e.since = now
-			v.changed(id, true)
+			v.changed(e, true)
 			gone = append(gone, e.update.Host)
 		}
 		v.scheduleSweep(e)
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -1,7 +1,9 @@
 package membership
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,12 +35,17 @@
 	leavingSince time.Time
 	hosts        map[HostID]*entry
 	changes      changes
+	// sorted has the entries of hosts, sorted by the hosts' ids.
+	sorted []*entry
 	// sweepAt is zero, or no later than the earliest deadline of a host.
 	sweepAt time.Time
-	// rings, digest and the snapshots are rebuilt when stale is set.
-	stale  bool
-	rings  []Host
-	digest uint64
+	// digest is the combined hash of the hosts that are not gone, selfHash the
+	// part of this daemon itself.
+	digest, selfHash uint64
+	// partners are rebuilt when partnersStale is set, the snapshots when stale
+	// is set.
+	partnersStale, stale bool
+	partners             []Host
 	// known has the hosts that are not gone, active those that are alive and not
 	// leaving, ready the active ones that accept work, and gone those that are
 	// gone.
@@ -47,6 +54,9 @@
 
 type entry struct {
 	update Update
+	// idHash is a hash of the host's id, stateHash the host's part of the
+	// digest.
+	idHash, stateHash uint64
 	// since is when the host got its present status.
 	since time.Time
 	// listedLeaving is set when the platform's list shows the host as leaving
@@ -58,7 +68,7 @@
 
 // NewView returns a view that contains only the daemon itself.
 func NewView(clock clockwork.Clock, self Host) *View {
-	return &View{
+	v := &View{
 		clock:   clock,
 		self:    self,
 		hosts:   map[HostID]*entry{},
@@ -66,14 +76,15 @@
 		Count:   func(string) {},
 		Rand:    rand.Float64,
 		Wake:    make(chan struct{}, 1),
-		changes: changes{},
-		stale:   true,
+		changes: newChanges(),
 
 		known:  &Snapshot{},
 		active: &Snapshot{},
 		ready:  &Snapshot{},
 		gone:   &Snapshot{},
 	}
+	v.selfChanged()
+	return v
 }
 
 // Self returns the state of this daemon.
@@ -129,7 +140,7 @@
 // lock.
 func (v *View) announceSelf() {
 	v.self.Sequence++
-	v.stale = true
+	v.selfChanged()
 	v.wake()
 }
 
@@ -214,10 +225,9 @@
 func (v *View) merge(n Update) []Host {
 	e := v.hosts[n.Host.ID]
 	if e == nil {
-		e = &entry{update: n, since: v.clock.Now()}
-		v.hosts[n.Host.ID] = e
+		e = v.insert(n)
 		v.scheduleSweep(e)
-		v.changed(n.Host.ID, true)
+		v.changed(e, true)
 		return nil
 	}
 	if !n.supersedes(e.update) {
@@ -233,20 +243,52 @@
 		e.since = v.clock.Now()
 		v.scheduleSweep(e)
 	}
-	v.changed(n.Host.ID, replaced || n.Status != old.update.Status || n.Host.State != old.update.Host.State)
+	v.changed(e, replaced || n.Status != old.update.Status || n.Host.State != old.update.Host.State)
 	if !old.gone() && (replaced || n.Status == Gone) {
 		return []Host{old.update.Host}
 	}
 	return nil
 }
 
-// changed queues an update of a host for sending. The caller must hold the lock.
-func (v *View) changed(id HostID, urgent bool) {
-	v.changes.put(id, urgent)
-	if urgent {
-		v.stale = true
-		v.wake()
+// insert adds a host. The caller must hold the lock.
+func (v *View) insert(n Update) *entry {
+	e := &entry{update: n, idHash: idHash(n.Host.ID), since: v.clock.Now()}
+	v.hosts[n.Host.ID] = e
+	i, _ := v.search(n.Host.ID)
+	v.sorted = slices.Insert(v.sorted, i, e)
+	return e
+}
+
+// remove forgets a host that is gone. The caller must hold the lock.
+func (v *View) remove(id HostID) {
+	delete(v.hosts, id)
+	if i, ok := v.search(id); ok {
+		v.sorted = slices.Delete(v.sorted, i, i+1)
+	}
+	v.stale = true
+}
+
+// search returns the position of a host in v.sorted, or where to insert it.
+func (v *View) search(id HostID) (int, bool) {
+	return slices.BinarySearchFunc(v.sorted, id, func(e *entry, id HostID) int { return cmp.Compare(e.update.Host.ID, id) })
+}
+
+// changed queues an update of a host for sending. It must be urgent if the host's
+// incarnation, state or status has changed. The caller must hold the lock.
+func (v *View) changed(e *entry, urgent bool) {
+	v.changes.put(e.update.Host.ID, urgent)
+	if !urgent {
+		return
 	}
+	before := e.stateHash
+	e.stateHash = 0
+	if !e.gone() {
+		e.stateHash = stateHash(e.idHash, e.update.Host)
+	}
+	v.digest ^= before ^ e.stateHash
+	v.partnersStale = v.partnersStale || before != e.stateHash
+	v.stale = true
+	v.wake()
 }
 
 // MarkListedLeaving marks a host as leaving because the platform's list says so.
