Find the endpoints since a position without looking at all

Cause: each question of a daemon sorted the ids of all endpoints, and nearly each read of the store makes all hosts ask.

Change: the registry keeps its rows in the order of their positions.

--- a/internal/facts/registry.go
+++ b/internal/facts/registry.go
@@ -1,6 +1,7 @@
 package facts
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 )
@@ -11,6 +12,11 @@
 // the same rows, so that one can accept the other's confirmation.
 type registry struct {
 	rows map[EndpointID]Endpoint
+	// log has the rows by position, so that those after a position are found
+	// without looking at the others. An entry counts while the row has its
+	// position. It is sorted unless unsorted is set.
+	log      []logEntry
+	unsorted bool
 	// position is the position as of which all rows are known; a row may be
 	// newer.
 	position Position
@@ -22,6 +28,14 @@
 	changed Position
 }
 
+type logEntry struct {
+	position Position
+	id       EndpointID
+}
+
+// minLogEntries is the length of the log up to which outdated entries are kept.
+const minLogEntries = 64
+
 // merge applies an update and returns the rows that changed.
 func (r *registry) merge(n EndpointUpdate) (changed []Endpoint) {
 	whole := n.Whole && n.Position >= r.position
@@ -51,8 +65,7 @@
 		e = known
 		e.Gone, e.Changed = true, at
 	}
-	r.changed = max(r.changed, e.Changed)
-	r.rows[e.ID] = e
+	r.store(e)
 	return e, !ok || !known.sameRegistration(e)
 }
 
@@ -69,8 +82,7 @@
 			continue
 		}
 		e.Gone, e.Changed = true, position
-		r.rows[id] = e
-		r.changed = max(r.changed, position)
+		r.store(e)
 		gone = append(gone, e)
 	}
 	return gone
@@ -80,11 +92,39 @@
 // if the removals since then are not known.
 func (r *registry) since(position Position) (rows []Endpoint, whole bool) {
 	whole = position < r.base || position == 0
-	for _, id := range slices.Sorted(maps.Keys(r.rows)) {
-		e := r.rows[id]
-		if whole && !e.Gone || !whole && e.Changed > position {
+	entries := r.sortedLog()
+	if whole {
+		rows = make([]Endpoint, 0, len(r.rows))
+	} else {
+		first, _ := slices.BinarySearchFunc(entries, position+1, func(l logEntry, p Position) int { return cmp.Compare(l.position, p) })
+		entries = entries[first:]
+	}
+	for _, l := range entries {
+		if e := r.rows[l.id]; e.Changed == l.position && !(whole && e.Gone) {
 			rows = append(rows, e)
 		}
 	}
 	return rows, whole
 }
+
+// store sets a row.
+func (r *registry) store(e Endpoint) {
+	r.changed = max(r.changed, e.Changed)
+	r.rows[e.ID] = e
+	r.unsorted = r.unsorted || len(r.log) > 0 && r.log[len(r.log)-1].position > e.Changed
+	r.log = append(r.log, logEntry{e.Changed, e.ID})
+	if len(r.log) > 2*len(r.rows)+minLogEntries {
+		r.log = slices.DeleteFunc(r.log, func(l logEntry) bool { return r.rows[l.id].Changed != l.position })
+	}
+}
+
+// sortedLog returns the log sorted by position.
+func (r *registry) sortedLog() []logEntry {
+	if r.unsorted {
+		slices.SortFunc(r.log, func(a, b logEntry) int {
+			return cmp.Or(cmp.Compare(a.position, b.position), cmp.Compare(a.id, b.id))
+		})
+		r.unsorted = false
+	}
+	return r.log
+}
