Let an endpoint change its own cell only

Cause: a change of one endpoint built the table, its division into cells and the lists of all endpoints anew, twice, on every host. An endpoint's cell was its hash modulo the number of cells, so that nearly all changed their cells with each 256th endpoint. A change of one host sorted all hosts once for each cell, twice.

Change: a plan is immutable and shares the cells that did not change with the one before; placer and coordinator use the same. Cells are chosen by jump consistent hashing. There is no hysteresis: a plan must depend on the endpoints alone, or two daemons would grant the slots of one endpoint. The coordinator of a cell is the host of highest score in the first group of hosts (region, capacity) that has one; nothing is sorted.

--- a/internal/cell/convert.go
+++ b/internal/cell/convert.go
@@ -15,22 +15,22 @@
 // config returns the scheduler configuration of a cell, built from the table.
 func (c *Coordinator) config(id ID) schedule.Config {
 	cfg := schedule.Config{Discipline: c.discipline, Disabled: c.Disabled, IndependentHosts: c.share}
-	endpoints := c.plan.Endpoints(id)
-	for _, e := range endpoints {
+	members := c.plan.Members(id)
+	for _, e := range members {
 		cfg.Endpoints = append(cfg.Endpoints, schedule.EndpointPolicy{
 			Name:        schedule.Endpoint(e.Name),
 			Concurrency: (e.Concurrency + c.share - 1) / c.share,
 			CanPreempt:  e.CanCancel && e.CanResume,
 			CacheTokens: e.MemoryTokens / c.share,
 			Zone:        e.Zone,
-			Draining:    c.draining[e.Name],
+			Draining:    e.Draining || c.draining[e.Name],
 		})
 		cfg.MaxWaiting += queuePerSlot * e.Concurrency
 	}
-	if len(endpoints) == 0 {
+	if len(members) == 0 {
 		return cfg
 	}
-	pool := endpoints[0].Pool
+	pool := members[0].Pool
 	// The queue limit of a class is divided among the cells of the pool.
 	cells := len(c.plan.Cells(pool))
 	for i := range c.table.Classes {
--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -104,12 +104,17 @@
 }
 
 // Configure applies a new table.
-func (c *Coordinator) Configure(t *table.Table) {
+func (c *Coordinator) Configure(t *table.Table) { c.Apply(t, NewPlan(t, c.size)) }
+
+// Apply applies the classes of a table and a plan of the endpoints. Cells for which
+// neither has changed are left alone.
+func (c *Coordinator) Apply(t *table.Table, plan *Plan) {
 	c.mu.Lock()
-	c.table = t
-	c.plan = NewPlan(t, c.size)
-	c.planChanged = true
-	out := c.reconfigure()
+	before := c.plan
+	same := before != nil && c.table == t && before.SameCells(plan)
+	c.table, c.plan = t, plan
+	c.planChanged = c.planChanged || !same
+	out := c.reconfigure(func(id ID) bool { return !same || !plan.sameMembers(before, id) })
 	c.mu.Unlock()
 	out.flush()
 }
@@ -122,7 +127,7 @@
 	for _, name := range names {
 		c.draining[name] = true
 	}
-	out := c.reconfigure()
+	out := c.reconfigure(everyCell)
 	c.mu.Unlock()
 	out.flush()
 }
@@ -137,20 +142,24 @@
 		return
 	}
 	c.share = share
-	out := c.reconfigure()
+	out := c.reconfigure(everyCell)
 	c.mu.Unlock()
 	out.flush()
 }
 
-// reconfigure applies the current table, draining endpoints and share to every
-// cell.
-func (c *Coordinator) reconfigure() outbox {
+func everyCell(ID) bool { return true }
+
+// reconfigure applies the current classes, plan, draining endpoints and share to
+// the cells for which changed returns true.
+func (c *Coordinator) reconfigure(changed func(ID) bool) outbox {
 	if c.plan == nil {
 		return nil
 	}
 	for id, cell := range c.cells {
-		cell.Configure(c.config(id))
-		c.dirty[id] = true
+		if changed(id) {
+			cell.Configure(c.config(id))
+			c.dirty[id] = true
+		}
 	}
 	return c.step()
 }
@@ -217,8 +226,8 @@
 
 // coordinates reports whether this daemon ranks first for a cell.
 func (c *Coordinator) coordinates(id ID) bool {
-	ranked := c.ranking.Rank(id, c.plan.Region(id))
-	return len(ranked) > 0 && ranked[0].ID == c.self
+	first, ok := c.ranking.First(id, c.plan.Region(id))
+	return ok && first.ID == c.self
 }
 
 // cell returns the cell with the given id, creating it if needed, and marks it
@@ -340,8 +349,8 @@
 	c.lastPublished = now
 	var pressures []*peerv1.Pressure
 	for id, cell := range c.cells {
-		endpoints := c.plan.Endpoints(id)
-		if len(endpoints) == 0 || len(c.plan.Cells(endpoints[0].Pool)) < 2 {
+		members := c.plan.Members(id)
+		if len(members) == 0 || len(c.plan.Cells(members[0].Pool)) < 2 {
 			continue
 		}
 		pressures = append(pressures, pressure(id, cell.Cell))
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -5,8 +5,10 @@
 package cell
 
 import (
-	"fmt"
+	"cmp"
+	"maps"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -20,63 +22,294 @@
 // specify one.
 const DefaultSize = 32
 
-// Plan assigns the endpoints of a table to cells. It depends only on the table
-// and the cell size, so all daemons with the same table compute the same plan.
+// Member is an endpoint of a cell.
+type Member struct {
+	table.Endpoint
+	// Draining endpoints get no new grants.
+	Draining bool
+}
+
+// Change adds an endpoint to a plan, replaces it or removes it.
+type Change struct {
+	Member
+	Removed bool
+}
+
+// Plan assigns endpoints to cells. It depends only on the endpoints and the cell
+// size, so all daemons that know the same endpoints compute the same plan. A plan
+// is immutable; With returns a changed one that shares all cells that are equal.
 type Plan struct {
-	cells map[ID][]*table.Endpoint
+	size   int
+	groups []group
+	layout *layout
+}
+
+// scope is what the endpoints of a group have in common.
+type scope struct {
+	pool   table.Pool
+	region string
+}
+
+// group is the cells of one scope. Its slices must not be changed.
+type group struct {
+	scope
+	// total is the number of members in all cells.
+	total int
+	// cells may include empty ones.
+	cells []*members
+}
+
+// members are the endpoints of a cell, sorted by name.
+type members []*Member
+
+// layout lists the cells that are not empty. It is shared by all plans with the
+// same cells.
+type layout struct {
 	pools map[table.Pool][]ID
-	// ids lists all cells, sorted.
-	ids []ID
+	// ids is sorted.
+	ids   []ID
+	cells map[ID]position
 }
 
-// NewPlan divides the endpoints of each pool and region into cells of about
-// size endpoints. An endpoint's cell depends only on its name and the number of
-// cells, so most edits of the table move no other endpoint to another cell.
+// position is where a plan holds a cell.
+type position struct{ group, cell int }
+
+// NewPlan divides the endpoints of each pool and region into cells of about size
+// endpoints.
 func NewPlan(t *table.Table, size int) *Plan {
-	type scope struct {
-		pool   table.Pool
-		region string
-	}
-	byScope := map[scope][]*table.Endpoint{}
+	changes := make([]Change, 0, len(t.Endpoints))
 	for i := range t.Endpoints {
-		e := &t.Endpoints[i]
-		s := scope{e.Pool, e.Region}
-		byScope[s] = append(byScope[s], e)
-	}
-	p := &Plan{cells: map[ID][]*table.Endpoint{}, pools: map[table.Pool][]ID{}}
-	for s, endpoints := range byScope {
-		count := (len(endpoints) + size - 1) / size
-		for _, e := range endpoints {
-			n := xxhash.Sum64String(string(e.Name)) % uint64(count)
-			id := ID(fmt.Sprintf("%s@%s/%d", s.pool, s.region, n))
-			if len(p.cells[id]) == 0 {
-				p.pools[s.pool] = append(p.pools[s.pool], id)
+		changes = append(changes, Change{Member: Member{Endpoint: t.Endpoints[i]}})
+	}
+	return EmptyPlan(size).With(changes)
+}
+
+// EmptyPlan returns a plan without endpoints.
+func EmptyPlan(size int) *Plan {
+	return &Plan{size: size, layout: &layout{}}
+}
+
+// With returns the plan after some changes, at most one of each endpoint of a pool
+// and region. It takes time for the changed cells alone unless the number of cells
+// of a pool changes. Then a share of about one in that number of the pool's
+// endpoints moves to another cell. It sorts the changes.
+func (p *Plan) With(changes []Change) *Plan {
+	if len(changes) == 0 {
+		return p
+	}
+	next := &Plan{size: p.size, groups: slices.Clone(p.groups), layout: p.layout}
+	slices.SortStableFunc(changes, func(a, b Change) int {
+		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Region, b.Region))
+	})
+	changed := false
+	for len(changes) > 0 {
+		s := changes[0].scope()
+		n := slices.IndexFunc(changes, func(c Change) bool { return c.scope() != s })
+		if n < 0 {
+			n = len(changes)
+		}
+		changed = next.apply(s, changes[:n]) || changed
+		changes = changes[n:]
+	}
+	if changed {
+		next.layout = next.newLayout()
+	}
+	return next
+}
+
+func (c *Change) scope() scope { return scope{c.Pool, c.Region} }
+
+// apply applies the changes of one scope. It reports whether the layout changes.
+func (p *Plan) apply(s scope, changes []Change) bool {
+	i := slices.IndexFunc(p.groups, func(g group) bool { return g.scope == s })
+	if i < 0 {
+		i = len(p.groups)
+		p.groups = append(p.groups, group{scope: s})
+	}
+	before := p.groups[i]
+	p.groups[i] = before.with(changes, p.size)
+	return !sameCells(before, p.groups[i])
+}
+
+// with returns the group after changes of its members.
+func (g group) with(changes []Change, size int) group {
+	total := g.total
+	for i := range changes {
+		c := &changes[i]
+		known := g.member(c.Name) != nil
+		switch {
+		case known && c.Removed:
+			total--
+		case !known && !c.Removed:
+			total++
+		}
+	}
+	count := (total + size - 1) / size
+	next := group{scope: g.scope, total: total, cells: slices.Clone(g.cells)}
+	if count == len(g.cells) {
+		next.replace(changes)
+	} else {
+		next.redistribute(changes, count)
+	}
+	return next
+}
+
+// redistribute divides the members and the changes among a number of cells.
+func (g *group) redistribute(changes []Change, count int) {
+	before := g.cells
+	g.cells = make([]*members, count)
+	for n := range g.cells {
+		g.cells[n] = &members{}
+	}
+	changed := make(map[table.EndpointName]bool, len(changes))
+	for i := range changes {
+		c := &changes[i]
+		changed[c.Name] = true
+		if !c.Removed {
+			g.add(c.copyMember())
+		}
+	}
+	for _, cell := range before {
+		for _, m := range *cell {
+			if !changed[m.Name] {
+				g.add(m)
+			}
+		}
+	}
+	for _, cell := range g.cells {
+		slices.SortFunc(*cell, func(a, b *Member) int { return cmp.Compare(a.Name, b.Name) })
+	}
+}
+
+// add appends a member to its cell.
+func (g *group) add(m *Member) {
+	cell := g.cells[g.cellOf(m.Name)]
+	*cell = append(*cell, m)
+}
+
+// replace applies changes to the cells. A cell that is shared with another plan is
+// copied first.
+func (g *group) replace(changes []Change) {
+	copied := map[int]bool{}
+	for i := range changes {
+		c := &changes[i]
+		n := g.cellOf(c.Name)
+		if !copied[n] {
+			copied[n] = true
+			own := append(make(members, 0, len(*g.cells[n])+1), *g.cells[n]...)
+			g.cells[n] = &own
+		}
+		g.cells[n].apply(c)
+	}
+}
+
+func (ms *members) apply(c *Change) {
+	i, known := ms.search(c.Name)
+	switch {
+	case known && c.Removed:
+		*ms = slices.Delete(*ms, i, i+1)
+	case known:
+		(*ms)[i] = c.copyMember()
+	case !c.Removed:
+		*ms = slices.Insert(*ms, i, c.copyMember())
+	}
+}
+
+func (c *Change) copyMember() *Member {
+	m := c.Member
+	return &m
+}
+
+func (ms *members) search(name table.EndpointName) (int, bool) {
+	return slices.BinarySearchFunc(*ms, name, func(m *Member, name table.EndpointName) int { return cmp.Compare(m.Name, name) })
+}
+
+func (g *group) cellOf(name table.EndpointName) int {
+	return jumpHash(xxhash.Sum64String(string(name)), len(g.cells))
+}
+
+// member returns a member by name, or nil.
+func (g *group) member(name table.EndpointName) *Member {
+	if len(g.cells) == 0 {
+		return nil
+	}
+	cell := g.cells[g.cellOf(name)]
+	if i, ok := cell.search(name); ok {
+		return (*cell)[i]
+	}
+	return nil
+}
+
+// sameCells reports whether the same cells of two groups are not empty.
+func sameCells(a, b group) bool {
+	return slices.EqualFunc(a.cells, b.cells, func(x, y *members) bool { return len(*x) == 0 == (len(*y) == 0) })
+}
+
+func (p *Plan) newLayout() *layout {
+	l := &layout{pools: map[table.Pool][]ID{}, cells: map[ID]position{}}
+	for i, g := range p.groups {
+		prefix := string(g.pool) + "@" + g.region + "/"
+		for n, cell := range g.cells {
+			if len(*cell) == 0 {
+				continue
 			}
-			p.cells[id] = append(p.cells[id], e)
+			id := ID(prefix + strconv.Itoa(n))
+			l.cells[id] = position{i, n}
+			l.pools[g.pool] = append(l.pools[g.pool], id)
 		}
 	}
-	for _, ids := range p.pools {
+	for _, ids := range l.pools {
 		slices.Sort(ids)
-		p.ids = append(p.ids, ids...)
 	}
-	slices.Sort(p.ids)
-	return p
+	l.ids = slices.Sorted(maps.Keys(l.cells))
+	return l
 }
 
 // Cells returns the cells of a pool, sorted by id.
-func (p *Plan) Cells(pool table.Pool) []ID { return p.pools[pool] }
-
-// Endpoints returns the endpoints of a cell.
-func (p *Plan) Endpoints(id ID) []*table.Endpoint { return p.cells[id] }
+func (p *Plan) Cells(pool table.Pool) []ID { return p.layout.pools[pool] }
 
 // All returns every cell, sorted by id.
-func (p *Plan) All() []ID { return p.ids }
+func (p *Plan) All() []ID { return p.layout.ids }
+
+// Members returns the endpoints of a cell, sorted by name. The caller must not
+// change them.
+func (p *Plan) Members(id ID) []*Member {
+	at, ok := p.layout.cells[id]
+	if !ok {
+		return nil
+	}
+	return *p.groups[at.group].cells[at.cell]
+}
 
 // Region returns the region of a cell, or "" if the cell is unknown.
 func (p *Plan) Region(id ID) string {
-	endpoints := p.cells[id]
-	if len(endpoints) == 0 {
+	at, ok := p.layout.cells[id]
+	if !ok {
 		return ""
 	}
-	return endpoints[0].Region
+	return p.groups[at.group].region
+}
+
+// Endpoint returns an endpoint of the pool and region of a cell, or nil. The
+// endpoint may have moved to another cell of these since.
+func (p *Plan) Endpoint(id ID, name table.EndpointName) *table.Endpoint {
+	at, ok := p.layout.cells[id]
+	if !ok {
+		return nil
+	}
+	if m := p.groups[at.group].member(name); m != nil {
+		return &m.Endpoint
+	}
+	return nil
+}
+
+// SameCells reports whether two plans have the same cells, whatever endpoints
+// these have.
+func (p *Plan) SameCells(other *Plan) bool { return p.layout == other.layout }
+
+// sameMembers reports whether a cell has the same members in two plans of which
+// one was derived from the other.
+func (p *Plan) sameMembers(other *Plan, id ID) bool {
+	a, b := p.Members(id), other.Members(id)
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -55,9 +55,9 @@
 		return engines
 	}
 	for id := range c.cells {
-		for _, e := range c.plan.Endpoints(id) {
-			if e.Kind == table.KindEngine {
-				engines[id] = append(engines[id], e)
+		for _, m := range c.plan.Members(id) {
+			if m.Kind == table.KindEngine {
+				engines[id] = append(engines[id], &m.Endpoint)
 			}
 		}
 	}
--- /dev/null
+++ b/internal/gateway/endpoints.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"reflect"
+	"sync"
+
+	"github.com/beechhead/beechhead/internal/catalog"
+	"github.com/beechhead/beechhead/internal/cell"
+	"github.com/beechhead/beechhead/internal/facts"
+	"github.com/beechhead/beechhead/pkg/table"
+)
+
+// changedEndpoints collects the endpoints that have changed since the plan was
+// updated. It is safe for concurrent use.
+type changedEndpoints struct {
+	mu  sync.Mutex
+	ids map[facts.EndpointID]bool
+}
+
+func (s *changedEndpoints) add(c facts.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ids == nil {
+		s.ids = map[facts.EndpointID]bool{}
+	}
+	for _, ids := range [][]facts.EndpointID{c.Registered, c.Draining, c.Gone, c.Retained} {
+		for _, id := range ids {
+			s.ids[id] = true
+		}
+	}
+}
+
+// take returns the collected endpoints and begins anew.
+func (s *changedEndpoints) take() map[facts.EndpointID]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ids := s.ids
+	s.ids = nil
+	return ids
+}
+
+// endpointPlan derives the plan and the classes from the facts. An update costs as
+// much as what has changed, unless the pools of the configuration change. It is not
+// safe for concurrent use.
+type endpointPlan struct {
+	region  string
+	catalog *catalog.Catalog
+	// classes is the scheduling table without endpoints.
+	classes *table.Table
+	plan    *cell.Plan
+	// planned has the endpoints of the plan.
+	planned  map[facts.EndpointID]cell.Member
+	draining int
+}
+
+func newEndpointPlan(region string, cellSize int) *endpointPlan {
+	return &endpointPlan{region: region, plan: cell.EmptyPlan(cellSize), planned: map[facts.EndpointID]cell.Member{}}
+}
+
+// update applies a configuration and the state of the changed endpoints.
+func (p *endpointPlan) update(c *catalog.Catalog, changed map[facts.EndpointID]bool, holder *facts.Holder) {
+	if p.catalog == nil || !reflect.DeepEqual(p.catalog.Pools, c.Pools) {
+		changed = p.all(holder)
+	}
+	if p.catalog != c {
+		p.catalog, p.classes = c, c.Table(nil)
+	}
+	var changes []cell.Change
+	for id := range changed {
+		changes = append(changes, p.change(id, holder)...)
+	}
+	p.plan = p.plan.With(changes)
+}
+
+// all returns every endpoint that is known or in the plan.
+func (p *endpointPlan) all(holder *facts.Holder) map[facts.EndpointID]bool {
+	ids := map[facts.EndpointID]bool{}
+	for _, e := range holder.Endpoints() {
+		ids[e.ID] = true
+	}
+	for id := range p.planned {
+		ids[id] = true
+	}
+	return ids
+}
+
+// change returns what changes in the plan for an endpoint.
+func (p *endpointPlan) change(id facts.EndpointID, holder *facts.Holder) (changes []cell.Change) {
+	before, planned := p.planned[id]
+	e, known := holder.Endpoint(id)
+	next, ok := p.member(e)
+	ok = ok && known && !e.Gone
+	if planned && (!ok || next.Name != before.Name || next.Pool != before.Pool) {
+		changes = append(changes, cell.Change{Member: before, Removed: true})
+	}
+	delete(p.planned, id)
+	if planned && before.Draining {
+		p.draining--
+	}
+	if !ok {
+		return changes
+	}
+	p.planned[id] = next
+	if next.Draining {
+		p.draining++
+	}
+	return append(changes, cell.Change{Member: next})
+}
+
+// member returns an endpoint as a member of a cell; false if its pool is not in the
+// configuration.
+func (p *endpointPlan) member(e facts.Endpoint) (m cell.Member, ok bool) {
+	pool := p.catalog.Pool(e.Pool)
+	if pool == nil {
+		return cell.Member{}, false
+	}
+	m = cell.Member{Draining: e.Draining, Endpoint: table.Endpoint{
+		Name:         e.Name(),
+		Kind:         table.KindService,
+		Pool:         e.Pool,
+		URL:          "http://" + e.Address,
+		Region:       p.region,
+		Zone:         e.Zone,
+		Concurrency:  max(1, e.Slots),
+		MemoryTokens: pool.Memory,
+		EchoesID:     true,
+	}}
+	if pool.Memory > 0 {
+		m.Kind = table.KindEngine
+	}
+	if e.Slots == 0 && pool.Slots > 0 {
+		m.Concurrency = pool.Slots
+	}
+	return m, true
+}
--- a/internal/gateway/facts.go
+++ b/internal/gateway/facts.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"math/rand/v2"
 
-	"github.com/beechhead/beechhead/internal/catalog"
 	"github.com/beechhead/beechhead/internal/endpoint"
 	"github.com/beechhead/beechhead/internal/facts"
 	"github.com/beechhead/beechhead/internal/factsync"
@@ -38,7 +37,7 @@
 	g.storeTime = storetime.NewClock(g.boot)
 	g.holder = facts.NewHolder(g.storeTime, wire.ParseConfig)
 	g.holder.OnChange = g.applyFacts
-	g.holder.OnEndpointChange = g.logEndpointChange
+	g.holder.OnEndpointChange = g.onEndpointChange
 	g.holder.OnEra = g.onNewEra
 	g.sync = &factsync.Syncer{
 		Clock:         g.clock,
@@ -86,9 +85,13 @@
 	return g.peers.Client(address).Facts(ctx, req)
 }
 
-// logEndpointChange logs which endpoints were added or removed, and the source
-// of the update.
-func (g *Gateway) logEndpointChange(c facts.Change) {
+// onEndpointChange collects the changed endpoints for applyFacts, and logs them
+// and the source of the update.
+func (g *Gateway) onEndpointChange(c facts.Change) {
+	g.changed.add(c)
+	if !g.logger.Enabled(context.Background(), slog.LevelInfo) {
+		return
+	}
 	g.logger.LogAttrs(context.Background(), slog.LevelInfo, "endpoints changed", c.Attrs()...)
 }
 
@@ -112,11 +115,10 @@
 	if c == nil || s.Position == 0 && len(g.holder.Endpoints()) == 0 {
 		return
 	}
-	endpoints, draining := tableEndpoints(c, g.holder.Endpoints(), g.conf().Region)
-	t := c.Table(endpoints)
-	g.coordinator.Configure(t)
-	g.coordinator.SetDraining(draining)
-	g.placer.Configure(t)
+	p := g.endpoints
+	p.update(c, g.changed.take(), g.holder)
+	g.coordinator.Apply(p.classes, p.plan)
+	g.placer.Apply(p.classes, p.plan)
 	g.limitConnections()
 	g.view.UpdateSelf(func(h *membership.Host) {
 		h.TableVersion = uint64(c.Version)
@@ -125,8 +127,8 @@
 		}
 	})
 	g.metrics.Set("config.version", int64(c.Version))
-	g.metrics.Set("endpoints.known", int64(len(endpoints)))
-	g.logger.Info("facts in force", "config", c.Version, "endpoints", len(endpoints), "draining", len(draining), "position", s.Position.Version(), "era", uint64(s.Position.Era()))
+	g.metrics.Set("endpoints.known", int64(len(p.planned)))
+	g.logger.Info("facts in force", "config", c.Version, "endpoints", len(p.planned), "draining", p.draining, "position", s.Position.Version(), "era", uint64(s.Position.Era()))
 }
 
 // limitConnections sets this daemon's share of the connections that endpoints
@@ -137,39 +139,6 @@
 	}
 }
 
-// tableEndpoints returns the endpoints whose pool is in the configuration, and
-// the names of those that are draining.
-func tableEndpoints(c *catalog.Catalog, known []facts.Endpoint, region string) (endpoints []table.Endpoint, draining []table.EndpointName) {
-	for _, e := range known {
-		pool := c.Pool(e.Pool)
-		if pool == nil {
-			continue
-		}
-		one := table.Endpoint{
-			Name:         e.Name(),
-			Kind:         table.KindService,
-			Pool:         e.Pool,
-			URL:          "http://" + e.Address,
-			Region:       region,
-			Zone:         e.Zone,
-			Concurrency:  max(1, e.Slots),
-			MemoryTokens: pool.Memory,
-			EchoesID:     true,
-		}
-		if pool.Memory > 0 {
-			one.Kind = table.KindEngine
-		}
-		if e.Slots == 0 && pool.Slots > 0 {
-			one.Concurrency = pool.Slots
-		}
-		endpoints = append(endpoints, one)
-		if e.Draining {
-			draining = append(draining, one.Name)
-		}
-	}
-	return endpoints, draining
-}
-
 // usable reports whether an endpoint still accepts requests according to this
 // daemon's own facts.
 func (g *Gateway) usable(e *table.Endpoint) bool {
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"runtime"
 	"testing"
+
+	"github.com/beechhead/beechhead/internal/peer/peerv1"
 )
 
 const (
@@ -49,3 +51,39 @@
 		}
 	}
 }
+
+// maxEndpointChangeBytes is how many bytes a change of one endpoint may allocate,
+// whatever the number of endpoints.
+const maxEndpointChangeBytes = 4 << 10
+
+// Guards against rebuilding the table, the cells or the lists of all endpoints
+// whenever one endpoint changes.
+func TestEndpointChangeDoesNotTouchAllEndpoints(t *testing.T) {
+	g := fleetDaemon(t, smallFleet, 10000)
+	i := 0
+	if n := allocated(func() { i++; g.changeEndpoint(i) }); n > maxEndpointChangeBytes {
+		t.Errorf("a change of one endpoint of 10,000 takes %d bytes, want at most %d", n, maxEndpointChangeBytes)
+	}
+	i = 0
+	position := uint64(fleetPosition)
+	if n := allocated(func() {
+		i++
+		g.changeEndpoint(1000 + i)
+		g.sync.Answer(&peerv1.FactsRequest{ConfigVersion: 1, Position: position + uint64(999+i)})
+	}); n > 2*maxEndpointChangeBytes {
+		t.Errorf("telling a daemon of one changed endpoint of 10,000 takes %d bytes", n)
+	}
+}
+
+// Guards against sorting all hosts for each cell whenever one host changes.
+func TestHostChangeCostsGrowWithHostsOnly(t *testing.T) {
+	cost := func(hosts int) float64 {
+		g := fleetDaemon(t, hosts, 20*hosts)
+		i := 0
+		return float64(allocated(func() { i++; g.changeHost(i) })) / float64(hosts)
+	}
+	few, many := cost(50), cost(400)
+	if many > few {
+		t.Errorf("a changed host takes %.0f bytes for each of 400 hosts, %.0f for each of 50", many, few)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,8 +66,10 @@
 	reader    *facts.Reader
 	sync      *factsync.Syncer
 	beacons   *beacon.Conn
-	// applyMu serializes calls of applyFacts.
-	applyMu sync.Mutex
+	changed   changedEndpoints
+	// applyMu serializes calls of applyFacts and guards endpoints.
+	applyMu   sync.Mutex
+	endpoints *endpointPlan
 
 	view        *membership.View
 	suspects    *quarantine.List
@@ -141,6 +143,7 @@
 	if size == 0 {
 		size = cell.DefaultSize
 	}
+	g.endpoints = newEndpointPlan(g.conf().Region, size)
 	g.coordinator = cell.NewCoordinator(g.clock, g.view.Self().ID, size, g.conf().Policy)
 	g.coordinator.Disabled = g.conf().Disabled
 	g.cells = &cellhost.Host{
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -112,8 +112,8 @@
 // pruneLimits removes the limits of endpoints that are no longer in the table. The
 // caller holds the lock.
 func (p *Placer) pruneLimits() {
-	for name := range p.limits {
-		if _, ok := p.table.Endpoint(name); !ok {
+	for name, seen := range p.limits {
+		if p.plan.Endpoint(seen.cell, name) == nil {
 			delete(p.limits, name)
 		}
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -157,13 +157,15 @@
 }
 
 // Configure applies a table.
-func (p *Placer) Configure(t *table.Table) {
+func (p *Placer) Configure(t *table.Table) { p.Apply(t, cell.NewPlan(t, p.size)) }
+
+// Apply applies the classes of a table and a plan of the endpoints.
+func (p *Placer) Apply(t *table.Table, plan *cell.Plan) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.table = t
-	p.plan = cell.NewPlan(t, p.size)
+	p.rankingChanged = p.rankingChanged || p.plan == nil || !p.plan.SameCells(plan)
+	p.table, p.plan = t, plan
 	p.pruneLimits()
-	p.rankingChanged = true
 }
 
 // Reserve waits for a slot, and tries another cell if one can't take the request.
@@ -210,12 +212,12 @@
 }
 
 func (p *Placer) accept(w *pending, a answer) (*Grant, *outcome.Refusal) {
+	id := cell.ID(w.reserve.GetCell())
 	p.mu.Lock()
-	e, ok := p.table.Endpoint(a.endpoint)
-	source, _ := p.table.Endpoint(a.fetchFrom)
+	e, source := p.plan.Endpoint(id, a.endpoint), p.plan.Endpoint(id, a.fetchFrom)
 	p.mu.Unlock()
 	g := &Grant{placer: p, pending: w, grantedAt: p.clock.Now()}
-	if !ok {
+	if e == nil {
 		g.Release(Report{Outcome: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE})
 		return nil, outcome.NotRunError(outcome.ReasonNoEndpoint, "the endpoint has left the table")
 	}
--- a/internal/placement/reassign.go
+++ b/internal/placement/reassign.go
@@ -90,10 +90,12 @@
 	if p.ranking.Hosts().Len() == 0 {
 		p.ranking.Update(p.view.Ready())
 	}
-	for _, h := range p.ranking.Rank(id, region) {
-		if h.ID == self.ID || !p.isSuspect(h.ID) {
-			return h
-		}
+	reachable := func(h membership.HostID) bool { return h == self.ID || !p.isSuspect(h) }
+	if h, ok := p.ranking.First(id, region); ok && reachable(h.ID) {
+		return h
+	}
+	if h, ok := p.ranking.FirstOf(id, region, reachable); ok {
+		return h
 	}
 	return self
 }
