Let hosts request news from the host that forwards it

Groups are of one availability zone, and their first hosts have high capacity. Unprompted requests go to the own zone first.

--- a/internal/factsync/beacons.go
+++ b/internal/factsync/beacons.go
@@ -1,7 +1,9 @@
 package factsync
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -31,9 +33,9 @@
 
 // Broadcast notifies all hosts after a read of the store. In a large fleet the
 // hosts are divided into groups and the first host of each forwards the beacon
-// to the others, so that what a reader sends grows with the square root of the
-// fleet size. The groups are drawn again each time: a host that is down cuts
-// others off from one beacon only.
+// to the others, which then request from it what they lack: what a reader sends
+// grows with the square root of the fleet size. The groups are drawn again each
+// time: a host that is down cuts others off from one beacon only.
 func (s *Syncer) Broadcast() {
 	b := s.Beacon()
 	hosts := s.otherHosts()
@@ -54,22 +56,41 @@
 // forwarded. Two hosts with the same hash both receive it.
 func hostHash(id membership.HostID) uint32 { return uint32(xxhash.Sum64String(string(id))) }
 
-// groups divides hosts at random into groups whose size is the square root of
-// their number.
+// groups divides the hosts of each availability zone at random into groups of
+// about the square root of the number of all hosts. The first host of a group has
+// a high capacity if the zone has enough of these.
 func (s *Syncer) groups(hosts []membership.Host) (groups [][]membership.Host) {
 	for i := len(hosts) - 1; i > 0; i-- {
 		j := s.Pick(i + 1)
 		hosts[i], hosts[j] = hosts[j], hosts[i]
 	}
 	size := int(math.Ceil(math.Sqrt(float64(len(hosts)))))
+	most := membership.MaxCapacity(hosts)
+	slices.SortStableFunc(hosts, func(a, b membership.Host) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), a.CapacityRank(most)-b.CapacityRank(most))
+	})
 	for len(hosts) > 0 {
-		n := min(size, len(hosts))
-		groups = append(groups, hosts[:n])
+		n := slices.IndexFunc(hosts, func(h membership.Host) bool { return h.Zone != hosts[0].Zone })
+		if n < 0 {
+			n = len(hosts)
+		}
+		groups = append(groups, divide(hosts[:n], size)...)
 		hosts = hosts[n:]
 	}
 	return groups
 }
 
+// divide deals hosts to groups of at most the given size. The first hosts become
+// the first ones of the groups.
+func divide(hosts []membership.Host, size int) [][]membership.Host {
+	groups := make([][]membership.Host, (len(hosts)+size-1)/size)
+	for i, h := range hosts {
+		n := i % len(groups)
+		groups[n] = append(groups[n], h)
+	}
+	return groups
+}
+
 func (s *Syncer) send(hosts []membership.Host, b *peerv1.Beacon) {
 	addresses := make([]string, 0, len(hosts))
 	for _, h := range hosts {
@@ -110,12 +131,13 @@
 // OnBeacon processes a reader's beacon, and forwards it if the beacon requests
 // that.
 func (s *Syncer) OnBeacon(b *peerv1.Beacon) {
-	if names := b.GetPassTo(); len(names) > 0 {
-		b.PassTo = nil
-		s.send(s.hostsWithHashes(names), b)
-	}
+	names := b.GetPassTo()
+	b.PassTo = nil
 	s.mu.Lock()
 	s.lastReads[membership.HostID(b.GetHost())] = s.Boot.Now()
 	s.mu.Unlock()
 	s.OnReport(b)
+	if len(names) > 0 {
+		s.forward(b, s.hostsWithHashes(names))
+	}
 }
--- a/internal/factsync/sim_test.go
+++ b/internal/factsync/sim_test.go
@@ -64,6 +64,8 @@
 	slow time.Duration
 	// sent counts the bytes of datagrams that the daemon has sent.
 	sent atomic.Int64
+	// answered counts the requests for facts that the daemon has answered.
+	answered atomic.Int64
 	// stableSince is since when the daemon has not been disturbed.
 	stableSince time.Time
 	// linkFree is when the host's link will have sent all configurations,
--- a/internal/factsync/simnet_test.go
+++ b/internal/factsync/simnet_test.go
@@ -66,6 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
+	to.answered.Add(1)
 	resp := to.sync.Answer(req)
 	return resp, to.transmit(ctx, len(resp.GetConfig()))
 }
--- a/internal/factsync/start_test.go
+++ b/internal/factsync/start_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/beechhead/beechhead/internal/facts"
 )
 
 const (
@@ -15,6 +17,9 @@
 	// starts at once have the facts, startTime the time that it takes.
 	startCalls = 50
 	startTime  = 1500 * time.Millisecond
+	// maxAnswersPerHost bounds the requests that one host answers after a change:
+	// the first hosts of the groups of two readers, and its heartbeat partners.
+	maxAnswersPerHost = 2*11 + 8
 	// startSpread is the time within which the hosts of a fleet start.
 	startSpread = 300 * time.Millisecond
 )
@@ -118,3 +123,31 @@
 		s.killAll()
 	})
 }
+
+// Guards against a reader that answers all hosts of a fleet each time that an
+// endpoint changes.
+func TestNoHostAnswersAWholeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStoppedSite(1, fleetHosts)
+		startFleet(s)
+		time.Sleep(2 * stableTime)
+		before := make([]int64, fleetHosts)
+		for i := range s.daemons {
+			before[i] = s.daemon(i).answered.Load()
+		}
+		s.store.put(endpointKey(0), "10.0.0.0 draining")
+		time.Sleep(bound)
+		total := int64(0)
+		for i := range s.daemons {
+			n := s.daemon(i).answered.Load() - before[i]
+			total += n
+			if n > maxAnswersPerHost {
+				t.Errorf("host %d answers %d requests after one change, want at most %d", i, n, maxAnswersPerHost)
+			}
+		}
+		if total < fleetHosts-facts.Readers {
+			t.Errorf("%d requests reached %d hosts", total, fleetHosts)
+		}
+		s.killAll()
+	})
+}
--- a/internal/factsync/syncer.go
+++ b/internal/factsync/syncer.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -84,6 +85,7 @@
 	hostsByHash  hostIndex
 	sources      sources
 	configBudget sendBudget
+	forwardings  []forwarding
 	// lastFetchRound is when the last round of unprompted requests began,
 	// lastResponse when a daemon last responded to a request.
 	lastFetchRound, lastResponse time.Duration
@@ -107,6 +109,7 @@
 		s.Holder.Expire()
 		s.fetchWhenStale()
 		s.fetchFromSources()
+		s.forwardDue()
 	}
 }
 
@@ -187,7 +190,7 @@
 	s.Holder.ExtendGrace(storetime.Instant(b.GetGraceUntil()))
 	s.Holder.ConfirmConfig(catalog.Version(b.GetConfigVersion()), storetime.Instant(b.GetConfigAsOf()))
 	s.Holder.ConfirmEndpoints(facts.Position(b.GetChanged()), facts.Position(b.GetPosition()), storetime.Instant(b.GetEndpointsAsOf()))
-	n := versions{config: catalog.Version(b.GetConfigVersion()), changed: facts.Position(b.GetChanged())}
+	n := reported(b)
 	if !n.newerThan(s.Holder.Summary()) {
 		return
 	}
@@ -228,21 +231,45 @@
 	}
 	s.lastFetchRound = now
 	s.mu.Unlock()
-	hosts := s.otherHosts()
-	for range min(maxConcurrentFetches, len(hosts)) {
-		i := s.Pick(len(hosts))
-		address := hosts[i].PeerAddress
-		hosts[i] = hosts[len(hosts)-1]
-		hosts = hosts[:len(hosts)-1]
+	for _, h := range s.drawHosts() {
 		s.mu.Lock()
-		ok := s.sources.begin(address)
+		ok := s.sources.begin(h.PeerAddress)
 		s.mu.Unlock()
 		if ok {
-			go s.fetch(fetchTarget{address: address})
+			go s.fetch(fetchTarget{address: h.PeerAddress})
 		}
 	}
 }
 
+// drawHosts draws the hosts for a round of unprompted requests: the first in this
+// host's availability zone, since a whole list is large, the others anywhere.
+func (s *Syncer) drawHosts() (drawn []membership.Host) {
+	self, known := s.Self(), s.Hosts()
+	candidates := known.Zone(self.Zone).All()
+	for range maxConcurrentFetches {
+		usable := func(h membership.Host) bool { return h.ID != self.ID && !slices.Contains(drawn, h) }
+		if h, ok := s.draw(candidates, usable); ok {
+			drawn = append(drawn, h)
+		}
+		candidates = known.All()
+	}
+	return drawn
+}
+
+// draw returns a random host for which usable returns true; false if there is none.
+func (s *Syncer) draw(hosts []membership.Host, usable func(membership.Host) bool) (membership.Host, bool) {
+	if len(hosts) == 0 {
+		return membership.Host{}, false
+	}
+	first := s.Pick(len(hosts))
+	for i := range hosts {
+		if h := hosts[(first+i)%len(hosts)]; usable(h) {
+			return h, true
+		}
+	}
+	return membership.Host{}, false
+}
+
 // otherHosts returns all known hosts except this one.
 func (s *Syncer) otherHosts() (others []membership.Host) {
 	self := s.Self().ID
@@ -267,6 +294,7 @@
 	if err != nil {
 		s.Metrics.Inc("facts.fetchFailed")
 	}
+	s.forwardDue()
 	s.fetchFromSources()
 }
 
