Publish the pressure of a cell only when it changes

Cause: each coordinator sent the pressure of its cells to every entry daemon twice a second. With 40 cells that is 80 messages a second to each of a thousand daemons, calm or not: cells times hosts.

--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -1,8 +1,6 @@
 package cell
 
 import (
-	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -22,9 +20,6 @@
 	// reportQuietPeriod ends the wait early when no report has arrived for this
 	// long. In a large fleet, hosts that hold no grants do not report.
 	reportQuietPeriod = 100 * time.Millisecond
-	// pressureInterval is the interval at which the load pressure of the cells
-	// is published to the entry daemons.
-	pressureInterval = 500 * time.Millisecond
 )
 
 // Coordinator schedules the requests of the cells that this daemon coordinates.
@@ -60,8 +55,11 @@
 	// unackedSessions lists the sessions with an unacknowledged batch.
 	unackedSessions []*Session
 	// dirty holds the cells that the scheduler must run for again.
-	dirty         map[ID]bool
-	lastPublished time.Time
+	dirty map[ID]bool
+	// pressureCheckedAt is when publishPressure last ran; published has what it
+	// last published.
+	pressureCheckedAt time.Time
+	published         map[ID]publishedPressure
 	// lastSweep is when the last search for orphaned grants began.
 	lastSweep time.Time
 }
@@ -100,6 +98,7 @@
 		ranking:    NewRanking(),
 		sessions:   map[sessionKey]*Session{},
 		dirty:      map[ID]bool{},
+		published:  map[ID]publishedPressure{},
 	}
 }
 
@@ -211,6 +210,7 @@
 		if !c.coordinates(id) && cell.Idle() {
 			delete(c.cells, id)
 			delete(c.dirty, id)
+			delete(c.published, id)
 		}
 	}
 	if !changed {
@@ -337,39 +337,3 @@
 		})
 	}
 }
-
-// publishPressure adds the pressure of the cells to the responses to all entry
-// daemons. Cells that are the only one of their pool are left out, because
-// there is no other cell to choose.
-func (c *Coordinator) publishPressure(out outbox) {
-	now := c.clock.Now()
-	if now.Sub(c.lastPublished) < pressureInterval {
-		return
-	}
-	c.lastPublished = now
-	var pressures []*peerv1.Pressure
-	for id, cell := range c.cells {
-		members := c.plan.Members(id)
-		if len(members) == 0 || len(c.plan.Cells(members[0].Pool)) < 2 {
-			continue
-		}
-		pressures = append(pressures, pressure(id, cell.Cell))
-	}
-	if len(pressures) == 0 {
-		return
-	}
-	for _, s := range c.sessions {
-		// Merging of responses appends to the slice, which all sessions share:
-		// without spare capacity, append copies it.
-		out.response(s).Pressures = slices.Clip(pressures)
-	}
-}
-
-func pressure(id ID, cell *schedule.Cell) *peerv1.Pressure {
-	p := &peerv1.Pressure{Cell: string(id)}
-	for _, t := range cell.Tiers() {
-		permille := math.Round(1000 * max(0, cell.Pressure(t)))
-		p.Tiers = append(p.Tiers, &peerv1.TierPressure{Tier: uint32(t), Permille: uint32(permille)})
-	}
-	return p
-}
