Send a new daemon a few hosts only

Cause: each daemon that starts asks up to three seeds for all hosts, each 100 ms until one answers. In a fleet that starts at once every seed sends the list of all hosts to all hosts, over and over if it can't do so within 150 ms: what a seed sends grows with the square of the fleet.

Change: a daemon that knows no other one is told of 32 random hosts and asks the first of its partners for all. A probe that times out is followed by one with twice the time, up to 1.2 s; one that is refused is repeated as before.

--- a/internal/heartbeat/exchanger.go
+++ b/internal/heartbeat/exchanger.go
@@ -4,6 +4,7 @@
 package heartbeat
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -36,8 +37,14 @@
 	fastSeedInterval = 100 * time.Millisecond
 	fastSeedRounds   = 30
 	// probeTimeout applies to a heartbeat to a host that may not be running. It
-	// is short, since the next probe finds a host that starts a moment later.
-	probeTimeout = 150 * time.Millisecond
+	// is short, since the next probe finds a host that starts a moment later. It
+	// doubles up to maxProbeTimeout with each probe of an address that times out:
+	// all daemons of a fleet that starts probe the same few seeds.
+	probeTimeout    = 150 * time.Millisecond
+	maxProbeTimeout = 1200 * time.Millisecond
+	// maxJoinHosts limits the hosts in the response to a daemon that knows no
+	// other one.
+	maxJoinHosts = 32
 	// maxChanges limits the updates of hosts in one message.
 	maxChanges = 8
 	// maxSuspects limits the updates of suspect requests in one message.
@@ -84,6 +91,11 @@
 	// differing counts, by host, the consecutive heartbeats whose digests
 	// differed from those of this daemon.
 	differing map[membership.HostID]int
+	// probeTimeouts has, by address, the timeout of the next probe if the last
+	// one timed out.
+	probeTimeouts map[string]time.Duration
+	// incomplete is set when this daemon has learned of a few hosts only.
+	incomplete bool
 }
 
 // Run exchanges heartbeats until ctx is done.
@@ -192,9 +204,29 @@
 		return
 	}
 	defer x.finishHeartbeat(address)
-	if _, err := x.exchange(ctx, address, probeTimeout, true); err != nil {
+	alone := x.View.Hosts().Len() == 1
+	sent, timeout := x.Clock.Now(), x.probeTimeoutOf(address)
+	_, err := x.exchange(ctx, address, timeout, true)
+	if err != nil {
 		x.CloseConnections(address)
 	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.incomplete = x.incomplete || alone && err == nil
+	delete(x.probeTimeouts, address)
+	if err != nil && x.Clock.Since(sent) >= timeout {
+		x.probeTimeouts[address] = min(2*timeout, maxProbeTimeout)
+	}
+}
+
+// probeTimeoutOf returns the timeout of the next probe of an address.
+func (x *Exchanger) probeTimeoutOf(address string) time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.probeTimeouts == nil {
+		x.probeTimeouts = map[string]time.Duration{}
+	}
+	return cmp.Or(x.probeTimeouts[address], probeTimeout)
 }
 
 // SendHeartbeat exchanges one heartbeat with a host.
@@ -208,7 +240,7 @@
 		return
 	}
 	defer x.finishHeartbeat(h.PeerAddress)
-	full := x.differingCount(h.ID) >= maxDiffering
+	full := x.needsAll(h.ID)
 	resp, err := x.exchange(ctx, h.PeerAddress, Timeout, full)
 	if err != nil && ctx.Err() == nil {
 		x.Count("heartbeat.failed")
@@ -258,7 +290,7 @@
 	x.applySuspects(req.GetSuspects())
 	x.apply(req.GetSelf(), req.GetChanges(), digests{req.GetDigest(), req.GetSuspectsDigest()})
 	x.applyFacts(req.GetFacts())
-	changes := x.changes(req.GetFull())
+	changes := x.changesFor(req)
 	// A host that is known as gone is nobody's partner, and the update has
 	// already been sent. Unless the host gets it here, it can't refute it.
 	if n, ok := x.View.SuspectOrGone(fromInfo(req.GetSelf()).Host); ok {
@@ -296,11 +328,17 @@
 	if full {
 		updates = x.View.All()
 	}
-	infos := make([]*peerv1.HostInfo, 0, len(updates))
-	for _, n := range updates {
-		infos = append(infos, toInfo(n))
+	return toInfos(updates)
+}
+
+// changesFor returns the updates of hosts for the response to a heartbeat. A daemon
+// that has just started and knows no other one is sent a few hosts, and requests
+// all from one of these: the seeds could not send them to a whole fleet.
+func (x *Exchanger) changesFor(req *peerv1.HeartbeatRequest) []*peerv1.HostInfo {
+	if req.GetFull() && len(req.GetChanges()) == 0 {
+		return toInfos(x.View.Sample(maxJoinHosts))
 	}
-	return infos
+	return x.changes(req.GetFull())
 }
 
 // digests are hashes of the hosts and of the suspect requests that a daemon knows.
@@ -332,17 +370,19 @@
 	x.differing[id]++
 }
 
-// differingCount returns the count of compareDigests for a host. At maxDiffering it
-// restarts the count, since the full state is then requested.
-func (x *Exchanger) differingCount(id membership.HostID) int {
+// needsAll reports whether the full state is to be requested from a host: the
+// digests have differed maxDiffering times, or this daemon has just joined. Both
+// then start over.
+func (x *Exchanger) needsAll(id membership.HostID) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	n := x.differing[id]
-	if n >= maxDiffering {
-		delete(x.differing, id)
-		x.Count("heartbeat.full")
+	if !x.incomplete && x.differing[id] < maxDiffering {
+		return false
 	}
-	return n
+	x.incomplete = false
+	delete(x.differing, id)
+	x.Count("heartbeat.full")
+	return true
 }
 
 // startHeartbeat marks a heartbeat to the address as in progress. It reports false
--- a/internal/heartbeat/info.go
+++ b/internal/heartbeat/info.go
@@ -26,6 +26,14 @@
 	}
 }
 
+func toInfos(updates []membership.Update) []*peerv1.HostInfo {
+	infos := make([]*peerv1.HostInfo, 0, len(updates))
+	for _, n := range updates {
+		infos = append(infos, toInfo(n))
+	}
+	return infos
+}
+
 func fromInfo(i *peerv1.HostInfo) membership.Update {
 	return membership.Update{
 		Status: membership.Status(i.GetStatus()),
--- a/internal/membership/changes.go
+++ b/internal/membership/changes.go
@@ -1,5 +1,7 @@
 package membership
 
+import "math/rand/v2"
+
 // sendsPerChange is how often a daemon sends a change: once on each of the about
 // 2 × Rings connections on which it exchanges heartbeats, and twice more to make
 // up for lost messages. What is still missed shows as a difference of digests.
@@ -89,6 +91,19 @@
 	return e.update, true
 }
 
+// Sample returns updates of up to n hosts that are not gone, drawn at random.
+func (v *View) Sample(n int) []Update {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	updates := make([]Update, 0, n)
+	for _, i := range rand.Perm(len(v.sorted)) { //nolint:gosec // no secret
+		if e := v.sorted[i]; !e.gone() && len(updates) < n {
+			updates = append(updates, e.update)
+		}
+	}
+	return updates
+}
+
 // All returns an update of every host except this daemon's own.
 func (v *View) All() []Update {
 	v.mu.Lock()
