Move only the endpoints that change their cell

Cause: when a pool grew by one cell, all of its endpoints were divided and sorted anew: a fifth of a daemon's work while 10,000 endpoints register. Plan, gateway and facts each kept a copy of an endpoint.

Change: members keep their hash, a cell keeps its order and only those that move are sorted in; the plan and the gateway share members, and registrations share the names of pools and zones.

--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -22,16 +22,23 @@
 // specify one.
 const DefaultSize = 32
 
-// Member is an endpoint of a cell.
+// Member is an endpoint of a cell. It must not be changed once it is in a plan.
 type Member struct {
 	table.Endpoint
 	// Draining endpoints get no new grants.
 	Draining bool
+	// hash is the hash of the name.
+	hash uint64
+}
+
+// NewMember returns an endpoint as a member of a cell.
+func NewMember(e table.Endpoint, draining bool) *Member {
+	return &Member{Endpoint: e, Draining: draining, hash: nameHash(e.Name)}
 }
 
 // Change adds an endpoint to a plan, replaces it or removes it.
 type Change struct {
-	Member
+	*Member
 	Removed bool
 }
 
@@ -79,7 +86,7 @@
 func NewPlan(t *table.Table, size int) *Plan {
 	changes := make([]Change, 0, len(t.Endpoints))
 	for i := range t.Endpoints {
-		changes = append(changes, Change{Member: Member{Endpoint: t.Endpoints[i]}})
+		changes = append(changes, Change{Member: NewMember(t.Endpoints[i], false)})
 	}
 	return EmptyPlan(size).With(changes)
 }
@@ -154,37 +161,52 @@
 	return next
 }
 
-// redistribute divides the members and the changes among a number of cells.
+// redistribute applies changes and divides the members among a number of cells.
 func (g *group) redistribute(changes []Change, count int) {
-	before := g.cells
-	g.cells = make([]*members, count)
-	for n := range g.cells {
-		g.cells[n] = &members{}
-	}
 	changed := make(map[table.EndpointName]bool, len(changes))
+	moved := make([]members, count)
 	for i := range changes {
 		c := &changes[i]
 		changed[c.Name] = true
 		if !c.Removed {
-			g.add(c.copyMember())
+			n := jumpHash(c.hash, count)
+			moved[n] = append(moved[n], c.Member)
 		}
 	}
-	for _, cell := range before {
+	before := g.cells
+	g.cells = make([]*members, count)
+	for n, cell := range before {
+		own := make(members, 0, len(*cell))
 		for _, m := range *cell {
-			if !changed[m.Name] {
-				g.add(m)
+			to := jumpHash(m.hash, count)
+			switch {
+			case changed[m.Name]:
+			case to == n:
+				own = append(own, m)
+			default:
+				moved[to] = append(moved[to], m)
 			}
 		}
+		if n < count {
+			g.cells[n] = &own
+		}
 	}
-	for _, cell := range g.cells {
-		slices.SortFunc(*cell, func(a, b *Member) int { return cmp.Compare(a.Name, b.Name) })
+	for n, ms := range moved {
+		g.cells[n] = g.cells[n].merge(ms)
 	}
 }
 
-// add appends a member to its cell.
-func (g *group) add(m *Member) {
-	cell := g.cells[g.cellOf(m.Name)]
-	*cell = append(*cell, m)
+// merge returns the members with others added.
+func (ms *members) merge(others members) *members {
+	if ms == nil {
+		ms = &members{}
+	}
+	if len(others) == 0 {
+		return ms
+	}
+	all := append(*ms, others...)
+	slices.SortFunc(all, func(a, b *Member) int { return cmp.Compare(a.Name, b.Name) })
+	return &all
 }
 
 // replace applies changes to the cells. A cell that is shared with another plan is
@@ -209,23 +231,20 @@
 	case known && c.Removed:
 		*ms = slices.Delete(*ms, i, i+1)
 	case known:
-		(*ms)[i] = c.copyMember()
+		(*ms)[i] = c.Member
 	case !c.Removed:
-		*ms = slices.Insert(*ms, i, c.copyMember())
+		*ms = slices.Insert(*ms, i, c.Member)
 	}
 }
 
-func (c *Change) copyMember() *Member {
-	m := c.Member
-	return &m
-}
+func nameHash(name table.EndpointName) uint64 { return xxhash.Sum64String(string(name)) }
 
 func (ms *members) search(name table.EndpointName) (int, bool) {
 	return slices.BinarySearchFunc(*ms, name, func(m *Member, name table.EndpointName) int { return cmp.Compare(m.Name, name) })
 }
 
 func (g *group) cellOf(name table.EndpointName) int {
-	return jumpHash(xxhash.Sum64String(string(name)), len(g.cells))
+	return jumpHash(nameHash(name), len(g.cells))
 }
 
 // member returns a member by name, or nil.
--- a/internal/cell/plan_test.go
+++ b/internal/cell/plan_test.go
@@ -13,7 +13,7 @@
 const planSize = 32
 
 func planChange(i int) Change {
-	return Change{Member: Member{Endpoint: table.Endpoint{Name: table.EndpointName(fmt.Sprint("i-", i)), Pool: "m", Region: "r"}}}
+	return Change{Member: NewMember(table.Endpoint{Name: table.EndpointName(fmt.Sprint("i-", i)), Pool: "m", Region: "r"}, false)}
 }
 
 // cellsByEndpoint returns the cell of each endpoint.
@@ -68,7 +68,8 @@
 		for range 1 + random.IntN(20) {
 			i := random.IntN(600)
 			c := planChange(i)
-			c.Removed, c.Draining = random.IntN(3) == 0, random.IntN(2) == 0
+			c.Removed = random.IntN(3) == 0
+			c.Draining = random.IntN(2) == 0
 			changed[i], known[i] = c, c
 			if c.Removed {
 				delete(known, i)
--- a/internal/facts/registry.go
+++ b/internal/facts/registry.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"maps"
 	"slices"
+
+	"github.com/beechhead/beechhead/pkg/table"
 )
 
 // registry holds the known registrations: for each endpoint the newest row of
@@ -17,6 +19,8 @@
 	// position. It is sorted unless unsorted is set.
 	log      []logEntry
 	unsorted bool
+	// texts holds the names of pools and zones, so that rows share them.
+	texts map[string]string
 	// position is the position as of which all rows are known; a row may be
 	// newer.
 	position Position
@@ -109,6 +113,7 @@
 
 // store sets a row.
 func (r *registry) store(e Endpoint) {
+	e.Pool, e.Zone = table.Pool(r.shared(string(e.Pool))), r.shared(e.Zone)
 	r.changed = max(r.changed, e.Changed)
 	r.rows[e.ID] = e
 	r.unsorted = r.unsorted || len(r.log) > 0 && r.log[len(r.log)-1].position > e.Changed
@@ -118,6 +123,18 @@
 	}
 }
 
+// shared returns the text in the memory that other rows use for it.
+func (r *registry) shared(text string) string {
+	if known, ok := r.texts[text]; ok {
+		return known
+	}
+	if r.texts == nil {
+		r.texts = map[string]string{}
+	}
+	r.texts[text] = text
+	return text
+}
+
 // sortedLog returns the log sorted by position.
 func (r *registry) sortedLog() []logEntry {
 	if r.unsorted {
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -49,12 +49,12 @@
 	classes *table.Table
 	plan    *cell.Plan
 	// planned has the endpoints of the plan.
-	planned  map[facts.EndpointID]cell.Member
+	planned  map[facts.EndpointID]*cell.Member
 	draining int
 }
 
 func newEndpointPlan(region string, cellSize int) *endpointPlan {
-	return &endpointPlan{region: region, plan: cell.EmptyPlan(cellSize), planned: map[facts.EndpointID]cell.Member{}}
+	return &endpointPlan{region: region, plan: cell.EmptyPlan(cellSize), planned: map[facts.EndpointID]*cell.Member{}}
 }
 
 // update applies a configuration and the state of the changed endpoints.
@@ -86,18 +86,19 @@
 
 // change returns what changes in the plan for an endpoint.
 func (p *endpointPlan) change(id facts.EndpointID, holder *facts.Holder) (changes []cell.Change) {
-	before, planned := p.planned[id]
-	e, known := holder.Endpoint(id)
-	next, ok := p.member(e)
-	ok = ok && known && !e.Gone
-	if planned && (!ok || next.Name != before.Name || next.Pool != before.Pool) {
+	before := p.planned[id]
+	var next *cell.Member
+	if e, known := holder.Endpoint(id); known && !e.Gone {
+		next = p.member(e)
+	}
+	if before != nil && (next == nil || next.Name != before.Name || next.Pool != before.Pool) {
 		changes = append(changes, cell.Change{Member: before, Removed: true})
 	}
-	delete(p.planned, id)
-	if planned && before.Draining {
+	if before != nil && before.Draining {
 		p.draining--
 	}
-	if !ok {
+	if next == nil {
+		delete(p.planned, id)
 		return changes
 	}
 	p.planned[id] = next
@@ -107,14 +108,14 @@
 	return append(changes, cell.Change{Member: next})
 }
 
-// member returns an endpoint as a member of a cell; false if its pool is not in the
+// member returns an endpoint as a member of a cell, or nil if its pool is not in the
 // configuration.
-func (p *endpointPlan) member(e facts.Endpoint) (m cell.Member, ok bool) {
+func (p *endpointPlan) member(e facts.Endpoint) *cell.Member {
 	pool := p.catalog.Pool(e.Pool)
 	if pool == nil {
-		return cell.Member{}, false
+		return nil
 	}
-	m = cell.Member{Draining: e.Draining, Endpoint: table.Endpoint{
+	m := table.Endpoint{
 		Name:         e.Name(),
 		Kind:         table.KindService,
 		Pool:         e.Pool,
@@ -124,12 +125,12 @@
 		Concurrency:  max(1, e.Slots),
 		MemoryTokens: pool.Memory,
 		EchoesID:     true,
-	}}
+	}
 	if pool.Memory > 0 {
 		m.Kind = table.KindEngine
 	}
 	if e.Slots == 0 && pool.Slots > 0 {
 		m.Concurrency = pool.Slots
 	}
-	return m, true
+	return cell.NewMember(m, e.Draining)
 }
