Simplify a condition

Found by the linter: the condition on rows of a whole list is written without a negated conjunction. No change of behaviour; the tests of internal/facts pass.

--- a/internal/facts/registry.go
+++ b/internal/facts/registry.go
@@ -104,7 +104,7 @@
 		entries = entries[first:]
 	}
 	for _, l := range entries {
-		if e := r.rows[l.id]; e.Changed == l.position && !(whole && e.Gone) {
+		if e := r.rows[l.id]; e.Changed == l.position && (!whole || !e.Gone) {
 			rows = append(rows, e)
 		}
 	}
