Request registrations together while many arrive

Cause: each read of the store that brings endpoints makes every host send requests, some four a second while a fleet's engines register, two at a time, though nobody needs a new engine within half a second.

Change: after a response with 32 or more registered endpoints a daemon requests endpoints again after 600 ms, one at a time. Configurations are requested at once, and so is everything by a daemon that is to forward a beacon. An endpoint that leaves during such a burst is known up to 600 ms later; with 18 engines there is no such burst.

--- a/internal/factsync/sim_test.go
+++ b/internal/factsync/sim_test.go
@@ -143,6 +143,9 @@
 	loss float64
 	// narrow lists the hosts whose link has the bandwidth narrowLink.
 	narrow []int
+	// oneHigh is how many hosts there are for each one of high capacity; zero if
+	// all are alike.
+	oneHigh int
 	// unverified makes receivers accept any confirmation for what they know.
 	unverified bool
 }
@@ -167,6 +170,13 @@
 	narrowLink = 10e6 / 8
 )
 
+func (s *simSite) capacity(i int) uint32 {
+	if s.oneHigh > 0 && i%s.oneHigh == 0 {
+		return 10
+	}
+	return min(1, uint32(s.oneHigh))
+}
+
 func (s *simSite) link(id membership.HostID) float64 {
 	var i int
 	if _, err := fmt.Sscanf(string(id), hostName, &i); err == nil && slices.Contains(s.narrow, i) {
@@ -238,6 +248,7 @@
 	d := &simDaemon{site: s, id: id, stableSince: time.Now()}
 	d.view = membership.NewView(clock, membership.Host{
 		ID: id, Incarnation: uint64(time.Now().UnixNano()), State: membership.Starting, PeerAddress: strconv.Itoa(i),
+		Capacity: s.capacity(i),
 	})
 	storeTime := storetime.NewClock(s.clock)
 	d.holder = facts.NewHolder(storeTime, func([]byte) (*catalog.Catalog, error) {
--- a/internal/factsync/sources.go
+++ b/internal/factsync/sources.go
@@ -25,6 +25,14 @@
 	return n.config > s.Config || n.changed > s.Position
 }
 
+// pace limits the requests.
+type pace struct {
+	// configOnly puts requests for endpoints off.
+	configOnly bool
+	// concurrent is the maximum number of requests in flight.
+	concurrent int
+}
+
 // source is a daemon that knows something newer.
 type source struct {
 	versions versions
@@ -62,18 +70,19 @@
 
 // next marks a request as in flight and returns its target; false if none is
 // to be sent. Daemons that no longer have anything newer are forgotten.
-func (q *sources) next(s facts.Summary, now time.Duration, pick func(n int) int) (fetchTarget, bool) {
+func (q *sources) next(s facts.Summary, now time.Duration, p pace, pick func(n int) int) (fetchTarget, bool) {
 	var candidates []string
 	for _, address := range slices.Sorted(maps.Keys(q.known)) {
 		one := q.known[address]
 		switch {
 		case !one.versions.newerThan(s):
 			delete(q.known, address)
+		case p.configOnly && one.versions.config <= s.Config:
 		case now >= one.notBefore && !q.inFlight[address]:
 			candidates = append(candidates, address)
 		}
 	}
-	if len(candidates) == 0 || len(q.inFlight) >= maxConcurrentFetches {
+	if len(candidates) == 0 || len(q.inFlight) >= p.concurrent {
 		return fetchTarget{}, false
 	}
 	address := candidates[pick(len(candidates))]
--- a/internal/factsync/start_test.go
+++ b/internal/factsync/start_test.go
@@ -151,3 +151,40 @@
 		s.killAll()
 	})
 }
+
+// Guards against hosts that all request every few endpoints while thousands
+// register.
+func TestRegistrationsAreRequestedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const registered, length = 4000, 8 * time.Second
+		s := newStoppedSite(1, fleetHosts)
+		s.oneHigh = 10
+		startFleet(s)
+		time.Sleep(2 * stableTime)
+		before := s.answeredTotal()
+		for i := range registered {
+			s.store.put(endpointKey(100+i), "10.1.0.0")
+			time.Sleep(length / registered)
+		}
+		perHost := float64(s.answeredTotal()-before) / fleetHosts
+		if most := 2.2 * length.Seconds(); perHost > most {
+			t.Errorf("a host sent %.1f requests while %d endpoints registered in %v, want at most %.1f", perHost, registered, length, most)
+		}
+		s.store.put(endpointKey(0), "10.0.0.0 draining")
+		time.Sleep(bound)
+		for i := range s.daemons {
+			if e, ok := s.daemon(i).holder.Endpoint(facts.EndpointID(endpointKey(0))); !ok || !e.Draining {
+				t.Errorf("host %d does not know %v later that an endpoint is draining", i, bound)
+			}
+		}
+		s.killAll()
+	})
+}
+
+// answeredTotal returns how many requests all hosts have answered.
+func (s *simSite) answeredTotal() (n int64) {
+	for i := range s.daemons {
+		n += s.daemon(i).answered.Load()
+	}
+	return n
+}
--- a/internal/factsync/syncer.go
+++ b/internal/factsync/syncer.go
@@ -45,6 +45,12 @@
 	// discoveryTime is how long a new daemon waits to discover another one, or
 	// for its response, before it reads the store itself.
 	discoveryTime = 300 * time.Millisecond
+	// burstSize is the number of newly registered endpoints in one response from
+	// which on this daemon waits for burstInterval before it requests endpoints
+	// again: the whole fleet learns of every endpoint that registers. An endpoint
+	// that leaves meanwhile is known that much later.
+	burstSize     = 32
+	burstInterval = 600 * time.Millisecond
 	// maxConcurrentFetches bounds the requests in flight, so that one host that
 	// does not respond does not delay the response of another.
 	maxConcurrentFetches = 2
@@ -86,6 +92,9 @@
 	sources      sources
 	configBudget sendBudget
 	forwardings  []forwarding
+	// burstUntil is until when requests for endpoints are put off, zero if none
+	// ever were.
+	burstUntil time.Duration
 	// lastFetchRound is when the last round of unprompted requests began,
 	// lastResponse when a daemon last responded to a request.
 	lastFetchRound, lastResponse time.Duration
@@ -206,7 +215,8 @@
 	for {
 		sum := s.Holder.Summary()
 		s.mu.Lock()
-		target, ok := s.sources.next(sum, s.Boot.Now(), s.Pick)
+		now := s.Boot.Now()
+		target, ok := s.sources.next(sum, now, s.pace(now), s.Pick)
 		s.mu.Unlock()
 		if !ok {
 			return
@@ -215,6 +225,16 @@
 	}
 }
 
+// pace returns the limits of requests. While many endpoints register, requests for
+// endpoints are sent one at a time, burstInterval apart. A daemon that is to
+// forward beacons needs what they report at once. The caller must hold the lock.
+func (s *Syncer) pace(now time.Duration) pace {
+	if s.burstUntil == 0 || now >= s.burstUntil+burstInterval || len(s.forwardings) > 0 {
+		return pace{concurrent: maxConcurrentFetches}
+	}
+	return pace{configOnly: now < s.burstUntil, concurrent: 1}
+}
+
 // fetchWhenStale sends requests to hosts drawn at random while the facts are
 // old here. A host that is cut off from the store and from its readers still
 // serves as long as it reaches a daemon that can confirm its facts.
@@ -225,6 +245,10 @@
 	}
 	now := s.Boot.Now()
 	s.mu.Lock()
+	if known && age < 2*fetchAge && s.pace(now).configOnly {
+		s.mu.Unlock()
+		return
+	}
 	if (!known || age > 2*fetchAge) && s.lastFetchRound > 0 && now-s.lastFetchRound < outageFetchInterval {
 		s.mu.Unlock()
 		return
@@ -326,8 +350,22 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if registeredIn(d) >= burstSize {
+		s.burstUntil = s.Boot.Now() + burstInterval
+	}
 	for _, other := range resp.GetAskInstead() {
 		s.sources.add(other, versions{config: d.Config})
 	}
 	return nil
 }
+
+// registeredIn returns how many endpoints of a delta are registered and not
+// draining.
+func registeredIn(d facts.Delta) (n int) {
+	for _, e := range d.Endpoints {
+		if !e.Gone && !e.Draining {
+			n++
+		}
+	}
+	return n
+}
