Let a new daemon ask the listed hosts before it reads the store

Cause: when all daemons of a fleet restart at once, the three hosts in their settings can't answer all of them within 300 ms. Each daemon then read configuration and all endpoints from the store itself, page by page: hosts times endpoints, against the calls that the store takes in a second.

Change: a daemon that has heard of no host after 200 ms reads the list of 16 hosts, one short call, and asks these too; it waits for 600 ms before it reads the store.

--- a/internal/factsync/start_test.go
+++ b/internal/factsync/start_test.go
@@ -1,6 +1,7 @@
 package factsync
 
 import (
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,6 +21,9 @@
 	// maxAnswersPerHost bounds the requests that one host answers after a change:
 	// the first hosts of the groups of two readers, and its heartbeat partners.
 	maxAnswersPerHost = 2*11 + 8
+	// listReadDelay is when a daemon that knows no other host has read the list of
+	// hosts.
+	listReadDelay = 210 * time.Millisecond
 	// startSpread is the time within which the hosts of a fleet start.
 	startSpread = 300 * time.Millisecond
 )
@@ -188,3 +192,26 @@
 	}
 	return n
 }
+
+// Guards against a fleet in which every host reads all endpoints from the store
+// because the hosts in the settings respond too late to a whole fleet.
+func TestStartWithSlowSeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStoppedSite(1, fleetHosts)
+		s.listDelay, s.seedDelay = listReadDelay, 2*time.Second
+		for i := 10; i < 26; i++ {
+			s.listed = append(s.listed, strconv.Itoa(i))
+		}
+		before := s.store.callCount()
+		startFleet(s)
+		time.Sleep(startSpread)
+		time.Sleep(startTime)
+		if n := s.informedHosts(); n < fleetHosts-seedHosts {
+			t.Errorf("%d of %d hosts know all after %v", n, fleetHosts, startTime)
+		}
+		if n := s.store.callCount() - before; n > startCalls {
+			t.Errorf("%d calls to the store, want at most %d", n, startCalls)
+		}
+		s.killAll()
+	})
+}
--- a/internal/factsync/syncer.go
+++ b/internal/factsync/syncer.go
@@ -44,7 +44,7 @@
 	outageFetchInterval = 500 * time.Millisecond
 	// discoveryTime is how long a new daemon waits to discover another one, or
 	// for its response, before it reads the store itself.
-	discoveryTime = 300 * time.Millisecond
+	discoveryTime = 600 * time.Millisecond
 	// burstSize is the number of newly registered endpoints in one response from
 	// which on this daemon waits for burstInterval before it requests endpoints
 	// again: the whole fleet learns of every endpoint that registers. An endpoint
