Let a new daemon learn of more hosts before it reads the store

Traced with the host, the time, the number of hosts known and the rank of each read: a daemon that had discovered three to twenty others was first or second in their order and read the store, so some twenty of 120 read. Change: within the time that a new daemon waits for others, it waits for 150 ms after the first one.

--- a/internal/factsync/syncer.go
+++ b/internal/factsync/syncer.go
@@ -45,6 +45,10 @@
 	// discoveryTime is how long a new daemon waits to discover another one, or
 	// for its response, before it reads the store itself.
 	discoveryTime = 600 * time.Millisecond
+	// settleTime is how long a new daemon that has discovered another one waits to
+	// learn of more, within discoveryTime. When a fleet starts, every daemon ranks
+	// among the first of the few that it knows.
+	settleTime = 150 * time.Millisecond
 	// burstSize is the number of newly registered endpoints in one response from
 	// which on this daemon waits for burstInterval before it requests endpoints
 	// again: the whole fleet learns of every endpoint that registers. An endpoint
@@ -92,6 +96,8 @@
 	sources      sources
 	configBudget sendBudget
 	forwardings  []forwarding
+	// discoveredAt is when another host was first known, zero if none was.
+	discoveredAt time.Duration
 	// burstUntil is until when requests for endpoints are put off, zero if none
 	// ever were.
 	burstUntil time.Duration
@@ -163,13 +169,23 @@
 // or receive the response to a request. All daemons that start at the same
 // time would read the store otherwise.
 func (s *Syncer) discovering() bool {
-	if s.Boot.Now()-s.started >= discoveryTime {
+	now := s.Boot.Now()
+	if now-s.started >= discoveryTime {
 		return false
 	}
+	alone := s.Hosts().Len() == 1
 	s.mu.Lock()
-	asking := len(s.sources.inFlight) > 0
-	s.mu.Unlock()
-	return asking || s.Hosts().Len() == 1 && s.PeersExpected()
+	defer s.mu.Unlock()
+	if !alone && s.discoveredAt == 0 {
+		s.discoveredAt = now
+	}
+	switch {
+	case len(s.sources.inFlight) > 0:
+		return true
+	case alone:
+		return s.PeersExpected()
+	}
+	return now-s.discoveredAt < settleTime
 }
 
 // readsAhead returns the time since the last reported read of each host before
