Send each partner the changes of hosts that it lacks

Cause: what a starting fleet sends grew with the square of the hosts. Each daemon sent each change ten times to whichever partner came next, at most eight in a message, so that the queue of a large fleet took minutes to empty; and as long as it did, digests differed and partners sent each other all hosts every four heartbeats. Change: each daemon lists its changes by position and a request names the position received, so that a partner is sent a change once, and not if it has sent it itself; daemons whose digests differ for long compare a version of eight bytes for each host and exchange what differs.

--- a/internal/factsync/sim_test.go
+++ b/internal/factsync/sim_test.go
@@ -67,6 +67,9 @@
 	sent atomic.Int64
 	// answered counts the requests for facts that the daemon has answered.
 	answered atomic.Int64
+	// calls counts the daemon's heartbeats, callBytes their size with that of
+	// the responses, and hostUpdates the updates of hosts in both.
+	calls, callBytes, hostUpdates atomic.Int64
 	// stableSince is since when the daemon has not been disturbed.
 	stableSince time.Time
 	// linkFree is when the host's link will have sent all configurations,
@@ -147,6 +150,8 @@
 	// oneHigh is how many hosts there are for each one of high capacity; zero if
 	// all are alike.
 	oneHigh int
+	// zones is the number of availability zones.
+	zones int
 	// listed are the hosts in the list that a daemon reads after listDelay while it
 	// knows no other host.
 	listed    []string
@@ -185,6 +190,15 @@
 	return min(1, uint32(s.oneHigh))
 }
 
+// zone returns a host's availability zone; all hosts are in one if the site has no
+// zones.
+func (s *simSite) zone(i int) string {
+	if s.zones == 0 {
+		return ""
+	}
+	return "zone-" + strconv.Itoa(i%s.zones)
+}
+
 func (s *simSite) link(id membership.HostID) float64 {
 	var i int
 	if _, err := fmt.Sscanf(string(id), hostName, &i); err == nil && slices.Contains(s.narrow, i) {
@@ -256,7 +270,7 @@
 	d := &simDaemon{site: s, id: id, stableSince: time.Now(), began: time.Now()}
 	d.view = membership.NewView(clock, membership.Host{
 		ID: id, Incarnation: uint64(time.Now().UnixNano()), State: membership.Starting, PeerAddress: strconv.Itoa(i),
-		Capacity: s.capacity(i),
+		Capacity: s.capacity(i), Zone: s.zone(i),
 	})
 	if i < seedHosts {
 		d.slow = s.seedDelay
--- a/internal/factsync/simnet_test.go
+++ b/internal/factsync/simnet_test.go
@@ -98,5 +98,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return to.heartbeats.HandleHeartbeat(req), nil
+	resp := to.heartbeats.HandleHeartbeat(req)
+	d.calls.Add(1)
+	d.callBytes.Add(int64(proto.Size(req) + proto.Size(resp)))
+	d.hostUpdates.Add(int64(len(req.GetChanges()) + len(resp.GetChanges())))
+	return resp, nil
 }
--- a/internal/gateway/fleet_bench_test.go
+++ b/internal/gateway/fleet_bench_test.go
@@ -43,8 +43,6 @@
 	for i := 1; i < hosts; i++ {
 		g.view.Apply(membership.Update{Status: membership.Alive, Host: fleetHost(i)})
 	}
-	for len(g.view.TakeChanges(hosts)) > 0 {
-	}
 	g.learnFleet(tb, endpoints)
 	for _, h := range fleetReaders(g) {
 		g.sync.OnBeacon(&peerv1.Beacon{Host: string(h), Address: "10.0.0.1:8229"})
@@ -218,7 +216,7 @@
 		h.State = membership.Leaving
 	}
 	g.view.Apply(membership.Update{Status: membership.Alive, Host: h})
-	g.view.TakeChanges(1)
+	g.view.ChangesAfter(membership.Position(i), "", 1)
 	g.sync.ShouldRead()
 	g.tickOnce(context.Background())
 }
--- a/internal/heartbeat/detection_bench_test.go
+++ b/internal/heartbeat/detection_bench_test.go
@@ -66,8 +66,6 @@
 		for _, other := range l.views {
 			v.Apply(other.SelfUpdate())
 		}
-		for len(v.TakeChanges(hosts)) > 0 {
-		}
 		<-v.Wake
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/heartbeat/exchanger.go
+++ b/internal/heartbeat/exchanger.go
@@ -43,13 +43,16 @@
 	// maxJoinHosts limits the hosts in the response to a daemon that knows no
 	// other one.
 	maxJoinHosts = 32
-	// maxChanges limits the updates of hosts in one message.
-	maxChanges = 8
+	// maxChanges limits the updates of hosts in one message, unless a daemon is sent
+	// all that it lacks. An update has some 90 bytes.
+	maxChanges = 256
 	// maxSuspects limits the updates of suspect requests in one message.
 	maxSuspects = 32
-	// maxDiffering is after how many consecutive heartbeats with different
-	// digests a daemon requests the full state from its partner.
-	maxDiffering = 4
+	// maxDiffering is for how long the digests of two daemons may differ before one
+	// requests from the other what it lacks, and maxDifferingIdle the same if the
+	// last heartbeat had no updates. Most differences are updates on their way.
+	maxDiffering     = 3 * Interval
+	maxDifferingIdle = Interval
 )
 
 // Exchanger runs the protocol for one daemon. All fields that may not be nil must
@@ -86,9 +89,12 @@
 	mu sync.Mutex
 	// inFlight has the addresses with a heartbeat in progress.
 	inFlight map[string]bool
-	// differing counts, by host, the consecutive heartbeats whose digests
-	// differed from those of this daemon.
-	differing map[membership.HostID]int
+	// differing has the hosts whose digests differed from those of this daemon in
+	// the last heartbeat.
+	differing map[membership.HostID]difference
+	// links has, by host, what has been exchanged with the incarnation that this
+	// daemon last sent a heartbeat to.
+	links map[membership.HostID]link
 	// probeTimeouts has, by address, the timeout of the next probe if the last
 	// one timed out.
 	probeTimeouts map[string]time.Duration
@@ -106,6 +112,7 @@
 			x.View.SetLoad(x.Load())
 		}
 		partners := x.View.Partners()
+		x.forgetLinks(partners)
 		if len(partners) == 0 {
 			aloneRounds++
 			x.probeHosts(ctx, seedsPerRound)
@@ -177,12 +184,12 @@
 		return
 	}
 	defer x.finishHeartbeat(h.PeerAddress)
-	full := x.needsAll(h.ID)
-	resp, err := x.exchange(ctx, h.PeerAddress, Timeout, full)
+	compare := x.needsComparison(h.ID)
+	resp, err := x.exchangeWith(ctx, h, compare, nil)
 	if err != nil && ctx.Err() == nil {
 		x.Count("heartbeat.failed")
 		x.CloseConnections(h.PeerAddress)
-		if resp, err = x.exchange(ctx, h.PeerAddress, Timeout, full); err == nil {
+		if resp, err = x.exchangeWith(ctx, h, compare, nil); err == nil {
 			x.Count("heartbeat.connectionReplaced")
 		}
 	}
@@ -192,24 +199,29 @@
 	if err != nil || resp.GetSelf().GetHost() != string(h.ID) {
 		x.Count("heartbeat.unanswered")
 		x.View.Suspect(h.ID, h.Incarnation)
+		return
+	}
+	if len(resp.GetWanted()) > 0 {
+		// What is lost now shows as a difference of digests later.
+		_, _ = x.exchangeWith(ctx, h, false, resp.GetWanted())
+	}
+}
+
+// request returns a heartbeat without changes.
+func (x *Exchanger) request() *peerv1.HeartbeatRequest {
+	return &peerv1.HeartbeatRequest{
+		Self:           toInfo(x.View.SelfUpdate()),
+		Digest:         x.View.Digest(),
+		StoreAgeMs:     milliseconds(x.StoreAge()),
+		Facts:          x.facts(),
+		SuspectsDigest: x.suspectsDigest(),
 	}
 }
 
 // exchange sends one heartbeat and applies the response.
-func (x *Exchanger) exchange(ctx context.Context, address string, timeout time.Duration, full bool) (*peerv1.HeartbeatResponse, error) {
+func (x *Exchanger) exchange(ctx context.Context, address string, timeout time.Duration, req *peerv1.HeartbeatRequest) (*peerv1.HeartbeatResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	req := &peerv1.HeartbeatRequest{
-		Self:       toInfo(x.View.SelfUpdate()),
-		Changes:    x.changes(full),
-		Full:       full,
-		Digest:     x.View.Digest(),
-		StoreAgeMs: milliseconds(x.StoreAge()),
-		Facts:      x.facts(),
-
-		Suspects:       x.suspects(full),
-		SuspectsDigest: x.suspectsDigest(),
-	}
 	sent := x.Clock.Now()
 	resp, err := x.Call(ctx, address, req)
 	if err != nil {
@@ -227,22 +239,42 @@
 	x.applySuspects(req.GetSuspects())
 	x.apply(req.GetSelf(), req.GetChanges(), digests{req.GetDigest(), req.GetSuspectsDigest()})
 	x.applyFacts(req.GetFacts())
-	changes := x.changesFor(req)
-	// A host that is known as gone is nobody's partner, and the update has
-	// already been sent. Unless the host gets it here, it can't refute it.
-	if n, ok := x.View.SuspectOrGone(fromInfo(req.GetSelf()).Host); ok {
-		changes = append(changes, toInfo(n))
-	}
-	return &peerv1.HeartbeatResponse{
+	resp := &peerv1.HeartbeatResponse{
 		Self:       toInfo(x.View.SelfUpdate()),
-		Changes:    changes,
 		Digest:     x.View.Digest(),
 		StoreAgeMs: milliseconds(x.StoreAge()),
 		Facts:      x.facts(),
 
-		Suspects:       x.suspects(req.GetFull()),
+		Suspects:       x.suspects(req.GetFull() || len(req.GetVersions()) > 0),
 		SuspectsDigest: x.suspectsDigest(),
 	}
+	x.addChanges(resp, req)
+	// A host that is known as gone is nobody's partner, and the update has
+	// already been sent. Unless the host gets it here, it can't refute it.
+	if n, ok := x.View.SuspectOrGone(fromInfo(req.GetSelf()).Host); ok {
+		resp.Changes = append(resp.Changes, toInfo(n))
+	}
+	return resp
+}
+
+// addChanges adds the updates of hosts to the response to a heartbeat: those that
+// differ from the versions in the request, all, or those that have changed since the
+// last response. A daemon that has just started and knows no other one is sent a few
+// hosts, and requests all from one of these: the seeds could not send them to a whole
+// fleet.
+func (x *Exchanger) addChanges(resp *peerv1.HeartbeatResponse, req *peerv1.HeartbeatRequest) {
+	peer := membership.HostID(req.GetSelf().GetHost())
+	updates, upTo := x.View.ChangesAfter(membership.Position(req.GetReceived()), peer, maxChanges)
+	resp.Position = uint64(upTo)
+	switch {
+	case len(req.GetVersions()) > 0:
+		updates, resp.Wanted = x.View.Difference(fromUint64s(req.GetVersions()))
+	case req.GetFull() && len(req.GetChanges()) == 0:
+		updates = x.View.Sample(maxJoinHosts)
+	case req.GetFull():
+		updates = x.View.All()
+	}
+	resp.Changes = toInfos(updates)
 }
 
 func (x *Exchanger) facts() *peerv1.Beacon {
@@ -258,68 +290,14 @@
 	}
 }
 
-// changes returns the updates of hosts for one message: all if full is set, else
-// the most urgent ones.
-func (x *Exchanger) changes(full bool) []*peerv1.HostInfo {
-	updates := x.View.TakeChanges(maxChanges)
-	if full {
-		updates = x.View.All()
-	}
-	return toInfos(updates)
-}
-
-// changesFor returns the updates of hosts for the response to a heartbeat. A daemon
-// that has just started and knows no other one is sent a few hosts, and requests
-// all from one of these: the seeds could not send them to a whole fleet.
-func (x *Exchanger) changesFor(req *peerv1.HeartbeatRequest) []*peerv1.HostInfo {
-	if req.GetFull() && len(req.GetChanges()) == 0 {
-		return toInfos(x.View.Sample(maxJoinHosts))
-	}
-	return x.changes(req.GetFull())
-}
-
-// digests are hashes of the hosts and of the suspect requests that a daemon knows.
-type digests struct{ hosts, suspects uint64 }
-
 // apply applies the updates in a message of another daemon and compares its
 // digests.
 func (x *Exchanger) apply(self *peerv1.HostInfo, changes []*peerv1.HostInfo, theirs digests) {
 	for _, i := range changes {
-		x.View.Apply(fromInfo(i))
+		x.View.ApplyFrom(membership.HostID(self.GetHost()), fromInfo(i))
 	}
 	x.View.ObserveUpdate(fromInfo(self))
-	x.compareDigests(membership.HostID(self.GetHost()), theirs)
-}
-
-// compareDigests counts the consecutive heartbeats in which the digests of another
-// daemon differed from those of this one.
-func (x *Exchanger) compareDigests(id membership.HostID, theirs digests) {
-	same := theirs == digests{x.View.Digest(), x.suspectsDigest()}
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if same {
-		delete(x.differing, id)
-		return
-	}
-	if x.differing == nil {
-		x.differing = map[membership.HostID]int{}
-	}
-	x.differing[id]++
-}
-
-// needsAll reports whether the full state is to be requested from a host: the
-// digests have differed maxDiffering times, or this daemon has just joined. Both
-// then start over.
-func (x *Exchanger) needsAll(id membership.HostID) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if !x.incomplete && x.differing[id] < maxDiffering {
-		return false
-	}
-	x.incomplete = false
-	delete(x.differing, id)
-	x.Count("heartbeat.full")
-	return true
+	x.compareDigests(membership.HostID(self.GetHost()), theirs, len(changes) == 0)
 }
 
 // startHeartbeat marks a heartbeat to the address as in progress. It reports false
--- a/internal/heartbeat/exchanger_test.go
+++ b/internal/heartbeat/exchanger_test.go
@@ -145,7 +145,7 @@
 
 func (n *network) call(from *node, address string, req *peerv1.HeartbeatRequest) (*peerv1.HeartbeatResponse, error) {
 	n.counts["messages"]++
-	if !req.GetFull() {
+	if !req.GetFull() && len(req.GetVersions()) == 0 {
 		n.counts["largest"] = max(n.counts["largest"], len(req.GetChanges()))
 	}
 	n.counts["suspects"] += len(req.GetSuspects())
@@ -320,14 +320,12 @@
 	}
 }
 
-// introduce makes all daemons known to each other, with no updates left to send.
+// introduce makes all daemons known to each other.
 func (n *network) introduce() {
 	for _, nd := range n.nodes {
 		for _, other := range n.nodes {
 			nd.view.Apply(other.view.SelfUpdate())
 		}
-		for len(nd.view.TakeChanges(len(n.nodes))) > 0 {
-		}
 		<-nd.view.Wake
 	}
 }
--- a/internal/heartbeat/info.go
+++ b/internal/heartbeat/info.go
@@ -56,3 +56,19 @@
 func milliseconds(d time.Duration) uint32 {
 	return uint32(min(max(d/time.Millisecond, 0), math.MaxUint32))
 }
+
+func toUint64s(versions []membership.Version) []uint64 {
+	numbers := make([]uint64, 0, len(versions))
+	for _, one := range versions {
+		numbers = append(numbers, uint64(one))
+	}
+	return numbers
+}
+
+func fromUint64s(numbers []uint64) []membership.Version {
+	versions := make([]membership.Version, 0, len(numbers))
+	for _, n := range numbers {
+		versions = append(versions, membership.Version(n))
+	}
+	return versions
+}
--- /dev/null
+++ b/internal/heartbeat/link_test.go
@@ -0,0 +1,81 @@
+package heartbeat_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/beechhead/beechhead/internal/heartbeat"
+	"github.com/beechhead/beechhead/internal/membership"
+	"github.com/beechhead/beechhead/internal/peer/peerv1"
+)
+
+// Guards against updates that are lost with the response that carried them.
+func TestLostResponseIsSentAgain(t *testing.T) {
+	n := newNetwork(t, 2)
+	n.introduce()
+	a, b := n.nodes[0], n.nodes[1]
+	n.beat(a)
+	b.view.Apply(membership.Update{Status: membership.Alive, Host: membership.Host{ID: "new", Incarnation: 1, PeerAddress: "new"}})
+	call := a.x.Call
+	a.x.Call = func(ctx context.Context, address string, req *peerv1.HeartbeatRequest) (*peerv1.HeartbeatResponse, error) {
+		_, _ = call(ctx, address, req)
+		a.x.Call = call
+		return nil, errNoResponse
+	}
+	a.x.SendHeartbeat(context.Background(), a.view.Partners()[0])
+	if _, ok := a.view.Hosts().Find("new"); !ok {
+		t.Error("the update in the lost response was not sent again")
+	}
+}
+
+// Guards against a restarted daemon that is taken for its earlier incarnation: the
+// positions of that one say nothing about what the new one knows.
+func TestRestartedDaemonIsSentChanges(t *testing.T) {
+	n := newNetwork(t, 2)
+	n.introduce()
+	a := n.nodes[0]
+	a.view.Apply(membership.Update{Status: membership.Alive, Host: membership.Host{ID: "new", Incarnation: 1, PeerAddress: name(1)}})
+	n.beat(a)
+	n.nodes[1] = n.newNode(1)
+	n.beat(n.nodes[0])
+	if _, ok := n.nodes[1].view.Hosts().Find("new"); !ok {
+		t.Error("the restarted daemon was not sent what the earlier one had received")
+	}
+}
+
+// Guards against daemons that send all that they know because of one difference.
+func TestComparisonSendsDifferencesOnly(t *testing.T) {
+	const hosts, missing = 200, 3
+	n := newNetwork(t, 2)
+	n.introduce()
+	a, b := n.nodes[0], n.nodes[1]
+	for i := range hosts {
+		one := membership.Update{Status: membership.Alive, Host: membership.Host{ID: membership.HostID(name(10 + i)), Incarnation: 1}}
+		if i%50 != 1 || i == 1 {
+			a.view.Apply(one)
+		}
+		if i%50 != 2 || i == 2 {
+			b.view.Apply(one)
+		}
+	}
+	want := b.view.Hosts().Len() + missing
+	var sent int
+	call := a.x.Call
+	a.x.Call = func(ctx context.Context, address string, req *peerv1.HeartbeatRequest) (*peerv1.HeartbeatResponse, error) {
+		resp, err := call(ctx, address, req)
+		if len(req.GetVersions()) > 0 || sent > 0 {
+			sent += len(req.GetChanges()) + len(resp.GetChanges())
+		}
+		return resp, err
+	}
+	for range 6 {
+		a.x.SendHeartbeat(context.Background(), b.view.Self())
+		n.clock.Advance(heartbeat.Interval)
+	}
+	if a.view.Digest() != b.view.Digest() || b.view.Hosts().Len() != want {
+		t.Errorf("the daemons know %d and %d hosts, want %d", a.view.Hosts().Len(), b.view.Hosts().Len(), want)
+	}
+	if sent > 2*missing {
+		t.Errorf("%d updates were sent, %d differed", sent, 2*missing)
+	}
+}
--- a/internal/heartbeat/probe.go
+++ b/internal/heartbeat/probe.go
@@ -5,6 +5,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/beechhead/beechhead/internal/peer/peerv1"
 )
 
 // probeHosts sends heartbeats to up to n hosts that are not known to be running.
@@ -37,6 +39,19 @@
 	return addresses
 }
 
+// probeRequest returns a heartbeat to a daemon of which nothing is known. It compares
+// all hosts, unless this daemon knows none.
+func (x *Exchanger) probeRequest() *peerv1.HeartbeatRequest {
+	req := x.request()
+	req.Suspects = x.suspects(true)
+	if x.View.Hosts().Len() == 1 {
+		req.Full = true
+		return req
+	}
+	req.Versions = toUint64s(x.View.Versions())
+	return req
+}
+
 // Probe sends a heartbeat to a daemon that may not be running.
 func (x *Exchanger) Probe(ctx context.Context, address string) {
 	if !x.startHeartbeat(address) {
@@ -45,9 +60,13 @@
 	defer x.finishHeartbeat(address)
 	alone := x.View.Hosts().Len() == 1
 	sent, timeout := x.Clock.Now(), x.probeTimeoutOf(address)
-	_, err := x.exchange(ctx, address, timeout, true)
+	resp, err := x.exchange(ctx, address, timeout, x.probeRequest())
 	if err != nil {
 		x.CloseConnections(address)
+	} else if len(resp.GetWanted()) > 0 {
+		req := x.request()
+		req.Changes = toInfos(x.View.Find(resp.GetWanted()))
+		_, _ = x.exchange(ctx, address, timeout, req)
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/membership/changes.go
+++ b/internal/membership/changes.go
@@ -1,82 +1,118 @@
 package membership
 
-import "math/rand/v2"
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+)
 
-// sendsPerChange is how often a daemon sends a change: once on each of the about
-// 2 × Rings connections on which it exchanges heartbeats, and twice more to make
-// up for lost messages. What is still missed shows as a difference of digests.
-const sendsPerChange = 2*Rings + 2
+// recentChanges is how many of the latest changes are sent to a daemon with which
+// no heartbeat has been exchanged yet. What else differs, the digests show.
+const recentChanges = 8
 
-// changes are the hosts with an update to send. The update is read from the view
-// when it is sent, so each host is listed at most once. Taking an update costs the
-// same however many are listed.
+// Position identifies a point in a daemon's list of changes. Positions of one
+// incarnation are greater than those of the host's earlier ones. Zero means
+// unknown.
+type Position uint64
+
+// changes lists the hosts in the order in which their states last changed here, so
+// that every partner is sent each change once and not what it is known to have. It
+// is not safe for concurrent use.
 type changes struct {
-	byHost map[HostID]change
-	// queues hold the hosts by their change. An entry that no longer equals the
-	// host's change is skipped.
-	queues map[change][]HostID
+	// log is sorted by position. An entry whose position is not the host's latest
+	// one is skipped.
+	log    []change
+	latest map[HostID]Position
+	// first is a position before all changes, last that of the latest one.
+	first, last Position
 }
 
 type change struct {
-	// sendsLeft is how often the change has yet to be sent; it is positive.
-	sendsLeft int
-	urgent    bool
+	at Position
+	id HostID
+	// knownBy has the daemons that sent this update.
+	knownBy []HostID
+}
+
+func newChanges(first Position) changes {
+	return changes{latest: map[HostID]Position{}, first: first, last: first}
 }
 
-func newChanges() changes {
-	return changes{byHost: map[HostID]change{}, queues: map[change][]HostID{}}
+// put adds a change of a host as the latest one. It was sent by source, which is
+// empty if this daemon has found it itself.
+func (c *changes) put(id, source HostID) {
+	c.last++
+	c.latest[id] = c.last
+	added := change{at: c.last, id: id}
+	if source != "" {
+		added.knownBy = []HostID{source}
+	}
+	c.log = append(c.log, added)
+	if len(c.log) > 2*len(c.latest)+recentChanges {
+		c.log = slices.DeleteFunc(c.log, func(one change) bool { return !c.current(one) })
+	}
 }
 
-// put queues a change. A change that is queued as urgent stays urgent.
-func (c *changes) put(id HostID, urgent bool) {
-	old, ok := c.byHost[id]
-	next := change{sendsLeft: sendsPerChange, urgent: urgent || old.urgent}
-	if !ok || old != next {
-		c.set(id, next)
+func (c *changes) current(one change) bool { return c.latest[one.id] == one.at }
+
+// markKnown records that a daemon knows the latest change of a host.
+func (c *changes) markKnown(id, by HostID) {
+	i, ok := c.search(c.latest[id])
+	if ok && by != "" && !slices.Contains(c.log[i].knownBy, by) {
+		c.log[i].knownBy = append(c.log[i].knownBy, by)
 	}
 }
 
-func (c *changes) set(id HostID, next change) {
-	c.byHost[id] = next
-	c.queues[next] = append(c.queues[next], id)
+func (c *changes) search(at Position) (int, bool) {
+	return slices.BinarySearchFunc(c.log, at, func(one change, at Position) int { return cmp.Compare(one.at, at) })
 }
 
-// take returns up to n hosts whose updates are to be sent, urgent changes first
-// and then those sent least often, and counts one send of each.
-func (c *changes) take(n int) []HostID {
-	ids := make([]HostID, 0, min(n, len(c.byHost)))
-	var resend []change
-	for _, urgent := range []bool{true, false} {
-		for left := sendsPerChange; left > 0; left-- {
-			for one := (change{left, urgent}); len(ids) < n && len(c.queues[one]) > 0; {
-				id := c.queues[one][0]
-				c.queues[one] = c.queues[one][1:]
-				if c.byHost[id] == one {
-					delete(c.byHost, id)
-					ids, resend = append(ids, id), append(resend, change{left - 1, urgent})
-				}
-			}
-		}
+func (c *changes) remove(id HostID) { delete(c.latest, id) }
+
+// after returns up to n hosts that have changed after a position and that the peer
+// is not known to have, and up to where the list was read.
+func (c *changes) after(position Position, peer HostID, n int) (ids []HostID, upTo Position) {
+	i, found := c.search(c.start(position))
+	if found {
+		i++
 	}
-	for i, id := range ids {
-		if resend[i].sendsLeft > 0 {
-			c.set(id, resend[i])
+	for ; i < len(c.log); i++ {
+		one := c.log[i]
+		if !c.current(one) || slices.Contains(one.knownBy, peer) {
+			continue
 		}
+		if len(ids) == n {
+			return ids, one.at - 1
+		}
+		ids = append(ids, one.id)
+	}
+	return ids, c.last
+}
+
+// start returns the position after which changes are sent. A position that is not
+// one of this incarnation is replaced by the one before the recent changes.
+func (c *changes) start(position Position) Position {
+	switch {
+	case position > 0 && position >= c.first && position <= c.last:
+		return position
+	case len(c.log) > recentChanges:
+		return c.log[len(c.log)-recentChanges].at - 1
 	}
-	return ids
+	return c.first
 }
 
-// TakeChanges returns up to n updates to send in one message.
-func (v *View) TakeChanges(n int) []Update {
+// ChangesAfter returns up to n updates of hosts that have changed after a position
+// and that the given daemon has not sent itself, and the position up to which they
+// are complete.
+func (v *View) ChangesAfter(position Position, peer HostID, n int) ([]Update, Position) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var updates []Update
-	for _, id := range v.changes.take(n) {
-		if e := v.hosts[id]; e != nil {
-			updates = append(updates, e.update)
-		}
+	ids, upTo := v.changes.after(position, peer, n)
+	updates := make([]Update, 0, len(ids))
+	for _, id := range ids {
+		updates = append(updates, v.hosts[id].update)
 	}
-	return updates
+	return updates, upTo
 }
 
 // SuspectOrGone returns the update of a host, and true, if its given incarnation is
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -23,7 +23,7 @@
 	e.since = v.clock.Now()
 	v.scheduleSweep(e)
 	v.Count("hosts.suspected")
-	v.changed(e, true)
+	v.changed(e, "", true)
 }
 
 // scheduleSweep makes Sweep run by the deadline of a host. The caller must hold
@@ -76,7 +76,7 @@
 		default:
 			e.update.Status = Gone
 			e.since = now
-			v.changed(e, true)
+			v.changed(e, "", true)
 			gone = append(gone, e.update.Host)
 		}
 		v.scheduleSweep(e)
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -76,7 +76,7 @@
 		Count:   func(string) {},
 		Rand:    rand.Float64,
 		Wake:    make(chan struct{}, 1),
-		changes: newChanges(),
+		changes: newChanges(Position(self.Incarnation)),
 
 		known:  &Snapshot{},
 		active: &Snapshot{},
@@ -190,7 +190,7 @@
 // ObserveUpdate applies an update that a host has sent of itself. Its load and
 // table version are newer than in any update relayed by others.
 func (v *View) ObserveUpdate(n Update) {
-	v.Apply(n)
+	v.ApplyFrom(n.Host.ID, n)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	e := v.hosts[n.Host.ID]
@@ -201,9 +201,13 @@
 	e.update.Host.TableVersion = n.Host.TableVersion
 }
 
-// Apply applies an update relayed by another host. An update that is older than
-// what is known is ignored.
-func (v *View) Apply(n Update) {
+// Apply applies an update from a source that is no daemon. An update that is older
+// than what is known is ignored.
+func (v *View) Apply(n Update) { v.ApplyFrom("", n) }
+
+// ApplyFrom applies an update that another daemon has sent. An update that is older
+// than what is known is ignored.
+func (v *View) ApplyFrom(source HostID, n Update) {
 	if n.Host.ID == "" || n.Status < Alive || n.Status > Gone {
 		return
 	}
@@ -212,7 +216,7 @@
 	if n.Host.ID == v.self.ID {
 		v.applyToSelf(n)
 	} else {
-		gone = v.merge(n)
+		gone = v.merge(n, source)
 	}
 	v.mu.Unlock()
 	for _, h := range gone {
@@ -222,15 +226,18 @@
 
 // merge applies an update of another host and returns the incarnation that is gone
 // because of it, if any. The caller must hold the lock.
-func (v *View) merge(n Update) []Host {
+func (v *View) merge(n Update, source HostID) []Host {
 	e := v.hosts[n.Host.ID]
 	if e == nil {
 		e = v.insert(n)
 		v.scheduleSweep(e)
-		v.changed(e, true)
+		v.changed(e, source, true)
 		return nil
 	}
 	if !n.supersedes(e.update) {
+		if !e.update.supersedes(n) {
+			v.changes.markKnown(n.Host.ID, source)
+		}
 		return nil
 	}
 	old := *e
@@ -243,7 +250,7 @@
 		e.since = v.clock.Now()
 		v.scheduleSweep(e)
 	}
-	v.changed(e, replaced || n.Status != old.update.Status || n.Host.State != old.update.Host.State)
+	v.changed(e, source, replaced || n.Status != old.update.Status || n.Host.State != old.update.Host.State)
 	if !old.gone() && (replaced || n.Status == Gone) {
 		return []Host{old.update.Host}
 	}
@@ -262,6 +269,7 @@
 // remove forgets a host that is gone. The caller must hold the lock.
 func (v *View) remove(id HostID) {
 	delete(v.hosts, id)
+	v.changes.remove(id)
 	if i, ok := v.search(id); ok {
 		v.sorted = slices.Delete(v.sorted, i, i+1)
 	}
@@ -273,10 +281,11 @@
 	return slices.BinarySearchFunc(v.sorted, id, func(e *entry, id HostID) int { return cmp.Compare(e.update.Host.ID, id) })
 }
 
-// changed queues an update of a host for sending. It must be urgent if the host's
-// incarnation, state or status has changed. The caller must hold the lock.
-func (v *View) changed(e *entry, urgent bool) {
-	v.changes.put(e.update.Host.ID, urgent)
+// changed queues an update of a host for sending to all partners but its source. It
+// must be urgent if the host's incarnation, state or status has changed. The caller
+// must hold the lock.
+func (v *View) changed(e *entry, source HostID, urgent bool) {
+	v.changes.put(e.update.Host.ID, source)
 	if !urgent {
 		return
 	}
