Form half of the rings within availability zones

Cause: five in six heartbeats crossed between the six zones of a fleet, and with them each update of a host. Change: two of the four rings consist of the hosts of one zone; a host whose zone has no other host left uses the ring of all. One ring of the zone and three of all, or three and one, were not compared.

--- a/internal/membership/ring.go
+++ b/internal/membership/ring.go
@@ -15,6 +15,10 @@
 // number of hosts, while the number of connections per host stays constant.
 const Rings = 4
 
+// zoneRings is the number of rings that consist of the hosts of one availability
+// zone, so that most updates cross between zones on the other rings only.
+const zoneRings = 2
+
 // Partners returns the hosts to which this daemon sends heartbeats: its
 // successors on the rings, each once. There are fewer than Rings only if there
 // are fewer other hosts.
@@ -56,12 +60,19 @@
 }
 
 // successors returns the partners of this daemon: on each ring, the first host
-// that is not yet chosen on an earlier one. The caller must hold the lock.
+// that is not yet chosen on an earlier one. Where the zone has no other host left,
+// its ring is that of all hosts. The caller must hold the lock.
 func (v *View) successors() []Host {
 	chosen := map[*entry]bool{}
 	var partners []Host
 	for ring := range uint64(Rings) {
-		best := v.successor(ring, chosen)
+		var best *entry
+		if ring < zoneRings {
+			best = v.successor(ring, func(e *entry) bool { return e.update.Host.Zone == v.self.Zone && !chosen[e] })
+		}
+		if best == nil {
+			best = v.successor(ring, func(e *entry) bool { return !chosen[e] })
+		}
 		if best == nil {
 			break
 		}
@@ -71,15 +82,15 @@
 	return partners
 }
 
-// successor returns the first host after this one on a ring that is not yet
-// chosen, or nil if there is none.
-func (v *View) successor(ring uint64, chosen map[*entry]bool) (best *entry) {
+// successor returns the first host after this one on a ring among those for which
+// usable returns true, or nil if there is none.
+func (v *View) successor(ring uint64, usable func(*entry) bool) (best *entry) {
 	own := ringPosition(ring, idHash(v.self.ID))
 	var nearest uint64
 	for _, e := range v.sorted {
 		// The unsigned difference wraps around, as the ring does.
 		distance := ringPosition(ring, e.idHash) - own
-		if (best == nil || distance < nearest) && !e.gone() && !chosen[e] {
+		if (best == nil || distance < nearest) && !e.gone() && usable(e) {
 			best, nearest = e, distance
 		}
 	}
