Share wake-ups and tick seldom while idle

Cause: a daemon without requests woke up some 70 times a second for its own checks: 40 ticks, ten checks for each of the two feeds and ten of the age of the facts, each on a timer of its own. Change: the checks run at multiples of their interval since the daemon's start, so that one wake-up serves all, and the tick is each 100 ms while no request waits or runs here; a batch for the coordinator ends the wait.

--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -33,6 +33,9 @@
 	// Disabled lists the scheduling mechanisms that are switched off. It must
 	// be set before the first call of Configure.
 	Disabled []schedule.Mechanism
+	// OnBatch is called for each batch of an entry daemon. It must not block, and
+	// must be set before the coordinator is used.
+	OnBatch func()
 
 	mu    sync.Mutex
 	table *table.Table
@@ -99,6 +102,7 @@
 		sessions:   map[sessionKey]*Session{},
 		dirty:      map[ID]bool{},
 		published:  map[ID]publishedPressure{},
+		OnBatch:    func() {},
 	}
 }
 
@@ -202,6 +206,22 @@
 	out.flush()
 }
 
+// Busy reports whether requests wait or run in the cells of this daemon, or a batch
+// has not been acknowledged.
+func (c *Coordinator) Busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.unackedSessions) > 0 {
+		return true
+	}
+	for _, cell := range c.cells {
+		if !cell.Idle() {
+			return true
+		}
+	}
+	return false
+}
+
 // updateCells removes idle cells that this daemon no longer coordinates. If
 // changed is set, it also creates the cells that it coordinates now, so that
 // their recovery has ended before the first reservation arrives.
--- a/internal/cell/session.go
+++ b/internal/cell/session.go
@@ -69,6 +69,7 @@
 // Handle processes one batch of the session.
 func (s *Session) Handle(req *peerv1.ReservationsRequest) {
 	c := s.c
+	defer c.OnBatch()
 	c.mu.Lock()
 	if c.sessions[s.key] != s {
 		// A newer session of the same daemon has replaced this one, and the
--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -15,6 +15,7 @@
 	"github.com/beechhead/beechhead/internal/metric"
 	"github.com/beechhead/beechhead/internal/platform"
 	"github.com/beechhead/beechhead/internal/storetime"
+	"github.com/beechhead/beechhead/internal/tick"
 )
 
 const (
@@ -53,7 +54,9 @@
 // Reader reads the store and passes what it finds to Holder. Fields must be
 // set before it runs.
 type Reader struct {
-	Clock      clockwork.Clock
+	Clock clockwork.Clock
+	// Checks has the times at which ShouldRead is called while it reports false.
+	Checks     *tick.Grid
 	Boot       boottime.Clock
 	StoreClock *storetime.Clock
 	Holder     *Holder
@@ -139,7 +142,7 @@
 	for ctx.Err() == nil {
 		if !r.ShouldRead() {
 			t.synced, t.historyGone, t.failures = false, false, 0
-			r.sleep(ctx, r.checkInterval())
+			r.awaitCheck(ctx)
 			continue
 		}
 		if err := r.read(ctx, t); err != nil {
@@ -155,11 +158,16 @@
 	}
 }
 
-func (r *Reader) checkInterval() time.Duration {
+// awaitCheck waits until the next check of ShouldRead.
+func (r *Reader) awaitCheck(ctx context.Context) {
+	interval := idleCheckInterval
 	if known := r.Holder.Summary(); known.Config == 0 || known.Position == 0 {
-		return startupCheckInterval
+		interval = startupCheckInterval
+	}
+	select {
+	case <-ctx.Done():
+	case <-r.Checks.After(interval):
 	}
-	return idleCheckInterval
 }
 
 // read sends one request for what has changed.
--- a/internal/factsync/sim_test.go
+++ b/internal/factsync/sim_test.go
@@ -24,6 +24,7 @@
 	"github.com/beechhead/beechhead/internal/platform"
 	"github.com/beechhead/beechhead/internal/quarantine"
 	"github.com/beechhead/beechhead/internal/storetime"
+	"github.com/beechhead/beechhead/internal/tick"
 )
 
 // Delays of the simulated site.
@@ -283,7 +284,7 @@
 	})
 	d.holder.OnChange = d.markReady
 	d.sync = &Syncer{
-		Clock: clock, Boot: s.clock, StoreClock: storeTime, Holder: d.holder,
+		Checks: tick.NewGrid(clock), Boot: s.clock, StoreClock: storeTime, Holder: d.holder,
 		Logger: slog.New(slog.DiscardHandler), Metrics: metric.NewRegistry(),
 		Self: d.view.Self, Hosts: d.view.Hosts, Staying: d.view.Active,
 		Send: d.send, Fetch: d.ask, Pick: s.pick, PeersExpected: func() bool { return true },
@@ -330,7 +331,7 @@
 
 func (s *simSite) newReader(d *simDaemon) *facts.Reader {
 	return &facts.Reader{
-		Clock: d.sync.Clock, Boot: s.clock, StoreClock: d.sync.StoreClock, Holder: d.holder,
+		Clock: clockwork.NewRealClock(), Checks: d.sync.Checks, Boot: s.clock, StoreClock: d.sync.StoreClock, Holder: d.holder,
 		Logger: d.sync.Logger, Metrics: d.sync.Metrics,
 		Config: s.store.feed(d, "c"), Endpoints: s.store.feed(d, "e"),
 		DecodeConfig: func(rows []platform.FeedRow) (c facts.Config, ok bool) {
--- a/internal/factsync/syncer.go
+++ b/internal/factsync/syncer.go
@@ -12,8 +12,6 @@
 	"sync"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"github.com/beechhead/beechhead/internal/boottime"
 	"github.com/beechhead/beechhead/internal/catalog"
 	"github.com/beechhead/beechhead/internal/facts"
@@ -21,6 +19,7 @@
 	"github.com/beechhead/beechhead/internal/metric"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
 	"github.com/beechhead/beechhead/internal/storetime"
+	"github.com/beechhead/beechhead/internal/tick"
 )
 
 const (
@@ -63,7 +62,8 @@
 // Syncer keeps one daemon's facts up to date. All fields must be set before it
 // is used. It is safe for concurrent use.
 type Syncer struct {
-	Clock      clockwork.Clock
+	// Checks has the times at which Run checks the age of the facts.
+	Checks     *tick.Grid
 	Boot       boottime.Clock
 	StoreClock *storetime.Clock
 	Holder     *facts.Holder
@@ -119,7 +119,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.Clock.After(checkInterval):
+		case <-s.Checks.After(checkInterval):
 		}
 		s.Holder.Expire()
 		s.fetchWhenStale()
--- a/internal/gateway/facts.go
+++ b/internal/gateway/facts.go
@@ -40,7 +40,7 @@
 	g.holder.OnEndpointChange = g.onEndpointChange
 	g.holder.OnEra = g.onNewEra
 	g.sync = &factsync.Syncer{
-		Clock:         g.clock,
+		Checks:        g.checks,
 		Boot:          g.boot,
 		StoreClock:    g.storeTime,
 		Holder:        g.holder,
@@ -58,6 +58,7 @@
 	g.sync.Start()
 	g.reader = &facts.Reader{
 		Clock:          g.clock,
+		Checks:         g.checks,
 		Boot:           g.boot,
 		StoreClock:     g.storeTime,
 		Holder:         g.holder,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,15 +38,21 @@
 	"github.com/beechhead/beechhead/internal/retrybudget"
 	"github.com/beechhead/beechhead/internal/settings"
 	"github.com/beechhead/beechhead/internal/storetime"
+	"github.com/beechhead/beechhead/internal/tick"
 	"github.com/beechhead/beechhead/pkg/table"
 
 	wire "github.com/beechhead/beechhead/platform"
 )
 
-// tickInterval is how often links and hosts are checked. The failure of a
-// coordinator delays its requests by up to one interval in addition to the time
-// after which it is suspected.
-const tickInterval = 25 * time.Millisecond
+const (
+	// tickInterval is how often links and hosts are checked. The failure of a
+	// coordinator delays its requests by up to one interval in addition to the
+	// time after which it is suspected.
+	tickInterval = 25 * time.Millisecond
+	// idleTickInterval is the same while no request waits or runs here. Most hosts
+	// of a large fleet are idle most of the time.
+	idleTickInterval = 100 * time.Millisecond
+)
 
 // Gateway is one entry daemon.
 type Gateway struct {
@@ -57,8 +63,10 @@
 	// log drops none.
 	LogDropped func() int64
 	clock      clockwork.Clock
-	boot       boottime.Clock
-	metrics    *metric.Registry
+	// checks has the times of the daemon's periodic checks.
+	checks  *tick.Grid
+	boot    boottime.Clock
+	metrics *metric.Registry
 
 	store     *platform.Client
 	storeTime *storetime.Clock
@@ -102,6 +110,8 @@
 	// draining is closed when the graceful shutdown begins.
 	draining  chan struct{}
 	drainOnce sync.Once
+	// busy receives a signal when a batch arrives for the coordinator.
+	busy chan struct{}
 }
 
 // New returns a daemon; Run starts it.
@@ -112,7 +122,9 @@
 		metrics:  metric.NewRegistry(),
 		budgets:  map[table.Pool]*retrybudget.Budget{},
 		draining: make(chan struct{}),
+		busy:     make(chan struct{}, 1),
 	}
+	g.checks = tick.NewGrid(g.clock)
 	g.current.Store(s)
 	g.sampler = logline.NewSampler(g.clock)
 	g.logger = slog.New(logline.NewLimiter(g.clock, logger.Handler())).With("host", s.Host)
@@ -146,6 +158,7 @@
 	g.endpoints = newEndpointPlan(g.conf().Region, size)
 	g.coordinator = cell.NewCoordinator(g.clock, g.view.Self().ID, size, g.conf().Policy)
 	g.coordinator.Disabled = g.conf().Disabled
+	g.coordinator.OnBatch = g.endIdleTicks
 	g.cells = &cellhost.Host{
 		Clock:       g.clock,
 		View:        g.view,
@@ -288,16 +301,36 @@
 
 // tick runs the periodic work until ctx is cancelled.
 func (g *Gateway) tick(ctx context.Context) {
-	ticker := g.clock.NewTicker(tickInterval)
-	defer ticker.Stop()
 	for {
 		g.cells.RecordTick()
-		select {
-		case <-ctx.Done():
+		if !g.awaitTick(ctx) {
 			return
-		case <-ticker.Chan():
-			g.tickOnce(ctx)
 		}
+		g.tickOnce(ctx)
+	}
+}
+
+// awaitTick waits until the next tick. While the daemon is idle, a batch for its
+// coordinator ends the wait. It reports false if ctx is cancelled.
+func (g *Gateway) awaitTick(ctx context.Context) bool {
+	interval, wake := tickInterval, (chan struct{})(nil)
+	if !g.placer.Busy() && !g.coordinator.Busy() {
+		interval, wake = idleTickInterval, g.busy
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-g.checks.After(interval):
+	case <-wake:
+	}
+	return true
+}
+
+// endIdleTicks makes the next tick run at once if the daemon is idle.
+func (g *Gateway) endIdleTicks() {
+	select {
+	case g.busy <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -168,6 +168,22 @@
 	p.pruneLimits()
 }
 
+// Busy reports whether a request waits for a slot or has one, or a coordinator has
+// not acknowledged a batch.
+func (p *Placer) Busy() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.pending) > 0 {
+		return true
+	}
+	for _, l := range p.links {
+		if l.batch > l.acked {
+			return true
+		}
+	}
+	return false
+}
+
 // Reserve waits for a slot, and tries another cell if one can't take the request.
 // The error is a refusal with the outcome notRun or the error of the context.
 func (p *Placer) Reserve(ctx context.Context, r Request) (*Grant, error) {
