Read a table's feed on at once after a partial response

A response has at most 500 rows, every endpoint rewrites its row every three seconds, and the reader paused for 450 ms after each response: it read some 1,100 rows a second of up to 3,300 and fell behind until the history was gone and everything was read anew. Its facts also counted as current as of each response. Change: a response of a hundred rows or more that ends before the store's version is partial: it confirms nothing as of its time, the next read follows at once, and other daemons are told once in the interval.

--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -30,6 +30,10 @@
 	// endpointsPollTimeout is how long the store delays its response while no
 	// endpoint has changed.
 	endpointsPollTimeout = 400 * time.Millisecond
+	// minPartialRows is the least number of rows of a response to which the store may
+	// not have added all changes. After fewer rows, a later version of the store is
+	// that of another table.
+	minPartialRows = 100
 	// idleCheckInterval is how often a daemon that does not read the store checks
 	// whether it should, startupCheckInterval the same for one that has no facts
 	// yet.
@@ -73,7 +77,8 @@
 	DecodeEndpoint func(row platform.FeedRow) (Endpoint, bool)
 	// ShouldRead reports whether this daemon is to read the store.
 	ShouldRead func() bool
-	// OnRead is called after each successful read.
+	// OnRead is called after each successful read, but between partial responses
+	// only once in the feed's interval.
 	OnRead func()
 
 	// newest is the greatest position in any response of the store.
@@ -109,6 +114,10 @@
 	// historyGone is set if the store no longer has the changes after since.
 	historyGone bool
 	failures    int
+	// partial is set if the last response may not have had all changes.
+	partial bool
+	// announced is when OnRead was last called.
+	announced time.Duration
 	// invalid is set if the newest document could not be applied, so that the one
 	// in force must not count as current.
 	invalid bool
@@ -123,6 +132,16 @@
 	whole bool
 	// afterFailure is set if the reads before this one have failed.
 	afterFailure bool
+	// partial is set if the store may have changes after the last row.
+	partial bool
+}
+
+// asOf returns the time as of which the response is complete; zero if it is not.
+func (n feedResponse) asOf() storetime.Instant {
+	if n.partial {
+		return 0
+	}
+	return storetime.Instant(n.rows.NowMs)
 }
 
 // Run reads until ctx is cancelled.
@@ -153,8 +172,13 @@
 			r.Logger.Info("store regained", "feed", t.name)
 		}
 		t.failures = 0
-		r.OnRead()
-		r.sleep(ctx, t.interval)
+		if now := r.Boot.Now(); !t.partial || now-t.announced >= t.interval {
+			t.announced = now
+			r.OnRead()
+		}
+		if !t.partial {
+			r.sleep(ctx, t.interval)
+		}
 	}
 }
 
@@ -199,11 +223,13 @@
 	r.StoreClock.Observe(sent, storetime.Instant(n.rows.NowMs))
 	n.upTo = at
 	if !n.whole {
+		received := len(n.rows.Rows)
 		n.rows.Rows = newestRows(n.rows.Rows)
 		n.upTo = max(t.since, PositionOf(at.Era(), newestVersion(n.rows.Rows)))
+		n.partial = n.rows.More || received >= minPartialRows && n.upTo < at
 	}
 	t.apply(n)
-	t.since, t.synced, t.historyGone = n.upTo, true, false
+	t.since, t.synced, t.historyGone, t.partial = n.upTo, true, false, n.partial
 	return nil
 }
 
--- a/internal/facts/registrations.go
+++ b/internal/facts/registrations.go
@@ -15,7 +15,7 @@
 	for _, row := range n.rows.Rows {
 		rows = append(rows, r.registration(row, n.upTo.Era()))
 	}
-	r.Holder.Merge(EndpointUpdate{Endpoints: rows, Whole: n.whole, Position: n.upTo, AsOf: asOf})
+	r.Holder.Merge(EndpointUpdate{Endpoints: rows, Whole: n.whole, Position: n.upTo, AsOf: n.asOf()})
 }
 
 // registration decodes a row of an era.
