Mark full responses of a feed as partial

The facts were 2.2 s old all the while, so that every host asked hosts drawn at random nine times a second, each on a new connection. Change: a response of 500 rows, the most that the store returns, counts as partial. The test of the reader now plays the store's own way to end a response.

--- a/internal/facts/partial_test.go
+++ b/internal/facts/partial_test.go
@@ -14,7 +14,7 @@
 )
 
 // pagedTable is a table in which every row is written again each rewriteInterval. A
-// response has at most pageRows rows.
+// response has at most pageRows rows, and the version of the last one.
 type pagedTable struct {
 	began time.Time
 	rows  int
@@ -39,8 +39,10 @@
 		return platform.Rows{}, ctx.Err()
 	case <-time.After(pagedCallDelay):
 	}
-	rows := platform.Rows{Version: p.version(), NowMs: int64(time.Since(p.began)/time.Millisecond) + 1}
-	for v := since + 1; v <= rows.Version && len(rows.Rows) < pageRows; v++ {
+	rows := platform.Rows{NowMs: int64(time.Since(p.began)/time.Millisecond) + 1}
+	rows.Version = min(p.version(), since+pageRows)
+	rows.More = rows.Version == since+pageRows
+	for v := since + 1; v <= rows.Version; v++ {
 		rows.Rows = append(rows.Rows, platform.FeedRow{Key: fmt.Sprint(v % uint64(p.rows)), Version: v, Value: []byte("x")})
 	}
 	return rows, nil
--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -30,10 +30,6 @@
 	// endpointsPollTimeout is how long the store delays its response while no
 	// endpoint has changed.
 	endpointsPollTimeout = 400 * time.Millisecond
-	// minPartialRows is the least number of rows of a response to which the store may
-	// not have added all changes. After fewer rows, a later version of the store is
-	// that of another table.
-	minPartialRows = 100
 	// idleCheckInterval is how often a daemon that does not read the store checks
 	// whether it should, startupCheckInterval the same for one that has no facts
 	// yet.
@@ -223,10 +219,9 @@
 	r.StoreClock.Observe(sent, storetime.Instant(n.rows.NowMs))
 	n.upTo = at
 	if !n.whole {
-		received := len(n.rows.Rows)
 		n.rows.Rows = newestRows(n.rows.Rows)
 		n.upTo = max(t.since, PositionOf(at.Era(), newestVersion(n.rows.Rows)))
-		n.partial = n.rows.More || received >= minPartialRows && n.upTo < at
+		n.partial = n.rows.More
 	}
 	t.apply(n)
 	t.since, t.synced, t.historyGone, t.partial = n.upTo, true, false, n.partial
