Choose the cell by the shared parts of a prompt

Cause: gateways know the parts of a prompt and no prefix, so that every request of a pool of several cells went to a cell drawn at random: prompts that share a document met in one of 39 cells by chance, each cell read the parts that others had cached, and a host opened links to the coordinators of all cells. Change: the cell follows from the parts but the last, as the engine within the cell does. Sites with one cell a pool are not touched.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -11,6 +11,7 @@
 	"github.com/beechhead/beechhead/internal/cell"
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
+	"github.com/beechhead/beechhead/internal/stat"
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
@@ -30,8 +31,22 @@
 	tiers []*peerv1.TierPressure
 }
 
+// sharedPrefix returns a hash of the part of a prompt that other prompts are likely
+// to begin with as well; zero if it is not known. The last of several parts is
+// rarely shared.
+func (r *Request) sharedPrefix() uint64 {
+	if r.Prefix != 0 || len(r.Parts) < 2 {
+		return r.Prefix
+	}
+	hash := uint64(0)
+	for _, part := range r.Parts[:len(r.Parts)-1] {
+		hash = stat.Mix(hash ^ part.ID)
+	}
+	return max(hash, 1)
+}
+
 // chooseCells returns the cells to try, in order. The first is the one with the
-// lower pressure of two candidates. For a prompt with a prefix, these are the
+// lower pressure of two candidates. For a prompt with a shared prefix, these are the
 // cells preferred for the prefix, so that prompts with the same prefix meet;
 // otherwise they are random.
 func (p *Placer) chooseCells(r *Request) ([]cell.ID, *outcome.Refusal) {
@@ -51,8 +66,9 @@
 	if class, ok := p.table.Class(r.Class); ok {
 		tier = class.Tier
 	}
-	cells := p.rankCells(all, r.Prefix)
-	if p.publishedPressure(cells[0], tier) > p.publishedPressure(cells[1], tier)+p.pressureMargin(cells[0], cells[1], r.Prefix) {
+	prefix := r.sharedPrefix()
+	cells := p.rankCells(all, prefix)
+	if p.publishedPressure(cells[0], tier) > p.publishedPressure(cells[1], tier)+p.pressureMargin(cells[0], cells[1], prefix) {
 		cells[0], cells[1] = cells[1], cells[0]
 	}
 	return cells[:min(maxCellsTried, len(cells))], nil
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -64,3 +64,34 @@
 		t.Errorf("refused for %s with outcome %s, want a full queue and notRun", got.Reason, got.Outcome)
 	}
 }
+
+// Guards against prompts with the same beginning that are divided among the cells of
+// a pool, each of which then computes it again, and against all prompts in one cell.
+func TestCellFollowsFromTheSharedPartsOfThePrompt(t *testing.T) {
+	const cells, prompts = 8, 64
+	tbl := testTable(2*cells, 2)
+	nameForEqualCells(tbl, 2)
+	entry := newClusterWith(t, 3, 2, tbl).nodes[0]
+	first := func(parts ...uint64) cell.ID {
+		r := Request{Pool: testPool, Class: testClass}
+		for _, id := range parts {
+			r.Parts = append(r.Parts, Part{ID: id, Tokens: 100})
+		}
+		ids, refusal := entry.placer.chooseCells(&r)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		return ids[0]
+	}
+	used := map[cell.ID]bool{}
+	for prompt := range uint64(prompts) {
+		id := first(prompt, 1)
+		used[id] = true
+		if other := first(prompt, 2); other != id {
+			t.Errorf("prompt %d goes to cell %s and %s", prompt, id, other)
+		}
+	}
+	if len(used) < cells {
+		t.Errorf("%d prompts go to %d of %d cells", prompts, len(used), cells)
+	}
+}
