Send the changes along with a comparison

Cause: found in reading: a response to a comparison named the position of the latest change and had only the hosts whose versions differ. That a host is suspect is no part of a version, so that the update was lost on this link, until the host refuted it or was gone. Change: the response has both. Measured: TestComparisonIncludesSuspects fails before.

--- a/internal/heartbeat/exchanger.go
+++ b/internal/heartbeat/exchanger.go
@@ -257,9 +257,9 @@
 	return resp
 }
 
-// addChanges adds the updates of hosts to the response to a heartbeat: those that
-// differ from the versions in the request, all, or those that have changed since the
-// last response. A daemon that has just started and knows no other one is sent a few
+// addChanges adds the updates of hosts to the response to a heartbeat: those that have
+// changed since the last response and those that differ from the versions in the
+// request, or all. A daemon that has just started and knows no other one is sent a few
 // hosts, and requests all from one of these: the seeds could not send them to a whole
 // fleet.
 func (x *Exchanger) addChanges(resp *peerv1.HeartbeatResponse, req *peerv1.HeartbeatRequest) {
@@ -268,7 +268,9 @@
 	resp.Position = uint64(upTo)
 	switch {
 	case len(req.GetVersions()) > 0:
-		updates, resp.Wanted = x.View.Difference(fromUint64s(req.GetVersions()))
+		var lacking []membership.Update
+		lacking, resp.Wanted = x.View.Difference(fromUint64s(req.GetVersions()))
+		updates = append(updates, lacking...)
 	case req.GetFull() && len(req.GetChanges()) == 0:
 		updates = x.View.Sample(maxJoinHosts)
 	case req.GetFull():
--- a/internal/heartbeat/link_test.go
+++ b/internal/heartbeat/link_test.go
@@ -43,6 +43,33 @@
 	}
 }
 
+// Guards against an update that a comparison leaves out: that a host is suspect is no
+// part of its version.
+func TestComparisonIncludesSuspects(t *testing.T) {
+	n := newNetwork(t, 3)
+	n.introduce()
+	a, b := n.nodes[0], n.nodes[1]
+	a.x.SendHeartbeat(context.Background(), b.view.Self())
+	a.view.Apply(membership.Update{Status: membership.Alive, Host: membership.Host{ID: "new", Incarnation: 1}})
+	call := a.x.Call
+	compared := false
+	a.x.Call = func(ctx context.Context, address string, req *peerv1.HeartbeatRequest) (*peerv1.HeartbeatResponse, error) {
+		if len(req.GetVersions()) > 0 {
+			compared = true
+			b.view.Suspect(n.nodes[2].view.Self().ID, n.nodes[2].view.Self().Incarnation)
+		}
+		req.Changes = nil
+		return call(ctx, address, req)
+	}
+	for range 5 {
+		a.x.SendHeartbeat(context.Background(), b.view.Self())
+		n.clock.Advance(heartbeat.Interval)
+	}
+	if _, suspect := a.view.SuspectOrGone(n.nodes[2].view.Self()); !compared || !suspect {
+		t.Errorf("compared: %v, knows the suspect: %v", compared, suspect)
+	}
+}
+
 // Guards against daemons that send all that they know because of one difference.
 func TestComparisonSendsDifferencesOnly(t *testing.T) {
 	const hosts, missing = 200, 3
