Give lists of all endpoints more time

A host of 0.12 cores takes a tenth of a second to send a list of thousands and longer to apply it, and 300 hosts ask at once: requests timed out after 300 ms and were repeated, and the first hosts of groups passed the reader's beacon on after 150 ms without the list, which sent their groups to the reader. Change: a daemon without endpoints waits 2 s for a list from a daemon that has reported one, and keeps a beacon back until it has it. TestListOfAllEndpointsMayTakeLong fails before on both counts.

--- a/internal/factsync/forwarding.go
+++ b/internal/factsync/forwarding.go
@@ -10,7 +10,9 @@
 )
 
 // forwardTimeout is how long a beacon is kept back until this daemon knows what the
-// beacon reports. A beacon that is forwarded later refers to its reader.
+// beacon reports. A beacon that is forwarded later refers to its reader. A daemon that
+// knows no endpoints yet keeps it back for listFetchTimeout: the reader could not send
+// a list of all endpoints to every host.
 const forwardTimeout = 150 * time.Millisecond
 
 // forwarding is a beacon that is kept back.
@@ -24,8 +26,12 @@
 // the beacon reports, so that the hosts can request it from here: a reader could
 // not answer a whole fleet.
 func (s *Syncer) forward(b *peerv1.Beacon, hosts []membership.Host) {
+	timeout := forwardTimeout
+	if s.Holder.Summary().Position == 0 {
+		timeout = listFetchTimeout
+	}
 	s.mu.Lock()
-	s.forwardings = append(s.forwardings, forwarding{b, hosts, s.Boot.Now() + forwardTimeout})
+	s.forwardings = append(s.forwardings, forwarding{b, hosts, s.Boot.Now() + timeout})
 	s.mu.Unlock()
 	s.forwardDue()
 }
--- a/internal/factsync/sim_test.go
+++ b/internal/factsync/sim_test.go
@@ -153,6 +153,9 @@
 	oneHigh int
 	// zones is the number of availability zones.
 	zones int
+	// sendRate is the rate in bytes per second at which each host sends configurations
+	// and lists of endpoints; zero if its link alone limits it.
+	sendRate float64
 	// listed are the hosts in the list that a daemon reads after listDelay while it
 	// knows no other host.
 	listed    []string
@@ -201,6 +204,9 @@
 }
 
 func (s *simSite) link(id membership.HostID) float64 {
+	if s.sendRate > 0 {
+		return s.sendRate
+	}
 	var i int
 	if _, err := fmt.Sscanf(string(id), hostName, &i); err == nil && slices.Contains(s.narrow, i) {
 		return narrowLink
--- a/internal/factsync/simnet_test.go
+++ b/internal/factsync/simnet_test.go
@@ -68,10 +68,14 @@
 	}
 	to.answered.Add(1)
 	resp := to.sync.Answer(req)
-	return resp, to.transmit(ctx, len(resp.GetConfig()))
+	return resp, to.transmit(ctx, len(resp.GetConfig())+endpointBytes*len(resp.GetEndpoints()))
 }
 
-// transmit waits until a configuration of n bytes has left the daemon's host.
+// endpointBytes is the size of an endpoint in a response.
+const endpointBytes = 64
+
+// transmit waits until n bytes of configurations and lists have left the daemon's
+// host.
 func (d *simDaemon) transmit(ctx context.Context, n int) error {
 	if n == 0 {
 		return nil
--- a/internal/factsync/sources.go
+++ b/internal/factsync/sources.go
@@ -66,6 +66,8 @@
 	address string
 	// withConfig is set if the response is expected to contain a configuration.
 	withConfig bool
+	// reported is set if the daemon has reported something newer.
+	reported bool
 }
 
 // next marks a request as in flight and returns its target; false if none is
@@ -87,7 +89,7 @@
 	}
 	address := candidates[pick(len(candidates))]
 	q.inFlight[address] = true
-	return fetchTarget{address: address, withConfig: q.known[address].versions.config > s.Config}, true
+	return fetchTarget{address: address, withConfig: q.known[address].versions.config > s.Config, reported: true}, true
 }
 
 // begin marks an unprompted request to a daemon as in flight; false if there
--- a/internal/factsync/start_test.go
+++ b/internal/factsync/start_test.go
@@ -1,12 +1,14 @@
 package factsync
 
 import (
+	"context"
 	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/beechhead/beechhead/internal/facts"
+	"github.com/beechhead/beechhead/internal/peer/peerv1"
 )
 
 const (
@@ -215,3 +217,38 @@
 		s.killAll()
 	})
 }
+
+// Guards against a request for a list of all endpoints that times out before a small
+// host has sent it, and against a beacon that refers all hosts to the reader because
+// the host that forwards it has no endpoints yet.
+func TestListOfAllEndpointsMayTakeLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const endpoints, listTime = 3000, time.Second
+		s := newStoppedSite(1, 3)
+		s.sendRate = endpoints * endpointBytes / listTime.Seconds()
+		reader, forwarder, other := s.daemon(0), s.daemon(1), s.daemon(2)
+		reader.dead, forwarder.dead = false, false
+		list := facts.EndpointUpdate{Whole: true, Position: endpoints, AsOf: 1}
+		for i := range endpoints {
+			list.Endpoints = append(list.Endpoints, facts.Endpoint{ID: facts.EndpointID(endpointKey(i)), Changed: facts.Position(i + 1)})
+		}
+		reader.holder.Merge(list)
+		forwarder.view.Observe(other.view.Self())
+		ctx, cancel := context.WithCancel(t.Context())
+		go forwarder.sync.Run(ctx)
+		forwarder.sync.OnBeacon(&peerv1.Beacon{Host: string(reader.id), Address: "0", Changed: endpoints, PassTo: []uint32{hostHash(other.id)}})
+		time.Sleep(listTime / 2)
+		if n := forwarder.sent.Load(); n > 0 {
+			t.Errorf("%d bytes of beacons were forwarded before the list arrived", n)
+		}
+		time.Sleep(listTime)
+		if got := forwarder.holder.Summary().Position; got != endpoints {
+			t.Errorf("position %d after the list was sent, want %d", got, endpoints)
+		}
+		if forwarder.sent.Load() == 0 {
+			t.Error("the beacon was not forwarded after the list arrived")
+		}
+		cancel()
+		time.Sleep(listFetchTimeout)
+	})
+}
--- a/internal/factsync/syncer.go
+++ b/internal/factsync/syncer.go
@@ -30,6 +30,10 @@
 	// take longer on a slow link.
 	fetchTimeout       = 300 * time.Millisecond
 	configFetchTimeout = time.Second
+	// listFetchTimeout bounds a request of a daemon that knows no endpoints to one
+	// that has reported some. A small host takes a tenth of a second for a list of
+	// thousands, and many hosts request one when a fleet starts.
+	listFetchTimeout = 2 * time.Second
 	// fetchAge is how old the facts may be before this daemon requests those of
 	// others, though none has reported newer ones.
 	fetchAge = time.Second
@@ -339,13 +343,16 @@
 }
 
 func (s *Syncer) fetchFrom(target fetchTarget) error {
+	sum := s.Holder.Summary()
 	timeout := fetchTimeout
-	if target.withConfig {
+	switch {
+	case sum.Position == 0 && target.reported:
+		timeout = listFetchTimeout
+	case target.withConfig:
 		timeout = configFetchTimeout
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	sum := s.Holder.Summary()
 	sent := s.Boot.Now()
 	resp, err := s.Fetch(ctx, target.address, &peerv1.FactsRequest{
 		ConfigVersion: uint64(sum.Config),
