Add a failing test of hosts cut off from the engines

Change: the dialer of endpoint connections is a field, so that a test can break the path of one daemon; a test breaks it in three ways at one and at two of three hosts. No logic is changed.

--- /dev/null
+++ b/internal/gateway/cutoff_test.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	// stabilityWindow is how long after a fault its effects are excused.
+	stabilityWindow = 3 * time.Second
+	// Hosts that are cut off from the engines may fail one in maxFailedOneIn of
+	// their requests.
+	maxFailedOneIn = 50
+)
+
+// firstTries sends n requests of each kind to each daemon, without a second
+// attempt, and returns how many were sent and served.
+func (s *testSite) firstTries(daemons []*testDaemon, n int) (sent, served int) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i := range n {
+		for _, d := range daemons {
+			for _, send := range []func() response{
+				func() response { return s.chatAlone(d, 500+i) },
+				func() response { return s.chat(d, "draft") },
+				func() response { return s.call(d, http.MethodPost, "/pay/x", nil, "p") },
+				func() response { return s.call(d, http.MethodGet, "/look/x", nil, "") },
+			} {
+				sent++
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					a := send()
+					mu.Lock()
+					defer mu.Unlock()
+					if a.err == nil && a.status == http.StatusOK {
+						served++
+					}
+				}()
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	wg.Wait()
+	return sent, served
+}
+
+// Guards against hosts that refuse requests because they have lost their path to
+// the engines, although other hosts reach the engines.
+func TestHostsCutOffFromTheEnginesServe(t *testing.T) {
+	for _, tc := range []struct {
+		cut   int
+		fault pathFault
+	}{{1, pathHangs}, {1, pathResets}, {1, pathRefusesNew}, {2, pathHangs}, {2, pathResets}} {
+		t.Run(fmt.Sprintf("%d of 3, path %s", tc.cut, tc.fault), func(t *testing.T) {
+			s := newTestSite(t, 3)
+			cutOff, others := s.daemons[:tc.cut], s.daemons[tc.cut:]
+			s.firstTries(s.daemons, 2)
+			for _, d := range cutOff {
+				d.path.Break(tc.fault)
+			}
+			s.firstTries(cutOff, 2)
+			time.Sleep(stabilityWindow)
+			s.closeIdle()
+			sent, served := s.firstTries(cutOff, 15)
+			if failed := sent - served; failed > sent/maxFailedOneIn {
+				t.Errorf("%d of %d requests failed at hosts that were cut off, want at most %d", failed, sent, sent/maxFailedOneIn)
+			}
+			if sent, served := s.firstTries(others, 5); served < sent {
+				t.Errorf("%d of %d requests served at the other hosts", served, sent)
+			}
+			s.checkPayments()
+		})
+	}
+}
+
+// closeIdle closes the daemons' idle connections to the engines, as engines do
+// after some seconds.
+func (s *testSite) closeIdle() {
+	for _, d := range s.daemons {
+		for _, e := range s.engines {
+			d.g.forwarder.Pool.CloseIdle(e.address)
+		}
+	}
+}
+
+// checkPayments checks that no payment ran more than once.
+func (s *testSite) checkPayments() {
+	s.t.Helper()
+	times := map[string]int{}
+	for _, e := range s.engines {
+		for _, r := range e.Runs() {
+			if strings.HasPrefix(r.Target, "/pay/") {
+				times[r.ID]++
+			}
+		}
+	}
+	for id, n := range times {
+		if n > 1 {
+			s.t.Errorf("payment %s ran %d times", id, n)
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,6 +87,8 @@
 	coordinator *cell.Coordinator
 	placer      *placement.Placer
 	forwarder   *forward.Forwarder
+	// dialEndpoint opens a connection to the address of an endpoint.
+	dialEndpoint func(ctx context.Context, address string) (net.Conn, error)
 	// duties is nil if there are none.
 	duties *duties
 
@@ -123,6 +125,8 @@
 		budgets:  map[table.Pool]*retrybudget.Budget{},
 		draining: make(chan struct{}),
 		busy:     make(chan struct{}, 1),
+
+		dialEndpoint: http1.Dial,
 	}
 	g.checks = tick.NewGrid(g.clock)
 	g.current.Store(s)
@@ -181,12 +185,13 @@
 		g.metrics.Inc("limits.changed")
 		g.logger.Info("endpoint limit", "endpoint", endpoint, "perSecond", perSecond)
 	}
+	dial := func(ctx context.Context, address string) (net.Conn, error) { return g.dialEndpoint(ctx, address) }
 	g.forwarder = &forward.Forwarder{
 		Clock:     g.clock,
 		BootClock: g.boot,
 		Logger:    g.logger,
 		Metrics:   g.metrics,
-		Pool:      http1.NewPool(g.clock, http1.Dial),
+		Pool:      http1.NewPool(g.clock, dial),
 		Protocol:  wire.EngineProtocol(),
 		Reserve:   g.reserve,
 		Usable:    g.usable,
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -54,6 +54,7 @@
 type testDaemon struct {
 	ip     string
 	g      *Gateway
+	path   *enginePath
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -124,6 +125,8 @@
 		s.change(conf, &standin.Document{Services: []map[string]any{{}}})
 	}
 	d.g = New(conf, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	d.path = &enginePath{dial: d.g.dialEndpoint}
+	d.g.dialEndpoint = d.path.Dial
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	go func() {
