Probe connections to endpoints

Cause: connections to engines had a TCP_USER_TIMEOUT and no keep-alive probes, so that the loss of an idle one was found by the request that was sent on it; and a user timeout of 1.2 s would end the connections of an engine that stands still for a second. Change: probes each second, and a user timeout of 2.5 s, which decides when they give up: one lost probe is borne, and an idle connection that hangs is closed within 3 s. Considered: 1.2 s with probes, which gives up after a single lost probe; probes without user timeout, which leaves sent data to the kernel's retransmissions.

--- a/internal/http1/dial.go
+++ b/internal/http1/dial.go
@@ -11,24 +11,50 @@
 
 // Timeouts of connections to endpoints.
 const (
-	// dialTimeout bounds opening a connection. Endpoints are a few milliseconds
+	// DialTimeout bounds opening a connection. Endpoints are a few milliseconds
 	// away; if one does not answer within this time, the request can go to
 	// another endpoint while the caller's latency target can still be met.
-	dialTimeout = 300 * time.Millisecond
-	// tcpUserTimeout closes a connection whose sent data is not acknowledged,
-	// because the endpoint's machine has failed or is unreachable. It leaves
-	// time for two or three retransmissions of lost packets.
-	tcpUserTimeout = 1200 * time.Millisecond
+	DialTimeout = 300 * time.Millisecond
+	// keepAliveTime is the time without data after which a connection is probed,
+	// and the interval between probes.
+	keepAliveTime = time.Second
+	// tcpUserTimeout closes a connection whose data or probes are not
+	// acknowledged, because the endpoint's machine has failed or is unreachable.
+	// A connection without data in transit outlives the loss of one probe, and
+	// one with data a machine that stands still for a second.
+	tcpUserTimeout = 2500 * time.Millisecond
+	// maxProbes is above the number of probes within tcpUserTimeout, which
+	// therefore decides.
+	maxProbes = 5
 )
 
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveTime, Interval: keepAliveTime, Count: maxProbes}
+
 // Dial opens a connection to an endpoint.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
-		Timeout:   dialTimeout,
-		KeepAlive: -1,
+		Timeout:         DialTimeout,
+		KeepAliveConfig: keepAlive,
 		Control: func(_, _ string, c syscall.RawConn) error {
 			return endpoint.SetUserTimeout(c, tcpUserTimeout)
 		},
 	}
 	return dialer.DialContext(ctx, "tcp", address)
 }
+
+// DetectLoss makes a connection that was accepted detect the loss of its peer as
+// the connections of Dial do.
+func DetectLoss(c net.Conn) error {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	if err := tcp.SetKeepAliveConfig(keepAlive); err != nil {
+		return err
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return endpoint.SetUserTimeout(raw, tcpUserTimeout)
+}
