Reach endpoints through other daemons when the own path is lost

A daemon took its own view for the state of the engines: it tried one engine after the other over a path that no connection had, and asked nobody, though other hosts reached every engine. Change: a connection that is not open after 100 ms, or is refused, is opened through another daemon as well (HTTP CONNECT on the peer port, one hop, registered addresses only); the first that succeeds is used. Decisions, headers and the last look before a request is written stay where the caller is. The carried response has frames, so that the end of the carrier is not the end of a response. That an engine's machine refuses connections counts only when others confirm it; failures over a lost path are not held against the engine at its coordinator. A daemon that leaves waits for its tunnels. Evidence: TestHostsCutOffFromTheEnginesServe failed before, 60 of 60 and 120 of 120 requests in each of five cases, and passes.

--- a/internal/forward/disconnect_test.go
+++ b/internal/forward/disconnect_test.go
@@ -44,6 +44,7 @@
 		Protocol:   testWire,
 		Reserve:    s.reserve(s.placer()),
 		Usable:     func(*table.Endpoint) bool { return true },
+		PathLost:   func(string) bool { return false },
 		Budget:     func(table.Pool) Budget { return &fixedBudget{} },
 		Quarantine: quarantine.NewList(clockwork.NewRealClock()),
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -140,6 +140,9 @@
 	// Usable reports whether, as far as this daemon knows, an endpoint still
 	// accepts work.
 	Usable func(e *table.Endpoint) bool
+	// PathLost reports whether an endpoint's address is reached only through other
+	// daemons, so that a failure there says nothing about the endpoint.
+	PathLost func(address string) bool
 	// Quarantine lists the requests during which endpoints have terminated.
 	Quarantine *quarantine.List
 	// Budget returns the retry budget of a pool.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -237,6 +237,7 @@
 		Protocol:  testWire,
 		Reserve:   s.reserve(s.placer()),
 		Usable:    tt.usable(),
+		PathLost:  func(string) bool { return false },
 		Budget:    func(table.Pool) Budget { return &fixedBudget{left: tt.Budget} },
 
 		Quarantine: quarantine.NewList(clockwork.NewRealClock()),
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -47,6 +47,9 @@
 	// begun reports whether the endpoint of the current attempt has begun to run
 	// the request.
 	begun bool
+	// via is the address of the daemon through which the current attempt was
+	// sent; "" if it was sent directly.
+	via string
 	// headSent reports whether the head of a response was forwarded.
 	headSent bool
 	// lastEvent is the id of the last event that the caller has received.
@@ -139,7 +142,7 @@
 		r.recordLate(grant, pause, at)
 	}
 	if r.req.Logged {
-		r.f.Logger.Info("answered", "request", r.req.ID, "class", r.req.Class, "endpoint", grant.Endpoint.Name,
+		r.f.Logger.Info("answered", "request", r.req.ID, "class", r.req.Class, "endpoint", grant.Endpoint.Name, "via", r.via,
 			"attempts", r.mayHaveRun+r.notRun+1, "events", r.events, "firstEventMs", r.firstEvent.Milliseconds(),
 			"longestPauseMs", pause.Milliseconds(), "longestPauseEvent", at, "tookMs", took.Milliseconds())
 	}
@@ -181,7 +184,7 @@
 		r.f.Metrics.Inc("attempts.endpointEnded")
 		r.f.Quarantine.RecordTermination(r.req.Fingerprint, grant.Endpoint.Name)
 	}
-	r.f.Logger.Info("attempt failed", "request", r.req.ID, "class", r.req.Class, "endpoint", grant.Endpoint.Name,
+	r.f.Logger.Info("attempt failed", "request", r.req.ID, "class", r.req.Class, "endpoint", grant.Endpoint.Name, "via", r.via,
 		"fingerprint", r.req.Fingerprint.String(), "coordinator", grant.Coordinator(),
 		"reason", e.reason, "mayHaveRun", e.mayHaveRun, "endpointEnded", e.terminated, "events", r.events,
 		"sinceBeginMs", r.f.Clock.Since(r.began).Milliseconds(), "cause", e.err.Error())
@@ -345,7 +348,7 @@
 
 // attempt sends the request to one endpoint and forwards the response.
 func (r *run) attempt(ctx context.Context, grant *placement.Grant) attemptResult {
-	r.begun = false
+	r.begun, r.via = false, ""
 	left := r.req.Deadline - r.f.BootClock.Now()
 	endpoint := &grant.Endpoint
 	send := Attempt{Request: r.req, Endpoint: endpoint, TimeRemaining: left, LastEvent: r.lastEvent}
@@ -369,8 +372,13 @@
 		return attemptResult{err: err, reason: outcome.ReasonConnect, report: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE}
 	}
 	if err != nil {
-		return attemptResult{err: err, reason: outcome.ReasonConnect, report: peerv1.ReleaseOutcome_RELEASE_OUTCOME_ENDPOINT_FAILED}
+		report := peerv1.ReleaseOutcome_RELEASE_OUTCOME_ENDPOINT_FAILED
+		if errors.Is(err, http1.ErrUnconfirmed) {
+			report = peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE
+		}
+		return attemptResult{err: err, reason: outcome.ReasonConnect, report: report}
 	}
+	r.via = x.Via()
 	stop := context.AfterFunc(ctx, x.Abort)
 	defer stop()
 	e := r.readResponse(ctx, x, grant)
@@ -385,6 +393,9 @@
 			r.f.Pool.CloseIdle(address(endpoint))
 		}
 		e.terminated = r.terminated(ctx, e, endpoint)
+		if e.mayHaveRun && !e.terminated && r.f.PathLost(address(endpoint)) {
+			e.report = peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE
+		}
 	}
 	return e
 }
--- a/internal/forward/unknown_class_test.go
+++ b/internal/forward/unknown_class_test.go
@@ -27,6 +27,7 @@
 			Logger:    slog.New(slog.NewTextHandler(io.Discard, nil)),
 			Metrics:   metric.NewRegistry(),
 			Usable:    func(*table.Endpoint) bool { return true },
+			PathLost:  func(string) bool { return false },
 			Reserve: func(context.Context, placement.Request) (*placement.Grant, error) {
 				if asked++; asked <= unknown {
 					return nil, outcome.NotRunError(outcome.ReasonUnknownClass, "the class is not known")
--- a/internal/gateway/cutoff_test.go
+++ b/internal/gateway/cutoff_test.go
@@ -105,3 +105,26 @@
 		}
 	}
 }
+
+// Guards against a planned stop that cuts off the streams of another host, which
+// reaches the engines only through the host that stops.
+func TestLeavingHostCompletesTheStreamsOfOthers(t *testing.T) {
+	s := newTestSite(t, 2)
+	for _, e := range s.engines {
+		e.Events, e.Delay = 30, 50*time.Millisecond
+	}
+	cutOff, leaving := s.daemons[0], s.daemons[1]
+	cutOff.path.Break(pathResets)
+	answers := make(chan response, 4)
+	for range cap(answers) {
+		go func() { answers <- s.chat(cutOff, "draft") }()
+	}
+	s.await("the streams run", func() bool { return leaving.g.tunnels.Open() >= cap(answers) })
+	leaving.g.Drain()
+	for range cap(answers) {
+		if a := <-answers; a.err != nil || a.body != fullStream(a.id, 30) {
+			t.Errorf("status %d, %d bytes, %v", a.status, len(a.body), a.err)
+		}
+	}
+	<-leaving.done
+}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -51,10 +51,27 @@
 	// planned has the endpoints of the plan.
 	planned  map[facts.EndpointID]*cell.Member
 	draining int
+	// addresses has the number of planned endpoints by URL.
+	addresses map[string]int
 }
 
 func newEndpointPlan(region string, cellSize int) *endpointPlan {
-	return &endpointPlan{region: region, plan: cell.EmptyPlan(cellSize), planned: map[facts.EndpointID]*cell.Member{}}
+	return &endpointPlan{
+		region: region, plan: cell.EmptyPlan(cellSize),
+		planned: map[facts.EndpointID]*cell.Member{}, addresses: map[string]int{},
+	}
+}
+
+// hasAddress reports whether an endpoint of the plan has the address.
+func (p *endpointPlan) hasAddress(address string) bool { return p.addresses[endpointURL(address)] > 0 }
+
+func endpointURL(address string) string { return "http://" + address }
+
+// countAddress adds n to the number of endpoints at a URL.
+func (p *endpointPlan) countAddress(url string, n int) {
+	if p.addresses[url] += n; p.addresses[url] == 0 {
+		delete(p.addresses, url)
+	}
 }
 
 // update applies a configuration and the state of the changed endpoints.
@@ -94,6 +111,9 @@
 	if before != nil && (next == nil || next.Name != before.Name || next.Pool != before.Pool) {
 		changes = append(changes, cell.Change{Member: before, Removed: true})
 	}
+	if before != nil {
+		p.countAddress(before.URL, -1)
+	}
 	if before != nil && before.Draining {
 		p.draining--
 	}
@@ -102,6 +122,7 @@
 		return changes
 	}
 	p.planned[id] = next
+	p.countAddress(next.URL, 1)
 	if next.Draining {
 		p.draining++
 	}
@@ -119,7 +140,7 @@
 		Name:         e.Name(),
 		Kind:         table.KindService,
 		Pool:         e.Pool,
-		URL:          "http://" + e.Address,
+		URL:          endpointURL(e.Address),
 		Region:       p.region,
 		Zone:         e.Zone,
 		Concurrency:  max(1, e.Slots),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,6 +39,7 @@
 	"github.com/beechhead/beechhead/internal/settings"
 	"github.com/beechhead/beechhead/internal/storetime"
 	"github.com/beechhead/beechhead/internal/tick"
+	"github.com/beechhead/beechhead/internal/tunnel"
 	"github.com/beechhead/beechhead/pkg/table"
 
 	wire "github.com/beechhead/beechhead/platform"
@@ -89,6 +90,8 @@
 	forwarder   *forward.Forwarder
 	// dialEndpoint opens a connection to the address of an endpoint.
 	dialEndpoint func(ctx context.Context, address string) (net.Conn, error)
+	dialer       *tunnel.Dialer
+	tunnels      *tunnel.Server
 	// duties is nil if there are none.
 	duties *duties
 
@@ -185,16 +188,17 @@
 		g.metrics.Inc("limits.changed")
 		g.logger.Info("endpoint limit", "endpoint", endpoint, "perSecond", perSecond)
 	}
-	dial := func(ctx context.Context, address string) (net.Conn, error) { return g.dialEndpoint(ctx, address) }
+	g.buildTunnels()
 	g.forwarder = &forward.Forwarder{
 		Clock:     g.clock,
 		BootClock: g.boot,
 		Logger:    g.logger,
 		Metrics:   g.metrics,
-		Pool:      http1.NewPool(g.clock, dial),
+		Pool:      http1.NewPool(g.clock, g.dialer.Dial),
 		Protocol:  wire.EngineProtocol(),
 		Reserve:   g.reserve,
 		Usable:    g.usable,
+		PathLost:  g.dialer.IsLost,
 		Budget:    g.retryBudget,
 		OnBegun:   func(r *forward.Request) { g.countBegun(r.Account) },
 
@@ -223,7 +227,8 @@
 		ErrorLog:          slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug),
 	}
 	g.peerServer = g.newPeerServer()
-	g.peerHTTP = peer.NewHTTPServer(g.peerServer.Handler(), nil)
+	g.peerHTTP = peer.NewHTTPServer(g.tunnels.Wrap(g.peerServer.Handler()), nil)
+	g.peerHTTP.Protocols.SetHTTP1(true) // for tunnels
 	g.peerHTTP.ErrorLog = slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug)
 }
 
@@ -347,4 +352,5 @@
 	g.coordinator.Tick(g.view.Ready(), g.placer.Suspects())
 	g.cells.DropOrphans()
 	g.placer.Tick()
+	g.leaveTunnels()
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -51,6 +51,8 @@
 	g.metrics.Set("cells.coordinated", int64(len(cells)))
 	g.metrics.Set("endpoints.limited", limitedEndpoints(cells))
 	g.metrics.Set("quarantine.requests", int64(g.suspects.QuarantinedCount()))
+	g.metrics.Set("tunnels.open", int64(g.tunnels.Open()))
+	g.metrics.Set("endpoints.cutOff", boolGauge(g.dialer.IsCutOff()))
 	g.metrics.Set("requests.inProgress", g.inProgress.Load())
 	g.metrics.Set("connections.opened", g.forwarder.Pool.Opened.Load())
 	g.metrics.Set("log.requestsLeftOut", g.sampler.LeftOut())
@@ -80,3 +82,11 @@
 	}
 	return age.Milliseconds()
 }
+
+// boolGauge returns 1 for true.
+func boolGauge(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -58,7 +58,7 @@
 	if err := g.callerHTTP.Shutdown(stopped); err != nil {
 		g.logger.Warn("requests are cut off", "inProgress", g.inProgress.Load(), "error", err)
 	}
-	for g.inProgress.Load() > 0 && stopped.Err() == nil {
+	for (g.inProgress.Load() > 0 || g.tunnels.Open() > 0) && stopped.Err() == nil {
 		g.wait(ctx, leavePollInterval)
 	}
 	if g.duties != nil {
--- /dev/null
+++ b/internal/gateway/tunnels.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/beechhead/beechhead/internal/http1"
+	"github.com/beechhead/beechhead/internal/membership"
+	"github.com/beechhead/beechhead/internal/tunnel"
+)
+
+// purgeInterval is the minimum time between two closures of all idle connections.
+// If only some of the endpoints are lost, this daemon counts as cut off again and
+// again.
+const purgeInterval = 10 * time.Second
+
+// buildTunnels creates both sides of the tunnels to endpoints through other
+// daemons.
+func (g *Gateway) buildTunnels() {
+	direct := func(ctx context.Context, address string) (net.Conn, error) { return g.dialEndpoint(ctx, address) }
+	var purgedAt atomic.Int64
+	g.dialer = &tunnel.Dialer{
+		Clock:    g.clock,
+		Direct:   direct,
+		DialHost: http1.Dial,
+		Hosts:    func() []membership.Host { return tunnel.Candidates(g.view.Ready(), g.view.Self()) },
+		Region:   g.conf().Region,
+		Zone:     g.conf().Zone,
+		OnLost: func(address, via string) {
+			g.logger.Warn("endpoint reached only through another daemon", "address", address, "via", via)
+			g.forwarder.Pool.CloseIdle(address)
+		},
+		OnCutOff: func(cutOff bool) {
+			if !cutOff {
+				g.logger.Info("path to endpoints regained")
+				return
+			}
+			g.metrics.Inc("endpoints.cutOffs")
+			g.logger.Warn("path to endpoints lost")
+			if now := g.clock.Now().UnixNano(); now-purgedAt.Load() >= int64(purgeInterval) {
+				purgedAt.Store(now)
+				g.forwarder.Pool.CloseIdleIf(func(via string) bool { return via == "" })
+			}
+		},
+		Count: g.metrics.Inc,
+	}
+	g.tunnels = &tunnel.Server{
+		Dial:       direct,
+		IsEndpoint: g.isEndpointAddress,
+		HasPath:    func() bool { return !g.leaving() && !g.dialer.IsCutOff() },
+		Count:      g.metrics.Inc,
+	}
+}
+
+// isEndpointAddress reports whether an endpoint is registered at an address.
+func (g *Gateway) isEndpointAddress(address string) bool {
+	g.applyMu.Lock()
+	defer g.applyMu.Unlock()
+	return g.endpoints.hasAddress(address)
+}
+
+// leaveTunnels closes idle connections through daemons that leave, which wait for
+// their tunnels to end.
+func (g *Gateway) leaveTunnels() {
+	if !g.dialer.UsesTunnels() {
+		return
+	}
+	ready := g.view.Ready()
+	g.forwarder.Pool.CloseIdleIf(func(via string) bool { return via != "" && !ready.HasPeer(via) })
+}
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -157,6 +157,10 @@
 // one.
 func (x *Exchange) Reused() bool { return x.conn.reused }
 
+// Via returns the address of the daemon that carries the connection; "" if it is
+// a direct one.
+func (x *Exchange) Via() string { return x.conn.via() }
+
 // SetReadTimeout sets the timeout for reading from now on; zero means none.
 func (x *Exchange) SetReadTimeout(d time.Duration) {
 	var deadline time.Time
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -17,8 +17,20 @@
 	"github.com/jonboulle/clockwork"
 )
 
-// ErrNotSent means that no byte of the request was written to the endpoint.
-var ErrNotSent = errors.New("not sent")
+var (
+	// ErrNotSent means that no byte of the request was written to the endpoint.
+	ErrNotSent = errors.New("not sent")
+	// ErrUnconfirmed means that the endpoint was not reached, and that no other
+	// daemon could say whether it is reachable.
+	ErrUnconfirmed = errors.New("not confirmed by another daemon")
+)
+
+// dialError is an ErrNotSent with the error of opening the connection.
+type dialError struct{ cause error }
+
+func (e *dialError) Error() string        { return e.cause.Error() + ": " + ErrNotSent.Error() }
+func (e *dialError) Is(target error) bool { return target == ErrNotSent }
+func (e *dialError) Unwrap() error        { return e.cause }
 
 const (
 	// defaultIdleTimeout is how long an idle connection is kept if the endpoint
@@ -67,6 +79,15 @@
 	expiresAt time.Time
 }
 
+// via returns the address of the daemon that carries the connection; "" if it is
+// a direct one.
+func (c *conn) via() string {
+	if carried, ok := c.Conn.(interface{ Via() string }); ok {
+		return carried.Via()
+	}
+	return ""
+}
+
 // take removes an idle connection to the address that appears intact from the
 // pool and returns it, or nil if there is none.
 func (p *Pool) take(address string) *conn {
@@ -166,10 +187,33 @@
 	}
 }
 
+// CloseIdleIf closes the idle connections for which drop returns true; via is the
+// address of the daemon that carries a connection, or "".
+func (p *Pool) CloseIdleIf(drop func(via string) bool) {
+	var dropped []*conn
+	p.mu.Lock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if drop(c.via()) {
+				dropped = append(dropped, c)
+			} else {
+				kept = append(kept, c)
+			}
+		}
+		clear(list[len(kept):])
+		p.idle[address] = kept
+	}
+	p.mu.Unlock()
+	for _, c := range dropped {
+		_ = c.Close()
+	}
+}
+
 func (p *Pool) dialConn(ctx context.Context, address string) (*conn, error) {
 	c, err := p.dial(ctx, address)
 	if err != nil {
-		return nil, errors.Wrap(ErrNotSent, err.Error())
+		return nil, &dialError{cause: err}
 	}
 	return p.newConn(c), nil
 }
