Do not bring brittle engines down

Engines that say Server-Brittle: N terminate when they have to turn away more than N requests within a second, and have less room than they registered; nothing read the header, so that each was sent as many as it had registered, and refusals only moved the load on to the next one. Change: the announcement reaches the coordinator of the engine's cell by the way of rate limits. The coordinator grants such an engine a request only if it would bear the refusal of all that it may still refuse, together with those of the last 1.25 s; its room falls to what it ran when it refused, and grows by one a second while it is full. Such refusals are no failures of the engine. The announcement ends with a response that does not have it. Each host with a share of N was not tried: at 13 hosts a share of 2 is none.

--- a/internal/cell/convert.go
+++ b/internal/cell/convert.go
@@ -103,7 +103,9 @@
 		Tokens:      int(r.GetTokens()),
 		Done:        r.GetOutcome() == peerv1.ReleaseOutcome_RELEASE_OUTCOME_DONE,
 		Failed:      failed(r.GetOutcome()),
+		Refused:     r.GetOutcome() == peerv1.ReleaseOutcome_RELEASE_OUTCOME_REFUSED_BY_ENDPOINT,
 		NoRateLimit: r.GetUnlimited(),
+		NotBrittle:  r.GetSturdy(),
 	}
 }
 
--- a/internal/cell/session.go
+++ b/internal/cell/session.go
@@ -148,7 +148,9 @@
 	}
 	for _, l := range req.GetLimits() {
 		age := time.Duration(l.GetAgeMs()) * time.Millisecond
-		c.cell(ID(l.GetCell())).SetRateLimit(schedule.Endpoint(l.GetEndpoint()), l.GetPerSecond(), age)
+		cell, name := c.cell(ID(l.GetCell())), schedule.Endpoint(l.GetEndpoint())
+		cell.SetRateLimit(name, l.GetPerSecond(), age)
+		cell.SetBrittle(name, int(l.GetRefusalsPerSecond()), age)
 	}
 	for _, p := range req.GetProgress() {
 		c.cell(ID(p.GetCell())).Progress(s.id(p.GetSequence()), progress(p))
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -58,7 +58,7 @@
 		return failedResult(readFailureReason(ctx, err), err)
 	}
 	verdict := r.f.Protocol.ReadHead(resp.StatusCode, resp.Header)
-	grant.RecordLimit(verdict.Limit)
+	grant.RecordAnnouncement(verdict.Announcement)
 	if verdict.NotRun {
 		r.discard(x, resp)
 		return attemptResult{
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -101,8 +101,8 @@
 	NotRun bool
 	// Signed reports whether the response carries the endpoint's signature.
 	Signed bool
-	// Limit is the request rate limit that the endpoint announces.
-	Limit placement.Limit
+	// Announcement is what the endpoint announces about its use.
+	Announcement placement.Announcement
 }
 
 // Protocol implements the headers and status codes of the protocol that endpoints
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -184,9 +184,9 @@
 		}
 		g.logger.Warn("coordinator lost", "coordinator", host)
 	}
-	g.placer.OnLimit = func(endpoint table.EndpointName, perSecond float64) {
+	g.placer.OnLimit = func(endpoint table.EndpointName, perSecond float64, refusalsPerSecond int) {
 		g.metrics.Inc("limits.changed")
-		g.logger.Info("endpoint limit", "endpoint", endpoint, "perSecond", perSecond)
+		g.logger.Info("endpoint limit", "endpoint", endpoint, "perSecond", perSecond, "refusalsPerSecond", refusalsPerSecond)
 	}
 	g.buildTunnels()
 	g.forwarder = &forward.Forwarder{
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -36,33 +36,64 @@
 	return Limit{Known: true, PerSecond: max(perSecond, minLimit)}
 }
 
+// Brittleness is the number of requests that an endpoint can turn away without
+// terminating, as advertised in a response.
+type Brittleness struct {
+	// Known is false if the response has no information about it.
+	Known bool
+	// RefusalsPerSecond is zero if the endpoint is not brittle.
+	RefusalsPerSecond int
+}
+
+// Announcement is what a response says about how its endpoint may be used.
+type Announcement struct {
+	Limit       Limit
+	Brittleness Brittleness
+}
+
 // observedLimit is the limit that an endpoint advertised to this daemon.
 type observedLimit struct {
-	cell      cell.ID
-	perSecond float64
-	at        time.Time
+	cell cell.ID
+	// perSecond and refusalsPerSecond are zero if the endpoint advertised no such
+	// limit.
+	perSecond         float64
+	refusalsPerSecond int
+	at                time.Time
 }
 
-// RecordLimit records the limit that a response of the endpoint advertises.
-func (g *Grant) RecordLimit(l Limit) {
-	if !l.Known {
+// sameAs reports whether two limits are equal, whenever they were advertised.
+func (o observedLimit) sameAs(other observedLimit) bool {
+	return o.perSecond == other.perSecond && o.refusalsPerSecond == other.refusalsPerSecond
+}
+
+// RecordAnnouncement records what a response of the endpoint announces.
+func (g *Grant) RecordAnnouncement(a Announcement) {
+	if !a.Limit.Known && !a.Brittleness.Known {
 		return
 	}
 	p := g.placer
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	name := g.Endpoint.Name
-	old, known := p.limits[name]
-	g.unlimited = l.PerSecond == 0
-	if g.unlimited {
+	old := p.limits[name]
+	seen := old
+	seen.cell, seen.at = cell.ID(g.pending.reserve.GetCell()), p.clock.Now()
+	if a.Limit.Known {
+		seen.perSecond = a.Limit.PerSecond
+		g.unlimited = a.Limit.PerSecond == 0
+	}
+	if a.Brittleness.Known {
+		seen.refusalsPerSecond = a.Brittleness.RefusalsPerSecond
+		g.sturdy = a.Brittleness.RefusalsPerSecond == 0
+	}
+	if seen.sameAs(observedLimit{}) {
 		delete(p.limits, name)
 	} else {
-		seen := observedLimit{cell: cell.ID(g.pending.reserve.GetCell()), perSecond: l.PerSecond, at: p.clock.Now()}
 		p.limits[name] = seen
-		p.sendLimit(g.pending.host.ID, name, seen, old.perSecond != l.PerSecond)
+		p.sendLimit(g.pending.host.ID, name, seen, !seen.sameAs(old))
 	}
-	if known != (l.PerSecond > 0) || old.perSecond != l.PerSecond {
-		p.OnLimit(name, l.PerSecond)
+	if !seen.sameAs(old) {
+		p.OnLimit(name, seen.perSecond, seen.refusalsPerSecond)
 	}
 }
 
@@ -105,7 +136,9 @@
 		Cell:      string(seen.cell),
 		Endpoint:  string(name),
 		PerSecond: seen.perSecond,
-		AgeMs:     uint32(min(p.clock.Since(seen.at)/time.Millisecond, math.MaxUint32)),
+
+		RefusalsPerSecond: uint32(seen.refusalsPerSecond),
+		AgeMs:             uint32(min(p.clock.Since(seen.at)/time.Millisecond, math.MaxUint32)),
 	}
 }
 
--- a/internal/placement/limits_test.go
+++ b/internal/placement/limits_test.go
@@ -98,7 +98,7 @@
 	if c.perSecond > 0 {
 		limit = AdvertisedLimit(c.perSecond)
 	}
-	done.grant.RecordLimit(limit)
+	done.grant.RecordAnnouncement(Announcement{Limit: limit})
 	done.grant.Release(released)
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -76,8 +76,9 @@
 	// again.
 	OnReachabilityChange func(host membership.HostID, reached bool)
 	// OnLimit is called, with the placer's lock held, when an endpoint
-	// advertises a changed limit, in requests per second; zero means none.
-	OnLimit func(endpoint table.EndpointName, perSecond float64)
+	// advertises a changed limit, in requests or refused requests per second;
+	// zero means none.
+	OnLimit func(endpoint table.EndpointName, perSecond float64, refusalsPerSecond int)
 
 	mu       sync.Mutex
 	sequence uint64
@@ -143,7 +144,7 @@
 		policy:               policy,
 		OnShareChange:        func(int) {},
 		OnReachabilityChange: func(membership.HostID, bool) {},
-		OnLimit:              func(table.EndpointName, float64) {},
+		OnLimit:              func(table.EndpointName, float64, int) {},
 		ranking:              cell.NewRanking(),
 		links:                map[membership.HostID]*hostLink{},
 		suspects:             map[membership.HostID]*suspicion{},
--- a/internal/schedule/endpoint.go
+++ b/internal/schedule/endpoint.go
@@ -21,6 +21,7 @@
 	load      loadReport
 	health    health
 	limit     rateLimit
+	brittle   brittleness
 	// removed reports whether the endpoint was removed from the configuration.
 	removed bool
 }
@@ -91,7 +92,7 @@
 		return false
 	}
 	limit := e.health.grantLimit(e.policy.Concurrency, now)
-	if e.Running >= limit {
+	if e.Running >= limit || !e.brittle.admits(e.Running, now) {
 		return false
 	}
 	return e.Running == 0 || e.Running+e.foreign(now) < limit
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -188,6 +188,7 @@
 	}
 	c.startGrant(e, to, now)
 	c.consume(&to.limit, now)
+	to.brittle.granted(e.request.ID, now)
 	c.prefixes.put(e.request.Prefix, to, now)
 	c.decide(d)
 }
--- a/internal/schedule/request.go
+++ b/internal/schedule/request.go
@@ -171,12 +171,21 @@
 	if r.NoRateLimit {
 		c.removeLimit(e)
 	}
+	if r.NotBrittle {
+		c.removeBrittle(e)
+	}
 	c.recycle(e)
 }
 
 // recordOutcome updates the endpoint's health and the length estimates, and
 // corrects the work that was charged by estimate.
 func (c *Cell) recordOutcome(e *entry, r Report, now time.Duration) {
+	brittle := &e.endpoint.brittle
+	if r.Refused && brittle.isActive() {
+		brittle.refused(e.request.ID, e.endpoint.Running, now)
+		return
+	}
+	brittle.accepted(e.request.ID, e.endpoint.Running+1, e.endpoint.policy.Concurrency, now)
 	if r.Failed {
 		c.recordFailure(e.endpoint, e.Granted, now)
 	} else if r.Tokens > 0 || r.Done {
@@ -204,6 +213,7 @@
 	}
 	now := c.now()
 	c.recordSuccess(e.endpoint, now)
+	e.endpoint.brittle.accepted(id, e.endpoint.Running, e.endpoint.policy.Concurrency, now)
 	c.recordSpeed(e, p, now)
 	c.pool.RecordFirstToken(&e.endpoint.Engine, &e.RequestState, now)
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -155,6 +155,11 @@
 	Done bool
 	// Failed reports whether the endpoint failed the request.
 	Failed bool
+	// Refused reports whether the endpoint has turned the request away.
+	Refused bool
+	// NotBrittle reports whether the endpoint sent a response that does not state
+	// that it is brittle.
+	NotBrittle bool
 	// NoRateLimit reports whether the endpoint sent a response that states no
 	// rate limit.
 	NoRateLimit bool
--- a/internal/schedule/script_test.go
+++ b/internal/schedule/script_test.go
@@ -107,6 +107,7 @@
 		s.cell.Release(s.id(args[0]), Report{
 			FirstToken: s.duration(args, "first"), Duration: s.duration(args, "duration"), Tokens: s.number(args, "tokens"),
 			Done: s.has(args, "done"), Failed: s.has(args, "failed"), NoRateLimit: s.has(args, "unlimited"),
+			Refused: s.has(args, "refused"), NotBrittle: s.has(args, "sturdy"),
 		})
 	case "progress":
 		s.cell.Progress(s.id(args[0]), Progress{
@@ -114,6 +115,8 @@
 		})
 	case "named":
 		s.cell.SetRateLimit(Endpoint(args[0]), float64(s.number(args, "perSecond")), s.duration(args, "age"))
+	case "brittle":
+		s.cell.SetBrittle(Endpoint(args[0]), s.number(args, "perSecond"), s.duration(args, "age"))
 	case "load":
 		s.cell.ObserveLoad(Endpoint(args[0]), Load{Running: s.number(args, "running"), Waiting: s.number(args, "waiting")})
 	case "loadFailed":
