Leave engines alone that say that they leave

Hosts learned that an engine leaves from its registration only; while the store is away, that is never. No code read Server-Leaving, so an engine that said so in each answer got as much as before. Change: what an engine says of itself binds the host that was told until the engine's next start: places there are given back, and the last look before a request is written refuses it. The coordinator of the engine's cell is told by the way of limits and treats it as draining for all. A host that carries a response for another one through a tunnel reads its head and is bound as well. Considered: telling the coordinator alone, which does not bind a host whose coordinator changes or that is cut off from it; and dropping the notice after a while, which the rule does not allow.

--- a/internal/cell/session.go
+++ b/internal/cell/session.go
@@ -151,6 +151,9 @@
 		cell, name := c.cell(ID(l.GetCell())), schedule.Endpoint(l.GetEndpoint())
 		cell.SetRateLimit(name, l.GetPerSecond(), age)
 		cell.SetBrittle(name, int(l.GetRefusalsPerSecond()), age)
+		if l.GetLeaving() {
+			cell.SetLeaving(name)
+		}
 	}
 	for _, p := range req.GetProgress() {
 		c.cell(ID(p.GetCell())).Progress(s.id(p.GetSequence()), progress(p))
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -140,6 +140,8 @@
 	// Usable reports whether, as far as this daemon knows, an endpoint still
 	// accepts work.
 	Usable func(e *table.Endpoint) bool
+	// Notices has what endpoints have told this daemon.
+	Notices *Notices
 	// PathLost reports whether an endpoint's address is reached only through other
 	// daemons, so that a failure there says nothing about the endpoint.
 	PathLost func(address string) bool
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -216,7 +216,7 @@
 			grant.Release(placement.Report{Outcome: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE})
 			return nil, refusal
 		}
-		if r.f.Usable(&grant.Endpoint) {
+		if r.usable(&grant.Endpoint) {
 			r.recordPlaced(grant)
 			return grant, nil
 		}
@@ -444,12 +444,18 @@
 	if refusal := r.checkSend(); refusal != nil {
 		return refusal
 	}
-	if !r.f.Usable(e) {
+	if !r.usable(e) {
 		return errEndpointUnusable
 	}
 	return nil
 }
 
+// usable reports whether a request may be sent to the endpoint, by what this daemon
+// knows and by what the endpoint has told it.
+func (r *run) usable(e *table.Endpoint) bool {
+	return r.f.Usable(e) && r.f.Notices.MaySend(e.Name)
+}
+
 // address returns the host and port of an endpoint.
 func address(e *table.Endpoint) string {
 	_, address, _ := strings.Cut(e.URL, "://")
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -51,29 +51,24 @@
 	// planned has the endpoints of the plan.
 	planned  map[facts.EndpointID]*cell.Member
 	draining int
-	// addresses has the number of planned endpoints by URL.
-	addresses map[string]int
+	// names has the name of the planned endpoint at each URL.
+	names map[string]table.EndpointName
 }
 
 func newEndpointPlan(region string, cellSize int) *endpointPlan {
 	return &endpointPlan{
 		region: region, plan: cell.EmptyPlan(cellSize),
-		planned: map[facts.EndpointID]*cell.Member{}, addresses: map[string]int{},
+		planned: map[facts.EndpointID]*cell.Member{}, names: map[string]table.EndpointName{},
 	}
 }
 
-// hasAddress reports whether an endpoint of the plan has the address.
-func (p *endpointPlan) hasAddress(address string) bool { return p.addresses[endpointURL(address)] > 0 }
+// nameAt returns the name of the endpoint at an address, or "".
+func (p *endpointPlan) nameAt(address string) table.EndpointName {
+	return p.names[endpointURL(address)]
+}
 
 func endpointURL(address string) string { return "http://" + address }
 
-// countAddress adds n to the number of endpoints at a URL.
-func (p *endpointPlan) countAddress(url string, n int) {
-	if p.addresses[url] += n; p.addresses[url] == 0 {
-		delete(p.addresses, url)
-	}
-}
-
 // update applies a configuration and the state of the changed endpoints.
 func (p *endpointPlan) update(c *catalog.Catalog, changed map[facts.EndpointID]bool, holder *facts.Holder) {
 	if p.catalog == nil || !reflect.DeepEqual(p.catalog.Pools, c.Pools) {
@@ -111,8 +106,8 @@
 	if before != nil && (next == nil || next.Name != before.Name || next.Pool != before.Pool) {
 		changes = append(changes, cell.Change{Member: before, Removed: true})
 	}
-	if before != nil {
-		p.countAddress(before.URL, -1)
+	if before != nil && p.names[before.URL] == before.Name {
+		delete(p.names, before.URL)
 	}
 	if before != nil && before.Draining {
 		p.draining--
@@ -122,7 +117,7 @@
 		return changes
 	}
 	p.planned[id] = next
-	p.countAddress(next.URL, 1)
+	p.names[next.URL] = next.Name
 	if next.Draining {
 		p.draining++
 	}
--- a/internal/gateway/facts.go
+++ b/internal/gateway/facts.go
@@ -121,6 +121,7 @@
 	g.coordinator.Apply(p.classes, p.plan)
 	g.placer.Apply(p.classes, p.plan)
 	g.limitConnections()
+	g.notices.Prune(func(name table.EndpointName) bool { return g.usable(&table.Endpoint{Name: name}) })
 	g.view.UpdateSelf(func(h *membership.Host) {
 		h.TableVersion = uint64(c.Version)
 		if h.State == membership.Starting {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,6 +92,7 @@
 	dialEndpoint func(ctx context.Context, address string) (net.Conn, error)
 	dialer       *tunnel.Dialer
 	tunnels      *tunnel.Server
+	notices      *forward.Notices
 	// duties is nil if there are none.
 	duties *duties
 
@@ -188,6 +189,13 @@
 		g.metrics.Inc("limits.changed")
 		g.logger.Info("endpoint limit", "endpoint", endpoint, "perSecond", perSecond, "refusalsPerSecond", refusalsPerSecond)
 	}
+	g.notices = &forward.Notices{
+		Clock: g.clock,
+		OnLeaving: func(endpoint table.EndpointName) {
+			g.metrics.Inc("endpoints.leavingAnnounced")
+			g.logger.Info("endpoint announces that it is leaving", "endpoint", endpoint)
+		},
+	}
 	g.buildTunnels()
 	g.forwarder = &forward.Forwarder{
 		Clock:     g.clock,
@@ -199,6 +207,7 @@
 		Reserve:   g.reserve,
 		Usable:    g.usable,
 		PathLost:  g.dialer.IsLost,
+		Notices:   g.notices,
 		Budget:    g.retryBudget,
 		OnBegun:   func(r *forward.Request) { g.countBegun(r.Account) },
 
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -50,15 +53,32 @@
 		Dial:       direct,
 		IsEndpoint: g.isEndpointAddress,
 		HasPath:    func() bool { return !g.leaving() && !g.dialer.IsCutOff() },
+		OnHead:     g.onCarriedHead,
 		Count:      g.metrics.Inc,
 	}
 }
 
+// onCarriedHead records what an endpoint announces in a response that this daemon
+// carries for another one.
+func (g *Gateway) onCarriedHead(address string, head []byte) {
+	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), nil)
+	if err != nil {
+		return
+	}
+	_ = resp.Body.Close()
+	g.applyMu.Lock()
+	name := g.endpoints.nameAt(address)
+	g.applyMu.Unlock()
+	if name != "" {
+		g.notices.Record(name, g.forwarder.Protocol.ReadHead(resp.StatusCode, resp.Header).Announcement)
+	}
+}
+
 // isEndpointAddress reports whether an endpoint is registered at an address.
 func (g *Gateway) isEndpointAddress(address string) bool {
 	g.applyMu.Lock()
 	defer g.applyMu.Unlock()
-	return g.endpoints.hasAddress(address)
+	return g.endpoints.nameAt(address) != ""
 }
 
 // leaveTunnels closes idle connections through daemons that leave, which wait for
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -49,6 +49,8 @@
 type Announcement struct {
 	Limit       Limit
 	Brittleness Brittleness
+	// Leaving reports whether the endpoint says that it is leaving.
+	Leaving bool
 }
 
 // observedLimit is the limit that an endpoint advertised to this daemon.
@@ -58,17 +60,19 @@
 	// limit.
 	perSecond         float64
 	refusalsPerSecond int
-	at                time.Time
+	// leaving stays set: no later request is sent to the endpoint.
+	leaving bool
+	at      time.Time
 }
 
 // sameAs reports whether two limits are equal, whenever they were advertised.
 func (o observedLimit) sameAs(other observedLimit) bool {
-	return o.perSecond == other.perSecond && o.refusalsPerSecond == other.refusalsPerSecond
+	return o.perSecond == other.perSecond && o.refusalsPerSecond == other.refusalsPerSecond && o.leaving == other.leaving
 }
 
 // RecordAnnouncement records what a response of the endpoint announces.
 func (g *Grant) RecordAnnouncement(a Announcement) {
-	if !a.Limit.Known && !a.Brittleness.Known {
+	if !a.Limit.Known && !a.Brittleness.Known && !a.Leaving {
 		return
 	}
 	p := g.placer
@@ -86,13 +90,14 @@
 		seen.refusalsPerSecond = a.Brittleness.RefusalsPerSecond
 		g.sturdy = a.Brittleness.RefusalsPerSecond == 0
 	}
+	seen.leaving = seen.leaving || a.Leaving
 	if seen.sameAs(observedLimit{}) {
 		delete(p.limits, name)
 	} else {
 		p.limits[name] = seen
 		p.sendLimit(g.pending.host.ID, name, seen, !seen.sameAs(old))
 	}
-	if !seen.sameAs(old) {
+	if seen.perSecond != old.perSecond || seen.refusalsPerSecond != old.refusalsPerSecond {
 		p.OnLimit(name, seen.perSecond, seen.refusalsPerSecond)
 	}
 }
@@ -138,6 +143,7 @@
 		PerSecond: seen.perSecond,
 
 		RefusalsPerSecond: uint32(seen.refusalsPerSecond),
+		Leaving:           seen.leaving,
 		AgeMs:             uint32(min(p.clock.Since(seen.at)/time.Millisecond, math.MaxUint32)),
 	}
 }
--- a/internal/schedule/endpoint.go
+++ b/internal/schedule/endpoint.go
@@ -24,6 +24,9 @@
 	brittle   brittleness
 	// removed reports whether the endpoint was removed from the configuration.
 	removed bool
+	// leaving reports whether the endpoint itself has said that it is leaving. Its
+	// policy is then that of a draining endpoint, whatever is configured.
+	leaving bool
 }
 
 // newEndpoint returns an endpoint that has no policy yet.
@@ -38,12 +41,21 @@
 
 // setPolicy applies the configuration of the endpoint.
 func (e *endpointState) setPolicy(p EndpointPolicy) {
+	p.Draining = p.Draining || e.leaving
 	e.policy = p
 	e.Rename(string(p.Name))
 	e.Memory, e.Concurrency, e.Zone = p.CacheTokens, p.Concurrency, p.Zone
 	e.Closed = p.Draining
 }
 
+// SetLeaving records that an endpoint has said that it is leaving.
+func (c *Cell) SetLeaving(name Endpoint) {
+	if e := c.endpoints[name]; e != nil && !e.leaving {
+		e.leaving = true
+		e.setPolicy(e.policy)
+	}
+}
+
 // loadReport is the last load report of an endpoint, compared with the cell's
 // own grants.
 type loadReport struct {
--- a/internal/schedule/script_test.go
+++ b/internal/schedule/script_test.go
@@ -115,6 +115,8 @@
 		})
 	case "named":
 		s.cell.SetRateLimit(Endpoint(args[0]), float64(s.number(args, "perSecond")), s.duration(args, "age"))
+	case "leaving":
+		s.cell.SetLeaving(Endpoint(args[0]))
 	case "brittle":
 		s.cell.SetBrittle(Endpoint(args[0]), s.number(args, "perSecond"), s.duration(args, "age"))
 	case "load":
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -38,6 +38,9 @@
 	IsEndpoint func(address string) bool
 	// HasPath reports whether this daemon reaches endpoints itself.
 	HasPath func() bool
+	// OnHead is called with the first bytes of each response of an endpoint: the
+	// endpoint has spoken to this daemon too.
+	OnHead func(address string, head []byte)
 	// Count increments a counter.
 	Count func(name string)
 
@@ -92,7 +95,7 @@
 		return
 	}
 	s.Count("tunnels.served")
-	s.carry(local, remote)
+	s.carry(local, remote, r.Host)
 }
 
 func (s *Server) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -108,15 +111,21 @@
 }
 
 // carry copies data in both directions until either side has ended.
-func (s *Server) carry(local, remote net.Conn) {
+func (s *Server) carry(local, remote net.Conn, address string) {
+	var requested atomic.Bool
 	up := make(chan struct{})
 	go func() {
 		defer close(up)
 		// The daemon that uses the tunnel ends a request by closing it.
 		defer func() { _ = remote.Close() }()
-		copyRaw(remote, local)
+		copyRaw(remote, local, &requested)
 	}()
-	if err := copyFrames(local, remote); err != nil {
+	onData := func(data []byte) {
+		if requested.Swap(false) {
+			s.OnHead(address, data)
+		}
+	}
+	if err := copyFrames(local, remote, onData); err != nil {
 		reset(local)
 		return
 	}
@@ -127,14 +136,15 @@
 	<-up
 }
 
-// copyRaw copies until a read fails. Data that can't be written is read all the
+// copyRaw copies until a read fails, and sets requested before it writes. Data that can't be written is read all the
 // same, since closing a connection with unread data would reset it.
-func copyRaw(to io.Writer, from io.Reader) {
+func copyRaw(to io.Writer, from io.Reader, requested *atomic.Bool) {
 	buf := make([]byte, maxFrame)
 	var failed error
 	for {
 		n, err := from.Read(buf)
 		if n > 0 && failed == nil {
+			requested.Store(true)
 			_, failed = to.Write(buf[:n])
 		}
 		if err != nil {
@@ -145,11 +155,12 @@
 
 // copyFrames copies data as frames. It returns nil if the data ended in order and
 // the end was sent.
-func copyFrames(to io.Writer, from io.Reader) error {
+func copyFrames(to io.Writer, from io.Reader, onData func([]byte)) error {
 	buf := make([]byte, frameHeaderSize+maxFrame)
 	for {
 		n, err := from.Read(buf[frameHeaderSize:])
 		if n > 0 {
+			onData(buf[frameHeaderSize : frameHeaderSize+n])
 			if err := writeFrame(to, buf[:frameHeaderSize+n]); err != nil {
 				return err
 			}
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -85,6 +85,7 @@
 		Dial:       way(manner),
 		IsEndpoint: func(string) bool { return manner != "unknown" },
 		HasPath:    func() bool { return manner != "noPath" },
+		OnHead:     func(string, []byte) {},
 		Count:      func(string) {},
 	}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -218,6 +219,26 @@
 	}
 }
 
+// Guards against a daemon that carries a response for another one and misses what
+// the endpoint announces in it.
+func TestHeadsOfCarriedResponsesAreSeen(t *testing.T) {
+	c, s := openTunnel(t)
+	heads := make(chan string, 4)
+	s.OnHead = func(_ string, head []byte) { heads <- string(head) } // no request has been sent yet
+	r := bufio.NewReader(c)
+	for _, line := range []string{"one\n", "two\n"} {
+		if _, err := io.WriteString(c, line); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := r.ReadString('\n'); got != line {
+			t.Fatalf("got %q, %v", got, err)
+		}
+		if got := <-heads; got != line {
+			t.Errorf("head %q, want %q", got, line)
+		}
+	}
+}
+
 // Guards against a daemon that keeps asking others after its path has returned.
 func TestDirectPathIsUsedAgain(t *testing.T) {
 	var asked atomic.Int64
