Give engines the rest that they ask for

The Retry-After of an engine that turns a request away was read and dropped; the refusal counted as a failure at the coordinator, which ejects one engine that fails more than the others for a second, and none if several refuse together.

--- a/internal/forward/disconnect_test.go
+++ b/internal/forward/disconnect_test.go
@@ -45,7 +45,7 @@
 		Reserve:    s.reserve(s.placer()),
 		Usable:     func(*table.Endpoint) bool { return true },
 		PathLost:   func(string) bool { return false },
-		Notices:    &Notices{Clock: clockwork.NewRealClock()},
+		Notices:    newTestNotices(clockwork.NewRealClock()),
 		Budget:     func(table.Pool) Budget { return &fixedBudget{} },
 		Quarantine: quarantine.NewList(clockwork.NewRealClock()),
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -59,7 +59,7 @@
 	}
 	verdict := r.f.Protocol.ReadHead(resp.StatusCode, resp.Header)
 	grant.RecordAnnouncement(verdict.Announcement)
-	r.f.Notices.Record(grant.Endpoint.Name, verdict.Announcement)
+	r.f.Notices.Record(&grant.Endpoint, verdict.Announcement)
 	if verdict.NotRun {
 		r.discard(x, resp)
 		return attemptResult{
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -238,7 +238,7 @@
 		Reserve:   s.reserve(s.placer()),
 		Usable:    tt.usable(),
 		PathLost:  func(string) bool { return false },
-		Notices:   &Notices{Clock: clockwork.NewRealClock()},
+		Notices:   newTestNotices(clockwork.NewRealClock()),
 		Budget:    func(table.Pool) Budget { return &fixedBudget{left: tt.Budget} },
 
 		Quarantine: quarantine.NewList(clockwork.NewRealClock()),
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -14,6 +14,9 @@
 // known: its registration may come back.
 const noticeLifetime = 10 * time.Minute
 
+// maxResting bounds the endpoints that a request excludes because they rest.
+const maxResting = 256
+
 // Notices has what endpoints have said in responses to this daemon and what binds
 // it, whatever coordinators know. It is safe for concurrent use.
 type Notices struct {
@@ -21,6 +24,8 @@
 	// OnLeaving is called when an endpoint says for the first time that it is
 	// leaving.
 	OnLeaving func(endpoint table.EndpointName)
+	// OnRest is called when an endpoint asks for rest.
+	OnRest func(endpoint table.EndpointName, rest time.Duration)
 
 	mu  sync.Mutex
 	all map[table.EndpointName]notice
@@ -29,24 +34,36 @@
 // notice is what one endpoint has said.
 type notice struct {
 	at time.Time
+	// pool is the endpoint's pool, if known.
+	pool table.Pool
+	// restUntil is the end of the rest that the endpoint has asked for.
+	restUntil time.Time
 	// leaving ends only with the endpoint, whose next start has another name.
 	leaving bool
 }
 
 // Record takes in what a response of an endpoint announces.
-func (n *Notices) Record(name table.EndpointName, a placement.Announcement) {
-	if !a.Leaving {
+func (n *Notices) Record(e *table.Endpoint, a placement.Announcement) {
+	if !a.Leaving && a.Rest == 0 {
 		return
 	}
 	n.mu.Lock()
-	was := n.all[name].leaving
+	now := n.Clock.Now()
+	old := n.all[e.Name]
 	if n.all == nil {
 		n.all = map[table.EndpointName]notice{}
 	}
-	n.all[name] = notice{at: n.Clock.Now(), leaving: true}
+	next := notice{at: now, pool: e.Pool, restUntil: old.restUntil, leaving: old.leaving || a.Leaving}
+	if until := now.Add(a.Rest); a.Rest > 0 && until.After(old.restUntil) {
+		next.restUntil = until
+	}
+	n.all[e.Name] = next
 	n.mu.Unlock()
-	if !was {
-		n.OnLeaving(name)
+	if a.Leaving && !old.leaving {
+		n.OnLeaving(e.Name)
+	}
+	if a.Rest > 0 {
+		n.OnRest(e.Name, a.Rest)
 	}
 }
 
@@ -54,7 +71,28 @@
 func (n *Notices) MaySend(name table.EndpointName) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !n.all[name].leaving
+	one := n.all[name]
+	return !one.leaving && !n.Clock.Now().Before(one.restUntil)
+}
+
+// Resting returns the endpoints of a pool that rest, and when the first of them
+// may be used again; at most maxResting of them.
+func (n *Notices) Resting(pool table.Pool) (names []table.EndpointName, until time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.Clock.Now()
+	for name, one := range n.all {
+		if one.pool != pool || one.leaving || !now.Before(one.restUntil) {
+			continue
+		}
+		if until.IsZero() || one.restUntil.Before(until) {
+			until = one.restUntil
+		}
+		if len(names) < maxResting {
+			names = append(names, name)
+		}
+	}
+	return names, until
 }
 
 // Prune drops old notices of endpoints that are no longer known.
@@ -62,7 +100,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for name, one := range n.all {
-		if n.Clock.Since(one.at) >= noticeLifetime && !isKnown(name) {
+		if n.Clock.Since(one.at) >= noticeLifetime && (!one.leaving || !isKnown(name)) {
 			delete(n.all, name)
 		}
 	}
--- a/internal/forward/unknown_class_test.go
+++ b/internal/forward/unknown_class_test.go
@@ -28,7 +28,7 @@
 			Metrics:   metric.NewRegistry(),
 			Usable:    func(*table.Endpoint) bool { return true },
 			PathLost:  func(string) bool { return false },
-			Notices:   &Notices{Clock: clockwork.NewRealClock()},
+			Notices:   newTestNotices(clockwork.NewRealClock()),
 			Reserve: func(context.Context, placement.Request) (*placement.Grant, error) {
 				if asked++; asked <= unknown {
 					return nil, outcome.NotRunError(outcome.ReasonUnknownClass, "the class is not known")
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -51,20 +51,23 @@
 	// planned has the endpoints of the plan.
 	planned  map[facts.EndpointID]*cell.Member
 	draining int
-	// names has the name of the planned endpoint at each URL.
-	names map[string]table.EndpointName
+	// byURL has the planned endpoint at each URL.
+	byURL map[string]*cell.Member
 }
 
 func newEndpointPlan(region string, cellSize int) *endpointPlan {
 	return &endpointPlan{
 		region: region, plan: cell.EmptyPlan(cellSize),
-		planned: map[facts.EndpointID]*cell.Member{}, names: map[string]table.EndpointName{},
+		planned: map[facts.EndpointID]*cell.Member{}, byURL: map[string]*cell.Member{},
 	}
 }
 
-// nameAt returns the name of the endpoint at an address, or "".
-func (p *endpointPlan) nameAt(address string) table.EndpointName {
-	return p.names[endpointURL(address)]
+// at returns the endpoint at an address, or nil.
+func (p *endpointPlan) at(address string) *table.Endpoint {
+	if m := p.byURL[endpointURL(address)]; m != nil {
+		return &m.Endpoint
+	}
+	return nil
 }
 
 func endpointURL(address string) string { return "http://" + address }
@@ -106,8 +109,8 @@
 	if before != nil && (next == nil || next.Name != before.Name || next.Pool != before.Pool) {
 		changes = append(changes, cell.Change{Member: before, Removed: true})
 	}
-	if before != nil && p.names[before.URL] == before.Name {
-		delete(p.names, before.URL)
+	if before != nil && p.byURL[before.URL] == before {
+		delete(p.byURL, before.URL)
 	}
 	if before != nil && before.Draining {
 		p.draining--
@@ -117,7 +120,7 @@
 		return changes
 	}
 	p.planned[id] = next
-	p.names[next.URL] = next.Name
+	p.byURL[next.URL] = next
 	if next.Draining {
 		p.draining++
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -195,6 +195,10 @@
 			g.metrics.Inc("endpoints.leavingAnnounced")
 			g.logger.Info("endpoint announces that it is leaving", "endpoint", endpoint)
 		},
+		OnRest: func(endpoint table.EndpointName, rest time.Duration) {
+			g.metrics.Inc("endpoints.restsAsked")
+			g.logger.Info("endpoint asks for rest", "endpoint", endpoint, "restMs", rest.Milliseconds())
+		},
 	}
 	g.buildTunnels()
 	g.forwarder = &forward.Forwarder{
--- a/internal/gateway/rest_test.go
+++ b/internal/gateway/rest_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/beechhead/beechhead/platform"
 	"github.com/beechhead/beechhead/platform/standin"
 )
 
@@ -77,3 +79,31 @@
 	}
 	return rests, broken
 }
+
+// Guards against callers that are told to return before the only endpoint of a
+// service may be used again, and against losing it for longer than it asked.
+func TestRestOfTheOnlyEndpoint(t *testing.T) {
+	const rest = 3 * time.Second
+	s := newTestSite(t, 1)
+	for _, id := range []string{"app-1", "app-2"} {
+		s.engines[id].SetFaults(standin.EngineFaults{RestSeconds: rest.Seconds()})
+	}
+	s.call(s.daemons[0], http.MethodGet, "/look/x", nil, "")
+	for _, id := range []string{"app-1", "app-2"} {
+		if len(s.engines[id].Arrivals()) != 1 {
+			t.Fatalf("%s has not asked for rest", id)
+		}
+	}
+	a := s.call(s.daemons[0], http.MethodGet, "/look/x", nil, "")
+	after, err := strconv.ParseFloat(a.header.Get(platform.HeaderRetryAfter), 64)
+	if a.status != http.StatusServiceUnavailable || err != nil {
+		t.Fatalf("status %d, Retry-After %q", a.status, a.header.Get(platform.HeaderRetryAfter))
+	}
+	if len(s.runs(a.id)) > 0 {
+		t.Error("a request that was refused as not run has run")
+	}
+	time.Sleep(time.Duration(after * float64(time.Second)))
+	if a := s.call(s.daemons[0], http.MethodGet, "/look/x", nil, ""); a.status != http.StatusOK {
+		t.Errorf("after the rest: status %d, %v", a.status, a.err)
+	}
+}
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -67,10 +67,10 @@
 	}
 	_ = resp.Body.Close()
 	g.applyMu.Lock()
-	name := g.endpoints.nameAt(address)
+	e := g.endpoints.at(address)
 	g.applyMu.Unlock()
-	if name != "" {
-		g.notices.Record(name, g.forwarder.Protocol.ReadHead(resp.StatusCode, resp.Header).Announcement)
+	if e != nil {
+		g.notices.Record(e, g.forwarder.Protocol.ReadHead(resp.StatusCode, resp.Header).Announcement)
 	}
 }
 
@@ -78,7 +78,7 @@
 func (g *Gateway) isEndpointAddress(address string) bool {
 	g.applyMu.Lock()
 	defer g.applyMu.Unlock()
-	return g.endpoints.nameAt(address) != ""
+	return g.endpoints.at(address) != nil
 }
 
 // leaveTunnels closes idle connections through daemons that leave, which wait for
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -51,6 +51,9 @@
 	Brittleness Brittleness
 	// Leaving reports whether the endpoint says that it is leaving.
 	Leaving bool
+	// Rest is how long the endpoint wants no request of this host; zero if it has
+	// not asked for rest.
+	Rest time.Duration
 }
 
 // observedLimit is the limit that an endpoint advertised to this daemon.
