Ask one daemon at a time for a tunnel

Cause: where new connections are refused at once, the timer and the failure of the direct way each asked a daemon: 2.5 requests for a tunnel per connection. Change: a failure of the direct way asks only if nobody is asked yet.

--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -25,12 +25,12 @@
 	direct := func(ctx context.Context, address string) (net.Conn, error) { return g.dialEndpoint(ctx, address) }
 	var purgedAt atomic.Int64
 	g.dialer = &tunnel.Dialer{
-		Clock:    g.clock,
-		Direct:   direct,
-		DialHost: http1.Dial,
-		Hosts:    func() []membership.Host { return tunnel.Candidates(g.view.Ready(), g.view.Self()) },
-		Region:   g.conf().Region,
-		Zone:     g.conf().Zone,
+		Clock:   g.clock,
+		Direct:  direct,
+		Through: tunnel.Through(http1.Dial),
+		Hosts:   func() []membership.Host { return tunnel.Candidates(g.view.Ready(), g.view.Self()) },
+		Region:  g.conf().Region,
+		Zone:    g.conf().Zone,
 		OnLost: func(address, via string) {
 			g.logger.Warn("endpoint reached only through another daemon", "address", address, "via", via)
 			g.forwarder.Pool.CloseIdle(address)
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -8,6 +8,8 @@
 	"syscall"
 
 	"github.com/go-faster/errors"
+
+	"github.com/beechhead/beechhead/internal/membership"
 )
 
 var (
@@ -20,6 +22,18 @@
 // headSize is the size of the buffer for the head of the response to CONNECT.
 const headSize = 256
 
+// Through returns a function that opens tunnels; dial opens a connection to a
+// daemon.
+func Through(dial func(ctx context.Context, address string) (net.Conn, error)) func(ctx context.Context, host membership.Host, address string) (net.Conn, error) {
+	return func(ctx context.Context, host membership.Host, address string) (net.Conn, error) {
+		c, err := open(ctx, dial, host.PeerAddress, address)
+		if err != nil {
+			return nil, err
+		}
+		return c, nil
+	}
+}
+
 // open opens a connection to address through the daemon at via.
 func open(ctx context.Context, dial func(ctx context.Context, address string) (net.Conn, error), via, address string) (c *Conn, err error) {
 	defer func() {
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -42,9 +42,10 @@
 // concurrent use.
 type Dialer struct {
 	Clock clockwork.Clock
-	// Direct opens a connection to the address of an endpoint, DialHost to that
-	// of a daemon.
-	Direct, DialHost func(ctx context.Context, address string) (net.Conn, error)
+	// Direct opens a connection to the address of an endpoint.
+	Direct func(ctx context.Context, address string) (net.Conn, error)
+	// Through opens one through another daemon.
+	Through func(ctx context.Context, host membership.Host, address string) (net.Conn, error)
 	// Hosts returns the other daemons that may be asked.
 	Hosts func() []membership.Host
 	// Region and Zone are those of this daemon.
@@ -100,7 +101,10 @@
 				return r.conn, nil
 			}
 			a.failed(r)
-			if !a.startNext(ctx) && a.running == 0 {
+			if a.asking == 0 {
+				a.startNext(ctx)
+			}
+			if a.running == 0 {
 				return nil, a.err()
 			}
 		case <-next:
@@ -217,8 +221,9 @@
 	dialer  *Dialer
 	address string
 	results chan result
-	// running is the number of ways that are being tried.
-	running int
+	// running is the number of ways that are being tried, asking that of daemons
+	// among them.
+	running, asking int
 	// via has the daemons that are left to be asked; asked is false until they
 	// were chosen.
 	via   []membership.Host
@@ -234,14 +239,15 @@
 // start tries one way; nil is the direct one.
 func (a *attempt) start(ctx context.Context, host *membership.Host) {
 	a.running++
+	if host != nil {
+		a.asking++
+	}
 	go func() {
 		r := result{host: host}
 		if host == nil {
 			r.conn, r.err = a.dialer.Direct(ctx, a.address)
-		} else if c, err := open(ctx, a.dialer.DialHost, host.PeerAddress, a.address); err != nil {
-			r.err = err
 		} else {
-			r.conn = c
+			r.conn, r.err = a.dialer.Through(ctx, *host, a.address)
 		}
 		a.results <- r
 	}()
@@ -265,10 +271,12 @@
 // failed takes in a way that has failed.
 func (a *attempt) failed(r result) {
 	a.running--
-	switch {
-	case r.host == nil:
+	if r.host == nil {
 		a.direct = r.err
 		return
+	}
+	a.asking--
+	switch {
 	case endpoint.IsConnectionRefused(r.err):
 		a.refused++
 	case errors.Is(r.err, errNotReached):
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -104,7 +104,7 @@
 	return &Dialer{
 		Clock:    clockwork.NewRealClock(),
 		Direct:   way(direct),
-		DialHost: http1.Dial,
+		Through:  Through(http1.Dial),
 		Hosts:    func() []membership.Host { return hosts },
 		Zone:     "z",
 		OnLost:   func(string, string) {},
