--- a/internal/logline/trace.go
+++ b/internal/logline/trace.go
@@ -48,11 +48,13 @@
 const contextBefore = 5 * time.Second
 
 // stateChanges are the messages that log a change of a daemon's own state, of
-// its view of other hosts, of its configuration or quarantine, or of the
-// availability of the store.
+// its view of other hosts, of its configuration or quarantine, of its path to the
+// endpoints and what they announce, or of the availability of the store.
 var stateChanges = map[string]bool{
 	"started": true, "leaving": true, "left": true, "facts in force": true, "store lost": true, "store regained": true,
 	"store came back from a copy": true, "request quarantined": true, "request released": true,
+	"path to endpoints lost": true, "path to endpoints regained": true, "endpoint reached only through another daemon": true,
+	"endpoint announces that it is leaving": true, "endpoint asks for rest": true, "endpoint limit": true,
 	"host gone": true, "this daemon was paused": true, "settings reloaded": true, "settings not reloaded": true,
 	"configuration not taken": true, "requests are cut off": true,
 }
