Let losses of paths expire together

Cause: found by reading. A daemon that had been cut off once counted as such again after a single lost address, without a line in the log, and addresses lost long ago counted as lost in succession. Change: both end with the lifetime of a loss. The notices of endpoints are not searched while none rests, and no goroutine waits for nothing after a dial. Measured: TestLossesExpire fails before on three counts and passes.

--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -17,8 +17,8 @@
 // maxResting bounds the endpoints that a request excludes because they rest.
 const maxResting = 256
 
-// Notices has what endpoints have said in responses to this daemon and what binds
-// it, whatever coordinators know. It is safe for concurrent use.
+// Notices has what endpoints have said in responses to this daemon. It binds this
+// daemon whatever coordinators know. It is safe for concurrent use.
 type Notices struct {
 	Clock clockwork.Clock
 	// OnLeaving is called when an endpoint says for the first time that it is
@@ -29,6 +29,8 @@
 
 	mu  sync.Mutex
 	all map[table.EndpointName]notice
+	// lastRest is the latest restUntil of all.
+	lastRest time.Time
 }
 
 // notice is what one endpoint has said.
@@ -42,7 +44,7 @@
 	leaving bool
 }
 
-// Record takes in what a response of an endpoint announces.
+// Record records what a response of an endpoint announces.
 func (n *Notices) Record(e *table.Endpoint, a placement.Announcement) {
 	if !a.Leaving && a.Rest == 0 {
 		return
@@ -56,6 +58,9 @@
 	next := notice{at: now, pool: e.Pool, restUntil: old.restUntil, leaving: old.leaving || a.Leaving}
 	if until := now.Add(a.Rest); a.Rest > 0 && until.After(old.restUntil) {
 		next.restUntil = until
+		if until.After(n.lastRest) {
+			n.lastRest = until
+		}
 	}
 	n.all[e.Name] = next
 	n.mu.Unlock()
@@ -81,6 +86,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.Clock.Now()
+	if !now.Before(n.lastRest) {
+		return nil, time.Time{}
+	}
 	for name, one := range n.all {
 		if one.pool != pool || one.leaving || !now.Before(one.restUntil) {
 			continue
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -82,8 +82,8 @@
 }
 
 // Dial opens a connection to an endpoint, directly or through another daemon,
-// whichever succeeds first. The error tells that the endpoint's machine refuses
-// connections only if another daemon confirms it or none can be asked.
+// whichever succeeds first. The error is that of a refused connection only if
+// another daemon confirms it or none can be asked.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, http1.DialTimeout)
 	defer cancel()
@@ -95,8 +95,9 @@
 		select {
 		case r := <-results:
 			if r.err == nil {
-				a.running--
-				go discard(results, a.running)
+				if a.running > 1 {
+					go discard(results, a.running-1)
+				}
 				d.record(address, r)
 				return r.conn, nil
 			}
@@ -158,7 +159,7 @@
 	return !d.tunnelAt.IsZero() && d.Clock.Since(d.tunnelAt) < tunnelLifetime
 }
 
-// record takes in which way has led to an address.
+// record records by which way an address was reached.
 func (d *Dialer) record(address string, r result) {
 	if r.host == nil {
 		d.recordDirect(address)
@@ -171,7 +172,7 @@
 
 func (d *Dialer) recordDirect(address string) {
 	d.mu.Lock()
-	was := d.cutOff
+	was := d.isCutOff()
 	d.cutOff = false
 	clear(d.lostInSuccession)
 	delete(d.lost, address)
@@ -190,11 +191,12 @@
 	for known := range d.lost {
 		if !d.isLost(known) {
 			delete(d.lost, known)
+			delete(d.lostInSuccession, known)
 		}
 	}
 	now := d.Clock.Now()
 	d.lost[address], d.lostInSuccession[address], d.tunnelAt = now, true, now
-	was := d.cutOff
+	was := d.isCutOff()
 	d.cutOff = was || len(d.lostInSuccession) >= addressesUntilLost
 	d.cutOffUntil = now.Add(lossLifetime)
 	begins := d.cutOff && !was
@@ -268,7 +270,7 @@
 	return true
 }
 
-// failed takes in a way that has failed.
+// failed records a way that has failed.
 func (a *attempt) failed(r result) {
 	a.running--
 	if r.host == nil {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -239,6 +239,38 @@
 	}
 }
 
+// Guards against one lost address that makes a daemon count as cut off because it
+// was cut off, or had lost another address, long before.
+func TestLossesExpire(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	d := newDialer("refuses")
+	d.Clock = clock
+	begun := 0
+	d.OnCutOff = func(cutOff bool) {
+		if cutOff {
+			begun++
+		}
+	}
+	via := &membership.Host{ID: "host-1"}
+	lose := func(address string, want bool) {
+		t.Helper()
+		d.recordLost(address, via)
+		if d.IsCutOff() != want {
+			t.Errorf("after the loss of %s: cut off %v", address, !want)
+		}
+	}
+	lose("a", false)
+	clock.Advance(lossLifetime)
+	lose("b", false)
+	lose("c", true)
+	clock.Advance(lossLifetime)
+	lose("d", false)
+	lose("e", true)
+	if begun != 2 {
+		t.Errorf("cut off %d times, want 2", begun)
+	}
+}
+
 // Guards against a daemon that keeps asking others after its path has returned.
 func TestDirectPathIsUsedAgain(t *testing.T) {
 	var asked atomic.Int64
