Probe idle connections to endpoints only

Cause: with probes on connections in use, a path that is interrupted for more than 2.5 s ends responses that would have come still. Change: probes are switched on when a connection is put aside and off when it is taken.

--- a/internal/http1/dial.go
+++ b/internal/http1/dial.go
@@ -15,13 +15,13 @@
 	// away; if one does not answer within this time, the request can go to
 	// another endpoint while the caller's latency target can still be met.
 	DialTimeout = 300 * time.Millisecond
-	// keepAliveTime is the time without data after which a connection is probed,
-	// and the interval between probes.
+	// keepAliveTime is the time after which an idle connection is probed, and the
+	// interval between probes.
 	keepAliveTime = time.Second
 	// tcpUserTimeout closes a connection whose data or probes are not
 	// acknowledged, because the endpoint's machine has failed or is unreachable.
-	// A connection without data in transit outlives the loss of one probe, and
-	// one with data a machine that stands still for a second.
+	// An idle connection outlives the loss of one probe, and one with data in
+	// transit a machine that stands still for a second.
 	tcpUserTimeout = 2500 * time.Millisecond
 	// maxProbes is above the number of probes within tcpUserTimeout, which
 	// therefore decides.
@@ -33,8 +33,8 @@
 // Dial opens a connection to an endpoint.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
-		Timeout:         DialTimeout,
-		KeepAliveConfig: keepAlive,
+		Timeout:   DialTimeout,
+		KeepAlive: -1,
 		Control: func(_, _ string, c syscall.RawConn) error {
 			return endpoint.SetUserTimeout(c, tcpUserTimeout)
 		},
@@ -42,8 +42,33 @@
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
-// DetectLoss makes a connection that was accepted detect the loss of its peer as
-// the connections of Dial do.
+// probed is a connection whose keep-alive probes can be switched.
+type probed interface {
+	SetKeepAlive(enabled bool) error
+	SetKeepAliveConfig(config net.KeepAliveConfig) error
+}
+
+// startProbes makes the loss of an idle connection be noticed. A connection in use
+// is not probed: its response may still come after the path was interrupted for
+// longer than tcpUserTimeout.
+func (c *conn) startProbes() {
+	p, ok := c.Conn.(probed)
+	switch {
+	case !ok:
+	case c.probesConfigured:
+		_ = p.SetKeepAlive(true)
+	default:
+		c.probesConfigured = p.SetKeepAliveConfig(keepAlive) == nil
+	}
+}
+
+func (c *conn) stopProbes() {
+	if p, ok := c.Conn.(probed); ok {
+		_ = p.SetKeepAlive(false)
+	}
+}
+
+// DetectLoss makes a connection that was accepted detect the loss of its peer.
 func DetectLoss(c net.Conn) error {
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -77,6 +77,8 @@
 	reused bool
 	// expiresAt is when the connection is closed if it is still idle.
 	expiresAt time.Time
+	// probesConfigured is set once probes were configured; they may be off.
+	probesConfigured bool
 }
 
 // via returns the address of the daemon that carries the connection; "" if it is
@@ -97,6 +99,7 @@
 			return nil
 		}
 		if p.clock.Now().Before(c.expiresAt) && isIntact(c.Conn) {
+			c.stopProbes()
 			return c
 		}
 		_ = c.Close()
@@ -131,6 +134,7 @@
 
 // addIdle adds an idle connection and reports whether the limit allowed it.
 func (p *Pool) addIdle(address string, c *conn) bool {
+	c.startProbes()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if limit := int(p.maxIdle.Load()); limit > 0 && len(p.idle[address]) >= limit {
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -74,6 +74,22 @@
 	return err
 }
 
+// SetKeepAlive switches probes of the connection to the other daemon.
+func (c *Conn) SetKeepAlive(enabled bool) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetKeepAlive(enabled)
+	}
+	return nil
+}
+
+// SetKeepAliveConfig configures these probes.
+func (c *Conn) SetKeepAliveConfig(config net.KeepAliveConfig) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetKeepAliveConfig(config)
+	}
+	return nil
+}
+
 // SyscallConn returns the raw connection to the other daemon.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	sc, ok := c.Conn.(syscall.Conn)
