--- a/internal/cell/convert.go
+++ b/internal/cell/convert.go
@@ -105,7 +105,7 @@
 		Failed:      failed(r.GetOutcome()),
 		Refused:     r.GetOutcome() == peerv1.ReleaseOutcome_RELEASE_OUTCOME_REFUSED_BY_ENDPOINT,
 		NoRateLimit: r.GetUnlimited(),
-		NotBrittle:  r.GetSturdy(),
+		NotBrittle:  r.GetNotBrittle(),
 	}
 }
 
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -14,8 +14,9 @@
 // known: its registration may come back.
 const noticeLifetime = 10 * time.Minute
 
-// maxResting bounds the endpoints that a request excludes because they rest.
-const maxResting = 256
+// maxBackingOff bounds the endpoints that a request excludes because they have asked
+// for back-off.
+const maxBackingOff = 256
 
 // Notices has what endpoints have said in responses to this daemon. It binds this
 // daemon whatever coordinators know. It is safe for concurrent use.
@@ -24,13 +25,13 @@
 	// OnLeaving is called when an endpoint says for the first time that it is
 	// leaving.
 	OnLeaving func(endpoint table.EndpointName)
-	// OnRest is called when an endpoint asks for rest.
-	OnRest func(endpoint table.EndpointName, rest time.Duration)
+	// OnBackoff is called when an endpoint asks for back-off.
+	OnBackoff func(endpoint table.EndpointName, backoff time.Duration)
 
 	mu  sync.Mutex
 	all map[table.EndpointName]notice
-	// lastRest is the latest restUntil of all.
-	lastRest time.Time
+	// lastBackoff is the latest backoffUntil of all.
+	lastBackoff time.Time
 }
 
 // notice is what one endpoint has said.
@@ -38,15 +39,15 @@
 	at time.Time
 	// pool is the endpoint's pool, if known.
 	pool table.Pool
-	// restUntil is the end of the rest that the endpoint has asked for.
-	restUntil time.Time
+	// backoffUntil is the end of the back-off that the endpoint has asked for.
+	backoffUntil time.Time
 	// leaving ends only with the endpoint, whose next start has another name.
 	leaving bool
 }
 
 // Record records what a response of an endpoint announces.
 func (n *Notices) Record(e *table.Endpoint, a placement.Announcement) {
-	if !a.Leaving && a.Rest == 0 {
+	if !a.Leaving && a.Backoff == 0 {
 		return
 	}
 	n.mu.Lock()
@@ -55,11 +56,11 @@
 	if n.all == nil {
 		n.all = map[table.EndpointName]notice{}
 	}
-	next := notice{at: now, pool: e.Pool, restUntil: old.restUntil, leaving: old.leaving || a.Leaving}
-	if until := now.Add(a.Rest); a.Rest > 0 && until.After(old.restUntil) {
-		next.restUntil = until
-		if until.After(n.lastRest) {
-			n.lastRest = until
+	next := notice{at: now, pool: e.Pool, backoffUntil: old.backoffUntil, leaving: old.leaving || a.Leaving}
+	if until := now.Add(a.Backoff); a.Backoff > 0 && until.After(old.backoffUntil) {
+		next.backoffUntil = until
+		if until.After(n.lastBackoff) {
+			n.lastBackoff = until
 		}
 	}
 	n.all[e.Name] = next
@@ -67,8 +68,8 @@
 	if a.Leaving && !old.leaving {
 		n.OnLeaving(e.Name)
 	}
-	if a.Rest > 0 {
-		n.OnRest(e.Name, a.Rest)
+	if a.Backoff > 0 {
+		n.OnBackoff(e.Name, a.Backoff)
 	}
 }
 
@@ -77,26 +78,26 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	one := n.all[name]
-	return !one.leaving && !n.Clock.Now().Before(one.restUntil)
+	return !one.leaving && !n.Clock.Now().Before(one.backoffUntil)
 }
 
-// Resting returns the endpoints of a pool that rest, and when the first of them
-// may be used again; at most maxResting of them.
-func (n *Notices) Resting(pool table.Pool) (names []table.EndpointName, until time.Time) {
+// BackingOff returns the endpoints of a pool that have asked for back-off, at most
+// maxBackingOff of them, and when the first of them may be used again.
+func (n *Notices) BackingOff(pool table.Pool) (names []table.EndpointName, until time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.Clock.Now()
-	if !now.Before(n.lastRest) {
+	if !now.Before(n.lastBackoff) {
 		return nil, time.Time{}
 	}
 	for name, one := range n.all {
-		if one.pool != pool || one.leaving || !now.Before(one.restUntil) {
+		if one.pool != pool || one.leaving || !now.Before(one.backoffUntil) {
 			continue
 		}
-		if until.IsZero() || one.restUntil.Before(until) {
-			until = one.restUntil
+		if until.IsZero() || one.backoffUntil.Before(until) {
+			until = one.backoffUntil
 		}
-		if len(names) < maxResting {
+		if len(names) < maxBackingOff {
 			names = append(names, name)
 		}
 	}
--- a/internal/forward/notices_test.go
+++ b/internal/forward/notices_test.go
@@ -11,32 +11,32 @@
 )
 
 func newTestNotices(clock clockwork.Clock) *Notices {
-	return &Notices{Clock: clock, OnLeaving: func(table.EndpointName) {}, OnRest: func(table.EndpointName, time.Duration) {}}
+	return &Notices{Clock: clock, OnLeaving: func(table.EndpointName) {}, OnBackoff: func(table.EndpointName, time.Duration) {}}
 }
 
-// Guards against a rest that a later refusal shortens, that outlives its end, or
+// Guards against a back-off that a later refusal shortens, that outlives its end, or
 // that hides that the endpoint is leaving.
 func TestNotices(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	n := newTestNotices(clock)
 	a, b := &table.Endpoint{Name: "a", Pool: "p"}, &table.Endpoint{Name: "b", Pool: "p"}
-	n.Record(a, placement.Announcement{Rest: 3 * time.Second})
+	n.Record(a, placement.Announcement{Backoff: 3 * time.Second})
 	clock.Advance(time.Second)
-	n.Record(a, placement.Announcement{Rest: time.Second})
-	n.Record(b, placement.Announcement{Rest: 4 * time.Second})
-	names, until := n.Resting("p")
+	n.Record(a, placement.Announcement{Backoff: time.Second})
+	n.Record(b, placement.Announcement{Backoff: 4 * time.Second})
+	names, until := n.BackingOff("p")
 	if len(names) != 2 || until.Sub(clock.Now()) != 2*time.Second || n.MaySend("a") || n.MaySend("b") {
-		t.Errorf("resting: %v, until %v", names, until.Sub(clock.Now()))
+		t.Errorf("backingOff: %v, until %v", names, until.Sub(clock.Now()))
 	}
-	if names, _ := n.Resting("other"); len(names) > 0 {
-		t.Errorf("resting in another pool: %v", names)
+	if names, _ := n.BackingOff("other"); len(names) > 0 {
+		t.Errorf("backingOff in another pool: %v", names)
 	}
 	clock.Advance(2 * time.Second)
-	if names, _ := n.Resting("p"); len(names) != 1 || !n.MaySend("a") {
-		t.Errorf("resting after the end: %v", names)
+	if names, _ := n.BackingOff("p"); len(names) != 1 || !n.MaySend("a") {
+		t.Errorf("backingOff after the end: %v", names)
 	}
 	n.Record(b, placement.Announcement{Leaving: true})
-	n.Record(b, placement.Announcement{Rest: time.Second})
+	n.Record(b, placement.Announcement{Backoff: time.Second})
 	clock.Advance(2 * noticeLifetime)
 	n.Prune(func(table.EndpointName) bool { return true })
 	if n.MaySend("b") {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -196,7 +196,7 @@
 // accepts work.
 func (r *run) reserve(ctx context.Context) (*placement.Grant, error) {
 	for {
-		resting, _ := r.f.Notices.Resting(r.req.Pool)
+		backingOff, _ := r.f.Notices.BackingOff(r.req.Pool)
 		grant, err := r.f.Reserve(ctx, placement.Request{
 			Pool:            r.req.Pool,
 			Class:           r.req.Class,
@@ -206,11 +206,11 @@
 			Parts:           r.req.Parts,
 			Waited:          r.f.BootClock.Now() - r.req.ReceivedAt,
 			StartTimeout:    r.startLimit(),
-			Excluded:        append(resting, r.failed...),
+			Excluded:        append(backingOff, r.failed...),
 			Attempt:         r.mayHaveRun + r.notRun,
 		})
 		if err != nil {
-			if !r.awaitRest(ctx, err) && !r.awaitTable(ctx, err) {
+			if !r.awaitBackoff(ctx, err) && !r.awaitTable(ctx, err) {
 				return nil, err
 			}
 			continue
@@ -224,7 +224,7 @@
 			return grant, nil
 		}
 		grant.Release(placement.Report{Outcome: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE})
-		if !r.f.Usable(&grant.Endpoint) || len(resting) == maxResting {
+		if !r.f.Usable(&grant.Endpoint) || len(backingOff) == maxBackingOff {
 			r.failed = append(r.failed, grant.Endpoint.Name)
 		}
 		r.f.Metrics.Inc("places.unusable")
@@ -246,39 +246,39 @@
 	return until
 }
 
-// restWaitDivisor is the part of the time that a request has left up to which it
-// waits for the end of a rest. One that would wait longer is refused, so that its
-// caller may ask elsewhere or return in time.
-const restWaitDivisor = 4
+// backoffWaitDivisor is the part of the time that a request has left up to which it
+// waits for the end of a back-off. One that would wait longer is refused, so that
+// its caller may ask elsewhere or return in time.
+const backoffWaitDivisor = 4
 
-// restSpreadDivisor is the part of a rest over which the callers that are refused
-// for it return.
-const restSpreadDivisor = 4
+// backoffSpreadDivisor is the part of a back-off over which the callers that are
+// refused for it return.
+const backoffSpreadDivisor = 4
 
-// awaitRest reports whether a reservation should be repeated because it was refused
-// while endpoints rest, after the first of them may be used again. If that takes
-// too long, the refusal tells the caller when to return.
-func (r *run) awaitRest(ctx context.Context, err error) bool {
+// awaitBackoff reports whether a reservation that was refused while endpoints have
+// asked for back-off should be repeated. It waits until the first of them may be used
+// again. If that takes too long, the refusal tells the caller when to return.
+func (r *run) awaitBackoff(ctx context.Context, err error) bool {
 	refusal, ok := errors.Into[*outcome.Refusal](err)
 	if !ok || refusal.Reason != outcome.ReasonNoEndpoint {
 		return false
 	}
-	names, until := r.f.Notices.Resting(r.req.Pool)
-	rest := until.Sub(r.f.Clock.Now())
-	if len(names) == 0 || rest <= 0 {
+	names, until := r.f.Notices.BackingOff(r.req.Pool)
+	backoff := until.Sub(r.f.Clock.Now())
+	if len(names) == 0 || backoff <= 0 {
 		return false
 	}
 	left := r.req.Deadline - r.f.BootClock.Now()
 	isUntried := func(name table.EndpointName) bool { return !slices.Contains(r.failed, name) }
-	if rest > left/restWaitDivisor || !slices.ContainsFunc(names, isUntried) {
-		refusal.RetryAfter = rest + time.Duration(rand.Int64N(int64(rest/restSpreadDivisor)+1)) //nolint:gosec // spreads callers
+	if backoff > left/backoffWaitDivisor || !slices.ContainsFunc(names, isUntried) {
+		refusal.RetryAfter = backoff + time.Duration(rand.Int64N(int64(backoff/backoffSpreadDivisor)+1)) //nolint:gosec // spreads callers
 		r.staleRetries = maxStaleRetries
 		return false
 	}
 	select {
 	case <-ctx.Done():
 		return false
-	case <-r.f.Clock.After(rest):
+	case <-r.f.Clock.After(backoff):
 		return true
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -195,9 +195,9 @@
 			g.metrics.Inc("endpoints.leavingAnnounced")
 			g.logger.Info("endpoint announces that it is leaving", "endpoint", endpoint)
 		},
-		OnRest: func(endpoint table.EndpointName, rest time.Duration) {
-			g.metrics.Inc("endpoints.restsAsked")
-			g.logger.Info("endpoint asks for rest", "endpoint", endpoint, "restMs", rest.Milliseconds())
+		OnBackoff: func(endpoint table.EndpointName, backoff time.Duration) {
+			g.metrics.Inc("endpoints.backoffs")
+			g.logger.Info("endpoint asks for back-off", "endpoint", endpoint, "backoffMs", backoff.Milliseconds())
 		},
 	}
 	g.buildTunnels()
--- a/internal/logline/trace.go
+++ b/internal/logline/trace.go
@@ -54,7 +54,7 @@
 	"started": true, "leaving": true, "left": true, "facts in force": true, "store lost": true, "store regained": true,
 	"store came back from a copy": true, "request quarantined": true, "request released": true,
 	"path to endpoints lost": true, "path to endpoints regained": true, "endpoint reached only through another daemon": true,
-	"endpoint announces that it is leaving": true, "endpoint asks for rest": true, "endpoint limit": true,
+	"endpoint announces that it is leaving": true, "endpoint asks for back-off": true, "endpoint limit": true,
 	"host gone": true, "this daemon was paused": true, "settings reloaded": true, "settings not reloaded": true,
 	"configuration not taken": true, "requests are cut off": true,
 }
--- a/internal/placement/limits.go
+++ b/internal/placement/announcements.go
@@ -51,9 +51,9 @@
 	Brittleness Brittleness
 	// Leaving reports whether the endpoint says that it is leaving.
 	Leaving bool
-	// Rest is how long the endpoint wants no request of this host; zero if it has
-	// not asked for rest.
-	Rest time.Duration
+	// Backoff is how long the endpoint wants no request of this host; zero if it has
+	// not asked for back-off.
+	Backoff time.Duration
 }
 
 // observedLimit is the limit that an endpoint advertised to this daemon.
@@ -91,7 +91,7 @@
 	}
 	if a.Brittleness.Known {
 		seen.refusalsPerSecond = a.Brittleness.RefusalsPerSecond
-		g.sturdy = a.Brittleness.RefusalsPerSecond == 0
+		g.notBrittle = a.Brittleness.RefusalsPerSecond == 0
 	}
 	seen.leaving = seen.leaving || a.Leaving
 	if seen.sameAs(observedLimit{}) {
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -52,8 +52,8 @@
 	longestGapToken int
 	// unlimited means that a response advertised no limit.
 	unlimited bool
-	// sturdy means that a response did not say that the endpoint is brittle.
-	sturdy bool
+	// notBrittle means that a response did not say that the endpoint is brittle.
+	notBrittle bool
 	// nextProgress is the number of tokens at which progress is reported next.
 	nextProgress int
 }
@@ -159,6 +159,6 @@
 
 		LongestPauseUs: uint32(g.longestGap / time.Microsecond),
 		Unlimited:      g.unlimited,
-		Sturdy:         g.sturdy,
+		NotBrittle:     g.notBrittle,
 	}}})
 }
--- a/internal/schedule/script_test.go
+++ b/internal/schedule/script_test.go
@@ -107,7 +107,7 @@
 		s.cell.Release(s.id(args[0]), Report{
 			FirstToken: s.duration(args, "first"), Duration: s.duration(args, "duration"), Tokens: s.number(args, "tokens"),
 			Done: s.has(args, "done"), Failed: s.has(args, "failed"), NoRateLimit: s.has(args, "unlimited"),
-			Refused: s.has(args, "refused"), NotBrittle: s.has(args, "sturdy"),
+			Refused: s.has(args, "refused"), NotBrittle: s.has(args, "notBrittle"),
 		})
 	case "progress":
 		s.cell.Progress(s.id(args[0]), Progress{
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// headStart is how long a direct connection may take before another daemon
+	// fallbackDelay is how long a direct connection may take before another daemon
 	// is asked as well, and how long that one may take before the next is asked.
-	headStart = 100 * time.Millisecond
+	fallbackDelay = 100 * time.Millisecond
 	// maxVia is the number of daemons that one attempt asks.
 	maxVia = 3
 	// lossLifetime is how long after the last evidence an address counts as
@@ -90,7 +90,7 @@
 	results := make(chan result, 1+maxVia)
 	a := attempt{dialer: d, address: address, results: results}
 	a.start(ctx, nil)
-	next := d.Clock.After(d.headStartFor(address))
+	next := d.Clock.After(d.fallbackDelayFor(address))
 	for {
 		select {
 		case r := <-results:
@@ -111,20 +111,20 @@
 		case <-next:
 			next = nil
 			if a.startNext(ctx) {
-				next = d.Clock.After(headStart)
+				next = d.Clock.After(fallbackDelay)
 			}
 		}
 	}
 }
 
-// headStartFor returns how long the direct way to an address is tried alone.
-func (d *Dialer) headStartFor(address string) time.Duration {
+// fallbackDelayFor returns how long the direct way to an address is tried alone.
+func (d *Dialer) fallbackDelayFor(address string) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.isLost(address) || d.isCutOff() {
 		return 0
 	}
-	return headStart
+	return fallbackDelay
 }
 
 // isLost reports whether an address was reached only through another daemon of
--- a/internal/tunnel/fleet_test.go
+++ b/internal/tunnel/fleet_test.go
@@ -74,7 +74,7 @@
 	return nil, ctx.Err()
 }
 
-func (f *fleet) through(ctx context.Context, host membership.Host, address string) (net.Conn, error) {
+func (f *fleet) through(ctx context.Context, host membership.Host, _ string) (net.Conn, error) {
 	f.asks.Add(1)
 	time.Sleep(2 * time.Millisecond)
 	if f.dialers[host.ID].IsCutOff() {
--- a/internal/tunnel/hosts.go
+++ b/internal/tunnel/hosts.go
@@ -11,20 +11,20 @@
 )
 
 const (
-	// experienceLifetime is how long it counts whether a daemon has reached an
+	// reachabilityLifetime is how long it counts whether a daemon has reached an
 	// endpoint.
-	experienceLifetime = 5 * time.Second
-	// maxExperience bounds the daemons whose last result is kept.
-	maxExperience = 64
+	reachabilityLifetime = 5 * time.Second
+	// maxRemembered bounds the daemons whose last result is kept.
+	maxRemembered = 64
 	// maxConsidered bounds the daemons among which those to ask are chosen.
 	maxConsidered = 16
 )
 
-// experience is what the last tunnel through a daemon has shown, best first.
-type experience int
+// reachability is what the last tunnel through a daemon has shown, best first.
+type reachability int
 
 const (
-	reached experience = iota
+	reached reachability = iota
 	unknown
 	notReached
 )
@@ -36,26 +36,26 @@
 }
 
 type hostResult struct {
-	host       membership.Host
-	experience experience
-	at         time.Time
+	host         membership.Host
+	reachability reachability
+	at           time.Time
 }
 
-func (h *hostHistory) record(host membership.Host, e experience, now time.Time) {
+func (h *hostHistory) record(host membership.Host, r reachability, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.last == nil {
 		h.last = map[membership.HostID]hostResult{}
 	}
-	if len(h.last) >= maxExperience {
-		for known, r := range h.last {
-			if now.Sub(r.at) >= experienceLifetime {
+	if len(h.last) >= maxRemembered {
+		for known, old := range h.last {
+			if now.Sub(old.at) >= reachabilityLifetime {
 				delete(h.last, known)
 			}
 		}
 	}
-	if _, known := h.last[host.ID]; known || len(h.last) < maxExperience {
-		h.last[host.ID] = hostResult{host: host, experience: e, at: now}
+	if _, known := h.last[host.ID]; known || len(h.last) < maxRemembered {
+		h.last[host.ID] = hostResult{host: host, reachability: r, at: now}
 	}
 }
 
@@ -64,21 +64,21 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, r := range h.last {
-		if r.experience == reached && now.Sub(r.at) < experienceLifetime {
+		if r.reachability == reached && now.Sub(r.at) < reachabilityLifetime {
 			hosts = append(hosts, r.host)
 		}
 	}
 	return hosts
 }
 
-func (h *hostHistory) of(id membership.HostID, now time.Time) experience {
+func (h *hostHistory) of(id membership.HostID, now time.Time) reachability {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r, ok := h.last[id]
-	if !ok || now.Sub(r.at) >= experienceLifetime {
+	if !ok || now.Sub(r.at) >= reachabilityLifetime {
 		return unknown
 	}
-	return r.experience
+	return r.reachability
 }
 
 // choose returns the daemons to ask, in order: those that have reached endpoints
