--- a/internal/gateway/cutoff_test.go
+++ b/internal/gateway/cutoff_test.go
@@ -128,3 +128,63 @@
 	}
 	<-leaving.done
 }
+
+// Guards against a host that never serves because it has never reached an engine,
+// and against one that goes on asking others after its path has returned.
+func TestHostThatStartsCutOffServes(t *testing.T) {
+	s := newTestSite(t, 2)
+	s.startCutOff = true
+	d := s.addDaemon()
+	s.await("ready", d.g.acceptsCallers)
+	if sent, served := s.firstTries([]*testDaemon{d}, 5); served < sent {
+		t.Errorf("%d of %d requests served", served, sent)
+	}
+	d.path.Break(pathWorks)
+	s.await("direct connections only", func() bool {
+		s.closeIdle()
+		before := d.g.metrics.Counters()["tunnels.opened"]
+		s.firstTries([]*testDaemon{d}, 3)
+		return d.g.metrics.Counters()["tunnels.opened"] == before
+	})
+	if d.g.dialer.IsCutOff() {
+		t.Error("still cut off after direct connections")
+	}
+}
+
+// Guards against a host that avoids the engines that it does not reach, or takes
+// them for ill for all hosts, when it has lost the path to some of them.
+func TestPathToSomeEnginesLost(t *testing.T) {
+	s := newTestSite(t, 2)
+	d := s.daemons[0]
+	d.path.Break(pathResets, s.engines["llm-1"].address, s.engines["app-1"].address)
+	before := map[string]int{}
+	for id, e := range s.engines {
+		before[id] = len(e.Runs())
+	}
+	if sent, served := s.firstTries([]*testDaemon{d}, 10); served < sent {
+		t.Errorf("%d of %d requests served", served, sent)
+	}
+	for id, e := range s.engines {
+		if len(e.Runs()) == before[id] {
+			t.Errorf("%s got no request", id)
+		}
+	}
+	s.checkPayments()
+}
+
+// Guards against an engine that has ended while a host is cut off, and is taken for
+// one that others reach.
+func TestEngineEndsWhileHostIsCutOff(t *testing.T) {
+	s := newTestSite(t, 3)
+	d := s.daemons[0]
+	d.path.Break(pathHangs)
+	s.firstTries([]*testDaemon{d}, 2)
+	for _, id := range []string{"llm-1", "app-1"} {
+		s.engines[id].Terminate()
+	}
+	time.Sleep(stabilityWindow)
+	if sent, served := s.firstTries([]*testDaemon{d}, 10); sent-served > sent/maxFailedOneIn {
+		t.Errorf("%d of %d requests served", served, sent)
+	}
+	s.checkPayments()
+}
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -40,6 +40,8 @@
 	engines map[string]*testEngine
 	daemons []*testDaemon
 	config  standin.Document
+	// startCutOff makes daemons start without a path to the engines.
+	startCutOff bool
 	// change, if set, changes the settings of each daemon and the document.
 	change func(*settings.Settings, *standin.Document)
 }
@@ -127,6 +129,9 @@
 	d.g = New(conf, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	d.path = &enginePath{dial: d.g.dialEndpoint}
 	d.g.dialEndpoint = d.path.Dial
+	if s.startCutOff {
+		d.path.Break(pathHangs)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	go func() {
