--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -107,12 +107,18 @@
 }
 
 func (s *testSite) addDaemon() *testDaemon {
-	d := &testDaemon{ip: fmt.Sprintf("127.0.0.%d", 11+len(s.daemons)), done: make(chan struct{})}
+	d := s.startDaemon(len(s.daemons))
+	s.daemons = append(s.daemons, d)
+	return d
+}
+
+func (s *testSite) startDaemon(i int) *testDaemon {
+	d := &testDaemon{ip: fmt.Sprintf("127.0.0.%d", 11+i), done: make(chan struct{})}
 	store := httptest.NewServer(s.store.HandlerFor(d.ip))
 	s.t.Cleanup(store.Close)
 	at := func(port int) string { return fmt.Sprintf("%s:%d", d.ip, port) }
 	conf := &settings.Settings{
-		Host: fmt.Sprintf("host-%d", len(s.daemons)), Region: "r", Zone: "z",
+		Host: fmt.Sprintf("host-%d", i), Region: "r", Zone: "z",
 		CallerAddress: at(testCallerPort), PeerAddress: at(testPeerPort), OperatorAddress: at(testMetricsPort),
 		Peers:    []string{fmt.Sprintf("127.0.0.11:%d", testPeerPort)},
 		Platform: settings.Platform{URL: store.URL, Timeout: table.Duration(700 * time.Millisecond)},
@@ -141,7 +147,6 @@
 		}
 	}()
 	s.t.Cleanup(func() { cancel(); <-d.done })
-	s.daemons = append(s.daemons, d)
 	return d
 }
 
