--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -217,6 +217,44 @@
 	}, "prompt")
 }
 
+// lookFor has callers send requests that are safe, one after the other, to all
+// daemons for some time, and returns how many were sent and served.
+func (s *testSite) lookFor(d time.Duration, callers int, pause time.Duration) (sent, served int) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(pause) {
+				a := s.call(s.daemons[i%len(s.daemons)], http.MethodGet, "/look/x", nil, "")
+				mu.Lock()
+				sent++
+				if a.status == http.StatusOK {
+					served++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return sent, served
+}
+
+// chatAndLook sends a stream request and a safe one to each daemon, some times, all
+// of which must be served.
+func (s *testSite) chatAndLook(times int) {
+	s.t.Helper()
+	for n := range times {
+		for i, d := range s.daemons {
+			if a := s.chatAlone(d, n*len(s.daemons)+i); a.err != nil || a.status != http.StatusOK {
+				s.t.Errorf("stream %d: status %d, %v", n, a.status, a.err)
+			}
+			if a := s.call(d, http.MethodGet, "/look/x", nil, ""); a.status != http.StatusOK {
+				s.t.Errorf("call %d: status %d, %v", n, a.status, a.err)
+			}
+		}
+	}
+}
+
 // raw writes bytes to a daemon and returns everything that it sends back.
 func (s *testSite) raw(d *testDaemon, stream string) string {
 	s.t.Helper()
