Read a reservation under the lock when its grant arrives

The cell is the same in both, so that callers saw nothing. Change: it is read under the lock. Evidence: TestGrantArrivesWhileItMoves reports the race before, and passes.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -229,8 +229,8 @@
 }
 
 func (p *Placer) accept(w *pending, a answer) (*Grant, *outcome.Refusal) {
-	id := cell.ID(w.reserve.GetCell())
 	p.mu.Lock()
+	id := cell.ID(w.reserve.GetCell())
 	e, source := p.plan.Endpoint(id, a.endpoint), p.plan.Endpoint(id, a.fetchFrom)
 	p.mu.Unlock()
 	g := &Grant{placer: p, pending: w, grantedAt: p.clock.Now()}
