Let the test of starting fleets not depend on the machine's load

Change: the limit of the wait is a field, which the test sets beyond any start; the limit itself has a test with a fake clock.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -37,11 +37,11 @@
 	// staleRetryAfter is the Retry-After value when this daemon's facts are too
 	// old; other daemons may have newer ones.
 	staleRetryAfter = 200 * time.Millisecond
-	// startWait is how long a request waits at most for the first configuration of
-	// a daemon that has just started, if that is no more than a part,
-	// startWaitDivisor, of its caller's deadline. A fleet that starts together has
-	// it after some 250 ms; a refusal would cost the caller as much.
-	startWait        = 500 * time.Millisecond
+	// defaultStartWait is how long a request waits at most for the first
+	// configuration of a daemon that has just started, if that is no more than a
+	// part, startWaitDivisor, of its caller's deadline. A fleet that starts together
+	// has it after some 250 ms; a refusal would cost the caller as much.
+	defaultStartWait = 500 * time.Millisecond
 	startWaitDivisor = 4
 	// defaultDeadline applies to requests without a deadline.
 	defaultDeadline = time.Minute
@@ -135,7 +135,7 @@
 	if isClosed(g.started) {
 		return
 	}
-	wait := startWait
+	wait := g.startWait
 	if deadline > 0 {
 		wait = min(wait, deadline/startWaitDivisor)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -116,6 +116,8 @@
 	// started is closed when this daemon has been ready for the first time.
 	started   chan struct{}
 	startOnce sync.Once
+	// startWait is how long a request waits for that at most.
+	startWait time.Duration
 	// draining is closed when the graceful shutdown begins.
 	draining  chan struct{}
 	drainOnce sync.Once
@@ -134,6 +136,7 @@
 		draining: make(chan struct{}),
 		busy:     make(chan struct{}, 1),
 
+		startWait:    defaultStartWait,
 		dialEndpoint: http1.Dial,
 	}
 	g.checks = tick.NewGrid(g.clock)
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -42,6 +42,8 @@
 	config  standin.Document
 	// startCutOff makes daemons start without a path to the engines.
 	startCutOff bool
+	// startWait, if positive, is how long requests wait for the start of a daemon.
+	startWait time.Duration
 	// change, if set, changes the settings of each daemon and the document.
 	change func(*settings.Settings, *standin.Document)
 }
@@ -135,6 +137,9 @@
 	d.g = New(conf, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	d.path = &enginePath{dial: d.g.dialEndpoint}
 	d.g.dialEndpoint = d.path.Dial
+	if s.startWait > 0 {
+		d.g.startWait = s.startWait
+	}
 	if s.startCutOff {
 		d.path.Break(pathHangs)
 	}
--- a/internal/gateway/start_test.go
+++ b/internal/gateway/start_test.go
@@ -1,17 +1,27 @@
 package gateway
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/beechhead/beechhead/internal/metric"
+	"github.com/beechhead/beechhead/platform"
 )
 
 // Guards against daemons that refuse the requests of callers who reach them between
 // their start and their first configuration.
 func TestStartingFleetRefusesNoRequest(t *testing.T) {
 	s := newTestSite(t, 5)
+	// The limit of the wait must not decide on a busy machine.
+	s.startWait = time.Minute
+	header := map[string]string{platform.HeaderDeadline: "240000"}
 	for _, d := range s.daemons {
 		d.cancel()
 		<-d.done
@@ -25,9 +35,10 @@
 			s.await("listening", d.listens)
 			for n := range 10 {
 				wg.Go(func() {
-					for _, a := range []response{s.chatAlone(d, 10*i+n), s.call(d, http.MethodPost, "/pay/x", nil, "")} {
+					for _, route := range []string{"/pay/x", "/look/x"} {
+						a := s.call(d, http.MethodPost, route, header, fmt.Sprint(i, n))
 						if a.err != nil || a.status != http.StatusOK {
-							t.Errorf("status %d, %v", a.status, a.err)
+							t.Errorf("%s: status %d, %v", route, a.status, a.err)
 						}
 					}
 				})
@@ -47,3 +58,27 @@
 	_ = c.Close()
 	return true
 }
+
+// Guards against requests that wait for a start for too long, or not at all.
+func TestWaitForStartIsBounded(t *testing.T) {
+	for _, tt := range []struct{ deadline, want time.Duration }{
+		{0, defaultStartWait},
+		{10 * time.Second, defaultStartWait},
+		{400 * time.Millisecond, 100 * time.Millisecond},
+	} {
+		clock := clockwork.NewFakeClock()
+		g := &Gateway{clock: clock, metrics: metric.NewRegistry(), started: make(chan struct{}), startWait: defaultStartWait}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			g.awaitStart(t.Context(), tt.deadline)
+		}()
+		_ = clock.BlockUntilContext(t.Context(), 1)
+		clock.Advance(tt.want - time.Millisecond)
+		if isClosed(done) {
+			t.Errorf("deadline %v: the wait ends before %v", tt.deadline, tt.want)
+		}
+		clock.Advance(time.Millisecond)
+		<-done
+	}
+}
