Tell the two causes of refusals at a start apart

Callers saw refusals although the daemons had their configuration.

Five daemons that start together do not know each other at first; each is the coordinator of the same cell and grants the same 8 slots of the same two endpoints. The endpoints turn requests away, and after two of them, or once the retry budget of the daemon is used up, the request is refused. Ruled out: the wait for the first configuration (no notReady in any play), the load (it fails alone more often than beside busy processes).

The test guarded against another failure and met this one by its number of requests.

--- a/internal/gateway/start_test.go
+++ b/internal/gateway/start_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -13,12 +14,31 @@
 
 	"github.com/beechhead/beechhead/internal/metric"
 	"github.com/beechhead/beechhead/platform"
+	"github.com/beechhead/beechhead/platform/standin"
 )
 
 // Guards against daemons that refuse the requests of callers who reach them between
 // their start and their first configuration.
 func TestStartingFleetRefusesNoRequest(t *testing.T) {
 	s := newTestSite(t, 5)
+	// Endpoints have room for whatever several coordinators grant at once;
+	// TestStartingCoordinatorsShareEndpoints is about endpoints that have not.
+	for _, e := range s.engines {
+		e.SetFaults(standin.EngineFaults{Room: 1000})
+	}
+	s.callWhileStarting()
+}
+
+// Guards against coordinators that start together and each grant all slots of the same
+// endpoints, which then turn requests away until their attempts are used up.
+func TestStartingCoordinatorsShareEndpoints(t *testing.T) {
+	newTestSite(t, 5).callWhileStarting()
+}
+
+// callWhileStarting restarts all daemons and sends each of them requests as soon as it
+// listens. All must be served.
+func (s *testSite) callWhileStarting() {
+	s.t.Helper()
 	// The limit of the wait must not decide on a busy machine.
 	s.startWait = time.Minute
 	header := map[string]string{platform.HeaderDeadline: "240000"}
@@ -38,7 +58,7 @@
 					for _, route := range []string{"/pay/x", "/look/x"} {
 						a := s.call(d, http.MethodPost, route, header, fmt.Sprint(i, n))
 						if a.err != nil || a.status != http.StatusOK {
-							t.Errorf("%s: status %d, %v", route, a.status, a.err)
+							s.t.Errorf("%s: status %d, %v", route, a.status, a.err)
 						}
 					}
 				})
@@ -46,6 +66,13 @@
 		})
 	}
 	wg.Wait()
+	for _, d := range s.daemons {
+		for name, n := range d.g.metrics.Counters() {
+			if strings.HasPrefix(name, "refused.") {
+				s.t.Logf("%s: %d of %s", d.ip, n, name)
+			}
+		}
+	}
 	s.checkPayments()
 }
 
