Reach endpoints through an HTTP proxy if the settings name one

Some hosts reach endpoints only through a proxy, and a check of hosts that are cut off needs a way to break the path of one daemon alone: on loopback a relay in front of an endpoint can't keep a connection of one daemon from opening.

Two ways were compared. A local address to connect from lets a relay tell daemons apart, but only after it has accepted the connection, so the daemon sees an open path. With CONNECT the connection is open only when the proxy has said so; it can hang, be refused or be reset before, as on a lost path.

Without the setting nothing changes.

--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -22,11 +22,10 @@
 // buildTunnels creates both sides of the tunnels to endpoints through other
 // daemons.
 func (g *Gateway) buildTunnels() {
-	direct := func(ctx context.Context, address string) (net.Conn, error) { return g.dialEndpoint(ctx, address) }
 	var purgedAt atomic.Int64
 	g.dialer = &tunnel.Dialer{
 		Clock:   g.clock,
-		Direct:  direct,
+		Direct:  g.dialDirectly,
 		Through: tunnel.Through(http1.Dial),
 		Hosts:   func() []membership.Host { return tunnel.Candidates(g.view.Ready(), g.view.Self()) },
 		Region:  g.conf().Region,
@@ -50,7 +49,7 @@
 		Count: g.metrics.Inc,
 	}
 	g.tunnels = &tunnel.Server{
-		Dial:       direct,
+		Dial:       g.dialDirectly,
 		IsEndpoint: g.isEndpointAddress,
 		HasPath:    func() bool { return !g.leaving() && !g.dialer.IsCutOff() },
 		OnHead:     g.onCarriedHead,
@@ -58,6 +57,14 @@
 	}
 }
 
+// dialDirectly opens a connection to an endpoint without another daemon.
+func (g *Gateway) dialDirectly(ctx context.Context, address string) (net.Conn, error) {
+	if proxy := g.conf().Gateway.EndpointProxy; proxy != "" {
+		return tunnel.DialProxy(ctx, g.dialEndpoint, proxy, address)
+	}
+	return g.dialEndpoint(ctx, address)
+}
+
 // onCarriedHead records what an endpoint announces in a response that this daemon
 // carries for another one.
 func (g *Gateway) onCarriedHead(address string, head []byte) {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -18,6 +18,11 @@
 	// BeaconPort is the UDP port on which the daemons tell each other how
 	// fresh their knowledge is; it is the same on all hosts.
 	BeaconPort int `json:"beaconPort"`
+	// EndpointProxy is the address of an HTTP proxy through which this host opens its
+	// connections to endpoints, with CONNECT; empty if it reaches them directly. Status
+	// 502 of the proxy means that the endpoint refused the connection, 504 that it did
+	// not answer.
+	EndpointProxy string `json:"endpointProxy,omitempty"`
 	// AddressLifetime is how long callers may keep an answer of addresses.
 	AddressLifetime table.Duration `json:"addressLifetime"`
 	// RevokeAfter is the time within which a key that was taken away must not
@@ -130,12 +135,10 @@
 	if g == nil {
 		return
 	}
-	for _, a := range []struct{ path, address string }{
-		{"gateway.readyAddress", g.ReadyAddress},
-		{"gateway.directoryAddress", g.DirectoryAddress},
-	} {
-		addr, err := netip.ParseAddrPort(a.address)
-		c.require(err == nil && addr.Port() != 0, a.path, "%q is not an IP address with a port, such as 10.0.0.1:7400", a.address)
+	checkAddress(c, "gateway.readyAddress", g.ReadyAddress)
+	checkAddress(c, "gateway.directoryAddress", g.DirectoryAddress)
+	if g.EndpointProxy != "" {
+		checkAddress(c, "gateway.endpointProxy", g.EndpointProxy)
 	}
 	c.require(g.BeaconPort > 0 && g.BeaconPort < 1<<16, "gateway.beaconPort", "%d is not a port", g.BeaconPort)
 	c.require(g.AddressLifetime > 0, "gateway.addressLifetime", "is missing; allowed: a duration such as 2s")
@@ -147,3 +150,8 @@
 	c.require(g.Retry.Slack >= 0, "gateway.retry.slack", "%g is negative", g.Retry.Slack)
 	c.require(g.Retry.Window > 0, "gateway.retry.window", "is missing; allowed: a duration such as 10s")
 }
+
+func checkAddress(c *checker, path, address string) {
+	addr, err := netip.ParseAddrPort(address)
+	c.require(err == nil && addr.Port() != 0, path, "%q is not an IP address with a port, such as 10.0.0.1:7400", address)
+}
--- a/internal/settings/template_test.go
+++ b/internal/settings/template_test.go
@@ -152,14 +152,14 @@
 func TestGatewayFaults(t *testing.T) {
 	data := `{"host":"h","region":"r","zone":"z","callerAddress":"10.0.0.1:1","peerAddress":"10.0.0.1:2","operatorAddress":"10.0.0.1:3",
 	 "platform":{"url":"http://10.0.0.9:1","timeout":"1s"},
-	 "gateway":{"readyAddress":"x","directoryAddress":"10.0.0.1:5","beaconPort":0,"addressLifetime":"0s","revokeAfter":"10ms","grace":"0s",
+	 "gateway":{"readyAddress":"x","directoryAddress":"10.0.0.1:5","endpointProxy":"proxy","beaconPort":0,"addressLifetime":"0s","revokeAfter":"10ms","grace":"0s",
 	  "retry":{"share":-1,"slack":-1,"window":"0s"}}}`
 	_, faults := parse([]byte(data))
 	var paths []string
 	for _, f := range faults {
 		paths = append(paths, f.Path)
 	}
-	want := "gateway.readyAddress gateway.beaconPort gateway.addressLifetime gateway.revokeAfter gateway.grace gateway.retry.share gateway.retry.slack gateway.retry.window"
+	want := "gateway.readyAddress gateway.endpointProxy gateway.beaconPort gateway.addressLifetime gateway.revokeAfter gateway.grace gateway.retry.share gateway.retry.slack gateway.retry.window"
 	if got := strings.Join(paths, " "); got != want {
 		t.Errorf("faults at %s\nwant %s", got, want)
 	}
