Treat a new endpoint of a brittle pool as brittle

Cause: a restarted engine has another name, and brittleness was kept by name alone, so the coordinator granted it all its registered slots until its first response. The statement is the pool's: its engines are brittle together. Now an endpoint that has not responded yet is held to the newest statement of its cell, until its own first response; a response without the statement ends it for those that start later too.

Also considered: taking the state over from the last endpoint at the same address, which misses engines that come back elsewhere; and few requests for every new endpoint, which costs capacity at each ordinary start.

Ruled out: a refusal that the coordinator missed (all were of one instant), the backed-off engine beside it (it only sent more load here).

--- a/internal/schedule/brittle.go
+++ b/internal/schedule/brittle.go
@@ -23,7 +23,10 @@
 type brittleness struct {
 	// perSecond is the number of requests that the endpoint can turn away within a
 	// second; zero means that it is not brittle.
-	perSecond  int
+	perSecond int
+	// isReported reports whether the endpoint has responded, with or without a
+	// statement that it is brittle, reportedAt when it last did so with one.
+	isReported bool
 	reportedAt time.Duration
 	// room is the number of requests that the endpoint is assumed to run at once,
 	// roomAt when it was last changed.
@@ -101,20 +104,56 @@
 	}
 	b, now := &e.brittle, c.now()
 	at := now - age
-	if at < b.reportedAt {
+	if b.isReported && at < b.reportedAt {
 		return
 	}
+	perSecond = max(1, perSecond/max(1, c.share))
+	b.begin(perSecond, e.policy.Concurrency, now)
+	b.isReported, b.reportedAt = true, at
+	if c.poolBrittle.isReported && at < c.poolBrittle.at {
+		return
+	}
+	c.poolBrittle = poolBrittleness{isReported: true, perSecond: perSecond, at: at}
+	for _, other := range c.sortedEndpoints {
+		c.assumeBrittle(other)
+	}
+}
+
+// poolBrittleness is the newest statement of the endpoints of a cell. They are of one
+// pool, whose endpoints are brittle together.
+type poolBrittleness struct {
+	isReported bool
+	// perSecond is zero if the endpoints are not brittle.
+	perSecond int
+	at        time.Duration
+}
+
+// assumeBrittle treats an endpoint that has not responded yet like the others.
+func (c *Cell) assumeBrittle(e *endpointState) {
+	if !e.brittle.isReported && c.poolBrittle.perSecond > 0 {
+		e.brittle.begin(c.poolBrittle.perSecond, e.policy.Concurrency, c.now())
+	}
+}
+
+// begin sets the number of requests that the endpoint can turn away, and its room if it
+// was not brittle before.
+func (b *brittleness) begin(perSecond, concurrency int, now time.Duration) {
 	if !b.isActive() {
-		b.room, b.roomAt = e.policy.Concurrency, now
+		b.room, b.roomAt = concurrency, now
 	}
-	b.reportedAt, b.perSecond = at, max(1, perSecond/max(1, c.share))
+	b.perSecond = perSecond
 }
 
 // removeBrittle handles the end of a grant whose response did not state that the
 // endpoint is brittle. A response to a request that was granted before the last
 // report may only have been delayed.
 func (c *Cell) removeBrittle(g *entry) {
-	if b := &g.endpoint.brittle; !g.adopted && g.Granted > b.reportedAt {
-		*b = brittleness{reportedAt: g.Granted}
+	b := &g.endpoint.brittle
+	if g.adopted || b.isReported && g.Granted <= b.reportedAt {
+		return
+	}
+	*b = brittleness{isReported: true, reportedAt: g.Granted}
+	if !c.poolBrittle.isReported || g.Granted > c.poolBrittle.at {
+		c.poolBrittle = poolBrittleness{isReported: true, at: g.Granted}
 	}
 }
--- a/internal/schedule/configure.go
+++ b/internal/schedule/configure.go
@@ -105,6 +105,7 @@
 			e = c.newEndpoint()
 		}
 		e.setPolicy(p)
+		c.assumeBrittle(e)
 		c.endpoints[p.Name] = e
 		c.sortedEndpoints = append(c.sortedEndpoints, e)
 		c.totalSlots += p.Concurrency
