Check the announcements of engines and lost paths in the soak

Losses of the path strike one daemon, a zone, or all but one, in three forms, beside the kills, pauses and stops that a seed draws. Daemons reach engines through a proxy each in these runs. Of two ways the other one, a local address to connect from, could only break connections that had opened.

An announcement now counts from when the engine makes it.

Times within 3 s of an outage of the store do not count now.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -43,6 +43,10 @@
 	{"recovery", recovered},
 	{"ending requests", endingRequests},
 	{"engine limits", engineLimits},
+	{"brittle engines", brittleEngines},
+	{"leaving engines", leavingEngines},
+	{"back-off", backoffs},
+	{"lost path", withoutPath},
 	{"duties", func(rec *Record) []string { return rec.Duties.Broken }},
 }
 
@@ -119,10 +123,7 @@
 
 // asked looks for runs that nobody asked for like that.
 func asked(rec *Record) (found []string) {
-	calls := map[string]*Call{}
-	for i := range rec.Calls {
-		calls[rec.Calls[i].ID] = &rec.Calls[i]
-	}
+	calls := rec.callsByID()
 	for _, r := range rec.Runs {
 		c := calls[r.ID]
 		switch {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -69,6 +69,65 @@
 	}
 }
 
+// addArrivals adds requests that reach an engine of the other pool from host-0, one each
+// 100 ms.
+func addArrivals(rec *Record, n int, from float64, change func(i int, a *Arrival)) {
+	for i := range n {
+		id, sent := fmt.Sprint("arrival-", i), from+float64(i)/10
+		c := Call{Call: standin.Call{ID: id, Route: "look"}, Sent: at(sent), Ended: at(sent)}
+		c.Answer.Status = http.StatusBadGateway
+		a := Arrival{Engine: 1}
+		a.ID, a.Instance, a.At = id, "engine-1", at(sent)
+		change(i, &a)
+		rec.Calls, rec.Arrivals = append(rec.Calls, c), append(rec.Arrivals, a)
+	}
+}
+
+// addFalls has brittle engines terminate.
+func addFalls(rec *Record, n int) {
+	rec.Faults = append(rec.Faults, Struck{Fault: Fault{Kind: KindEngineBrittle, Target: 1}, From: at(15), To: at(25)})
+	addArrivals(rec, n, 20, func(_ int, a *Arrival) { a.TurnedAway, a.Full, a.Fell = true, true, true })
+}
+
+// addLeaving has an engine say that it leaves, and a request reach it some time after.
+func addLeaving(rec *Record, after float64) {
+	told := Arrival{Engine: 1}
+	told.ID, told.Instance, told.At, told.Leaving = "look", "engine-1", at(14), true
+	rec.Arrivals = append(rec.Arrivals, told)
+	addArrivals(rec, 1, 15+after, func(int, *Arrival) {})
+}
+
+// addBackoff has an engine ask for back-off, and requests reach it within that time.
+func addBackoff(rec *Record, n int) {
+	addArrivals(rec, 1+n, 20, func(i int, a *Arrival) {
+		if i == 0 {
+			a.TurnedAway, a.BackoffSeconds = true, 2
+			return
+		}
+		a.At = at(20.5 + float64(i)/10)
+	})
+}
+
+// addPathLoss has host-0 lose its path, while host-1 serves all; of its 30 requests some
+// are served.
+func addPathLoss(rec *Record, served int) {
+	rec.Daemons = 2
+	rec.Final = append(rec.Final, rec.Final[0])
+	rec.Faults = append(rec.Faults, Struck{Fault: Fault{Kind: KindPathLost, Spread: SpreadAlone}, From: at(15), To: at(25)})
+	for i := range 30 {
+		for daemon := range 2 {
+			sent := at(20 + float64(i)/10)
+			c := Call{Call: standin.Call{ID: fmt.Sprint("path-", daemon, "-", i), Route: "look"}, Daemon: daemon, Sent: sent, Ended: sent}
+			c.Answer.Status = http.StatusBadGateway
+			if daemon == 1 || i < served {
+				c.Answer = standin.CallResponse{Status: http.StatusOK, Signed: true}
+				c.Answer.Body = wholeBody(&c)
+			}
+			rec.Calls = append(rec.Calls, c)
+		}
+	}
+}
+
 func TestNothingIsFoundWhereAllIsWell(t *testing.T) {
 	if found := Find(goodRecord()); len(found) > 0 {
 		t.Errorf("found %v", found)
@@ -114,6 +173,10 @@
 		{"a daemon never came back", "recovery", func(r *Record) { r.Daemons = 2 }},
 		{"a request that ends engines is sent on", "ending requests", func(r *Record) { addEnds(r, 7) }},
 		{"an engine gets more than its limit", "engine limits", func(r *Record) { addLimited(r, 18) }},
+		{"brittle engines terminate", "brittle engines", func(r *Record) { addFalls(r, 3) }},
+		{"an engine that leaves is reached", "leaving engines", func(r *Record) { addLeaving(r, 2.1) }},
+		{"an engine gets no rest", "back-off", func(r *Record) { addBackoff(r, 3) }},
+		{"a host without a path serves less", "lost path", func(r *Record) { addPathLoss(r, 18) }},
 		{"a window has two contents", "duties", func(r *Record) { r.Duties.Broken = []string{"window 3 has two contents"} }},
 		{"too many repeats", "retry budget", func(r *Record) {
 			for range retrySlack + 2 {
@@ -157,6 +220,30 @@
 			addLimited(r, 18)
 			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindPause}, From: at(18), To: at(18.5)})
 		}},
+		{"as many terminations of brittle engines as allowed", func(r *Record) { addFalls(r, 2) }},
+		{"terminations by a daemon that was paused", func(r *Record) {
+			addFalls(r, 3)
+			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindPause}, From: at(18), To: at(18.5)})
+		}},
+		{"an engine that leaves is reached in time", func(r *Record) { addLeaving(r, 1.9) }},
+		{"an engine that leaves is reached after a restart", func(r *Record) {
+			addLeaving(r, 5)
+			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindKill}, From: at(16), To: at(17)})
+		}},
+		{"as many requests within a back-off as allowed", func(r *Record) { addBackoff(r, 2) }},
+		{"more within a back-off without a path", func(r *Record) {
+			addBackoff(r, 3)
+			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindPathLost}, From: at(21), To: at(22)})
+		}},
+		{"a host without a path serves two thirds", func(r *Record) { addPathLoss(r, 20) }},
+		{"a host without a path serves less while all others are gone", func(r *Record) {
+			addPathLoss(r, 0)
+			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindKill, Target: 1}, From: at(19), To: at(23)})
+		}},
+		{"a host without a path serves less in an outage of the store", func(r *Record) {
+			addPathLoss(r, 0)
+			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindStoreDown}, From: at(16), To: at(23)})
+		}},
 		{"a safe request that runs again", func(r *Record) { r.Runs = append(r.Runs, r.Runs[2]) }},
 	}
 	for _, tt := range tests {
@@ -203,15 +290,20 @@
 		for _, f := range Plan(seed, 4, 4, 12*time.Second) {
 			seen[f.Kind] = true
 			least, most := minFault, maxFault
-			if f.lasts() {
+			switch {
+			case slices.Contains(lastingKinds, f.Kind):
 				least, most = 0, 0
+			case slices.Contains(announcedKinds, f.Kind):
+				least, most = least+drainBound, most+drainBound
+			case f.Kind == KindPathLost:
+				least, most = minPathFault, maxPathFault
 			}
 			if f.Target < 0 || f.Target > 3 || f.For < least || f.For > most {
 				t.Errorf("%v", f)
 			}
 		}
 	}
-	if n := len(kinds) + len(lastingKinds) + 1; len(seen) != n {
+	if n := len(kinds) + len(lastingKinds) + len(announcedKinds) + 2; len(seen) != n {
 		t.Errorf("%d of %d kinds are drawn", len(seen), n)
 	}
 }
--- a/internal/soak/ending.go
+++ b/internal/soak/ending.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	paths "github.com/beechhead/beechhead/internal/standin"
 	"github.com/beechhead/beechhead/platform"
 	"github.com/beechhead/beechhead/platform/standin"
 )
@@ -36,21 +38,35 @@
 	plantOtherTarget = "otherTarget"
 	// plantHideEra has the store name no era.
 	plantHideEra = "hideEra"
+	// The following have engines say nothing of how they may be used.
+	plantHideBrittle = "hideBrittle"
+	plantHideBackoff = "hideBackoff"
+	plantHideLeaving = "hideLeaving"
+	// plantSwallow has lost paths open connections that pass nothing on.
+	plantSwallow = "swallowPath"
 )
 
-// plantedFault returns the fault that a plan must have for its planted
-// variant, or "".
-func (o *Options) plantedFault() Kind {
-	return map[string]Kind{
-		plantHideLimit: KindEngineLimit, plantOtherTarget: KindEndingRequest, plantHideEra: KindStoreCopy,
-	}[o.Plant]
+// plantedFaults has the fault that the plan of a planted variant consists of.
+var plantedFaults = map[string]Fault{
+	plantHideLimit:   {Kind: KindEngineLimit},
+	plantOtherTarget: {Kind: KindEndingRequest},
+	plantHideEra:     {Kind: KindStoreCopy, For: maxFault},
+	plantHideBrittle: {Kind: KindEngineBrittle},
+	plantHideBackoff: {Kind: KindEngineBackoff},
+	plantHideLeaving: {Kind: KindEngineLeaving, For: 2 * maxFault},
+	plantSwallow:     {Kind: KindPathLost, For: maxPathFault, Spread: SpreadZone, Path: paths.PathSwallows},
+}
+
+func (o *Options) hidesAnnouncements() bool {
+	return slices.Contains([]string{plantHideLimit, plantHideBrittle, plantHideBackoff, plantHideLeaving}, o.Plant)
 }
 
 // plan returns the faults of the run; a planted variant has its fault alone, as
 // daemons that are in trouble need not keep the promise.
 func (o *Options) plan() []Fault {
-	if kind := o.plantedFault(); kind != "" {
-		return []Fault{{Kind: kind, At: time.Second, For: maxFault}}
+	if f, ok := plantedFaults[o.Plant]; ok {
+		f.At = time.Second
+		return []Fault{f}
 	}
 	return Plan(o.Seed, o.Daemons, o.Engines, o.Length)
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -15,13 +15,16 @@
 // strike brings a fault about and undoes it after its time. It returns when
 // all is as before.
 func (r *run) strike(f Fault) {
-	began := time.Now()
-	note := r.noteFault(f, began)
+	if f.isAnnounced() {
+		r.strikeAnnounced(f)
+		return
+	}
+	note := r.noteFault(f, time.Now())
 	switch {
 	case f.Kind == KindEndingRequest:
 		r.endEngines(f)
-	case f.Kind == KindEngineLimit:
-		r.limitEngine(f.Target)
+	case f.Kind == KindPathLost:
+		r.losePath(f)
 	case f.Kind == KindConfig || f.Kind == KindRevoke:
 		r.edit(f.Kind == KindRevoke)
 	case f.ofDaemon():
@@ -38,6 +41,21 @@
 	r.endFault(note, time.Now())
 }
 
+// strikeAnnounced brings about a fault in which engines say how they may be used. It
+// begins when they do, which other faults of the same engines may delay.
+func (r *run) strikeAnnounced(f Fault) {
+	switch f.Kind {
+	case KindEngineLimit:
+		r.limitEngine(f)
+	case KindEngineBrittle:
+		r.makeBrittle(f)
+	case KindEngineBackoff:
+		r.askForBackoff(f)
+	case KindEngineLeaving:
+		r.leave(f)
+	}
+}
+
 func (r *run) strikeDaemon(f Fault) {
 	r.daemonLocks[f.Target].Lock()
 	defer r.daemonLocks[f.Target].Unlock()
@@ -143,13 +161,13 @@
 	r.must(r.setFaults(f.Target, form.EngineFaults{}))
 }
 
-// setFaults switches an engine's faults but for its limit and the requests that
+// setFaults switches an engine's faults but for its announcements and the requests that
 // end it. The caller holds the engine's lock.
 func (r *run) setFaults(engine int, f form.EngineFaults) error {
-	f.TerminateOn = endingBody
-	if r.limited[engine] {
-		f.Limit, f.HideLimit = engineLimit, r.o.Plant == plantHideLimit
-	}
+	a := r.announced[engine]
+	f.Limit, f.Brittle, f.Room, f.Leaving = a.Limit, a.Brittle, a.Room, a.Leaving
+	f.BackoffSeconds, f.BackoffShare = a.BackoffSeconds, a.BackoffShare
+	f.TerminateOn, f.HideAnnouncements = endingBody, r.o.hidesAnnouncements()
 	return r.site.post(r.site.engineURL(engine, "/faults"), f)
 }
 
--- a/internal/soak/limit.go
+++ b/internal/soak/limit.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"slices"
 	"time"
-
-	form "github.com/beechhead/beechhead/platform/standin"
 )
 
 const (
@@ -18,19 +16,6 @@
 	limitSlack  = 5
 )
 
-// limitEngine has an engine name a limit.
-func (r *run) limitEngine(engine int) {
-	set := func(limited bool) {
-		r.engineLocks[engine].Lock()
-		defer r.engineLocks[engine].Unlock()
-		r.limited[engine] = limited
-		r.must(r.setFaults(engine, form.EngineFaults{}))
-	}
-	set(true)
-	<-r.lasting.Done()
-	set(false)
-}
-
 // engineLimits looks for windows in which an engine that named a limit got too
 // much from daemons in touch.
 func engineLimits(rec *Record) (found []string) {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -7,7 +7,10 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
+
+	"github.com/beechhead/beechhead/internal/standin"
 )
 
 // Kind is a kind of fault.
@@ -40,6 +43,14 @@
 	KindEngineDelay   Kind = "engineDelay"
 	KindEngineDrain   Kind = "engineDrain"
 	KindEngineLimit   Kind = "engineLimit"
+	// KindEngineBrittle has the engines of a pool say that they terminate if they have
+	// to turn away too much, KindEngineBackoff an engine that it wants nothing for a
+	// while, and KindEngineLeaving that it leaves.
+	KindEngineBrittle Kind = "engineBrittle"
+	KindEngineBackoff Kind = "engineBackoff"
+	KindEngineLeaving Kind = "engineLeaving"
+	// KindPathLost has daemons lose their path to all engines.
+	KindPathLost Kind = "pathLost"
 	// KindEndingRequest is a request that ends each engine that begins to run
 	// it, and that its caller sends again and again.
 	KindEndingRequest Kind = "endingRequest"
@@ -69,18 +80,21 @@
 	For time.Duration `json:"for"`
 	// Target is the number of the daemon or engine, where the kind has one.
 	Target int `json:"target"`
+	// Spread and Path are which daemons lose their path, and how.
+	Spread Spread            `json:"spread,omitempty"`
+	Path   standin.PathState `json:"path,omitempty"`
 }
 
 // String returns the fault as a line of a plan.
 func (f Fault) String() string {
-	return fmt.Sprintf("%6.2fs %-13s %d for %v", f.At.Seconds(), f.Kind, f.Target, f.For.Round(10*time.Millisecond))
+	return strings.TrimSpace(fmt.Sprintf("%6.2fs %-13s %d for %v %s %s", f.At.Seconds(), f.Kind, f.Target, f.For.Round(10*time.Millisecond), f.Spread, f.Path))
 }
 
 // planned tells whether a fault is one beside which nothing may be cut off, such
 // as work that an operator plans.
 func (f Fault) planned() bool {
 	switch f.Kind {
-	case KindStop, KindReload, KindConfig, KindRevoke, KindEngineDrain, KindEngineLimit:
+	case KindStop, KindReload, KindConfig, KindRevoke, KindEngineDrain, KindEngineLimit, KindEngineBackoff:
 		return true
 	}
 	return false
@@ -139,6 +153,8 @@
 	}
 	plan = append(plan, lastingFaults(seed, engines, length)...)
 	plan = append(plan, storeCopies(seed, length)...)
+	plan = append(plan, announcedFaults(seed, engines, length)...)
+	plan = append(plan, pathFaults(seed, daemons, length)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
@@ -150,7 +166,14 @@
 // daemons do about them is looked at when nothing else troubles them.
 var lastingKinds = []Kind{KindEngineLimit, KindEndingRequest}
 
-func (f Fault) lasts() bool { return slices.Contains(lastingKinds, f.Kind) }
+func (f Fault) lasts() bool {
+	return slices.Contains(lastingKinds, f.Kind) || slices.Contains(announcedKinds, f.Kind)
+}
+
+// isAnnounced reports whether engines say themselves when the fault begins.
+func (f Fault) isAnnounced() bool {
+	return f.Kind == KindEngineLimit || slices.Contains(announcedKinds, f.Kind)
+}
 
 // lastingFaults draws them apart from the others, which so stay as they are.
 func lastingFaults(seed uint64, engines int, length time.Duration) (plan []Fault) {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -14,13 +14,15 @@
 	Calm  time.Time `json:"calm"`
 	Ended time.Time `json:"ended"`
 	// Daemons is how many there are.
-	Daemons int      `json:"daemons"`
-	Calls   []Call   `json:"calls"`
-	Runs    []Run    `json:"runs"`
-	Faults  []Struck `json:"faults"`
-	Stops   []Stop   `json:"stops"`
-	Drains  []Drain  `json:"drains"`
-	Revoked []Revoke `json:"revoked"`
+	Daemons int    `json:"daemons"`
+	Calls   []Call `json:"calls"`
+	Runs    []Run  `json:"runs"`
+	// Arrivals are the requests that reached engines, also those turned away.
+	Arrivals []Arrival `json:"arrivals"`
+	Faults   []Struck  `json:"faults"`
+	Stops    []Stop    `json:"stops"`
+	Drains   []Drain   `json:"drains"`
+	Revoked  []Revoke  `json:"revoked"`
 	// Final has what each daemon answered at the very end.
 	Final []Final `json:"final"`
 	// Duties is what the platform's API has seen of the duties.
@@ -46,6 +48,12 @@
 	Engine int
 }
 
+// Arrival is a request that has reached an engine.
+type Arrival struct {
+	standin.Arrival
+	Engine int
+}
+
 // Struck is a fault with when it really began and was undone.
 type Struck struct {
 	Fault
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -62,8 +62,8 @@
 	ctx  context.Context
 
 	daemonLocks, engineLocks []sync.Mutex
-	// limited has the engines that name a limit, each under its lock.
-	limited []bool
+	// announced has what each engine announces, under its lock.
+	announced []standin.EngineFaults
 	// lasting ends with the faults that last.
 	lasting              context.Context
 	storeLock, drainLock sync.Mutex
@@ -96,7 +96,7 @@
 		o: o, ctx: ctx,
 		daemonLocks: make([]sync.Mutex, o.Daemons),
 		engineLocks: make([]sync.Mutex, o.Engines),
-		limited:     make([]bool, o.Engines),
+		announced:   make([]standin.EngineFaults, o.Engines),
 	}
 	r.site = &site{
 		o: o, procs: newProcesses(dir), network: firstNetwork + o.Network%Networks,
@@ -127,7 +127,7 @@
 	if r.o.Plant == "" {
 		return nil
 	}
-	if r.o.plantedFault() != "" {
+	if _, ok := plantedFaults[r.o.Plant]; ok {
 		return nil
 	}
 	faults := map[string]bool{r.o.Plant: true}
@@ -228,6 +228,13 @@
 		for _, one := range runs {
 			r.rec.Runs = append(r.rec.Runs, Run{Run: one, Engine: i})
 		}
+		var arrivals []standin.Arrival
+		if err := r.site.get(r.site.engineURL(i, "/arrivals"), &arrivals); err != nil {
+			return err
+		}
+		for _, one := range arrivals {
+			r.rec.Arrivals = append(r.rec.Arrivals, Arrival{Arrival: one, Engine: i})
+		}
 	}
 	return r.site.get("http://"+r.site.address(standinAddress, portStore)+standin.PathDuties, &r.rec.Duties)
 }
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -35,6 +36,7 @@
 	portRelays
 	portEngines    = 18600
 	portEngineWay  = 18700
+	portPaths      = 18750
 	portStoreWay   = 18800
 	firstDaemon    = 11
 	standinAddress = 2
@@ -106,6 +108,9 @@
 	for i := range s.o.Daemons {
 		args = append(args, "--relay", fmt.Sprintf("store%d=%s=%s", i, s.address(standinAddress, portStoreWay+i), s.address(standinAddress, portStore)))
 	}
+	for i := range s.o.Daemons {
+		args = append(args, "--proxy", fmt.Sprintf("path%d=%s", i, s.path(i)))
+	}
 	if _, err := s.procs.start("relays", s.binary("beechhead-standin"), args...); err != nil {
 		return err
 	}
@@ -171,18 +176,29 @@
 	return s.post("http://"+s.address(standinAddress, portStore)+"/operator", e)
 }
 
+// path returns the address of the proxy through which a daemon reaches the engines if
+// the run has daemons that lose their path.
+func (s *site) path(daemon int) string { return s.address(standinAddress, portPaths+daemon) }
+
+func zoneOf(daemon int) string { return fmt.Sprintf("z%d", daemon%2) }
+
 // startDaemon starts a daemon, for the first time or again.
 func (s *site) startDaemon(i int) error {
 	name := fmt.Sprintf("host-%d", i)
 	host := firstDaemon + i
 	platformURL := "http://" + s.address(standinAddress, portStoreWay+i)
+	endpointProxy := ""
+	if slices.ContainsFunc(s.o.plan(), func(f Fault) bool { return f.Kind == KindPathLost }) {
+		endpointProxy = s.path(i)
+	}
 	data, err := json.MarshalIndent(&settings.Settings{
-		Host: name, Region: "r", Zone: fmt.Sprintf("z%d", i%2),
+		Host: name, Region: "r", Zone: zoneOf(i),
 		CallerAddress: s.address(host, portCallers), PeerAddress: s.address(host, portPeers), OperatorAddress: s.address(host, portFigures),
 		Peers:    []string{s.address(firstDaemon, portPeers), s.address(firstDaemon+1, portPeers)},
 		Platform: settings.Platform{URL: platformURL, Timeout: table.Duration(700 * time.Millisecond)},
 		Gateway: &settings.Gateway{
 			ReadyAddress: s.address(host, portReady), DirectoryAddress: s.address(host, portDirectory), BeaconPort: portBeacons,
+			EndpointProxy:   endpointProxy,
 			AddressLifetime: table.Duration(2 * time.Second), RevokeAfter: table.Duration(revokeAfter), Grace: table.Duration(grace),
 			Retry: settings.Retry{Share: retryShare, Slack: retrySlack, Window: table.Duration(retryWindow)},
 			Duties: &settings.Duties{
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -18,8 +18,10 @@
 
 	mu       sync.Mutex
 	listener net.Listener
-	pairs    map[*relayed]bool
-	faults   RelayFaults
+	// ended is set between End and Listen.
+	ended  bool
+	pairs  map[*relayed]bool
+	faults RelayFaults
 }
 
 // RelayFaults are the faults of a relay's connections, old and new.
@@ -51,12 +53,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for p := range r.pairs {
-		for _, c := range []net.Conn{p.near, p.far} {
-			if tcp, ok := c.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0)
-			}
-			_ = c.Close()
-		}
+		p.reset()
 	}
 	return len(r.pairs)
 }
@@ -68,6 +65,16 @@
 	silent    bool
 }
 
+// reset resets both ends.
+func (p *relayed) reset() {
+	for _, c := range []net.Conn{p.near, p.far} {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+			_ = tcp.Close()
+		}
+	}
+}
+
 // NewRelay returns a relay to a target such as "127.0.0.1:8000".
 func NewRelay(target string) (r *Relay, err error) { return NewRelayOn("127.0.0.1:0", target) }
 
@@ -104,19 +111,23 @@
 func (r *Relay) End() {
 	r.mu.Lock()
 	_ = r.listener.Close()
+	r.ended = true
 	r.mu.Unlock()
 	r.Reset()
 }
 
-// Listen listens again after End.
+// Listen listens again after End. It does nothing if the relay listens.
 func (r *Relay) Listen() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.ended {
+		return nil
+	}
 	l, err := net.Listen("tcp", r.address)
 	if err != nil {
 		return errors.Wrap(err, "listen again")
 	}
-	r.mu.Lock()
-	r.listener = l
-	r.mu.Unlock()
+	r.listener, r.ended = l, false
 	go r.accept(l)
 	return nil
 }
--- a/internal/standin/relay_test.go
+++ b/internal/standin/relay_test.go
@@ -63,7 +63,7 @@
 
 func TestRelayFaults(t *testing.T) {
 	r, dial := echoRelay(t)
-	server := httptest.NewServer(relayControl(map[string]*Relay{"a": r}))
+	server := httptest.NewServer(relayControl(map[string]*Relay{"a": r}, nil))
 	t.Cleanup(server.Close)
 	post := func(path, body string) int {
 		resp, err := http.Post(server.URL+path, "application/json", strings.NewReader(body))
@@ -97,6 +97,17 @@
 	if err := echoes(c, long); err != nil {
 		t.Fatal(err)
 	}
+	for range 2 {
+		if status := post("/a/listen", ""); status != http.StatusOK {
+			t.Errorf("listen while it listens: status %d", status)
+		}
+	}
+	post("/a/end", "")
+	post("/a/listen", "")
+	if err := echoes(dial(), long); err != nil {
+		t.Errorf("after it listens again: %v", err)
+	}
+	c = dial()
 	post("/a/reset", "")
 	if err := echoes(c, long); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("a reset connection: %v", err)
