Keep the address of an endpoint known when its predecessor is removed

Cause, by the daemons' logs: an engine ended and was not reached, and all four daemons held the refused connection "not confirmed by another daemon" for 5 s, though none was cut off. The others had answered 403: they held that no endpoint is registered there. An engine that starts again registers under a new name at the same address. The index by address kept one endpoint; when the registration of the predecessor changed last (the store had come back from a copy) and was then removed, the address was gone from the index while the new endpoint was still planned.

Callers of a daemon without a path of its own were refused connections to that engine for the same reason, so RECOVER was at stake as well.

The index now has all endpoints of an address. TestEndpointAtAddressOutlivesItsPredecessor failed before in the second order.

--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"sync"
 
 	"github.com/beechhead/beechhead/internal/catalog"
@@ -51,23 +52,26 @@
 	// planned has the endpoints of the plan.
 	planned  map[facts.EndpointID]*cell.Member
 	draining int
-	// byURL has the planned endpoint at each URL.
-	byURL map[string]*cell.Member
+	// byURL has the planned endpoints at each URL, the last one that changed at the
+	// end. One that has started again has a new name, and the registration of its
+	// predecessor may stay for a while.
+	byURL map[string][]*cell.Member
 }
 
 func newEndpointPlan(region string, cellSize int) *endpointPlan {
 	return &endpointPlan{
 		region: region, plan: cell.EmptyPlan(cellSize),
-		planned: map[facts.EndpointID]*cell.Member{}, byURL: map[string]*cell.Member{},
+		planned: map[facts.EndpointID]*cell.Member{}, byURL: map[string][]*cell.Member{},
 	}
 }
 
 // at returns the endpoint at an address, or nil.
 func (p *endpointPlan) at(address string) *table.Endpoint {
-	if m := p.byURL[endpointURL(address)]; m != nil {
-		return &m.Endpoint
+	members := p.byURL[endpointURL(address)]
+	if len(members) == 0 {
+		return nil
 	}
-	return nil
+	return &members[len(members)-1].Endpoint
 }
 
 func endpointURL(address string) string { return "http://" + address }
@@ -109,9 +113,7 @@
 	if before != nil && (next == nil || next.Name != before.Name || next.Pool != before.Pool) {
 		changes = append(changes, cell.Change{Member: before, Removed: true})
 	}
-	if before != nil && p.byURL[before.URL] == before {
-		delete(p.byURL, before.URL)
-	}
+	p.index(before, next)
 	if before != nil && before.Draining {
 		p.draining--
 	}
@@ -120,13 +122,26 @@
 		return changes
 	}
 	p.planned[id] = next
-	p.byURL[next.URL] = next
 	if next.Draining {
 		p.draining++
 	}
 	return append(changes, cell.Change{Member: next})
 }
 
+// index replaces an endpoint in byURL; either may be nil.
+func (p *endpointPlan) index(before, next *cell.Member) {
+	if before != nil {
+		members := slices.DeleteFunc(p.byURL[before.URL], func(m *cell.Member) bool { return m == before })
+		p.byURL[before.URL] = members
+		if len(members) == 0 {
+			delete(p.byURL, before.URL)
+		}
+	}
+	if next != nil {
+		p.byURL[next.URL] = append(p.byURL[next.URL], next)
+	}
+}
+
 // member returns an endpoint as a member of a cell, or nil if its pool is not in the
 // configuration.
 func (p *endpointPlan) member(e facts.Endpoint) *cell.Member {
