Tell an endpoint that has ended from a lost path by other endpoints

Cause: a refused connection counts only if another daemon confirms it, and the only daemon with a path had nobody to confirm; and a daemon without a path dropped the word of the one that had been refused, because its own attempt had hung or been reset.

The path is lost to all endpoints at once, so one that can be reached tells the two apart. A daemon whose direct connection is refused, and that nobody can confirm, tries up to three other endpoints; if one accepts, the refusal counts. A daemon that carries for another does the same before it passes a refusal on (503 otherwise, as when it knows that it is cut off), so a refusal that arrives is one, and counts whatever became of the direct attempt.

Compared with counting an unconfirmed refusal if a direct connection was open lately: that is wrong in the form in which open connections live on. Remaining: if all endpoints end at once, or a path is lost to some of them only, nobody can tell, as before.

--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 	"slices"
+	"strings"
 	"sync"
 
 	"github.com/beechhead/beechhead/internal/catalog"
@@ -74,7 +75,23 @@
 	return &members[len(members)-1].Endpoint
 }
 
-func endpointURL(address string) string { return "http://" + address }
+// others returns up to n addresses of endpoints beside the given one, chosen at random.
+func (p *endpointPlan) others(address string, n int) (addresses []string) {
+	for url := range p.byURL {
+		if len(addresses) == n {
+			break
+		}
+		if url != endpointURL(address) {
+			addresses = append(addresses, strings.TrimPrefix(url, endpointScheme))
+		}
+	}
+	return addresses
+}
+
+// endpointScheme begins the URLs of endpoints.
+const endpointScheme = "http://"
+
+func endpointURL(address string) string { return endpointScheme + address }
 
 // update applies a configuration and the state of the changed endpoints.
 func (p *endpointPlan) update(c *catalog.Catalog, changed map[facts.EndpointID]bool, holder *facts.Holder) {
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -27,9 +27,12 @@
 		Clock:   g.clock,
 		Direct:  g.dialDirectly,
 		Through: tunnel.Through(http1.Dial),
-		Hosts:   func() []membership.Host { return tunnel.Candidates(g.view.Ready(), g.view.Self()) },
-		Region:  g.conf().Region,
-		Zone:    g.conf().Zone,
+
+		ReachesOther: g.reachesOther,
+
+		Hosts:  func() []membership.Host { return tunnel.Candidates(g.view.Ready(), g.view.Self()) },
+		Region: g.conf().Region,
+		Zone:   g.conf().Zone,
 		OnLost: func(address, via string) {
 			g.logger.Warn("endpoint reached only through another daemon", "address", address, "via", via)
 			g.forwarder.Pool.CloseIdle(address)
@@ -54,7 +57,39 @@
 		HasPath:    func() bool { return !g.leaving() && !g.dialer.IsCutOff() },
 		OnHead:     g.onCarriedHead,
 		Count:      g.metrics.Inc,
+
+		ReachesOther: g.reachesOther,
+	}
+}
+
+// maxOthers is the number of endpoints that are tried to find out whether the path is
+// lost.
+const maxOthers = 3
+
+// reachesOther reports whether an endpoint at another address can be reached directly.
+// If all have ended at once, that can't be told from a lost path.
+func (g *Gateway) reachesOther(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g.applyMu.Lock()
+	others := g.endpoints.others(address, maxOthers)
+	g.applyMu.Unlock()
+	reached := make(chan bool, len(others))
+	for _, other := range others {
+		go func() {
+			c, err := g.dialDirectly(ctx, other)
+			if err == nil {
+				_ = c.Close()
+			}
+			reached <- err == nil
+		}()
+	}
+	for range others {
+		if <-reached {
+			return true
+		}
 	}
+	return false
 }
 
 // dialDirectly opens a connection to an endpoint without another daemon.
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -15,6 +15,8 @@
 var (
 	// errNoTunnel means that another daemon has not tried to reach the endpoint.
 	errNoTunnel = errors.New("no tunnel")
+	// errPathLost means that a daemon may have lost its own path.
+	errPathLost = errors.New("no other endpoint reached")
 	// errNotReached means that the endpoint did not answer the other daemon.
 	errNotReached = errors.New("not reached")
 )
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -46,6 +46,9 @@
 	Direct func(ctx context.Context, address string) (net.Conn, error)
 	// Through opens one through another daemon.
 	Through func(ctx context.Context, host membership.Host, address string) (net.Conn, error)
+	// ReachesOther reports whether an endpoint at another address can be reached
+	// directly: the path is then not lost.
+	ReachesOther func(ctx context.Context, address string) bool
 	// Hosts returns the other daemons that may be asked.
 	Hosts func() []membership.Host
 	// Region and Zone are those of this daemon.
@@ -83,7 +86,7 @@
 
 // Dial opens a connection to an endpoint, directly or through another daemon,
 // whichever succeeds first. The error is that of a refused connection only if
-// another daemon confirms it or none can be asked.
+// another daemon confirms it, another endpoint is reached, or no daemon can be asked.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, http1.DialTimeout)
 	defer cancel()
@@ -106,7 +109,7 @@
 				a.startNext(ctx)
 			}
 			if a.running == 0 {
-				return nil, a.err()
+				return nil, a.err(ctx)
 			}
 		case <-next:
 			next = nil
@@ -290,14 +293,17 @@
 }
 
 // err returns the error of an attempt that has failed in every way.
-func (a *attempt) err() error {
+func (a *attempt) err(ctx context.Context) error {
 	confirmed := a.refused + a.silent
+	isRefused := endpoint.IsConnectionRefused(a.direct)
 	switch {
-	case confirmed == 0 && a.unable > 0:
+	case confirmed == 0 && a.unable > 0 && !(isRefused && a.dialer.ReachesOther(ctx, a.address)):
 		return errors.Wrapf(http1.ErrUnconfirmed, "dial %s: %v", a.address, a.direct)
+	case a.refused > 0 && !isRefused:
+		return errors.Wrapf(syscall.ECONNREFUSED, "dial %s by another daemon, here: %v", a.address, a.direct)
 	case a.direct == nil:
 		return errors.Wrap(syscall.ETIMEDOUT, "dial "+a.address)
-	case a.refused == 0 && a.silent > 0 && endpoint.IsConnectionRefused(a.direct):
+	case a.refused == 0 && a.silent > 0 && isRefused:
 		return errors.Errorf("dial %s: refused here, silent at %d other daemons", a.address, a.silent)
 	}
 	return a.direct
--- a/internal/tunnel/fleet_test.go
+++ b/internal/tunnel/fleet_test.go
@@ -58,6 +58,8 @@
 			OnLost:   func(string, string) {},
 			OnCutOff: func(bool) {},
 			Count:    func(string) {},
+
+			ReachesOther: func(context.Context, string) bool { return !f.cut[h.ID] },
 		}
 	}
 	return f
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -36,6 +36,9 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// IsEndpoint reports whether an address is that of a known endpoint.
 	IsEndpoint func(address string) bool
+	// ReachesOther reports whether an endpoint at another address can be reached
+	// directly.
+	ReachesOther func(ctx context.Context, address string) bool
 	// HasPath reports whether this daemon reaches endpoints itself.
 	HasPath func() bool
 	// OnHead is called with the first bytes of each response of an endpoint: the
@@ -62,8 +65,9 @@
 }
 
 // serve opens a tunnel. Status 403 means that the address is not that of an
-// endpoint, 503 that this daemon takes no tunnels at the moment, 502 that the
-// endpoint's machine refused the connection, and 504 that it was not reached.
+// endpoint, 503 that this daemon takes no tunnels at the moment, or may have lost its
+// path, 502 that the endpoint's machine refused the connection, and 504 that it was not
+// reached.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	defer s.open.Add(-1)
 	switch {
@@ -76,6 +80,9 @@
 	}
 	remote, err := s.dial(r.Context(), r.Host)
 	switch {
+	case errors.Is(err, errPathLost):
+		s.refuse(w, http.StatusServiceUnavailable)
+		return
 	case endpoint.IsConnectionRefused(err):
 		s.refuse(w, http.StatusBadGateway)
 		return
@@ -98,10 +105,16 @@
 	s.carry(local, remote, r.Host)
 }
 
+// dial opens a connection directly. A refused one is of no use to the other daemon if
+// it is the path that refuses.
 func (s *Server) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, serverDialTimeout)
 	defer cancel()
-	return s.Dial(ctx, address)
+	c, err := s.Dial(ctx, address)
+	if endpoint.IsConnectionRefused(err) && !s.ReachesOther(ctx, address) {
+		return nil, errPathLost
+	}
+	return c, err
 }
 
 func (s *Server) refuse(w http.ResponseWriter, status int) {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -71,7 +71,7 @@
 		case "hangs":
 			<-ctx.Done()
 			return nil, ctx.Err()
-		case "refuses":
+		case "refuses", "refusesAll":
 			return nil, errors.Wrap(syscall.ECONNREFUSED, "dial")
 		}
 		return http1.Dial(ctx, address)
@@ -85,8 +85,10 @@
 		Dial:       way(manner),
 		IsEndpoint: func(string) bool { return manner != "unknown" },
 		HasPath:    func() bool { return manner != "noPath" },
-		OnHead:     func(string, []byte) {},
-		Count:      func(string) {},
+
+		ReachesOther: func(context.Context, string) bool { return manner != "refusesAll" },
+		OnHead:       func(string, []byte) {},
+		Count:        func(string) {},
 	}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		asked.Add(1)
@@ -110,6 +112,8 @@
 		OnLost:   func(string, string) {},
 		OnCutOff: func(bool) {},
 		Count:    func(string) {},
+
+		ReachesOther: func(context.Context, string) bool { return false },
 	}
 }
 
@@ -122,6 +126,7 @@
 	}
 	var scripts []struct {
 		Name, Direct, Want string
+		ReachesOther       bool
 		Hosts              []string
 		Asked              *int
 	}
@@ -137,7 +142,9 @@
 				h, _ := newHost(t, i, manner, &asked)
 				hosts = append(hosts, h)
 			}
-			c, err := newDialer(tt.Direct, hosts...).Dial(t.Context(), address)
+			d := newDialer(tt.Direct, hosts...)
+			d.ReachesOther = func(context.Context, string) bool { return tt.ReachesOther }
+			c, err := d.Dial(t.Context(), address)
 			if got := describe(c, err); got != tt.Want {
 				t.Errorf("got %s (%v), want %s", got, err, tt.Want)
 			}
