Split the forwarding of a request by concept

Comments of predicates say "reports whether" throughout, and two types say what they hold. The tests of the packages pass.

--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -18,7 +18,7 @@
 // for back-off.
 const maxBackingOff = 256
 
-// Notices has what endpoints have said in responses to this daemon. It binds this
+// Notices holds the statements of endpoints in responses to this daemon. It binds this
 // daemon whatever coordinators know. It is safe for concurrent use.
 type Notices struct {
 	Clock clockwork.Clock
--- /dev/null
+++ b/internal/forward/record.go
@@ -0,0 +1,89 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/beechhead/beechhead/internal/placement"
+	"github.com/beechhead/beechhead/pkg/table"
+)
+
+// recordPlaced records metrics and a log line for a granted slot.
+func (r *run) recordPlaced(grant *placement.Grant) {
+	waited := r.f.Clock.Since(r.began)
+	r.slotWait = waited
+	r.f.Metrics.ObserveClass("wait.ms", string(r.req.Class), waited.Milliseconds())
+	if !r.req.Logged {
+		return
+	}
+	fetchFrom := table.EndpointName("")
+	if grant.FetchFrom != nil {
+		fetchFrom = grant.FetchFrom.Name
+	}
+	r.f.Logger.Info("placed", "request", r.req.ID, "fingerprint", r.req.Fingerprint.String(), "class", r.req.Class, "account", r.req.Account, "endpoint", grant.Endpoint.Name,
+		"coordinator", grant.Coordinator(), "fetchFrom", fetchFrom, "attempt", r.mayHaveRun+r.notRun, "waitMs", waited.Milliseconds(),
+		"leftMs", (r.req.Deadline - r.f.BootClock.Now()).Milliseconds(), "promptTokens", r.req.PromptTokens,
+		"backlogMs", grant.Choice.Backlog.Milliseconds(), "unreadMs", grant.Choice.PrefillTime.Milliseconds(), "decode", grant.Choice.Decode)
+}
+
+// recordAnswered records metrics and a log line for a response that was forwarded
+// completely.
+func (r *run) recordAnswered(grant *placement.Grant, e attemptResult) {
+	if e.completed {
+		r.f.Quarantine.RecordCompletion(r.req.Fingerprint)
+	}
+	took := r.f.Clock.Since(r.began)
+	r.f.Metrics.ObserveClass("answer.ms", string(r.req.Class), took.Milliseconds())
+	pause, at := grant.LongestPause()
+	if r.events > 0 {
+		r.f.Metrics.ObserveClass("firstEvent.ms", string(r.req.Class), r.firstEvent.Milliseconds())
+		r.f.Metrics.ObserveClass("pause.ms", string(r.req.Class), pause.Milliseconds())
+		r.recordLate(grant, pause, at)
+	}
+	if r.req.Logged {
+		r.f.Logger.Info("answered", "request", r.req.ID, "class", r.req.Class, "endpoint", grant.Endpoint.Name, "via", r.via,
+			"attempts", r.mayHaveRun+r.notRun+1, "events", r.events, "firstEventMs", r.firstEvent.Milliseconds(),
+			"longestPauseMs", pause.Milliseconds(), "longestPauseEvent", at, "tookMs", took.Milliseconds())
+	}
+}
+
+// recordLate records whether a stream began late or had too long a gap. The log
+// line includes the data by which the endpoint was chosen, and is written even if
+// Logged is not set.
+func (r *run) recordLate(grant *placement.Grant, pause time.Duration, at int) {
+	beganLate := r.req.StartTarget > 0 && r.firstEvent > r.req.StartTarget
+	pausedLong := r.req.GapTarget > 0 && pause > r.req.GapTarget
+	if !beganLate && !pausedLong {
+		return
+	}
+	if beganLate {
+		r.f.Metrics.Inc("late.firstEvent")
+	}
+	if pausedLong {
+		r.f.Metrics.Inc("late.pause")
+	}
+	r.f.Logger.Info("answered late", "request", r.req.ID, "class", r.req.Class, "endpoint", grant.Endpoint.Name,
+		"coordinator", grant.Coordinator(), "attempts", r.mayHaveRun+r.notRun+1,
+		"firstEventMs", r.firstEvent.Milliseconds(), "targetMs", r.req.StartTarget.Milliseconds(),
+		"longestPauseMs", pause.Milliseconds(), "longestPauseEvent", at, "pauseAllowedMs", r.req.GapTarget.Milliseconds(),
+		"waitMs", r.slotWait.Milliseconds(), "backlogMs", grant.Choice.Backlog.Milliseconds(),
+		"unreadMs", grant.Choice.PrefillTime.Milliseconds(), "decode", grant.Choice.Decode, "promptTokens", r.req.PromptTokens)
+}
+
+// recordFailure records a failed attempt.
+func (r *run) recordFailure(grant *placement.Grant, e attemptResult) {
+	r.failed = append(r.failed, grant.Endpoint.Name)
+	if e.mayHaveRun {
+		r.mayHaveRun++
+	} else {
+		r.notRun++
+	}
+	r.f.Metrics.Inc("attempts." + string(e.reason))
+	if e.terminated {
+		r.f.Metrics.Inc("attempts.endpointEnded")
+		r.f.Quarantine.RecordTermination(r.req.Fingerprint, grant.Endpoint.Name)
+	}
+	r.f.Logger.Info("attempt failed", "request", r.req.ID, "class", r.req.Class, "endpoint", grant.Endpoint.Name, "via", r.via,
+		"fingerprint", r.req.Fingerprint.String(), "coordinator", grant.Coordinator(),
+		"reason", e.reason, "mayHaveRun", e.mayHaveRun, "endpointEnded", e.terminated, "events", r.events,
+		"sinceBeginMs", r.f.Clock.Since(r.began).Milliseconds(), "cause", e.err.Error())
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -17,19 +15,9 @@
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
-const (
-	// maxNotRun is the maximum number of attempts of a request at endpoints that
-	// certainly did not run it, because they could not be reached or refused it.
-	maxNotRun = 4
-	// staleRetryDelay is the delay before a slot is reserved again after a
-	// refusal that may be due to different table versions at this daemon and
-	// the coordinator: one does not know an endpoint or a class yet.
-	staleRetryDelay = 40 * time.Millisecond
-	// maxStaleRetries is the maximum number of such retries for one request.
-	maxStaleRetries = 4
-	// defaultRetryAfter is the Retry-After time of refusals by this package.
-	defaultRetryAfter = 500 * time.Millisecond
-)
+// maxNotRun is the maximum number of attempts of a request at endpoints that
+// certainly did not run it, because they could not be reached or refused it.
+const maxNotRun = 4
 
 // run is the state of one request across its attempts.
 type run struct {
@@ -111,198 +99,6 @@
 	}
 }
 
-// recordPlaced records metrics and a log line for a granted slot.
-func (r *run) recordPlaced(grant *placement.Grant) {
-	waited := r.f.Clock.Since(r.began)
-	r.slotWait = waited
-	r.f.Metrics.ObserveClass("wait.ms", string(r.req.Class), waited.Milliseconds())
-	if !r.req.Logged {
-		return
-	}
-	fetchFrom := table.EndpointName("")
-	if grant.FetchFrom != nil {
-		fetchFrom = grant.FetchFrom.Name
-	}
-	r.f.Logger.Info("placed", "request", r.req.ID, "fingerprint", r.req.Fingerprint.String(), "class", r.req.Class, "account", r.req.Account, "endpoint", grant.Endpoint.Name,
-		"coordinator", grant.Coordinator(), "fetchFrom", fetchFrom, "attempt", r.mayHaveRun+r.notRun, "waitMs", waited.Milliseconds(),
-		"leftMs", (r.req.Deadline - r.f.BootClock.Now()).Milliseconds(), "promptTokens", r.req.PromptTokens,
-		"backlogMs", grant.Choice.Backlog.Milliseconds(), "unreadMs", grant.Choice.PrefillTime.Milliseconds(), "decode", grant.Choice.Decode)
-}
-
-// recordAnswered records metrics and a log line for a response that was forwarded
-// completely.
-func (r *run) recordAnswered(grant *placement.Grant, e attemptResult) {
-	if e.completed {
-		r.f.Quarantine.RecordCompletion(r.req.Fingerprint)
-	}
-	took := r.f.Clock.Since(r.began)
-	r.f.Metrics.ObserveClass("answer.ms", string(r.req.Class), took.Milliseconds())
-	pause, at := grant.LongestPause()
-	if r.events > 0 {
-		r.f.Metrics.ObserveClass("firstEvent.ms", string(r.req.Class), r.firstEvent.Milliseconds())
-		r.f.Metrics.ObserveClass("pause.ms", string(r.req.Class), pause.Milliseconds())
-		r.recordLate(grant, pause, at)
-	}
-	if r.req.Logged {
-		r.f.Logger.Info("answered", "request", r.req.ID, "class", r.req.Class, "endpoint", grant.Endpoint.Name, "via", r.via,
-			"attempts", r.mayHaveRun+r.notRun+1, "events", r.events, "firstEventMs", r.firstEvent.Milliseconds(),
-			"longestPauseMs", pause.Milliseconds(), "longestPauseEvent", at, "tookMs", took.Milliseconds())
-	}
-}
-
-// recordLate records whether a stream began late or had too long a gap. The log
-// line includes the data by which the endpoint was chosen, and is written even if
-// Logged is not set.
-func (r *run) recordLate(grant *placement.Grant, pause time.Duration, at int) {
-	beganLate := r.req.StartTarget > 0 && r.firstEvent > r.req.StartTarget
-	pausedLong := r.req.GapTarget > 0 && pause > r.req.GapTarget
-	if !beganLate && !pausedLong {
-		return
-	}
-	if beganLate {
-		r.f.Metrics.Inc("late.firstEvent")
-	}
-	if pausedLong {
-		r.f.Metrics.Inc("late.pause")
-	}
-	r.f.Logger.Info("answered late", "request", r.req.ID, "class", r.req.Class, "endpoint", grant.Endpoint.Name,
-		"coordinator", grant.Coordinator(), "attempts", r.mayHaveRun+r.notRun+1,
-		"firstEventMs", r.firstEvent.Milliseconds(), "targetMs", r.req.StartTarget.Milliseconds(),
-		"longestPauseMs", pause.Milliseconds(), "longestPauseEvent", at, "pauseAllowedMs", r.req.GapTarget.Milliseconds(),
-		"waitMs", r.slotWait.Milliseconds(), "backlogMs", grant.Choice.Backlog.Milliseconds(),
-		"unreadMs", grant.Choice.PrefillTime.Milliseconds(), "decode", grant.Choice.Decode, "promptTokens", r.req.PromptTokens)
-}
-
-// recordFailure records a failed attempt.
-func (r *run) recordFailure(grant *placement.Grant, e attemptResult) {
-	r.failed = append(r.failed, grant.Endpoint.Name)
-	if e.mayHaveRun {
-		r.mayHaveRun++
-	} else {
-		r.notRun++
-	}
-	r.f.Metrics.Inc("attempts." + string(e.reason))
-	if e.terminated {
-		r.f.Metrics.Inc("attempts.endpointEnded")
-		r.f.Quarantine.RecordTermination(r.req.Fingerprint, grant.Endpoint.Name)
-	}
-	r.f.Logger.Info("attempt failed", "request", r.req.ID, "class", r.req.Class, "endpoint", grant.Endpoint.Name, "via", r.via,
-		"fingerprint", r.req.Fingerprint.String(), "coordinator", grant.Coordinator(),
-		"reason", e.reason, "mayHaveRun", e.mayHaveRun, "endpointEnded", e.terminated, "events", r.events,
-		"sinceBeginMs", r.f.Clock.Since(r.began).Milliseconds(), "cause", e.err.Error())
-}
-
-// reserve reserves a slot on an endpoint that, as far as this daemon knows,
-// accepts work.
-func (r *run) reserve(ctx context.Context) (*placement.Grant, error) {
-	for {
-		backingOff, _ := r.f.Notices.BackingOff(r.req.Pool)
-		grant, err := r.f.Reserve(ctx, placement.Request{
-			Pool:            r.req.Pool,
-			Class:           r.req.Class,
-			Account:         r.req.Account,
-			PromptTokens:    r.req.PromptTokens,
-			EstimatedTokens: r.req.OutputTokens,
-			Parts:           r.req.Parts,
-			Waited:          r.f.BootClock.Now() - r.req.ReceivedAt,
-			StartTimeout:    r.startLimit(),
-			Excluded:        append(backingOff, r.failed...),
-			Attempt:         r.mayHaveRun + r.notRun,
-		})
-		if err != nil {
-			if !r.awaitBackoff(ctx, err) && !r.awaitTable(ctx, err) {
-				return nil, err
-			}
-			continue
-		}
-		if refusal := r.checkSend(); refusal != nil {
-			grant.Release(placement.Report{Outcome: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE})
-			return nil, refusal
-		}
-		if r.usable(&grant.Endpoint) {
-			r.recordPlaced(grant)
-			return grant, nil
-		}
-		grant.Release(placement.Report{Outcome: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE})
-		if !r.f.Usable(&grant.Endpoint) || len(backingOff) == maxBackingOff {
-			r.failed = append(r.failed, grant.Endpoint.Name)
-		}
-		r.f.Metrics.Inc("places.unusable")
-	}
-}
-
-// startLimit returns how long after its arrival the response must begin to be of
-// use to the caller. It returns 0, no limit, once an endpoint may have run the
-// request: the coordinator refuses late requests as not run, which would then be
-// wrong.
-func (r *run) startLimit() time.Duration {
-	if r.mayHaveRun > 0 || r.headSent {
-		return 0
-	}
-	until := r.req.Deadline - r.req.ReceivedAt
-	if r.req.StartTimeout > 0 {
-		until = min(until, r.req.StartTimeout)
-	}
-	return until
-}
-
-// backoffWaitDivisor is the part of the time that a request has left up to which it
-// waits for the end of a back-off. One that would wait longer is refused, so that
-// its caller may ask elsewhere or return in time.
-const backoffWaitDivisor = 4
-
-// backoffSpreadDivisor is the part of a back-off over which the callers that are
-// refused for it return.
-const backoffSpreadDivisor = 4
-
-// awaitBackoff reports whether a reservation that was refused while endpoints have
-// asked for back-off should be repeated. It waits until the first of them may be used
-// again. If that takes too long, the refusal tells the caller when to return.
-func (r *run) awaitBackoff(ctx context.Context, err error) bool {
-	refusal, ok := errors.Into[*outcome.Refusal](err)
-	if !ok || refusal.Reason != outcome.ReasonNoEndpoint {
-		return false
-	}
-	names, until := r.f.Notices.BackingOff(r.req.Pool)
-	backoff := until.Sub(r.f.Clock.Now())
-	if len(names) == 0 || backoff <= 0 {
-		return false
-	}
-	left := r.req.Deadline - r.f.BootClock.Now()
-	isUntried := func(name table.EndpointName) bool { return !slices.Contains(r.failed, name) }
-	if backoff > left/backoffWaitDivisor || !slices.ContainsFunc(names, isUntried) {
-		refusal.RetryAfter = backoff + time.Duration(rand.Int64N(int64(backoff/backoffSpreadDivisor)+1)) //nolint:gosec // spreads callers
-		r.staleRetries = maxStaleRetries
-		return false
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case <-r.f.Clock.After(backoff):
-		return true
-	}
-}
-
-// awaitTable reports whether a reservation should be repeated because its refusal
-// may be due to different table versions at this daemon and the coordinator. It
-// waits for staleRetryDelay first.
-func (r *run) awaitTable(ctx context.Context, err error) bool {
-	refusal, ok := errors.Into[*outcome.Refusal](err)
-	if !ok || r.staleRetries >= maxStaleRetries {
-		return false
-	}
-	if refusal.Reason != outcome.ReasonNoEndpoint && refusal.Reason != outcome.ReasonUnknownClass {
-		return false
-	}
-	r.staleRetries++
-	select {
-	case <-ctx.Done():
-		return false
-	case <-r.f.Clock.After(staleRetryDelay):
-		return true
-	}
-}
-
 // mayRetry reports whether the request may be sent to another endpoint after a
 // failed attempt.
 func (r *run) mayRetry(ctx context.Context, e attemptResult) bool {
@@ -328,66 +124,6 @@
 	return true
 }
 
-// failAttempts ends a request after its last attempt has failed.
-func (r *run) failAttempts(ctx context.Context, e attemptResult) error {
-	switch {
-	case r.headSent:
-		return errors.Wrap(ErrTruncated, e.err.Error())
-	case r.errorResponse != nil && ctx.Err() == nil:
-		return r.forwardResponse(r.errorResponse)
-	}
-	if refusal, ok := errors.Into[*outcome.Refusal](e.err); ok && r.mayHaveRun == 0 {
-		return refusal
-	}
-	return r.refusal(ctx, e.reason, e.err.Error())
-}
-
-// failReserve ends a request for which no slot could be reserved.
-func (r *run) failReserve(ctx context.Context, err error) error {
-	refusal, ok := errors.Into[*outcome.Refusal](err)
-	switch {
-	case r.headSent:
-		return errors.Wrap(ErrTruncated, err.Error())
-	case r.errorResponse != nil && ctx.Err() == nil:
-		return r.forwardResponse(r.errorResponse)
-	case !ok:
-		return r.refusal(ctx, outcome.ReasonOverloaded, err.Error())
-	case r.mayHaveRun > 0:
-		refusal.Outcome = outcome.Unknown
-	}
-	return refusal
-}
-
-func (r *run) refusal(ctx context.Context, reason outcome.Reason, message string) *outcome.Refusal {
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		reason = outcome.ReasonDeadline
-	case ctx.Err() != nil:
-		reason = outcome.ReasonCallerGone
-	}
-	if r.mayHaveRun > 0 {
-		return outcome.UnknownError(reason, message)
-	}
-	refusal := outcome.NotRunError(reason, message)
-	refusal.RetryAfter = defaultRetryAfter
-	return refusal
-}
-
-// forwardResponse forwards a response unchanged. The exception is a status code
-// that callers take to mean that the request was not run: the endpoint has not
-// confirmed that with a header, and callers would repeat a request that may have
-// run.
-func (r *run) forwardResponse(a *response) error {
-	if r.f.Protocol.ImpliesNotRun(a.status) {
-		return outcome.UnknownError(outcome.ReasonEndpointFailed, "the endpoint failed the request")
-	}
-	r.sink.Head(a.status, a.header, int64(len(a.body)))
-	if err := r.sink.Body(a.body); err != nil {
-		return errors.Wrap(ErrTruncated, err.Error())
-	}
-	return nil
-}
-
 // attempt sends the request to one endpoint and forwards the response.
 func (r *run) attempt(ctx context.Context, grant *placement.Grant) attemptResult {
 	r.begun, r.via = false, ""
@@ -492,12 +228,6 @@
 	return nil
 }
 
-// usable reports whether a request may be sent to the endpoint, by what this daemon
-// knows and by what the endpoint has told it.
-func (r *run) usable(e *table.Endpoint) bool {
-	return r.f.Usable(e) && r.f.Notices.MaySend(e.Name)
-}
-
 // address returns the host and port of an endpoint.
 func address(e *table.Endpoint) string {
 	_, address, _ := strings.Cut(e.URL, "://")
--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -29,7 +29,7 @@
 }
 
 // call sends one keyed call to the plain service and checks its answer, which
-// counts as one token. It tells whether the daemons said that the call did not
+// counts as one token. It reports whether the daemons said that the call did not
 // run.
 func call(ctx context.Context, c *client.Client, body string, r client.Request) (s *report.Sample, notRun bool) {
 	r.Path = "/v1/services/" + string(standin.SampleService) + "/slots"
@@ -56,7 +56,7 @@
 	return io.ReadAll(resp.Body)
 }
 
-// echoes tells whether the service's answer is the one to that body.
+// echoes reports whether the service's answer is the one to that body.
 func echoes(text []byte, body string) bool {
 	var answer struct {
 		Body string `json:"body"`
--- a/internal/load/client/client.go
+++ b/internal/load/client/client.go
@@ -65,7 +65,7 @@
 // Error returns the reason.
 func (r *Refused) Error() string { return "refused: " + string(r.Reason) }
 
-// elsewhere tells whether a caller turns to another host.
+// elsewhere reports whether a caller turns to another host.
 func (r *Refused) elsewhere() bool {
 	reasons := []outcome.Reason{outcome.ReasonLeaving, outcome.ReasonNotReady, outcome.ReasonStaleTable}
 	return r.Outcome == outcome.NotRun && slices.Contains(reasons, r.Reason)
--- a/internal/load/experiment/experiment.go
+++ b/internal/load/experiment/experiment.go
@@ -70,7 +70,7 @@
 	Accounts []Share `json:"accounts"`
 }
 
-// IsCall tells whether the load calls a plain service.
+// IsCall reports whether the load calls a plain service.
 func (l *Load) IsCall() bool { return l.Answer == nil }
 
 // Burst is a span of time in which more requests arrive.
--- a/internal/load/report/class.go
+++ b/internal/load/report/class.go
@@ -116,7 +116,7 @@
 	return s.Took
 }
 
-// meets tells whether a whole answer kept every target of its class. Between
+// meets reports whether a whole answer kept every target of its class. Between
 // tokens the mean counts, so that one slow token in a long answer is no miss.
 func (s *Sample) meets(t table.Target) bool {
 	within := func(took time.Duration, target table.Duration) bool { return target == 0 || took <= target.Std() }
--- a/internal/load/soak.go
+++ b/internal/load/soak.go
@@ -95,7 +95,7 @@
 	return seeds, nil
 }
 
-// play plays one seed and tells whether all promises were kept.
+// play plays one seed and reports whether all promises were kept.
 func (c *soakCommand) play(ctx context.Context, seed uint64, slot int) (kept bool, err error) {
 	var out bytes.Buffer
 	defer func() { _, _ = os.Stdout.Write(out.Bytes()) }()
--- a/internal/placement/announcements.go
+++ b/internal/placement/announcements.go
@@ -45,7 +45,7 @@
 	RefusalsPerSecond int
 }
 
-// Announcement is what a response says about how its endpoint may be used.
+// Announcement holds what a response states about the use of its endpoint.
 type Announcement struct {
 	Limit       Limit
 	Brittleness Brittleness
--- a/internal/platform/protocol.go
+++ b/internal/platform/protocol.go
@@ -65,7 +65,7 @@
 	Writes []Write `json:"writes"`
 }
 
-// TransactResponse tells whether the writes were applied. If not, Rows shows
+// TransactResponse reports whether the writes were applied. If not, Rows shows
 // the rows as they stand.
 type TransactResponse struct {
 	Committed bool  `json:"committed"`
@@ -99,7 +99,7 @@
 	Hosts []Host `json:"hosts"`
 }
 
-// IsWrite tells whether a request of the protocol changes anything.
+// IsWrite reports whether a request of the protocol changes anything.
 func IsWrite(method, path string) bool {
 	return path == PathTransact || strings.HasPrefix(path, PathObjects) && method != http.MethodGet
 }
--- a/internal/platform/return_bench_test.go
+++ b/internal/platform/return_bench_test.go
@@ -30,7 +30,7 @@
 	outagePause   = 50 * time.Millisecond
 )
 
-// ask asks the store once and tells whether it answered.
+// ask asks the store once and reports whether it answered.
 type ask func(ctx context.Context) bool
 
 func askThroughClient(url string, transport *http.Transport) ask {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -58,7 +58,7 @@
 	c.faults = append(c.faults, Fault{Path: path, Problem: fmt.Sprintf(format, args...)})
 }
 
-// has tells whether the path, or what holds it, has a fault already.
+// has reports whether the path, or what holds it, has a fault already.
 func (c *checker) has(path string) bool {
 	return slices.ContainsFunc(c.faults, func(f Fault) bool {
 		return f.Path == "(file)" || f.Path == path || strings.HasPrefix(path, f.Path+".")
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -61,7 +61,7 @@
 	return all
 }
 
-// repeatable tells whether a route's requests may run more than once.
+// repeatable reports whether a route's requests may run more than once.
 func repeatable(route string) bool { return route != "pay" && route != "draft" }
 
 func (rec *Record) runsByID() map[string][]Run {
@@ -155,7 +155,7 @@
 	return found
 }
 
-// troubled tells whether something that is not planned has struck a daemon or
+// troubled reports whether something that is not planned has struck a daemon or
 // the store in a time, or shortly before.
 func (rec *Record) troubled(daemon int, from, to time.Time) bool {
 	return slices.ContainsFunc(rec.Faults, func(f Struck) bool {
@@ -166,7 +166,7 @@
 
 func (f Struck) overlaps(from, to time.Time) bool { return f.From.Before(to) && f.To.After(from) }
 
-// stopping tells whether a daemon was stopped or started in a time.
+// stopping reports whether a daemon was stopped or started in a time.
 func (rec *Record) stopping(daemon int, from, to time.Time) bool {
 	return slices.ContainsFunc(rec.Faults, func(f Struck) bool {
 		return f.Kind == KindStop && f.Target == daemon && f.overlaps(from.Add(-touchWindow), to)
@@ -235,7 +235,7 @@
 	return found
 }
 
-// anyTrouble tells whether anything unplanned has struck anything in a time. A
+// anyTrouble reports whether anything unplanned has struck anything in a time. A
 // coordinator that is gone delays requests at all other daemons.
 func (rec *Record) anyTrouble(from, to time.Time) bool {
 	return slices.ContainsFunc(rec.Faults, func(f Struck) bool {
--- a/internal/soak/limit.go
+++ b/internal/soak/limit.go
@@ -66,7 +66,7 @@
 	return daemons
 }
 
-// outOfTouch tells whether something has struck a daemon shortly before a time,
+// outOfTouch reports whether something has struck a daemon shortly before a time,
 // so that bounds in time don't hold for it.
 func (rec *Record) outOfTouch(daemon int, at time.Time) bool {
 	return slices.ContainsFunc(rec.Faults, func(f Struck) bool {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -90,7 +90,7 @@
 	return strings.TrimSpace(fmt.Sprintf("%6.2fs %-13s %d for %v %s %s", f.At.Seconds(), f.Kind, f.Target, f.For.Round(10*time.Millisecond), f.Spread, f.Path))
 }
 
-// planned tells whether a fault is one beside which nothing may be cut off, such
+// planned reports whether a fault is one beside which nothing may be cut off, such
 // as work that an operator plans.
 func (f Fault) planned() bool {
 	switch f.Kind {
@@ -100,7 +100,7 @@
 	return false
 }
 
-// ofDaemon tells whether the target of a fault is a daemon.
+// ofDaemon reports whether the target of a fault is a daemon.
 func (f Fault) ofDaemon() bool {
 	switch f.Kind {
 	case KindKill, KindPause, KindStop, KindReload, KindStoreCut:
@@ -109,7 +109,7 @@
 	return false
 }
 
-// ofStore tells whether all daemons find the store in trouble.
+// ofStore reports whether all daemons find the store in trouble.
 func (f Fault) ofStore() bool {
 	switch f.Kind {
 	case KindStoreDown, KindStoreSilent, KindStoreSlow, KindStoreLossy, KindStoreHistory, KindStoreCopy:
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// gone tells whether the process has ended.
+// gone reports whether the process has ended.
 func (p *process) gone() bool {
 	select {
 	case <-p.done:
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -127,7 +127,7 @@
 	r.stopped = append(r.stopped, p)
 }
 
-// young tells whether a process that is gone had hardly begun.
+// young reports whether a process that is gone had hardly begun.
 func (r *recorder) young(daemon int, p *process) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/standin/prefix.go
+++ b/internal/standin/prefix.go
@@ -60,7 +60,7 @@
 	return &prefixCache{size: size, order: list.New(), entries: map[uint64]*list.Element{}}
 }
 
-// use tells whether a prefix is cached, and caches it.
+// use reports whether a prefix is cached, and caches it.
 func (c *prefixCache) use(prefix uint64) bool {
 	if c.size == 0 || prefix == 0 {
 		return false
--- a/internal/standin/relay_test.go
+++ b/internal/standin/relay_test.go
@@ -51,7 +51,7 @@
 	brief = 200 * time.Millisecond
 )
 
-// echoes tells whether what is sent comes back in time.
+// echoes reports whether what is sent comes back in time.
 func echoes(c net.Conn, within time.Duration) error {
 	if _, err := c.Write([]byte("x")); err != nil {
 		return err
--- a/internal/standin/running.go
+++ b/internal/standin/running.go
@@ -56,7 +56,7 @@
 	return nil
 }
 
-// IsReady tells whether a daemon says that it is ready.
+// IsReady reports whether a daemon says that it is ready.
 func IsReady(client *http.Client, url string) bool {
 	resp, err := client.Get(url + "/readyz")
 	if err != nil {
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -11,7 +11,7 @@
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
-// EndpointState tells whether an endpoint gets work.
+// EndpointState reports whether an endpoint gets work.
 type EndpointState string
 
 // The states of an endpoint.
