--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -297,7 +297,7 @@
 	confirmed := a.refused + a.silent
 	isRefused := endpoint.IsConnectionRefused(a.direct)
 	switch {
-	case confirmed == 0 && a.unable > 0 && !(isRefused && a.dialer.ReachesOther(ctx, a.address)):
+	case confirmed == 0 && a.unable > 0 && (!isRefused || !a.dialer.ReachesOther(ctx, a.address)):
 		return errors.Wrapf(http1.ErrUnconfirmed, "dial %s: %v", a.address, a.direct)
 	case a.refused > 0 && !isRefused:
 		return errors.Wrapf(syscall.ECONNREFUSED, "dial %s by another daemon, here: %v", a.address, a.direct)
