Test that lost paths are no ends of endpoints, with real daemons

Two daemons, one endpoint gone. Where one has its path, both find the end; where the paths of both refuse everything, neither does.

--- a/internal/gateway/cutoff_test.go
+++ b/internal/gateway/cutoff_test.go
@@ -222,3 +222,32 @@
 	}
 	s.checkPayments()
 }
+
+// Guards against the end of an endpoint that does not count because all other hosts have
+// lost their path, and against a lost path that counts as the end of an endpoint.
+func TestEndOfEndpointCountsWithoutConfirmation(t *testing.T) {
+	for _, tt := range []struct {
+		name                string
+		own                 pathFault
+		carried, terminated bool
+	}{
+		{"path works", pathWorks, true, true},
+		{"path refuses", pathRefusesNew, false, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newTestSite(t, 2)
+			ended, d, other := s.engines["app-1"], s.daemons[0], s.daemons[1]
+			ended.server.CloseClientConnections()
+			ended.server.Close()
+			d.path.Break(tt.own)
+			other.path.Break(pathRefusesNew)
+			pool := d.g.forwarder.Pool
+			if got := pool.HasTerminated(t.Context(), ended.address); got != tt.terminated {
+				t.Errorf("terminated: %v, want %v", got, tt.terminated)
+			}
+			if got := other.g.forwarder.Pool.HasTerminated(t.Context(), ended.address); got != tt.carried {
+				t.Errorf("terminated at the other host: %v, want %v", got, tt.carried)
+			}
+		})
+	}
+}
