Reset a connection in the test only once it works

The test, since it also ends the relay and listens again, had dialled and reset at once, before the relay had accepted the connection.

--- a/internal/standin/relay_test.go
+++ b/internal/standin/relay_test.go
@@ -104,10 +104,10 @@
 	}
 	post("/a/end", "")
 	post("/a/listen", "")
-	if err := echoes(dial(), long); err != nil {
+	c = dial()
+	if err := echoes(c, long); err != nil {
 		t.Errorf("after it listens again: %v", err)
 	}
-	c = dial()
 	post("/a/reset", "")
 	if err := echoes(c, long); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("a reset connection: %v", err)
