--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -25,7 +25,7 @@
 	return "onDemand"
 }
 
-// Spec is what the operators' document says of a pool whose engines can be
+// Spec is the part of the operators' document on a pool whose engines can be
 // ordered.
 type Spec struct {
 	// Min and Max bound the engines of a zone, both kinds together.
--- a/internal/autoscale/demand.go
+++ b/internal/autoscale/demand.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Load is what all daemons ask of a pool at one moment.
+// Load is the demand of all daemons for a pool at one moment.
 type Load struct {
 	// Prefill is the prefill time of the requests placed per second, in engines
 	// that do nothing else.
--- a/internal/autoscale/meter.go
+++ b/internal/autoscale/meter.go
@@ -7,7 +7,7 @@
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
-// Demand is what one daemon has asked of a pool.
+// Demand counts the requests of one daemon to a pool.
 type Demand struct {
 	// PrefillMs is the estimated prefill time of all requests placed so far, in
 	// milliseconds; Placed is their number.
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -51,7 +51,7 @@
 	layout *layout
 }
 
-// scope is what the endpoints of a group have in common.
+// scope holds the properties that the endpoints of a group share.
 type scope struct {
 	pool   table.Pool
 	region string
--- a/internal/cli/remote.go
+++ b/internal/cli/remote.go
@@ -139,7 +139,7 @@
 // conflictError is a conflict with another edit, with both sides.
 type conflictError struct{ conflict *tablesync.Conflict }
 
-// Error tells the versions, and each field on a line of its own.
+// Error returns the versions, and each field on a line of its own.
 func (e *conflictError) Error() string {
 	lines := []string{"conflict: " + e.conflict.Error()}
 	for _, row := range e.conflict.Rows {
--- a/internal/duty/scale.go
+++ b/internal/duty/scale.go
@@ -78,7 +78,7 @@
 	throttledUntil time.Duration
 }
 
-// poolHistory is what was observed of a pool.
+// poolHistory holds the observations of a pool.
 type poolHistory struct {
 	load autoscale.History
 	// initial is the number of engines that the operators have started, changedAt
@@ -89,7 +89,7 @@
 	needed int
 }
 
-// subject is what an order is about.
+// subject identifies the engines that an order concerns.
 type subject struct {
 	pool table.Pool
 	zone string
--- a/internal/engine/chunk.go
+++ b/internal/engine/chunk.go
@@ -24,7 +24,7 @@
 	FinishReason *string `json:"finish_reason"`
 }
 
-// Delta is what a chunk adds to a choice.
+// Delta is the addition of a chunk to a choice.
 type Delta struct {
 	Role    string `json:"role,omitempty"`
 	Content string `json:"content"`
--- a/internal/engine/order.go
+++ b/internal/engine/order.go
@@ -34,7 +34,7 @@
 	Adapters []string `json:"adapters"`
 }
 
-// State is what an engine has loaded.
+// State lists the models and adapters that an engine has loaded.
 type State struct {
 	Model    string   `json:"model"`
 	Adapters []string `json:"adapters"`
@@ -63,7 +63,7 @@
 	return state, nil
 }
 
-// Order tells an engine which state it should reach. After any error but
+// Order requests an engine to reach a state. After any error but
 // ErrStaleFence and ErrOrdersUnsupported, the engine may still carry out the
 // order.
 func (c *Client) Order(ctx context.Context, e *table.Endpoint, o Order) (err error) {
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -84,7 +84,7 @@
 	AsOf     storetime.Instant
 }
 
-// Delta is what one daemon sends to another that lacks it.
+// Delta holds the rows that one daemon sends to another that lacks them.
 type Delta struct {
 	Summary
 	// From is the daemon that sent the delta.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -101,7 +101,7 @@
 	NotRun bool
 	// Signed reports whether the response carries the endpoint's signature.
 	Signed bool
-	// Announcement is what the endpoint announces about its use.
+	// Announcement holds the endpoint's statements about its use.
 	Announcement placement.Announcement
 }
 
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -34,7 +34,7 @@
 	lastBackoff time.Time
 }
 
-// notice is what one endpoint has said.
+// notice holds the statements of one endpoint.
 type notice struct {
 	at time.Time
 	// pool is the endpoint's pool, if known.
--- a/internal/heartbeat/link.go
+++ b/internal/heartbeat/link.go
@@ -9,7 +9,7 @@
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
 )
 
-// link is what has been exchanged with a daemon.
+// link is the state of the exchange with a daemon.
 type link struct {
 	incarnation uint64
 	// sent is up to where in its list of changes this daemon has sent them, received
--- a/internal/limit/key.go
+++ b/internal/limit/key.go
@@ -10,7 +10,7 @@
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
-// Kind is what a limit counts.
+// Kind is the unit that a limit counts.
 type Kind string
 
 // The kinds of limit.
--- a/internal/load/client/book.go
+++ b/internal/load/client/book.go
@@ -17,7 +17,7 @@
 
 const askTimeout = time.Second
 
-// Book is what one caller knows of the addresses. It is safe for concurrent
+// Book holds the addresses that one caller knows. It is safe for concurrent
 // use.
 type Book struct {
 	http *http.Client
--- a/internal/load/client/chat.go
+++ b/internal/load/client/chat.go
@@ -18,7 +18,7 @@
 // ErrTruncated means that a stream ended without its end marker.
 var ErrTruncated = errors.New("the answer is cut off")
 
-// Chat is what a caller saw of a streamed answer.
+// Chat is a streamed answer as its caller received it.
 type Chat struct {
 	Text string
 	// FirstToken and Whole are counted from the sending of the request; the
--- a/internal/load/experiment/experiment.go
+++ b/internal/load/experiment/experiment.go
@@ -14,7 +14,7 @@
 
 // Experiment is one file: a site, the load on it, and the faults to come.
 type Experiment struct {
-	// Story tells what the experiment stands for.
+	// Story describes the experiment.
 	Story string `json:"story"`
 	// Seed decides the arrivals; the same seed gives the same arrivals.
 	Seed uint64 `json:"seed"`
@@ -88,7 +88,7 @@
 	Max   int     `json:"max"`
 }
 
-// Prompt is what the prompts are like.
+// Prompt describes the prompts.
 type Prompt struct {
 	Tokens int `json:"tokens"`
 	// Prefixes is how many different beginnings there are.
--- a/internal/load/report/class.go
+++ b/internal/load/report/class.go
@@ -123,7 +123,7 @@
 	return within(s.FirstToken, t.FirstToken) && within(s.BetweenTokens, t.BetweenTokens) && within(s.Took, t.WholeAnswer)
 }
 
-// Summary is what a class came to, in JSON.
+// Summary is the result of a class, in JSON.
 type Summary struct {
 	Class   table.ClassName `json:"class"`
 	Offered int             `json:"offered"`
--- a/internal/load/report/run.go
+++ b/internal/load/report/run.go
@@ -10,7 +10,7 @@
 	"github.com/beechhead/beechhead/internal/outcome"
 )
 
-// Run is what one policy came to, in JSON.
+// Run is the result of one policy, in JSON.
 type Run struct {
 	Policy  string    `json:"policy"`
 	Seed    uint64    `json:"seed"`
--- a/internal/load/scale.go
+++ b/internal/load/scale.go
@@ -34,7 +34,7 @@
 	rate int
 }
 
-// scaleAxis says how an axis is measured.
+// scaleAxis describes how an axis is measured.
 type scaleAxis struct {
 	sizes string
 	full  float64
--- a/internal/load/scale/fit.go
+++ b/internal/load/scale/fit.go
@@ -43,13 +43,13 @@
 
 // Series is one figure over all measured sizes.
 type Series struct {
-	// Name tells the figure and its unit.
+	// Name is the name of the figure and its unit.
 	Name   string  `json:"name"`
 	Points []Point `json:"points"`
 	Fit    Line    `json:"fit"`
 }
 
-// Axis is what was varied, with the figures that depend on it.
+// Axis is the parameter that was varied, with the figures that depend on it.
 type Axis struct {
 	Name string `json:"name"`
 	// Full is the size to design for.
--- a/internal/membership/host.go
+++ b/internal/membership/host.go
@@ -52,7 +52,7 @@
 	TableVersion uint64
 }
 
-// Status is what the other hosts know of a host's liveness.
+// Status is a host's liveness as known to the other hosts.
 type Status int
 
 // The statuses. For the same sequence number, a later status in this list
--- a/internal/operator/host.go
+++ b/internal/operator/host.go
@@ -9,7 +9,7 @@
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
-// Host is what the daemon that was asked knows of a host.
+// Host is a host as known to the daemon that was asked.
 type Host struct {
 	Host          string        `json:"host"`
 	State         string        `json:"state"`
--- a/internal/platform/budget.go
+++ b/internal/platform/budget.go
@@ -10,7 +10,7 @@
 	"golang.org/x/time/rate"
 )
 
-// Use is what a call of the platform is for. Each use has its own budget, so
+// Use is the purpose of a call of the platform. Each use has its own budget, so
 // that none can take the store's whole capacity from the others.
 type Use string
 
@@ -27,7 +27,7 @@
 	// Reads counts rows and pages, Writes rows and objects.
 	Reads  float64
 	Writes float64
-	// Floor is what each daemon may always spend, for uses that fall to a few
+	// Floor is the number that each daemon may always spend, for uses that fall to a few
 	// of the daemons and are bounded in sum by other means.
 	Floor float64
 }
@@ -83,7 +83,7 @@
 	}
 }
 
-// part is what one of n daemons may spend of a whole, per second.
+// part is the share of one of n daemons in a whole, per second.
 func (s Share) part(whole float64, n int) float64 {
 	return min(whole, max(s.Floor, skew*whole/float64(n)))
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -38,7 +38,7 @@
 	wire *Wire
 }
 
-// shared is what the clients of all uses have in common.
+// shared holds the state that the clients of all uses share.
 type shared struct {
 	base    string
 	http    *http.Client
@@ -74,7 +74,7 @@
 // For returns a client that spends the budget of that use.
 func (c *Client) For(use Use) *Client { return &Client{shared: c.shared, use: use, wire: c.wire} }
 
-// DivideBudgets tells among how many daemons the budgets are divided.
+// DivideBudgets sets the number of daemons among which the budgets are divided.
 func (c *Client) DivideBudgets(daemons int) { c.budgets.divide(max(1, daemons)) }
 
 // Read returns a row for each key, in order. Absent rows have version zero.
--- a/internal/quarantine/update.go
+++ b/internal/quarantine/update.go
@@ -19,7 +19,7 @@
 	return EndpointID(xxhash.Sum64String(string(name)))
 }
 
-// Update is what daemons send to each other about one request.
+// Update is a message between daemons about one request.
 type Update struct {
 	Fingerprint Fingerprint
 	// Terminated lists the endpoints that terminated during the request, in
--- a/internal/replay/player.go
+++ b/internal/replay/player.go
@@ -141,7 +141,7 @@
 	}
 }
 
-// arriveNext has the next request of a class come after a random time.
+// arriveNext lets the next request of a class arrive after a random time.
 func (p *player) arriveNext(c *Class, res *ClassResult, ids uint64) {
 	gap := time.Duration(p.random.ExpFloat64() / (c.Rate * p.s.factor(c.Name, p.now)) * float64(time.Second))
 	at := p.now + gap
@@ -180,7 +180,7 @@
 	p.reserve(r)
 }
 
-// leaves has a caller go that has seen no event by then.
+// leaves makes a caller leave that has seen no event by then.
 func (p *player) leaves(r *request) {
 	id := r.ID
 	p.after(r.StartTimeout, func() {
@@ -197,7 +197,7 @@
 	})
 }
 
-// comeBack has a refused caller ask once more, if it has the time.
+// comeBack lets a refused caller ask once more, if it has the time.
 func (p *player) comeBack(r *request, after time.Duration) bool {
 	left := r.arrived + r.class.Deadline.Std() - p.now
 	after = min(after, left/returnPart)
@@ -246,7 +246,7 @@
 	}
 }
 
-// begin has a request arrive at its engine.
+// begin makes a request arrive at its engine.
 func (p *player) begin(r *request) {
 	switch {
 	case r.ended:
--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// Result is what callers would have seen.
+// Result is the outcome for the callers.
 type Result struct {
 	Classes []*ClassResult `json:"classes"`
 	// Read counts the tokens of prompts that were read, ReadAgain those of
--- a/internal/replay/scenario.go
+++ b/internal/replay/scenario.go
@@ -20,7 +20,7 @@
 
 // Scenario is one file: engines, classes of requests, and what happens.
 type Scenario struct {
-	// Story tells what the scenario stands for.
+	// Story describes the scenario.
 	Story string `json:"story"`
 	Seed  uint64 `json:"seed"`
 	// Duration is how long requests arrive; those that run then are played to
@@ -42,7 +42,7 @@
 	Count int `json:"count"`
 	// Slots bounds the requests that run at once.
 	Slots int `json:"slots"`
-	// MemoryTokens is what running requests and kept parts share.
+	// MemoryTokens is the memory that running requests and kept parts share.
 	MemoryTokens int `json:"memoryTokens"`
 	// StepMs is the time of a step without work, to which each running
 	// request adds StepMsPerRun and each thousand tokens of running requests
@@ -102,7 +102,7 @@
 	Factor float64        `json:"factor"`
 }
 
-// Crash has a number of engines lose all that they run and keep.
+// Crash makes a number of engines lose all that they run and keep.
 type Crash struct {
 	At    table.Duration `json:"at"`
 	For   table.Duration `json:"for"`
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -32,9 +32,10 @@
 	Grace table.Duration `json:"grace"`
 	// Retry bounds what all daemons together send beyond the first time.
 	Retry Retry `json:"retry"`
-	// Machine is what this host has; absent where all hosts are alike.
+	// Machine describes this host; absent where all hosts are alike.
 	Machine *Machine `json:"machine,omitempty"`
-	// Duties is what one daemon at a time does for all; absent if there is none.
+	// Duties are the calls that one daemon at a time makes for all; absent if there are
+	// none.
 	Duties *Duties `json:"duties,omitempty"`
 }
 
@@ -80,7 +81,7 @@
 	c.require(d.UsageWindow == 0 || d.UsageDue > 0, "gateway.duties.usageDue", "is missing; allowed: a duration such as 10s")
 }
 
-// Machine is what a host has for its daemon.
+// Machine describes the resources of a host for its daemon.
 type Machine struct {
 	// ProcessorShare is the part of a core that it may use, ProcessorSpeed how
 	// fast that core is, as a multiple of an ordinary one.
--- a/internal/settings/secret.go
+++ b/internal/settings/secret.go
@@ -66,7 +66,7 @@
 	c.require(t.CA != "", "peerTls.ca", "is missing")
 }
 
-// Secrets is what the files and variables named by the settings hold. A TLS
+// Secrets holds the contents of the files and variables that the settings name. A TLS
 // configuration is nil where plain HTTP is spoken.
 type Secrets struct {
 	OperatorKey string
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -64,7 +64,7 @@
 	PolicyLeastOutstanding Policy = "leastOutstanding"
 )
 
-// Platform says where the platform's services are.
+// Platform is the location of the platform's services.
 type Platform struct {
 	URL string `json:"url"`
 	// Timeout bounds each call.
--- a/internal/soak/announce.go
+++ b/internal/soak/announce.go
@@ -23,8 +23,9 @@
 	fallsPerEngine  = 0.1
 	fallWindow      = time.Second
 
-	// backoff is what engines ask for, with backoffShare of the requests. After
-	// backoffMargin, a daemon may send one backoffAllowed requests before its end.
+	// backoff is the time for which engines ask, in response to backoffShare of the
+	// requests. Between backoffMargin and its end, a daemon may send backoffAllowed
+	// requests.
 	backoff        = 2 * time.Second
 	backoffShare   = 0.3
 	backoffMargin  = 500 * time.Millisecond
--- a/internal/soak/limit.go
+++ b/internal/soak/limit.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// engineLimit is what engines in need name, in requests a second.
+	// engineLimit is the limit that engines announce, in requests per second.
 	engineLimit = 2
 	// limitWindow is the span in which an engine gets at most limitExcess times
 	// what its limit allows, and limitSlack more.
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -25,7 +25,7 @@
 	Revoked  []Revoke  `json:"revoked"`
 	// Final has what each daemon answered at the very end.
 	Final []Final `json:"final"`
-	// Duties is what the platform's API has seen of the duties.
+	// Duties holds the calls of the platform's API for duties.
 	Duties standin.DutyRecord `json:"duties"`
 	// Noted are violations that were seen on the spot.
 	Noted []Violation `json:"noted,omitempty"`
@@ -84,7 +84,7 @@
 	At  time.Time
 }
 
-// Final is what a daemon answered at the end.
+// Final holds the answers of a daemon at the end.
 type Final struct {
 	Daemon int
 	// Newest is the status on the newest route, Revoked that with a key that
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -36,7 +36,7 @@
 	// Plant names a fault of the stand-ins that breaks a promise, to show that
 	// the checks can fail; see standin.EngineFaults.
 	Plant string
-	// Keep has the logs of all runs stay, not of those alone that fail.
+	// Keep keeps the logs of all runs, not only of those that fail.
 	Keep bool
 	Out  io.Writer
 }
@@ -69,7 +69,7 @@
 	storeLock, drainLock sync.Mutex
 }
 
-// Verdict is what a run has shown.
+// Verdict is the result of a run.
 type Verdict struct {
 	Seed       uint64      `json:"seed"`
 	Calls      int         `json:"calls"`
--- a/internal/standin/answer.go
+++ b/internal/standin/answer.go
@@ -11,7 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// chatRequest is what the stand-in reads of a chat request.
+// chatRequest holds the fields of a chat request that the stand-in reads.
 type chatRequest struct {
 	Model    string          `json:"model"`
 	Priority int             `json:"priority"`
--- a/internal/standin/late.go
+++ b/internal/standin/late.go
@@ -12,7 +12,7 @@
 	"github.com/beechhead/beechhead/internal/platform"
 )
 
-// errLate is what the sender of a held write sees.
+// errLate is the error that the sender of a held write receives.
 var errLate = errors.New("the connection broke")
 
 // LateTransport holds writes to the platform back: their sender sees a broken
--- a/internal/standin/prefix.go
+++ b/internal/standin/prefix.go
@@ -25,7 +25,7 @@
 	lostEvery = 5
 )
 
-// CacheEvent tells that a prefix was stored or evicted. Sequences grow by one
+// CacheEvent reports that a prefix was stored or evicted. Sequences grow by one
 // with each event, so that a reader sees a gap.
 type CacheEvent struct {
 	Sequence uint64 `json:"sequence"`
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -24,7 +24,7 @@
 	serviceConcurrency = 8
 )
 
-// SiteConfig says what a site consists of. Zero fields take the demo's values.
+// SiteConfig describes a site. Zero fields take the demo's values.
 type SiteConfig struct {
 	Daemons int
 	Engines int
--- a/internal/standin/surroundings.go
+++ b/internal/standin/surroundings.go
@@ -38,7 +38,7 @@
 	Duration    time.Duration `long:"duration" description:"End after this time, such as 30s"`
 }
 
-// SiteAddresses is what site.json holds.
+// SiteAddresses is the content of site.json.
 type SiteAddresses struct {
 	Platform  string   `json:"platform"`
 	Callers   []string `json:"callers"`
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -24,12 +24,12 @@
 	EndpointEjected EndpointState = "ejected"
 )
 
-// Endpoint is what the coordinator of its cell knows of an endpoint.
+// Endpoint is an endpoint as known to the coordinator of its cell.
 type Endpoint struct {
 	Name  table.EndpointName `json:"name"`
 	Cell  string             `json:"cell"`
 	State EndpointState      `json:"state"`
-	// Reason tells why it is ejected.
+	// Reason is the reason for its ejection.
 	Reason string `json:"reason,omitempty"`
 	// Running counts the requests that the coordinator has granted.
 	Running     int `json:"running"`
@@ -42,7 +42,7 @@
 	Coordinator string `json:"coordinator"`
 }
 
-// Queue is what the coordinators know of a class, since they run their cells.
+// Queue is a class as known to its coordinators, since they run their cells.
 type Queue struct {
 	Waiting   int   `json:"waiting"`
 	Granted   int64 `json:"granted"`
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -19,9 +19,9 @@
 type Fault struct {
 	// Path is where it stands, such as "classes[2].target.firstToken".
 	Path string
-	// Value is what stands there, shortened.
+	// Value is the value found, shortened.
 	Value string
-	// Allowed tells what may stand there.
+	// Allowed describes the allowed values.
 	Allowed string
 }
 
--- a/internal/tunnel/hosts.go
+++ b/internal/tunnel/hosts.go
@@ -20,7 +20,7 @@
 	maxConsidered = 16
 )
 
-// reachability is what the last tunnel through a daemon has shown, best first.
+// reachability is the result of the last tunnel through a daemon, best first.
 type reachability int
 
 const (
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -14,7 +14,7 @@
 	sources map[Source]*source
 }
 
-// source is what is known of one source.
+// source is the state of one source.
 type source struct {
 	since, until time.Duration
 	windows      map[Window]Counts
