Keep a lost path from counting as the end of endpoints, own table too

A refused connection counts there now if one of up to three other endpoints accepts one. A table with one endpoint leaves it to the word of the daemon, as before.

Tunnels for this daemon are not built. The gateway uses none of this code.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -141,11 +141,13 @@
 
 func (d *Daemon) buildServers() {
 	sender := endpoint.NewSender(endpoint.NewTransport())
+	dispatcher := dispatch.NewDispatcher(d.clock, d.limits, d.placer, engine.NewClient(sender), service.NewClient(sender), d.suspects, d.metrics)
+	dispatcher.OtherEndpoints = d.otherEndpoints
 	d.callerHandler = &caller.Server{
 		Logger:     d.logger,
 		Keeper:     d.replica,
 		View:       d.view,
-		Dispatcher: dispatch.NewDispatcher(d.clock, d.limits, d.placer, engine.NewClient(sender), service.NewClient(sender), d.suspects, d.metrics),
+		Dispatcher: dispatcher,
 		Claims:     d.claims,
 		Metrics:    d.metrics,
 		Attainment: d.attainment,
@@ -174,6 +176,29 @@
 	}
 }
 
+// maxOthers is the number of endpoints that are tried to find out whether the path to
+// all of them is lost.
+const maxOthers = 3
+
+// otherEndpoints returns the URLs of up to maxOthers other endpoints, from a random one on.
+func (d *Daemon) otherEndpoints(e *table.Endpoint) (urls []string) {
+	v := d.replica.Current()
+	if v == nil || len(v.Table.Endpoints) == 0 {
+		return nil
+	}
+	all := v.Table.Endpoints
+	start := rand.IntN(len(all))
+	for i := range all {
+		if len(urls) == maxOthers {
+			break
+		}
+		if other := &all[(start+i)%len(all)]; other.URL != e.URL {
+			urls = append(urls, other.URL)
+		}
+	}
+	return urls
+}
+
 // applyTable configures all components with a table that has become active.
 func (d *Daemon) applyTable(v *table.Versioned) {
 	d.coordinator.Configure(v.Table)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -30,6 +30,9 @@
 	metrics  *metric.Registry
 	budgets  *budgets
 	suspects *quarantine.List
+	// OtherEndpoints returns the URLs of some other endpoints, which tell a lost path
+	// from an endpoint that has terminated. It must be set before use.
+	OtherEndpoints func(e *table.Endpoint) []string
 }
 
 // NewDispatcher returns a dispatcher.
@@ -43,6 +46,8 @@
 		metrics:  metrics,
 		budgets:  newBudgets(clock),
 		suspects: suspects,
+
+		OtherEndpoints: func(*table.Endpoint) []string { return nil },
 	}
 }
 
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -17,7 +17,7 @@
 	case outcome.ReasonCallerGone, outcome.ReasonPreempted, outcome.ReasonSilent, outcome.ReasonEndpointRefused:
 		return
 	}
-	if ctx.Err() == nil && endpoint.HasTerminated(ctx, e.URL) {
+	if ctx.Err() == nil && endpoint.HasTerminated(ctx, e.URL, d.OtherEndpoints(e)) {
 		d.metrics.Inc("attempts.endpointEnded")
 		d.suspects.RecordTermination(f, e.Name)
 	}
