--- a/internal/schedule/cell.go
+++ b/internal/schedule/cell.go
@@ -27,7 +27,8 @@
 	endpoints map[Endpoint]*endpointState
 	// sortedEndpoints is sorted by name.
 	sortedEndpoints []*endpointState
-	poolBrittle     poolBrittleness
+	// poolBrittle applies to endpoints that have not responded yet.
+	poolBrittle poolBrittleness
 	// totalSlots is the sum of the endpoints' concurrency.
 	totalSlots int
 	// pool selects among the endpoints that batch their requests.
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -85,7 +85,7 @@
 type accountQueue struct {
 	name    Account
 	virtual float64
-	// entries holds the entries that are not late, youngest has all of them.
+	// entries holds the entries that are not late, youngest all of them.
 	entries  entryHeap
 	youngest entryHeap
 	// heapIndex is the account's index in each kind of heap, or notInHeap.
