--- a/internal/soak/ending.go
+++ b/internal/soak/ending.go
@@ -30,8 +30,13 @@
 	sendsAfterwards = 3
 )
 
-// Faults that are planted where they strike.
+// Faults that are planted.
 const (
+	// The following are faults of the same names in standin.EngineFaults.
+	plantRunTwice   = "runTwice"
+	plantForeign    = "foreign"
+	plantUnsigned   = "unsigned"
+	plantRunRefused = "runRefused"
 	// plantHideLimit has engines name no limit where they have one.
 	plantHideLimit = "hideLimit"
 	// plantOtherTarget has repeats of a request look like others.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -161,13 +161,17 @@
 	r.must(r.setFaults(f.Target, form.EngineFaults{}))
 }
 
-// setFaults switches an engine's faults but for its announcements and the requests that
-// end it. The caller holds the engine's lock.
+// setFaults switches an engine's faults but for its announcements, the requests that
+// end it and the planted fault. The caller holds the engine's lock.
 func (r *run) setFaults(engine int, f form.EngineFaults) error {
 	a := r.announced[engine]
 	f.Limit, f.Brittle, f.Room, f.Leaving = a.Limit, a.Brittle, a.Room, a.Leaving
 	f.BackoffSeconds, f.BackoffShare = a.BackoffSeconds, a.BackoffShare
 	f.TerminateOn, f.HideAnnouncements = endingBody, r.o.hidesAnnouncements()
+	f.RunTwice, f.Foreign, f.Unsigned = r.o.Plant == plantRunTwice, r.o.Plant == plantForeign, r.o.Plant == plantUnsigned
+	if r.o.Plant == plantRunRefused {
+		f.RunRefused, f.Refuse = true, true
+	}
 	return r.site.post(r.site.engineURL(engine, "/faults"), f)
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -117,28 +117,13 @@
 	return r.verdict(dir)
 }
 
-// plant switches on the planted fault.
+// plant switches on the planted fault of the engines.
 func (r *run) plant() error {
 	for i := range r.o.Engines {
 		if err := r.setFaults(i, standin.EngineFaults{}); err != nil {
 			return err
 		}
 	}
-	if r.o.Plant == "" {
-		return nil
-	}
-	if _, ok := plantedFaults[r.o.Plant]; ok {
-		return nil
-	}
-	faults := map[string]bool{r.o.Plant: true}
-	if r.o.Plant == "runRefused" {
-		faults["refuse"] = true
-	}
-	for i := range r.o.Engines {
-		if err := r.site.post(r.site.engineURL(i, "/faults"), faults); err != nil {
-			return err
-		}
-	}
 	return nil
 }
 
