Keep a stream at the software version that began it

Two causes, each by itself: within one answer the rest of a stream was reserved like a new request, and where a caller takes a stream up, the daemon that is asked could not know which version began it.

- The version of a registration is decoded.
The rest of a stream is bound to the version of the engine that sent its first event: in the choice of cells, in the queue, at the grant and right before the write.
- Logs name the versions, and the lines of the requests that take a stream up.

--- a/internal/cell/convert.go
+++ b/internal/cell/convert.go
@@ -23,6 +23,7 @@
 			CanPreempt:  e.CanCancel && e.CanResume,
 			CacheTokens: e.MemoryTokens / c.share,
 			Zone:        e.Zone,
+			Version:     schedule.Version(e.SoftwareVersion),
 			Draining:    e.Draining || c.draining[e.Name],
 		})
 		cfg.MaxWaiting += queuePerSlot * e.Concurrency
@@ -65,6 +66,10 @@
 		Waited:          time.Duration(r.GetWaitedMs()) * time.Millisecond,
 		StartTimeout:    time.Duration(r.GetUsefulMs()) * time.Millisecond,
 	}
+	if r.Version != nil {
+		version := schedule.Version(r.GetVersion())
+		req.Version = &version
+	}
 	for _, name := range r.GetExcluded() {
 		req.Excluded = append(req.Excluded, schedule.Endpoint(name))
 	}
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -300,6 +300,17 @@
 	return *p.groups[at.group].cells[at.cell]
 }
 
+// CellsWith returns those of some cells that have an endpoint of a software version
+// which takes new requests.
+func (p *Plan) CellsWith(cells []ID, version table.SoftwareVersion) (matching []ID) {
+	for _, id := range cells {
+		if slices.ContainsFunc(p.Members(id), func(m *Member) bool { return !m.Draining && m.SoftwareVersion == version }) {
+			matching = append(matching, id)
+		}
+	}
+	return matching
+}
+
 // Region returns the region of a cell, or "" if the cell is unknown.
 func (p *Plan) Region(id ID) string {
 	at, ok := p.layout.cells[id]
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -23,6 +23,8 @@
 	Pool    table.Pool
 	Address string
 	Zone    string
+	// Version is the version of the endpoint's software; empty if unknown.
+	Version table.SoftwareVersion
 	Slots   int
 	// Born is when the endpoint's process started, in milliseconds. A new process
 	// under the same ID is another endpoint, which has no state of the old one.
--- a/internal/facts/registry.go
+++ b/internal/facts/registry.go
@@ -19,7 +19,7 @@
 	// position. It is sorted unless unsorted is set.
 	log      []logEntry
 	unsorted bool
-	// texts holds the names of pools and zones, so that rows share them.
+	// texts holds the names of pools, zones and versions, so that rows share them.
 	texts map[string]string
 	// position is the position as of which all rows are known; a row may be
 	// newer.
@@ -114,6 +114,7 @@
 // store sets a row.
 func (r *registry) store(e Endpoint) {
 	e.Pool, e.Zone = table.Pool(r.shared(string(e.Pool))), r.shared(e.Zone)
+	e.Version = table.SoftwareVersion(r.shared(string(e.Version)))
 	r.changed = max(r.changed, e.Changed)
 	r.rows[e.ID] = e
 	r.unsorted = r.unsorted || len(r.log) > 0 && r.log[len(r.log)-1].position > e.Changed
--- a/internal/forward/disconnect_test.go
+++ b/internal/forward/disconnect_test.go
@@ -3,20 +3,13 @@
 import (
 	"context"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"testing"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"github.com/beechhead/beechhead/internal/boottime"
-	"github.com/beechhead/beechhead/internal/http1"
-	"github.com/beechhead/beechhead/internal/metric"
 	"github.com/beechhead/beechhead/internal/outcome"
-	"github.com/beechhead/beechhead/internal/quarantine"
-	"github.com/beechhead/beechhead/pkg/table"
 )
 
 // An endpoint terminates right after the caller has disconnected. This must be
@@ -35,20 +28,7 @@
 		s.urls = append(s.urls, "http://"+l.Addr().String())
 	}
 	boot := boottime.System{}
-	f := &Forwarder{
-		Clock:      clockwork.NewRealClock(),
-		BootClock:  boot,
-		Logger:     slog.New(slog.DiscardHandler),
-		Metrics:    metric.NewRegistry(),
-		Pool:       http1.NewPool(clockwork.NewRealClock(), http1.Dial),
-		Protocol:   testWire,
-		Reserve:    s.reserve(s.placer()),
-		Usable:     func(*table.Endpoint) bool { return true },
-		PathLost:   func(string) bool { return false },
-		Notices:    newTestNotices(clockwork.NewRealClock()),
-		Budget:     func(table.Pool) Budget { return &fixedBudget{} },
-		Quarantine: quarantine.NewList(clockwork.NewRealClock()),
-	}
+	f := newTestForwarder(s)
 	for _, l := range listeners {
 		ctx, leave := context.WithCancel(context.Background())
 		go func() {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -57,6 +57,9 @@
 	// LastEvent is the id of the last event that the caller has received, if it
 	// resumes a stream.
 	LastEvent string
+	// Resumes is the ID of the request that brought the first event of that stream,
+	// as the caller states it; it may be empty.
+	Resumes string
 	// ReceivedAt is when the request arrived, Deadline when it must have ended,
 	// set by the caller or by the route's timeout. Both are times since the
 	// machine was booted.
@@ -149,6 +152,13 @@
 	Quarantine *quarantine.List
 	// Budget returns the retry budget of a pool.
 	Budget func(pool table.Pool) Budget
+	// BeginStream records the software version at which a stream has begun that may be
+	// continued elsewhere. The function that it returns is called when this daemon
+	// serves the stream no longer.
+	BeginStream func(r *Request, version table.SoftwareVersion) (end func())
+	// LookupVersion returns the software version at which the stream began that a
+	// request resumes, or a refusal.
+	LookupVersion func(ctx context.Context, r *Request) (table.SoftwareVersion, *outcome.Refusal)
 	// OnBegun is called, if set, when an endpoint has begun to run a request; for
 	// each endpoint if there are several.
 	OnBegun func(r *Request)
@@ -166,5 +176,6 @@
 	defer cancel()
 	run := &run{f: f, began: f.Clock.Now(), req: r, sink: sink, budget: f.Budget(r.Pool), lastEvent: r.LastEvent}
 	run.budget.Add()
+	defer run.endStreamRecord()
 	return run.do(ctx)
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -40,6 +40,9 @@
 	// "ends" closes the listener and resets the connection, and "nobody" means
 	// that nothing listens at the address.
 	Endpoints []string
+	// Versions holds the software version of each endpoint; nil means that all have
+	// the same one.
+	Versions []string
 	// Budget is the number of retries that the retry budget allows.
 	Budget int
 	// Want is the body that the caller receives, after the status text if the
@@ -98,6 +101,8 @@
 	next int
 	sent int
 	urls []string
+	// versions is as in script.
+	versions []string
 }
 
 // listen starts an endpoint that sends the given response on each connection; see
@@ -170,7 +175,11 @@
 	p := placement.NewPlacer(clock, view, dial, metric.NewRegistry(), 32, "")
 	t := &table.Table{Classes: []table.Class{{Name: "c", Pools: []table.Pool{"p"}}}}
 	for i, url := range s.urls {
-		t.Endpoints = append(t.Endpoints, table.Endpoint{Name: endpointName(i), Pool: "p", URL: url})
+		version := "v1"
+		if s.versions != nil {
+			version = s.versions[i]
+		}
+		t.Endpoints = append(t.Endpoints, table.Endpoint{Name: endpointName(i), Pool: "p", URL: url, SoftwareVersion: table.SoftwareVersion(version)})
 	}
 	t.BuildIndex()
 	p.Configure(t)
@@ -200,6 +209,27 @@
 
 var testKinds = map[string]catalog.Kind{"safe": catalog.Safe, "unsafe": catalog.Unsafe, "stream": catalog.Stream}
 
+// newTestForwarder returns a forwarder to the endpoints of a site, without retries.
+func newTestForwarder(s *site) *Forwarder {
+	clock := clockwork.NewRealClock()
+	return &Forwarder{
+		Clock:      clock,
+		BootClock:  boottime.System{},
+		Logger:     slog.New(slog.DiscardHandler),
+		Metrics:    metric.NewRegistry(),
+		Pool:       http1.NewPool(clock, http1.Dial),
+		Protocol:   testWire,
+		Reserve:    s.reserve(s.placer()),
+		Usable:     func(*table.Endpoint) bool { return true },
+		PathLost:   func(string) bool { return false },
+		Notices:    newTestNotices(clock),
+		Budget:     func(table.Pool) Budget { return &fixedBudget{} },
+		Quarantine: quarantine.NewList(clock),
+
+		BeginStream: func(*Request, table.SoftwareVersion) func() { return func() {} },
+	}
+}
+
 func TestAttempts(t *testing.T) {
 	data, err := os.ReadFile("testdata/attempts.json")
 	if err != nil {
@@ -222,27 +252,16 @@
 // play runs the test case. It returns the result for the caller in the form of
 // script.Want, and the number of endpoints that received the request.
 func (tt *script) play(t *testing.T) (got string, sent int) {
-	s := &site{}
+	s := &site{versions: tt.Versions}
 	for _, answer := range tt.Endpoints {
 		s.listen(t, answer)
 	}
 	boot := boottime.System{}
 	var log strings.Builder
-	f := &Forwarder{
-		Clock:     clockwork.NewRealClock(),
-		BootClock: boot,
-		Logger:    slog.New(slog.NewTextHandler(&log, nil)),
-		Metrics:   metric.NewRegistry(),
-		Pool:      http1.NewPool(clockwork.NewRealClock(), http1.Dial),
-		Protocol:  testWire,
-		Reserve:   s.reserve(s.placer()),
-		Usable:    tt.usable(),
-		PathLost:  func(string) bool { return false },
-		Notices:   newTestNotices(clockwork.NewRealClock()),
-		Budget:    func(table.Pool) Budget { return &fixedBudget{left: tt.Budget} },
-
-		Quarantine: quarantine.NewList(clockwork.NewRealClock()),
-	}
+	f := newTestForwarder(s)
+	f.Logger = slog.New(slog.NewTextHandler(&log, nil))
+	f.Usable = tt.usable()
+	f.Budget = func(table.Pool) Budget { return &fixedBudget{left: tt.Budget} }
 	now := boot.Now()
 	var body strings.Builder
 	err := f.Do(context.Background(), &Request{
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -12,6 +12,7 @@
 	waited := r.f.Clock.Since(r.began)
 	r.slotWait = waited
 	r.f.Metrics.ObserveClass("wait.ms", string(r.req.Class), waited.Milliseconds())
+	r.recordContinued(grant)
 	if !r.req.Logged {
 		return
 	}
@@ -19,12 +20,23 @@
 	if grant.FetchFrom != nil {
 		fetchFrom = grant.FetchFrom.Name
 	}
-	r.f.Logger.Info("placed", "request", r.req.ID, "fingerprint", r.req.Fingerprint.String(), "class", r.req.Class, "account", r.req.Account, "endpoint", grant.Endpoint.Name,
+	r.f.Logger.Info("placed", "request", r.req.ID, "fingerprint", r.req.Fingerprint.String(), "class", r.req.Class, "account", r.req.Account, "endpoint", grant.Endpoint.Name, "version", grant.Endpoint.SoftwareVersion,
 		"coordinator", grant.Coordinator(), "fetchFrom", fetchFrom, "attempt", r.mayHaveRun+r.notRun, "waitMs", waited.Milliseconds(),
 		"leftMs", (r.req.Deadline - r.f.BootClock.Now()).Milliseconds(), "promptTokens", r.req.PromptTokens,
 		"backlogMs", grant.Choice.Backlog.Milliseconds(), "unreadMs", grant.Choice.PrefillTime.Milliseconds(), "decode", grant.Choice.Decode)
 }
 
+// recordContinued records that a stream of which the caller has received events is
+// continued.
+func (r *run) recordContinued(grant *placement.Grant) {
+	if !r.continues() {
+		return
+	}
+	r.f.Metrics.Inc("streams.continued")
+	r.f.Logger.Info("stream continued", "request", r.req.ID, "resumes", r.req.Resumes, "class", r.req.Class, "lastEvent", r.lastEvent,
+		"began", r.begunVersion, "endpoint", grant.Endpoint.Name, "version", grant.Endpoint.SoftwareVersion)
+}
+
 // recordAnswered records metrics and a log line for a response that was forwarded
 // completely.
 func (r *run) recordAnswered(grant *placement.Grant, e attemptResult) {
@@ -82,7 +94,7 @@
 		r.f.Metrics.Inc("attempts.endpointEnded")
 		r.f.Quarantine.RecordTermination(r.req.Fingerprint, grant.Endpoint.Name)
 	}
-	r.f.Logger.Info("attempt failed", "request", r.req.ID, "class", r.req.Class, "endpoint", grant.Endpoint.Name, "via", r.via,
+	r.f.Logger.Info("attempt failed", "request", r.req.ID, "class", r.req.Class, "endpoint", grant.Endpoint.Name, "version", grant.Endpoint.SoftwareVersion, "via", r.via,
 		"fingerprint", r.req.Fingerprint.String(), "coordinator", grant.Coordinator(),
 		"reason", e.reason, "mayHaveRun", e.mayHaveRun, "endpointEnded", e.terminated, "events", r.events,
 		"sinceBeginMs", r.f.Clock.Since(r.began).Milliseconds(), "cause", e.err.Error())
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -35,7 +35,7 @@
 func (r *run) reserve(ctx context.Context) (*placement.Grant, error) {
 	for {
 		backingOff, _ := r.f.Notices.BackingOff(r.req.Pool)
-		grant, err := r.f.Reserve(ctx, placement.Request{
+		request := placement.Request{
 			Pool:            r.req.Pool,
 			Class:           r.req.Class,
 			Account:         r.req.Account,
@@ -46,7 +46,11 @@
 			StartTimeout:    r.startLimit(),
 			Excluded:        append(backingOff, r.failed...),
 			Attempt:         r.mayHaveRun + r.notRun,
-		})
+		}
+		if r.continues() {
+			request.Version = &r.begunVersion
+		}
+		grant, err := r.f.Reserve(ctx, request)
 		if err != nil {
 			if !r.awaitBackoff(ctx, err) && !r.awaitTable(ctx, err) {
 				return nil, err
@@ -62,13 +66,19 @@
 			return grant, nil
 		}
 		grant.Release(placement.Report{Outcome: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE})
-		if !r.f.Usable(&grant.Endpoint) || len(backingOff) == maxBackingOff {
+		if r.excludes(&grant.Endpoint, len(backingOff)) {
 			r.failed = append(r.failed, grant.Endpoint.Name)
 		}
 		r.f.Metrics.Inc("places.unusable")
 	}
 }
 
+// excludes reports whether an endpoint that can't be used is excluded from all further
+// attempts. One that only backs off is excluded until it no longer does.
+func (r *run) excludes(e *table.Endpoint, backingOff int) bool {
+	return !r.f.Usable(e) || !r.hasVersion(e) || backingOff == maxBackingOff
+}
+
 // startLimit returns how long after its arrival the response must begin to be of
 // use to the caller. It returns 0, no limit, once an endpoint may have run the
 // request: the coordinator refuses late requests as not run, which would then be
@@ -135,5 +145,5 @@
 // usable reports whether a request may be sent to the endpoint, by what this daemon
 // knows and by what the endpoint has told it.
 func (r *run) usable(e *table.Endpoint) bool {
-	return r.f.Usable(e) && r.f.Notices.MaySend(e.Name)
+	return r.hasVersion(e) && r.f.Usable(e) && r.f.Notices.MaySend(e.Name)
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -45,6 +45,12 @@
 	// lastEvent is the id of the last event that the caller has received.
 	lastEvent string
 	events    int
+	// begunVersion is the software version of the endpoint that sent the first event
+	// of the stream; empty if it is not known.
+	begunVersion table.SoftwareVersion
+	// endRecord ends the record of the stream's version that BeginStream has begun; nil
+	// if there is none.
+	endRecord func()
 	// firstEvent is the time until the first event, slotWait the time until the
 	// last slot was granted; both since began.
 	firstEvent, slotWait time.Duration
@@ -80,6 +86,9 @@
 	if refusal := r.checkQuarantine(); refusal != nil {
 		return refusal
 	}
+	if refusal := r.findVersion(ctx); refusal != nil {
+		return refusal
+	}
 	for {
 		grant, err := r.reserve(ctx)
 		if err != nil {
@@ -109,6 +118,9 @@
 		return false
 	case errors.As(e.err, new(*outcome.Refusal)):
 		return false
+	case r.continues() && r.begunVersion == "":
+		r.f.Metrics.Inc("streams.versionUnknown")
+		return false
 	case r.mayHaveRun >= r.req.Attempts || r.notRun >= maxNotRun:
 		return false
 	case r.f.Quarantine.IsQuarantined(r.req.Fingerprint):
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -92,7 +92,7 @@
 			r.lastEvent = id
 		}
 		if r.events++; r.events == 1 {
-			r.firstEvent = r.f.Clock.Since(r.began)
+			r.recordFirstEvent(grant)
 		}
 		grant.RecordToken()
 		out = append(out, event...)
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -273,6 +273,7 @@
 		GapTarget:    route.Pause,
 		StartTimeout: route.Leaves,
 		LastEvent:    call.LastEvent,
+		Resumes:      call.Resumes,
 		ReceivedAt:   began,
 		Deadline:     began + wait,
 		Logged:       g.sampler.Sample(),
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -110,13 +110,14 @@
 
 // onDatagram handles a datagram of another daemon.
 func (g *Gateway) onDatagram(b *peerv1.Beacon) {
-	if r := b.GetDuty(); r != nil {
-		if g.duties != nil {
-			g.duties.exchange.Receive(r)
-		}
-		return
+	switch {
+	case b.GetStream() != nil:
+		g.streams.Receive(b.GetStream())
+	case b.GetDuty() == nil:
+		g.sync.OnBeacon(b)
+	case g.duties != nil:
+		g.duties.exchange.Receive(b.GetDuty())
 	}
-	g.sync.OnBeacon(b)
 }
 
 // run starts the goroutines of the duties.
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -176,6 +176,8 @@
 		Concurrency:  max(1, e.Slots),
 		MemoryTokens: pool.Memory,
 		EchoesID:     true,
+
+		SoftwareVersion: e.Version,
 	}
 	if pool.Memory > 0 {
 		m.Kind = table.KindEngine
--- a/internal/gateway/facts.go
+++ b/internal/gateway/facts.go
@@ -121,7 +121,7 @@
 	g.coordinator.Apply(p.classes, p.plan)
 	g.placer.Apply(p.classes, p.plan)
 	g.limitConnections()
-	g.notices.Prune(func(name table.EndpointName) bool { return g.usable(&table.Endpoint{Name: name}) })
+	g.notices.Prune(g.accepts)
 	g.view.UpdateSelf(func(h *membership.Host) {
 		h.TableVersion = uint64(c.Version)
 		if h.State == membership.Starting {
@@ -142,9 +142,19 @@
 	}
 }
 
-// usable reports whether an endpoint still accepts requests according to this
-// daemon's own facts.
+// usable reports whether an endpoint still accepts requests, and has the same software
+// version, according to this daemon's own facts.
 func (g *Gateway) usable(e *table.Endpoint) bool {
 	known, ok := g.holder.Endpoint(facts.IDOf(e.Name))
-	return ok && !known.Gone && !known.Draining && known.Name() == e.Name
+	return ok && known.Version == e.SoftwareVersion && accepts(known, e.Name)
+}
+
+// accepts reports whether an endpoint is registered and accepts requests.
+func (g *Gateway) accepts(name table.EndpointName) bool {
+	known, ok := g.holder.Endpoint(facts.IDOf(name))
+	return ok && accepts(known, name)
+}
+
+func accepts(known facts.Endpoint, name table.EndpointName) bool {
+	return !known.Gone && !known.Draining && known.Name() == name
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,7 @@
 	"github.com/beechhead/beechhead/internal/retrybudget"
 	"github.com/beechhead/beechhead/internal/settings"
 	"github.com/beechhead/beechhead/internal/storetime"
+	"github.com/beechhead/beechhead/internal/streamversion"
 	"github.com/beechhead/beechhead/internal/tick"
 	"github.com/beechhead/beechhead/internal/tunnel"
 	"github.com/beechhead/beechhead/pkg/table"
@@ -93,6 +94,7 @@
 	dialer       *tunnel.Dialer
 	tunnels      *tunnel.Server
 	notices      *forward.Notices
+	streams      *streamversion.Directory
 	// duties is nil if there are none.
 	duties *duties
 
@@ -159,6 +161,7 @@
 	g.suspects.OnChange = quarantine.ReportChanges(g.logger, g.metrics.Inc)
 	g.buildFacts()
 	g.buildPeers()
+	g.buildStreams()
 	g.buildPlacement()
 	g.buildDuties()
 	g.buildServers()
@@ -223,6 +226,9 @@
 		OnBegun:   func(r *forward.Request) { g.countBegun(r.Account) },
 
 		Quarantine: g.suspects,
+
+		BeginStream:   g.beginStream,
+		LookupVersion: g.lookupVersion,
 	}
 }
 
@@ -372,5 +378,6 @@
 	g.coordinator.Tick(g.view.Ready(), g.placer.Suspects())
 	g.cells.DropOrphans()
 	g.placer.Tick()
+	g.streams.Refresh()
 	g.leaveTunnels()
 }
--- a/internal/gateway/streamversion_test.go
+++ b/internal/gateway/streamversion_test.go
@@ -92,6 +92,26 @@
 	}, "prompt")
 }
 
+// takeUpAll has callers take streams up at some daemons. None may have events of two
+// versions, and at least half must go on.
+func (s *testSite) takeUpAll(ids []string, daemons []*testDaemon) {
+	s.t.Helper()
+	continued := 0
+	for i := range ids {
+		n := 7 * i % len(ids) // mixes the order, so that engines chosen in turn do not agree by chance
+		a := s.takeUp(daemons[(n+1)%len(daemons)], ids[n])
+		if versions := s.versionsOf(ids[n], a.id); len(versions) != 1 {
+			s.t.Errorf("stream %s has events of versions %v", ids[n], versions)
+		}
+		if a.status == http.StatusOK {
+			continued++
+		}
+	}
+	if 2*continued < len(ids) {
+		s.t.Errorf("%d of %d streams were continued", continued, len(ids))
+	}
+}
+
 // Guards against a stream being continued, within one response, by an engine of
 // another software version than the one that began it.
 func TestBrokenStreamStaysAtItsVersion(t *testing.T) {
@@ -147,6 +167,27 @@
 	}
 }
 
+// Guards against streams that do not go on, or at another version, while hosts are killed
+// and come back one after the other, coordinators among them, and versions roll.
+func TestStreamsGoOnWhileHostsAreReplaced(t *testing.T) {
+	s := newVersionedSite(t, 4)
+	for i, d := range s.daemons {
+		var ids []string
+		for n := range 12 {
+			ids = append(ids, s.brokenStream(s.daemons[(i+n%2)%4]))
+		}
+		d.cancel()
+		<-d.done
+		id := fmt.Sprintf("llm-%d", 5+i)
+		s.addEngineOf(id, "llm", "v3")
+		s.takeUpAll(ids, []*testDaemon{s.daemons[(i+1)%4], s.daemons[(i+2)%4], s.daemons[(i+3)%4]})
+		s.daemons[i] = s.startDaemon(i)
+		s.await("the daemon is back", func() bool {
+			return s.daemons[i].g.acceptsCallers() && len(s.daemons[i].g.holder.Endpoints()) == len(s.engines)
+		})
+	}
+}
+
 // Guards against a daemon guessing the version of a stream that it knows nothing of
 // while several versions serve.
 func TestUnknownStreamIsNotContinued(t *testing.T) {
--- a/internal/logline/trace.go
+++ b/internal/logline/trace.go
@@ -31,7 +31,7 @@
 // that handled it.
 type Trace struct {
 	// Request is the request's id, or the fingerprint that all attempts of a
-	// caller share.
+	// caller share. The lines of requests that continue its stream are included.
 	Request string
 	// Entries are the request's lines, ordered by time.
 	Entries []Entry
@@ -77,7 +77,7 @@
 				continue
 			}
 			switch {
-			case e.Fields["request"] == request, e.Fields["fingerprint"] == request:
+			case e.Fields["request"] == request, e.Fields["resumes"] == request, e.Fields["fingerprint"] == request:
 				s.Entries = append(s.Entries, e)
 			case stateChanges[e.Message]:
 				changes = append(changes, e)
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -65,6 +65,7 @@
 	ReasonOtherBody       Reason = "otherBody"
 	ReasonRetryBudget     Reason = "retryBudget"
 	ReasonQuarantined     Reason = "quarantined"
+	ReasonUnknownVersion  Reason = "unknownVersion"
 	ReasonInternal        Reason = "internal"
 )
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -56,8 +57,11 @@
 		return nil, outcome.NotRunError(outcome.ReasonNotReady, "no table is in force")
 	}
 	all := p.plan.Cells(r.Pool)
+	if r.Version != nil {
+		all = p.plan.CellsWith(all, *r.Version)
+	}
 	if len(all) == 0 {
-		return nil, outcome.NotRunError(outcome.ReasonNoEndpoint, "the pool has no endpoint")
+		return nil, outcome.NotRunError(outcome.ReasonNoEndpoint, noEndpointMessage(r))
 	}
 	if len(all) == 1 {
 		return all, nil
@@ -74,6 +78,13 @@
 	return cells[:min(maxCellsTried, len(cells))], nil
 }
 
+func noEndpointMessage(r *Request) string {
+	if r.Version != nil {
+		return "no endpoint of the pool has software version " + strconv.Quote(string(*r.Version))
+	}
+	return "the pool has no endpoint"
+}
+
 // rankCells orders the cells by the hash of the prefix or at random, with those
 // in this daemon's region first.
 func (p *Placer) rankCells(all []cell.ID, prefix uint64) []cell.ID {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/beechhead/beechhead/internal/cell"
 	"github.com/beechhead/beechhead/internal/membership"
@@ -36,7 +37,10 @@
 	StartTimeout time.Duration
 	// Excluded lists endpoints that have failed this request.
 	Excluded []table.EndpointName
-	Attempt  int
+	// Version is the software version of the endpoints that may continue the
+	// stream; nil if the request may go to any.
+	Version *table.SoftwareVersion
+	Attempt int
 }
 
 // Part is a part of a prompt that several requests may share.
@@ -261,6 +265,9 @@
 	for _, part := range r.Parts {
 		reserve.Parts = append(reserve.Parts, &peerv1.PromptPart{Id: part.ID, Tokens: uint32(part.Tokens)})
 	}
+	if r.Version != nil {
+		reserve.Version = proto.String(string(*r.Version))
+	}
 	for _, name := range r.Excluded {
 		reserve.Excluded = append(reserve.Excluded, string(name))
 	}
--- a/internal/schedule/endpoint.go
+++ b/internal/schedule/endpoint.go
@@ -141,7 +141,15 @@
 }
 
 func (c *Cell) usable(e *endpointState, r *Request, p *batching.Candidate, now time.Duration) bool {
-	return e.hasFreeSlot(now) && c.pool.Accepts(&e.Engine, p, now) && (len(r.Excluded) == 0 || !slices.Contains(r.Excluded, e.policy.Name))
+	return e.hasFreeSlot(now) && e.mayRun(r) && c.pool.Accepts(&e.Engine, p, now)
+}
+
+// mayRun reports whether a request may be sent to the endpoint at all.
+func (e *endpointState) mayRun(r *Request) bool {
+	if r.Version != nil && *r.Version != e.policy.Version {
+		return false
+	}
+	return len(r.Excluded) == 0 || !slices.Contains(r.Excluded, e.policy.Name)
 }
 
 // placementCost returns the cost of running a request on an endpoint; the lowest
@@ -196,7 +204,7 @@
 }
 
 func (e *endpointState) baselineUsable(r *Request, now time.Duration) bool {
-	return !e.policy.Draining && !e.limit.throttled(now) && e.Running < e.policy.Concurrency && !slices.Contains(r.Excluded, e.policy.Name)
+	return !e.policy.Draining && !e.limit.throttled(now) && e.Running < e.policy.Concurrency && e.mayRun(r)
 }
 
 // prefixSlots is the size of the prefix table.
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -48,7 +48,7 @@
 			c.grant(e, to, source, aged, now)
 			continue
 		}
-		if len(e.request.Excluded) == 0 && !c.pool.Batches() {
+		if len(e.request.Excluded) == 0 && e.request.Version == nil && !c.pool.Batches() {
 			break
 		}
 		c.deferBlocked(e, now)
@@ -66,6 +66,10 @@
 // others; after a few tries the whole class is blocked for a short time.
 func (c *Cell) deferBlocked(e *entry, now time.Duration) {
 	q := e.class
+	if e.request.Version != nil {
+		c.deferContinued(e, now)
+		return
+	}
 	c.deferEntry(e)
 	if c.pool.Batches() && e.LongPrefill {
 		q.longPrefillBlocked = true
@@ -76,6 +80,20 @@
 	}
 }
 
+// deferContinued defers an entry that continues a stream and finds no endpoint of its
+// version. That says nothing about the requests behind it, which may go to others. It
+// is refused if its version has left.
+func (c *Cell) deferContinued(e *entry, now time.Duration) {
+	if c.hasEndpoint(&e.request) {
+		c.skip(e, now)
+		return
+	}
+	c.dequeue(e)
+	e.class.counters.refused[RefusedNoEndpoint]++
+	c.refuse(e.request.ID, RefusedNoEndpoint)
+	c.recycle(e)
+}
+
 // skip defers an entry with a long prefill without trying it, because an earlier
 // long prefill of the class has found no engine. Entries with short prefills
 // behind it may still fit on decode engines.
--- a/internal/schedule/request.go
+++ b/internal/schedule/request.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"slices"
 	"time"
 
 	"github.com/beechhead/beechhead/internal/batching"
@@ -71,7 +70,7 @@
 // later.
 func (c *Cell) hasEndpoint(r *Request) bool {
 	for _, e := range c.sortedEndpoints {
-		if !e.policy.Draining && !slices.Contains(r.Excluded, e.policy.Name) {
+		if !e.policy.Draining && e.mayRun(r) {
 			return true
 		}
 	}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -24,6 +24,8 @@
 	Account string
 	// Endpoint is the name of an endpoint in the cell.
 	Endpoint string
+	// Version is the software version of an endpoint.
+	Version string
 	// Tier is the priority of a class; tier 0 is served first.
 	Tier int
 	// Host is the name of an entry daemon.
@@ -70,6 +72,8 @@
 	CacheTokens int
 	// Zone is the availability zone of the endpoint.
 	Zone string
+	// Version is the version of the endpoint's software.
+	Version Version
 }
 
 // Discipline is the queueing discipline and endpoint selection policy.
@@ -125,6 +129,9 @@
 	StartTimeout time.Duration
 	// Excluded lists the endpoints that have failed this request.
 	Excluded []Endpoint
+	// Version is the software version of the endpoints that may continue the
+	// stream; nil if the request may go to any.
+	Version *Version
 }
 
 // Part is a part of a prompt that an engine can cache.
--- a/internal/schedule/script_test.go
+++ b/internal/schedule/script_test.go
@@ -62,6 +62,7 @@
 	case "endpoint":
 		s.cfg.Endpoints = append(s.cfg.Endpoints, EndpointPolicy{
 			Name: Endpoint(args[0]), Concurrency: s.number(args, "concurrency"), CanPreempt: !s.has(args, "cannotPreempt"),
+			Version: Version(s.text(args, "version")),
 		})
 	case "limit":
 		s.cfg.MaxWaiting = s.number(args, "waiting")
@@ -98,6 +99,9 @@
 				r.Excluded = append(r.Excluded, Endpoint(name))
 			}
 		}
+		if version := Version(s.text(args, "version")); version != "" {
+			r.Version = &version
+		}
 		s.cell.Reserve(r)
 	case "cancel":
 		s.cell.Cancel(s.id(args[0]))
--- a/pkg/table/check.go
+++ b/pkg/table/check.go
@@ -132,6 +132,8 @@
 	c.require(e.Zone == "" || namePattern.MatchString(e.Zone), row, "zone", e.Zone, allowedName)
 	c.require(e.Concurrency >= 1, row, "concurrency", e.Concurrency, "at least 1")
 	c.require(e.MemoryTokens >= 0, row, "memoryTokens", e.MemoryTokens, "at least 0")
+	version := string(e.SoftwareVersion)
+	c.require(version == "" || namePattern.MatchString(version), row, "softwareVersion", version, allowedName)
 	for _, name := range e.Adapters {
 		c.require(adapterPattern.MatchString(name), row, "adapters", name, allowedAdapter)
 	}
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -23,6 +23,8 @@
 	ClassName string
 	// EndpointName names an engine or a service instance.
 	EndpointName string
+	// SoftwareVersion is the version of an endpoint's software.
+	SoftwareVersion string
 	// AccountName names a client account.
 	AccountName string
 	// Pool names a model or a plain service, whose endpoints are
@@ -142,6 +144,10 @@
 	// Adapters lists the adapters that the endpoint should have loaded in
 	// addition to the model of its pool.
 	Adapters []string `json:"adapters"`
+	// SoftwareVersion is the version of the endpoint's software. A stream is only
+	// continued by endpoints of the version that began it; those without a version
+	// count as having the same one.
+	SoftwareVersion SoftwareVersion `json:"softwareVersion"`
 }
 
 // Account is one client account.
