Continue streams whose callers do not name them, at a sole version

Callers written before `Resumes` existed do not send it. They go on if the pool has had one version only in the last ten minutes, as far as the daemon has seen or those from which it got its endpoints. A request that names its stream is never served by this.

TestUnnamedStreamIsContinuedAtTheSoleVersion: 503 without the change, passes with it, and refuses once the pool has had a second version.

--- a/internal/facts/endpoints.go
+++ b/internal/facts/endpoints.go
@@ -55,6 +55,7 @@
 	era, began := h.beginEra(n)
 	for _, e := range h.registry.merge(n) {
 		h.grace.observe(e, now)
+		h.versions.observe(e, now)
 		c.add(h.effective(e, now), e.Gone)
 	}
 	h.endpointsAsOf = max(h.endpointsAsOf, n.AsOf)
@@ -125,6 +126,7 @@
 	if h.config > config {
 		d.Data = h.data
 	}
+	d.Left = h.versions.leftVersions()
 	d.Endpoints, d.Whole = h.registry.since(position)
 	if d.Whole {
 		d.Endpoints = append(d.Endpoints, h.retainedRows()...)
@@ -162,6 +164,11 @@
 		n.Position, n.AsOf = 0, 0
 	}
 	h.Merge(n)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, v := range d.Left {
+		h.versions.noteLeft(v.PoolVersion, v.At)
+	}
 	return nil
 }
 
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -97,6 +97,8 @@
 	// existing ones if Whole is set.
 	Endpoints []Endpoint
 	Whole     bool
+	// Left holds the versions that have left pools lately.
+	Left []LeftVersion
 }
 
 // Holder holds one daemon's facts. It is safe for concurrent use.
@@ -118,6 +120,7 @@
 	catalog      *catalog.Catalog
 	registry     registry
 	grace        gracePeriod
+	versions     versionHistory
 	restoreGuard restoreGuard
 	// config, configAsOf and endpointsAsOf are as in Summary.
 	config        catalog.Version
@@ -135,6 +138,7 @@
 		clock:            clock,
 		registry:         registry{rows: map[EndpointID]Endpoint{}},
 		grace:            gracePeriod{retained: map[EndpointID]storetime.Instant{}},
+		versions:         newVersionHistory(),
 	}
 }
 
--- a/internal/factsync/answer.go
+++ b/internal/factsync/answer.go
@@ -87,6 +87,9 @@
 		Changed:       uint64(d.RequiredPosition()),
 		GraceUntil:    int64(d.GraceUntil),
 	}
+	for _, v := range d.Left {
+		resp.Left = append(resp.Left, &peerv1.LeftVersion{Pool: string(v.Pool), Version: string(v.Version), At: int64(v.At)})
+	}
 	for _, e := range d.Endpoints {
 		resp.Endpoints = append(resp.Endpoints, &peerv1.EndpointFact{
 			Id:       string(e.ID),
@@ -119,6 +122,12 @@
 		Data:  resp.GetConfig(),
 		Whole: resp.GetWhole(),
 	}
+	for _, v := range resp.GetLeft() {
+		d.Left = append(d.Left, facts.LeftVersion{
+			PoolVersion: facts.PoolVersion{Pool: table.Pool(v.GetPool()), Version: table.SoftwareVersion(v.GetVersion())},
+			At:          storetime.Instant(v.GetAt()),
+		})
+	}
 	for _, e := range resp.GetEndpoints() {
 		d.Endpoints = append(d.Endpoints, facts.Endpoint{
 			ID:       facts.EndpointID(e.GetId()),
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -46,7 +46,7 @@
 // lookupVersion returns the version of the stream that a request resumes.
 func (g *Gateway) lookupVersion(ctx context.Context, r *forward.Request) (table.SoftwareVersion, *outcome.Refusal) {
 	if r.Resumes == "" {
-		return "", outcome.NotRunError(outcome.ReasonUnknownVersion, "the request does not say which one began the stream")
+		return g.soleVersion(r)
 	}
 	version, err := g.streams.Lookup(ctx, streamversion.KeyOf(r.Account, r.Pool, r.Resumes))
 	if err == nil {
@@ -58,3 +58,17 @@
 	}
 	return "", refusal
 }
+
+// soleVersion returns the version of a stream whose caller does not say which request
+// began it: that of the pool, if it has had no other lately.
+func (g *Gateway) soleVersion(r *forward.Request) (table.SoftwareVersion, *outcome.Refusal) {
+	age, known := g.holder.EndpointsAge()
+	version, sole := g.holder.SoleVersion(r.Pool)
+	if !known || age > staleAfter {
+		return "", staleRefusal(outcome.ReasonUnknownVersion, "the list of endpoints may be out of date")
+	}
+	if !sole || version == "" {
+		return "", outcome.NotRunError(outcome.ReasonUnknownVersion, "the request does not say which one began the stream, and the pool has or had several software versions")
+	}
+	return version, nil
+}
--- a/internal/gateway/streamversion_test.go
+++ b/internal/gateway/streamversion_test.go
@@ -226,3 +226,25 @@
 		}
 	}
 }
+
+// Guards against refusing to continue streams of callers that do not say which request
+// began them, while their pool has had one version only.
+func TestUnnamedStreamIsContinuedAtTheSoleVersion(t *testing.T) {
+	s := newTestSite(t, 2)
+	s.brokenStream(s.daemons[0])
+	if a := s.takeUp(s.daemons[1], ""); a.status != http.StatusOK || a.err != nil {
+		t.Errorf("one version: status %d, %v", a.status, a.err)
+	}
+	s.addEngineOf("llm-3", "llm", "v2")
+	s.store.Remove(platform.TableEngines, "llm-1")
+	s.store.Remove(platform.TableEngines, "llm-2")
+	s.addDaemon()
+	for _, d := range s.daemons {
+		s.await("the new version alone", func() bool { return d.g.acceptsCallers() && len(d.g.holder.Endpoints()) == 3 })
+	}
+	for _, d := range s.daemons {
+		if a := s.takeUp(d, ""); a.status != http.StatusServiceUnavailable || len(s.runs(a.id)) > 0 {
+			t.Errorf("the earlier version has left: status %d, %d runs", a.status, len(s.runs(a.id)))
+		}
+	}
+}
