Keep answers at their version in the daemon with its own table, too

The table has a software version for each endpoint now, and the rest of an answer is reserved at that of the engine that began it; engines without one count as having the same.

Two cases of TestEngineFaults failed before: an engine breaks off and only another version is left, and another engine of its version is left.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -138,7 +138,7 @@
 func (a *attempt) reserve() error {
 	chat := a.run.chat
 	for {
-		g, err := a.run.d.placer.Reserve(a.ctx, placement.Request{
+		request := placement.Request{
 			Pool:         chat.Pool,
 			Class:        chat.Class.Name,
 			Account:      chat.Account,
@@ -147,14 +147,18 @@
 			Waited:       a.run.d.clock.Since(a.run.began),
 			Excluded:     a.excluded,
 			Attempt:      a.index,
-		})
+		}
+		if a.resumes {
+			request.Version = &a.run.version
+		}
+		g, err := a.run.d.placer.Reserve(a.ctx, request)
 		if hasReason(err, outcome.ReasonNoEndpoint) && a.readmitSilent() {
 			continue
 		}
 		if err != nil {
 			return err
 		}
-		if !a.resumes || g.Endpoint.CanResume {
+		if !a.resumes || g.Endpoint.CanResume && g.Endpoint.SoftwareVersion == a.run.version {
 			a.setGrant(g)
 			return nil
 		}
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -36,8 +36,10 @@
 	budget *retrybudget.Budget
 	began  time.Time
 
-	// response is the part of the response that the caller has received.
+	// response is the part of the response that the caller has received, version the
+	// software version of the engine that began it.
 	response response
+	version  table.SoftwareVersion
 	// tokens counts the events with text that the caller has received.
 	tokens int
 	// attempts counts all attempts, including the first, and preempted those of
@@ -274,6 +276,9 @@
 	if err := r.sink(data, &chunk); err != nil {
 		return errors.Wrap(errCallerDisconnected, err.Error())
 	}
+	if len(r.response.text) == 0 {
+		r.version = a.grant.Endpoint.SoftwareVersion
+	}
 	if r.response.add(&chunk) {
 		r.tokens++
 		a.tokens++
--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -23,6 +23,8 @@
 	Name    string                 `json:"name"`
 	Class   string                 `json:"class"`
 	Engines []standin.EngineFaults `json:"engines"`
+	// Versions holds the software version of each engine; nil means none.
+	Versions []table.SoftwareVersion `json:"versions"`
 	// Whole is set if the caller must receive the complete response.
 	Whole bool `json:"whole"`
 	// Outcome and Code are expected in the refusal or the broken stream.
@@ -35,9 +37,14 @@
 
 // startSite runs a site with one daemon until the test ends.
 func startSite(t *testing.T, engines int) *standin.Site {
+	t.Helper()
+	return startSiteWith(t, engines, addClasses)
+}
+
+func startSiteWith(t *testing.T, engines int, change func(*table.Table)) *standin.Site {
 	t.Helper()
 	s, stop, err := standin.StartSite(standin.SiteConfig{
-		Daemons: 1, Engines: engines, Table: addClasses,
+		Daemons: 1, Engines: engines, Table: change,
 		Speed: standin.EngineSpeed{Concurrency: 64, Token: time.Millisecond},
 	}, slog.New(slog.DiscardHandler))
 	if err != nil {
@@ -167,7 +174,12 @@
 }
 
 func (c *faultCase) check(t *testing.T) {
-	s := startSite(t, len(c.Engines))
+	s := startSiteWith(t, len(c.Engines), func(t *table.Table) {
+		addClasses(t)
+		for i, version := range c.Versions {
+			t.Endpoints[i].SoftwareVersion = version
+		}
+	})
 	for i, f := range c.Engines {
 		s.Engines[i].SetFaults(f)
 	}
