Check the versions of streams in the soak

In half of the runs versions are now replaced one engine after the other; events name the version, and callers leave a fifth of the resumable streams and take them up elsewhere.

Two checks: no stream has events of two versions; of 12 or more taken up, while two engines of their version serve, the share that goes on is at least half of the share of new ones that begin. check_test.go has a record that each finds and ones that it must not; the planted errors are `hideVersions`, engines that all register the same version, and `loseStreams`, callers that name other streams.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -34,6 +34,8 @@
 	r      *run
 	number int
 	random *rand.Rand
+	// leaves decides which streams the caller leaves and takes up again.
+	leaves *rand.Rand
 	client *http.Client
 	// addresses are those that a directory gave last.
 	addresses []string
@@ -45,7 +47,8 @@
 func (r *run) newCaller(number int) *caller {
 	return &caller{
 		r: r, number: number,
-		random: rand.New(rand.NewPCG(r.o.Seed, uint64(number+100))), //nolint:gosec // a load
+		random: rand.New(rand.NewPCG(r.o.Seed, uint64(number+100))),  //nolint:gosec // a load
+		leaves: rand.New(rand.NewPCG(r.o.Seed, uint64(number+1000))), //nolint:gosec // a load
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 			MaxIdleConnsPerHost: 4,
@@ -67,12 +70,19 @@
 			continue
 		}
 		address := c.addresses[c.random.IntN(len(c.addresses))]
-		c.r.call(c.client, address, standin.Call{
+		call := standin.Call{
 			ID:       fmt.Sprintf("r%d-%d", c.number, n),
 			Route:    routes[c.random.IntN(len(routes))],
 			Key:      c.key(),
 			Deadline: callDeadline,
-		})
+		}
+		if call.Route == resumableRoute && c.leaves.Float64() < leaveShare {
+			call.LeaveAfter = 1 + c.leaves.IntN(streamEvents/2)
+		}
+		answer := c.r.call(c.client, address, call)
+		if call.Route == resumableRoute {
+			c.takeUp(ctx, call, answer)
+		}
 	}
 }
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -47,6 +47,8 @@
 	{"leaving engines", leavingEngines},
 	{"back-off", backoffs},
 	{"lost path", withoutPath},
+	{"stream versions", streamVersions},
+	{"streams taken up", streamsTakenUp},
 	{"duties", func(rec *Record) []string { return rec.Duties.Broken }},
 }
 
@@ -98,7 +100,7 @@
 		return standin.ResponseBody(c.ID)
 	}
 	var b strings.Builder
-	for i := range streamEvents {
+	for i := c.LastEvent; i < streamEvents; i++ {
 		b.WriteString(standin.EventText(c.ID, i+1))
 	}
 	return b.String()
@@ -108,14 +110,15 @@
 	for i := range rec.Calls {
 		c := &rec.Calls[i]
 		whole := wholeBody(c)
+		body, _ := standin.SplitVersions(c.Answer.Body)
 		switch {
 		case c.Answer.Status != http.StatusOK:
 		case !c.Answer.Signed:
 			found = append(found, fmt.Sprintf("%s (%s) got a success that no engine signed", c.ID, c.Route))
-		case c.Cause == "" && c.Answer.Body != whole:
-			found = append(found, fmt.Sprintf("%s (%s) got %q as a whole answer", c.ID, c.Route, c.Answer.Body))
-		case c.Cause != "" && !strings.HasPrefix(whole, c.Answer.Body):
-			found = append(found, fmt.Sprintf("%s (%s) got %q before its answer broke off", c.ID, c.Route, c.Answer.Body))
+		case c.Cause == "" && body != whole:
+			found = append(found, fmt.Sprintf("%s (%s) got %q as a whole answer", c.ID, c.Route, body))
+		case c.Cause != "" && !strings.HasPrefix(whole, body):
+			found = append(found, fmt.Sprintf("%s (%s) got %q before its answer broke off", c.ID, c.Route, body))
 		}
 	}
 	return found
@@ -225,7 +228,7 @@
 		}
 		for _, c := range rec.Calls {
 			during := c.Daemon == s.Daemon && c.Sent.Before(s.At) && c.Ended.After(s.At)
-			broken := c.Cause != "" && c.Ended.Sub(c.Sent) < c.Deadline
+			broken := c.Cause != "" && !c.Left && c.Ended.Sub(c.Sent) < c.Deadline
 			if !during || !broken || rec.anyTrouble(c.Sent, c.Ended) {
 				continue
 			}
@@ -256,7 +259,7 @@
 			continue
 		}
 		asked++
-		if c.Answer.Status == http.StatusOK && c.Cause == "" {
+		if c.served() {
 			served++
 		}
 	}
--- a/internal/soak/ending.go
+++ b/internal/soak/ending.go
@@ -49,17 +49,23 @@
 	plantHideLeaving = "hideLeaving"
 	// plantSwallow makes lost paths open connections that pass nothing on.
 	plantSwallow = "swallowPath"
+	// plantHideVersions makes all engines register the same version. plantLoseStreams
+	// has callers name streams that never began.
+	plantHideVersions = "hideVersions"
+	plantLoseStreams  = "loseStreams"
 )
 
 // plantedFaults holds the fault that the plan of a planted variant consists of.
 var plantedFaults = map[string]Fault{
-	plantHideLimit:   {Kind: KindEngineLimit},
-	plantOtherTarget: {Kind: KindEndingRequest},
-	plantHideEra:     {Kind: KindStoreCopy, For: maxFault},
-	plantHideBrittle: {Kind: KindEngineBrittle},
-	plantHideBackoff: {Kind: KindEngineBackoff},
-	plantHideLeaving: {Kind: KindEngineLeaving, For: 2 * maxFault},
-	plantSwallow:     {Kind: KindPathLost, For: maxPathFault, Spread: SpreadZone, Path: paths.PathSwallows},
+	plantHideLimit:    {Kind: KindEngineLimit},
+	plantOtherTarget:  {Kind: KindEndingRequest},
+	plantHideEra:      {Kind: KindStoreCopy, For: maxFault},
+	plantHideBrittle:  {Kind: KindEngineBrittle},
+	plantHideBackoff:  {Kind: KindEngineBackoff},
+	plantHideLeaving:  {Kind: KindEngineLeaving, For: 2 * maxFault},
+	plantHideVersions: {Kind: KindVersionRoll},
+	plantLoseStreams:  {Kind: KindConfig},
+	plantSwallow:      {Kind: KindPathLost, For: maxPathFault, Spread: SpreadZone, Path: paths.PathSwallows},
 }
 
 func (o *Options) hidesAnnouncements() bool {
@@ -119,14 +125,17 @@
 func (r *run) startAgain(i int, id string) {
 	r.drainLock.Lock()
 	defer r.drainLock.Unlock()
+	r.noteEnd(i, time.Now())
 	time.Sleep(backAfter)
 	r.must(r.site.edit(standin.Edit{Table: platform.TableEngines, Key: r.site.engine(i)}))
 	r.site.mu.Lock()
 	r.site.ended = append(r.site.ended, r.site.engines[i])
 	r.site.engines[i] = id
 	r.site.mu.Unlock()
+	r.adoptVersion(i)
 	r.must(r.site.post(r.site.relayURL(fmt.Sprintf("engine%d", i), "listen"), nil))
 	r.must(r.site.putEngine(i, false))
+	r.noteStart(i, time.Now())
 }
 
 // currentID asks an engine for its id.
--- a/internal/soak/path.go
+++ b/internal/soak/path.go
@@ -99,7 +99,7 @@
 			}
 			s := sums[f.losesPath(c.Daemon)]
 			s.sent++
-			if c.Answer.Status == http.StatusOK && c.Cause == "" {
+			if c.served() {
 				s.served++
 			}
 		}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -49,6 +49,9 @@
 	KindEngineBrittle Kind = "engineBrittle"
 	KindEngineBackoff Kind = "engineBackoff"
 	KindEngineLeaving Kind = "engineLeaving"
+	// KindVersionRoll ends the engines that run streams one after the other; each comes
+	// back with the next software version.
+	KindVersionRoll Kind = "versionRoll"
 	// KindPathLost makes daemons lose their path to all engines.
 	KindPathLost Kind = "pathLost"
 	// KindEndingRequest is a request that ends each engine that begins to run
@@ -155,6 +158,7 @@
 	plan = append(plan, storeCopies(seed, length)...)
 	plan = append(plan, announcedFaults(seed, engines, length)...)
 	plan = append(plan, pathFaults(seed, daemons, length)...)
+	plan = append(plan, versionRolls(seed, length)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -1,9 +1,12 @@
 package soak
 
 import (
+	"net/http"
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/beechhead/beechhead/platform/standin"
 )
 
@@ -22,7 +25,9 @@
 	Faults   []Struck  `json:"faults"`
 	Stops    []Stop    `json:"stops"`
 	Drains   []Drain   `json:"drains"`
-	Revoked  []Revoke  `json:"revoked"`
+	// Starts are the starts of engines.
+	Starts  []EngineStart `json:"starts"`
+	Revoked []Revoke      `json:"revoked"`
 	// Final has what each daemon answered at the very end.
 	Final []Final `json:"final"`
 	// Duties holds the calls of the platform's API for duties.
@@ -36,12 +41,17 @@
 	standin.Call
 	Answer standin.CallResponse
 	// Cause is the error of the answer as text.
-	Cause  string
+	Cause string
+	// Left reports whether the caller itself has ended the answer.
+	Left   bool
 	Daemon int
 	// Sent is when the caller began, Ended when it had the answer.
 	Sent, Ended time.Time
 }
 
+// served reports whether the caller got all that it wanted.
+func (c *Call) served() bool { return c.Answer.Status == http.StatusOK && (c.Cause == "" || c.Left) }
+
 // Run is one run of a request at an engine.
 type Run struct {
 	standin.Run
@@ -181,7 +191,7 @@
 
 func (r *recorder) noteCall(c Call) {
 	if c.Answer.Err != nil {
-		c.Cause = c.Answer.Err.Error()
+		c.Cause, c.Left = c.Answer.Err.Error(), errors.Is(c.Answer.Err, standin.ErrLeft)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -132,6 +132,9 @@
 	ctx, cancel := context.WithCancel(r.ctx)
 	defer cancel()
 	r.rec.Began = time.Now()
+	for i := range r.o.Engines {
+		r.noteStart(i, r.rec.Began)
+	}
 	var endLasting context.CancelFunc
 	r.lasting, endLasting = context.WithCancel(ctx)
 	defer endLasting()
@@ -229,7 +232,7 @@
 	rec := r.finish()
 	v := Verdict{Seed: r.o.Seed, Calls: len(rec.Calls), Runs: len(rec.Runs), Faults: len(rec.Faults), Violations: Find(rec)}
 	for _, c := range rec.Calls {
-		if c.Answer.Status == http.StatusOK && c.Cause == "" {
+		if c.served() {
 			v.Served++
 		}
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -68,10 +68,13 @@
 	// engines holds the ids by number; an engine that has ended starts again under
 	// a new id, at the same number.
 	engines []string
-	// ended holds the ids of the starts that are over.
-	ended   []string
-	daemons []*process
-	config  standin.Document
+	// ended holds the ids that are registered no more.
+	ended []string
+	// versions holds the software versions by number, nextVersions those with which
+	// the engines come back once they have ended.
+	versions, nextVersions []int
+	daemons                []*process
+	config                 standin.Document
 	// extra is the route that the newest edit added, keys the keys in force
 	// beside the first.
 	extra string
@@ -98,6 +101,7 @@
 	for i := range s.o.Engines {
 		id := fmt.Sprintf("engine-%d", i)
 		s.engines = append(s.engines, id)
+		s.versions, s.nextVersions = append(s.versions, 1), append(s.nextVersions, 1)
 		address := s.address(standinAddress, portEngines+i)
 		if _, err := s.procs.start(id, s.binary("beechhead-standin"), "gateway-engine", "--listen", address, "--id", id,
 			"--end", s.relayURL(fmt.Sprintf("engine%d", i), "end")); err != nil {
@@ -149,6 +153,9 @@
 
 func (s *site) putEngine(i int, draining bool) error {
 	entry := standin.NewEntry(s.pool(i), s.address(standinAddress, portEngineWay+i), draining)
+	if s.o.Plant != plantHideVersions {
+		entry["version"] = s.version(i)
+	}
 	return s.operate(platform.TableEngines, s.engine(i), entry)
 }
 
