Split the bookkeeping of suspects from the list of quarantined requests

Parts of prompts will need the same: a bounded number of suspects, which of them are to be told, a digest, and the keys added last.

--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -41,33 +41,19 @@
 // List tracks the requests during which endpoints have terminated, as observed
 // by this daemon or reported by others. It is safe for concurrent use.
 type List struct {
-	clock clockwork.Clock
-	wake  chan struct{}
 	// OnChange is called when a request is quarantined, and when it is released
 	// because an endpoint has completed it. It must be set before the list is
 	// used and must not call the list.
 	OnChange func(f Fingerprint, quarantined bool)
 
-	mu       sync.Mutex
-	suspects map[Fingerprint]*suspect
-	// pending holds how many more times the update about a request is to be
-	// sent; always positive.
-	pending map[Fingerprint]int
-	// completed holds the most recently completed requests. completedRing holds
-	// the same in a ring buffer, and ringNext is the index of the oldest.
-	completed     map[Fingerprint]bool
-	completedRing []Fingerprint
-	ringNext      int
-	// digest is the digest of the suspects, valid unless digestStale is set.
-	digest      uint64
-	digestStale bool
-	// sweepAt is not later than the earliest expiry of a suspect; zero if there
-	// are no suspects.
-	sweepAt time.Time
+	mu sync.Mutex
+	tracker[Fingerprint, *suspectRequest]
+	// completed holds the most recently completed requests.
+	completed recent[Fingerprint, struct{}]
 }
 
-// suspect is a request during which endpoints have terminated.
-type suspect struct {
+// suspectRequest is a request during which endpoints have terminated.
+type suspectRequest struct {
 	// endpoints lists the terminated endpoints in ascending order, at most
 	// maxEndpoints.
 	endpoints []EndpointID
@@ -78,19 +64,16 @@
 	lastTermination time.Time
 }
 
-func (s *suspect) quarantined(now time.Time) bool {
+func (s *suspectRequest) quarantined(now time.Time) bool {
 	return len(s.endpoints) >= threshold && !s.completed && now.Sub(s.lastTermination) < quarantineDuration
 }
 
 // NewList returns an empty list.
 func NewList(clock clockwork.Clock) *List {
 	return &List{
-		clock:     clock,
-		wake:      make(chan struct{}, 1),
 		OnChange:  func(Fingerprint, bool) {},
-		suspects:  map[Fingerprint]*suspect{},
-		pending:   map[Fingerprint]int{},
-		completed: map[Fingerprint]bool{},
+		tracker:   newTracker[Fingerprint, *suspectRequest](clock),
+		completed: newRecent[Fingerprint, struct{}](maxCompleted),
 	}
 }
 
@@ -125,7 +108,7 @@
 // that the request is not what terminated other endpoints.
 func (l *List) RecordCompletion(f Fingerprint) {
 	l.mu.Lock()
-	l.addCompleted(f)
+	l.completed.put(f, struct{}{})
 	tracked := l.suspects[f] != nil
 	l.mu.Unlock()
 	if tracked {
@@ -133,22 +116,6 @@
 	}
 }
 
-// addCompleted adds a request to the recently completed ones. The caller must
-// hold the lock.
-func (l *List) addCompleted(f Fingerprint) {
-	if l.completed[f] {
-		return
-	}
-	l.completed[f] = true
-	if len(l.completedRing) < maxCompleted {
-		l.completedRing = append(l.completedRing, f)
-		return
-	}
-	delete(l.completed, l.completedRing[l.ringNext])
-	l.completedRing[l.ringNext] = f
-	l.ringNext = (l.ringNext + 1) % maxCompleted
-}
-
 // Apply merges an update. Updates may be applied in any order and repeatedly
 // without losing what is already known.
 func (l *List) Apply(n Update) {
@@ -156,22 +123,19 @@
 		return
 	}
 	l.mu.Lock()
-	n.Completed = n.Completed || l.completed[n.Fingerprint]
+	_, completed := l.completed.values[n.Fingerprint]
+	n.Completed = n.Completed || completed
 	now := l.clock.Now()
 	s := l.suspects[n.Fingerprint]
 	if s == nil {
-		s = &suspect{lastTermination: now.Add(-n.Age)}
+		s = &suspectRequest{lastTermination: now.Add(-n.Age)}
 		l.suspects[n.Fingerprint] = s
 	}
 	before := s.quarantined(now)
 	changed := s.merge(n, now)
 	after := s.quarantined(now)
 	if changed {
-		l.pending[n.Fingerprint] = sendsPerChange
-		l.digestStale = true
-		l.evictExcess()
-		l.scheduleSweep(s)
-		l.signal()
+		l.changed(n.Fingerprint, s)
 	}
 	l.mu.Unlock()
 	if after != before {
@@ -181,7 +145,7 @@
 
 // merge adds the information in an update that is not known yet, and reports
 // whether there is any.
-func (s *suspect) merge(n Update, now time.Time) bool {
+func (s *suspectRequest) merge(n Update, now time.Time) bool {
 	termination := now.Add(-n.Age)
 	terminated := len(n.Terminated) > 0 && termination.Sub(s.lastTermination) >= renewalInterval
 	for _, e := range n.Terminated {
@@ -199,30 +163,6 @@
 	return terminated || completed
 }
 
-// evictExcess evicts the suspect with the fewest terminated endpoints if there
-// are too many. The choice does not depend on the order of updates, so that
-// daemons that have received the same updates track the same requests. The
-// caller must hold the lock.
-func (l *List) evictExcess() {
-	if len(l.suspects) <= maxSuspects {
-		return
-	}
-	var least Fingerprint
-	var found *suspect
-	for f, s := range l.suspects {
-		if found == nil || len(s.endpoints) < len(found.endpoints) || len(s.endpoints) == len(found.endpoints) && f < least {
-			least, found = f, s
-		}
-	}
-	l.remove(least)
-}
-
-func (l *List) remove(f Fingerprint) {
-	delete(l.suspects, f)
-	delete(l.pending, f)
-	l.digestStale = true
-}
-
 // retention returns how long a request is tracked after the last of the given
 // number of endpoints terminated.
 func retention(endpoints int) time.Duration {
@@ -232,35 +172,8 @@
 	return retentionMany
 }
 
-func (s *suspect) expiresAt() time.Time { return s.lastTermination.Add(retention(len(s.endpoints))) }
-
-// scheduleSweep makes the next sweep happen no later than the suspect expires.
-// The caller must hold the lock.
-func (l *List) scheduleSweep(s *suspect) {
-	if at := s.expiresAt(); l.sweepAt.IsZero() || at.Before(l.sweepAt) {
-		l.sweepAt = at
-	}
-}
-
-// sweep removes the expired suspects. The caller must hold the lock.
-func (l *List) sweep() {
-	now := l.clock.Now()
-	if l.sweepAt.IsZero() || now.Before(l.sweepAt) {
-		return
-	}
-	l.sweepAt = time.Time{}
-	for f, s := range l.suspects {
-		if now.Before(s.expiresAt()) {
-			l.scheduleSweep(s)
-			continue
-		}
-		l.remove(f)
-	}
+func (s *suspectRequest) expiresAt() time.Time {
+	return s.lastTermination.Add(retention(len(s.endpoints)))
 }
 
-func (l *List) signal() {
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
-}
+func (s *suspectRequest) terminations() int { return len(s.endpoints) }
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -103,8 +103,8 @@
 	if n := len(l.suspects); n > maxSuspects {
 		t.Errorf("%d requests are tracked", n)
 	}
-	if n := len(l.completed); n > maxCompleted || len(l.completedRing) != n {
-		t.Errorf("%d requests are remembered as completed, %d in the ring", n, len(l.completedRing))
+	if n := len(l.completed.values); n > maxCompleted || len(l.completed.ring) != n {
+		t.Errorf("%d requests are remembered as completed, %d in the ring", n, len(l.completed.ring))
 	}
 	if s := l.suspects[1]; s == nil || len(s.endpoints) != threshold {
 		t.Error("the request with the most terminated endpoints was evicted")
--- a/internal/quarantine/update.go
+++ b/internal/quarantine/update.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -36,33 +35,14 @@
 // comparing digests.
 const sendsPerChange = 10
 
-// Wake returns a channel that receives a value when there are updates to be
-// sent immediately.
-func (l *List) Wake() <-chan struct{} { return l.wake }
-
-// TakeUpdates returns up to n updates to send in one message. Those with the
-// most terminated endpoints come first, then those sent the fewest times.
+// TakeUpdates returns up to n updates to send in one message.
 func (l *List) TakeUpdates(n int) []Update {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.sweep()
-	pending := make([]Fingerprint, 0, len(l.pending))
-	for f := range l.pending {
-		pending = append(pending, f)
-	}
-	slices.SortFunc(pending, func(a, b Fingerprint) int {
-		return cmp.Or(
-			cmp.Compare(len(l.suspects[b].endpoints), len(l.suspects[a].endpoints)),
-			cmp.Compare(l.pending[b], l.pending[a]),
-			cmp.Compare(a, b))
-	})
-	updates := make([]Update, 0, min(n, len(pending)))
-	for _, f := range pending[:min(n, len(pending))] {
+	taken := l.take(n)
+	updates := make([]Update, 0, len(taken))
+	for _, f := range taken {
 		updates = append(updates, l.updateOf(f))
-		l.pending[f]--
-		if l.pending[f] == 0 {
-			delete(l.pending, f)
-		}
 	}
 	return updates
 }
@@ -88,19 +68,11 @@
 func (l *List) Digest() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.sweep()
-	if !l.digestStale {
-		return l.digest
-	}
-	l.digestStale, l.digest = false, 0
-	for f, s := range l.suspects {
-		l.digest ^= s.hash(f)
-	}
-	return l.digest
+	return l.digestOfAll()
 }
 
-func (s *suspect) hash(f Fingerprint) uint64 {
-	h := stat.Mix(uint64(f))
+func (s *suspectRequest) hash(key uint64) uint64 {
+	h := stat.Mix(key)
 	for _, e := range s.endpoints {
 		h = stat.Mix(h + uint64(e))
 	}
