Quarantine parts of prompts under which endpoints end

Ends also count for each part of the prompt but the last, under a hash of pool and part. One daemon tries a part again now and then. News rides on heartbeats.

--- a/internal/factsync/sim_test.go
+++ b/internal/factsync/sim_test.go
@@ -307,6 +307,7 @@
 		Load:  func() uint32 { return 0 },
 
 		Quarantine: quarantine.NewList(clock),
+		Parts:      quarantine.NewParts(clock),
 	}
 	return d
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -148,8 +148,12 @@
 	// PathLost reports whether an endpoint's address is reached only through other
 	// daemons, so that a failure there says nothing about the endpoint.
 	PathLost func(address string) bool
-	// Quarantine lists the requests during which endpoints have terminated.
+	// Quarantine lists the requests during which endpoints have terminated, Parts the
+	// parts of prompts. MayTry reports whether this daemon is the one that tries
+	// requests to a pool with quarantined parts when that is due.
 	Quarantine *quarantine.List
+	Parts      *quarantine.Parts
+	MayTry     func(pool table.Pool) bool
 	// Budget returns the retry budget of a pool.
 	Budget func(pool table.Pool) Budget
 	// BeginStream records the software version at which a stream has begun that may be
@@ -174,8 +178,9 @@
 func (f *Forwarder) Do(ctx context.Context, r *Request, sink Sink) error {
 	ctx, cancel := context.WithTimeout(ctx, r.Deadline-f.BootClock.Now())
 	defer cancel()
-	run := &run{f: f, began: f.Clock.Now(), req: r, sink: sink, budget: f.Budget(r.Pool), lastEvent: r.LastEvent}
+	run := &run{f: f, began: f.Clock.Now(), req: r, sink: sink, budget: f.Budget(r.Pool), lastEvent: r.LastEvent, partKeys: r.partKeys()}
 	run.budget.Add()
 	defer run.endStreamRecord()
+	defer run.endTrial()
 	return run.do(ctx)
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -225,6 +225,7 @@
 		Notices:    newTestNotices(clock),
 		Budget:     func(table.Pool) Budget { return &fixedBudget{} },
 		Quarantine: quarantine.NewList(clock),
+		Parts:      quarantine.NewParts(clock),
 
 		BeginStream: func(*Request, table.SoftwareVersion) func() { return func() {} },
 	}
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -9,14 +9,85 @@
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
-// checkQuarantine returns a refusal if the request is quarantined. It has no
-// Retry-After, because a retry would be refused as well.
+// partKeys returns the keys of the parts of the prompt that other prompts may have. The
+// last one is the request's own.
+func (r *Request) partKeys() (keys []quarantine.PartKey) {
+	for i := range len(r.Parts) - 1 {
+		keys = append(keys, quarantine.PartKeyOf(r.Pool, r.Parts[i].ID))
+	}
+	return keys
+}
+
+// checkQuarantine returns a refusal if the request or a part of its prompt is
+// quarantined. It has no Retry-After, because a retry would be refused as well.
 func (r *run) checkQuarantine() *outcome.Refusal {
-	if !r.f.Quarantine.IsQuarantined(r.req.Fingerprint) {
-		return nil
+	if r.f.Quarantine.IsQuarantined(r.req.Fingerprint) {
+		r.f.Logger.Info("request kept back", "request", r.req.ID, "fingerprint", r.req.Fingerprint.String(), "class", r.req.Class)
+		return outcome.NotRunError(outcome.ReasonQuarantined, quarantine.Message)
+	}
+	if part, ok := r.quarantinedPart(); ok {
+		r.f.Metrics.Inc("quarantine.partRefused")
+		r.f.Logger.Info("request kept back", "request", r.req.ID, "part", part.String(), "parts", sharedParts(r.req.Parts), "class", r.req.Class)
+		return outcome.NotRunError(outcome.ReasonQuarantined, quarantine.PartMessage)
+	}
+	return nil
+}
+
+// isQuarantined reports whether the request must not be sent again. A trial is repeated
+// only if no endpoint has run it.
+func (r *run) isQuarantined() bool {
+	if r.f.Quarantine.IsQuarantined(r.req.Fingerprint) {
+		return true
+	}
+	if r.tried {
+		return r.mayHaveRun > 0 || r.reached && !r.f.Parts.MayRepeatTrial(r.partKeys)
+	}
+	_, found := r.quarantinedPart()
+	return found
+}
+
+// endTrial records the result of a trial that has not completed.
+func (r *run) endTrial() {
+	if !r.tried || r.completed {
+		return
 	}
-	r.f.Logger.Info("request kept back", "request", r.req.ID, "fingerprint", r.req.Fingerprint.String(), "class", r.req.Class)
-	return outcome.NotRunError(outcome.ReasonQuarantined, quarantine.Message)
+	result := quarantine.TrialNotSent
+	switch {
+	case r.terminatedEndpoint:
+		result = quarantine.TrialFailed
+	case r.reached:
+		result = quarantine.TrialWithoutResult
+		r.f.Metrics.Inc("quarantine.partTrialsWithoutResult")
+	}
+	r.f.Parts.RecordTrial(r.partKeys, result)
+}
+
+// quarantinedPart returns a part that keeps the request back; false if there is none, or
+// if the request is a trial.
+func (r *run) quarantinedPart() (quarantine.PartKey, bool) {
+	if len(r.partKeys) == 0 || r.tried {
+		return 0, false
+	}
+	k, found, trial := r.f.Parts.Quarantined(r.partKeys, func() bool { return r.f.MayTry(r.req.Pool) })
+	if trial {
+		r.tried = true
+		r.f.Metrics.Inc("quarantine.partTrials")
+		r.f.Logger.Info("trial of a quarantined part", "request", r.req.ID, "parts", sharedParts(r.req.Parts), "class", r.req.Class)
+	}
+	return k, found
+}
+
+// recordTermination records that an endpoint terminated while it ran the request.
+func (f *Forwarder) recordTermination(r *Request, endpoint table.EndpointName) {
+	f.Metrics.Inc("attempts.endpointEnded")
+	f.Quarantine.RecordTermination(r.Fingerprint, endpoint)
+	f.Parts.RecordTermination(r.partKeys(), endpoint)
+}
+
+// recordCompletion records that an endpoint has completed the request.
+func (f *Forwarder) recordCompletion(r *Request) {
+	f.Quarantine.RecordCompletion(r.Fingerprint)
+	f.Parts.RecordCompletion(r.partKeys())
 }
 
 // terminated reports whether the endpoint's process terminated while it ran the
@@ -27,7 +98,7 @@
 	case !e.mayHaveRun:
 		return false
 	case ctx.Err() != nil:
-		go r.f.recheck(r.req.Fingerprint, *endpoint)
+		go r.f.recheck(r.req, *endpoint)
 		return false
 	}
 	return lost && r.f.Pool.HasTerminated(ctx, address(endpoint))
@@ -40,13 +111,12 @@
 
 // recheck checks after recheckDelay whether an endpoint has terminated after a
 // request there was aborted, and records that for the quarantine.
-func (f *Forwarder) recheck(request quarantine.Fingerprint, endpoint table.Endpoint) {
+func (f *Forwarder) recheck(r *Request, endpoint table.Endpoint) {
 	<-f.Clock.After(recheckDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), recheckDelay)
 	defer cancel()
 	if f.Pool.Alive(address(&endpoint)) || !f.Pool.HasTerminated(ctx, address(&endpoint)) {
 		return
 	}
-	f.Metrics.Inc("attempts.endpointEnded")
-	f.Quarantine.RecordTermination(request, endpoint.Name)
+	f.recordTermination(r, endpoint.Name)
 }
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/beechhead/beechhead/internal/placement"
@@ -40,8 +42,9 @@
 // recordAnswered records metrics and a log line for a response that was forwarded
 // completely.
 func (r *run) recordAnswered(grant *placement.Grant, e attemptResult) {
+	r.completed = e.completed
 	if e.completed {
-		r.f.Quarantine.RecordCompletion(r.req.Fingerprint)
+		r.f.recordCompletion(r.req)
 	}
 	took := r.f.Clock.Since(r.began)
 	r.f.Metrics.ObserveClass("answer.ms", string(r.req.Class), took.Milliseconds())
@@ -81,9 +84,20 @@
 		"unreadMs", grant.Choice.PrefillTime.Milliseconds(), "decode", grant.Choice.Decode, "promptTokens", r.req.PromptTokens)
 }
 
+// sharedParts returns the IDs of the parts of a prompt that other prompts may have, in
+// the format of the callers.
+func sharedParts(parts []placement.Part) string {
+	ids := make([]string, 0, len(parts))
+	for i := range len(parts) - 1 {
+		ids = append(ids, strconv.FormatUint(parts[i].ID, 16))
+	}
+	return strings.Join(ids, ",")
+}
+
 // recordFailure records a failed attempt.
 func (r *run) recordFailure(grant *placement.Grant, e attemptResult) {
 	r.failed = append(r.failed, grant.Endpoint.Name)
+	r.terminatedEndpoint = r.terminatedEndpoint || e.terminated
 	if e.mayHaveRun {
 		r.mayHaveRun++
 	} else {
@@ -91,11 +105,10 @@
 	}
 	r.f.Metrics.Inc("attempts." + string(e.reason))
 	if e.terminated {
-		r.f.Metrics.Inc("attempts.endpointEnded")
-		r.f.Quarantine.RecordTermination(r.req.Fingerprint, grant.Endpoint.Name)
+		r.f.recordTermination(r.req, grant.Endpoint.Name)
 	}
 	r.f.Logger.Info("attempt failed", "request", r.req.ID, "class", r.req.Class, "endpoint", grant.Endpoint.Name, "version", grant.Endpoint.SoftwareVersion, "via", r.via,
-		"fingerprint", r.req.Fingerprint.String(), "coordinator", grant.Coordinator(),
+		"fingerprint", r.req.Fingerprint.String(), "parts", sharedParts(r.req.Parts), "coordinator", grant.Coordinator(),
 		"reason", e.reason, "mayHaveRun", e.mayHaveRun, "endpointEnded", e.terminated, "events", r.events,
 		"sinceBeginMs", r.f.Clock.Since(r.began).Milliseconds(), "cause", e.err.Error())
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -12,6 +12,7 @@
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
 	"github.com/beechhead/beechhead/internal/placement"
+	"github.com/beechhead/beechhead/internal/quarantine"
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
@@ -34,6 +35,13 @@
 	// that may be due to different table versions.
 	staleRetries int
 	failed       []table.EndpointName
+	// partKeys are the keys of the parts of the prompt that others may share; tried
+	// reports whether the request is the trial of a quarantined one.
+	partKeys []quarantine.PartKey
+	tried    bool
+	// reached reports whether an endpoint has received the request, terminatedEndpoint
+	// whether one has terminated while it ran it, completed whether one has completed it.
+	reached, terminatedEndpoint, completed bool
 	// begun reports whether the endpoint of the current attempt has begun to run
 	// the request.
 	begun bool
@@ -123,7 +131,7 @@
 		return false
 	case r.mayHaveRun >= r.req.Attempts || r.notRun >= maxNotRun:
 		return false
-	case r.f.Quarantine.IsQuarantined(r.req.Fingerprint):
+	case r.isQuarantined():
 		return false
 	case e.reason == outcome.ReasonConnect:
 		// The endpoint has received nothing, so the next attempt repeats nothing
@@ -168,7 +176,7 @@
 		}
 		return attemptResult{err: err, reason: outcome.ReasonConnect, report: report}
 	}
-	r.via = x.Via()
+	r.reached, r.via = true, x.Via()
 	stop := context.AfterFunc(ctx, x.Abort)
 	defer stop()
 	e := r.readResponse(ctx, x, grant)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,7 @@
 
 	view        *membership.View
 	suspects    *quarantine.List
+	parts       *quarantine.Parts
 	peers       *peer.Pool
 	heartbeats  *heartbeat.Exchanger
 	cells       *cellhost.Host
@@ -159,6 +160,8 @@
 	g.view.Count = g.metrics.Inc
 	g.suspects = quarantine.NewList(g.clock)
 	g.suspects.OnChange = quarantine.ReportChanges(g.logger, g.metrics.Inc)
+	g.parts = quarantine.NewParts(g.clock)
+	g.parts.OnChange = quarantine.ReportPartChanges(g.logger, g.metrics.Inc)
 	g.buildFacts()
 	g.buildPeers()
 	g.buildStreams()
@@ -226,6 +229,8 @@
 		OnBegun:   func(r *forward.Request) { g.countBegun(r.Account) },
 
 		Quarantine: g.suspects,
+		Parts:      g.parts,
+		MayTry:     g.mayTryParts,
 
 		BeginStream:   g.beginStream,
 		LookupVersion: g.lookupVersion,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -51,6 +51,7 @@
 	g.metrics.Set("cells.coordinated", int64(len(cells)))
 	g.metrics.Set("endpoints.limited", limitedEndpoints(cells))
 	g.metrics.Set("quarantine.requests", int64(g.suspects.QuarantinedCount()))
+	g.metrics.Set("quarantine.parts", int64(g.parts.QuarantinedCount()))
 	g.metrics.Set("tunnels.open", int64(g.tunnels.Open()))
 	g.metrics.Set("endpoints.cutOff", boolGauge(g.dialer.IsCutOff()))
 	g.metrics.Set("requests.inProgress", g.inProgress.Load())
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -49,6 +49,7 @@
 		Facts:            g.sync.Beacon,
 		OnFacts:          g.sync.OnReport,
 		Quarantine:       g.suspects,
+		Parts:            g.parts,
 		StoreAge:         func() time.Duration { return 0 },
 		Seeds:            g.seeds,
 		Count:            g.metrics.Inc,
@@ -140,6 +141,13 @@
 	}
 }
 
+// mayTryParts reports whether this daemon is the one that tries requests to a pool with
+// quarantined parts: the first host in the order of the pool.
+func (g *Gateway) mayTryParts(pool table.Pool) bool {
+	position, ok := g.view.Ready().Order("parts/" + string(pool)).Position(g.view.Self().ID)
+	return ok && position == 0
+}
+
 // budgetShareFraction and budgetSlackFraction are the fractions of the site's
 // retry budget that are divided among the daemons. In each window, a daemon may
 // use what it has earned by its requests, its reserve, and the refill of the
--- a/internal/heartbeat/digest.go
+++ b/internal/heartbeat/digest.go
@@ -6,8 +6,9 @@
 	"github.com/beechhead/beechhead/internal/membership"
 )
 
-// digests are hashes of the hosts and of the suspect requests that a daemon knows.
-type digests struct{ hosts, suspects uint64 }
+// digests are hashes of the hosts, of the suspect requests and of the suspect parts of
+// prompts that a daemon knows.
+type digests struct{ hosts, suspects, parts uint64 }
 
 // difference is a difference of digests.
 type difference struct {
@@ -20,7 +21,7 @@
 // compareDigests records whether the digests of another daemon differ from those of
 // this one. The message is idle if it had no updates of hosts.
 func (x *Exchanger) compareDigests(id membership.HostID, theirs digests, idle bool) {
-	same := theirs == digests{x.View.Digest(), x.suspectsDigest()}
+	same := theirs == digests{x.View.Digest(), x.suspectsDigest(), x.partsDigest()}
 	now := x.Clock.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/heartbeat/exchanger.go
+++ b/internal/heartbeat/exchanger.go
@@ -78,6 +78,9 @@
 	// Quarantine holds the requests during which endpoints have terminated; it is
 	// nil where daemons don't quarantine requests.
 	Quarantine *quarantine.List
+	// Parts holds the parts of prompts with which endpoints have terminated; it is nil
+	// where daemons don't quarantine parts.
+	Parts *quarantine.Parts
 	// Seeds returns the peer addresses from the platform or the settings.
 	Seeds func() []string
 	// Load returns the number of requests in progress; it is nil where daemons
@@ -131,6 +134,9 @@
 		case <-x.suspectsWake():
 			x.sendToAll(ctx)
 			x.sleep(ctx, urgentInterval)
+		case <-x.partsWake():
+			x.sendToAll(ctx)
+			x.sleep(ctx, urgentInterval)
 		case <-x.Clock.After(nextDelay(len(partners), aloneRounds)):
 		}
 	}
@@ -215,6 +221,7 @@
 		StoreAgeMs:     milliseconds(x.StoreAge()),
 		Facts:          x.facts(),
 		SuspectsDigest: x.suspectsDigest(),
+		PartsDigest:    x.partsDigest(),
 	}
 }
 
@@ -228,7 +235,8 @@
 		return nil, err
 	}
 	x.applySuspects(resp.GetSuspects())
-	x.apply(resp.GetSelf(), resp.GetChanges(), digests{resp.GetDigest(), resp.GetSuspectsDigest()})
+	x.applyParts(resp.GetParts())
+	x.apply(resp.GetSelf(), resp.GetChanges(), digests{resp.GetDigest(), resp.GetSuspectsDigest(), resp.GetPartsDigest()})
 	x.applyFacts(resp.GetFacts())
 	x.OnResponse(fromInfo(resp.GetSelf()), sent, time.Duration(resp.GetStoreAgeMs())*time.Millisecond)
 	return resp, nil
@@ -237,16 +245,20 @@
 // HandleHeartbeat applies a heartbeat and returns the response.
 func (x *Exchanger) HandleHeartbeat(req *peerv1.HeartbeatRequest) *peerv1.HeartbeatResponse {
 	x.applySuspects(req.GetSuspects())
-	x.apply(req.GetSelf(), req.GetChanges(), digests{req.GetDigest(), req.GetSuspectsDigest()})
+	x.applyParts(req.GetParts())
+	x.apply(req.GetSelf(), req.GetChanges(), digests{req.GetDigest(), req.GetSuspectsDigest(), req.GetPartsDigest()})
 	x.applyFacts(req.GetFacts())
+	all := req.GetFull() || len(req.GetVersions()) > 0
 	resp := &peerv1.HeartbeatResponse{
 		Self:       toInfo(x.View.SelfUpdate()),
 		Digest:     x.View.Digest(),
 		StoreAgeMs: milliseconds(x.StoreAge()),
 		Facts:      x.facts(),
 
-		Suspects:       x.suspects(req.GetFull() || len(req.GetVersions()) > 0),
+		Suspects:       x.suspects(all),
 		SuspectsDigest: x.suspectsDigest(),
+		Parts:          x.parts(all),
+		PartsDigest:    x.partsDigest(),
 	}
 	x.addChanges(resp, req)
 	// A host that is known as gone is nobody's partner, and the update has
--- a/internal/heartbeat/link.go
+++ b/internal/heartbeat/link.go
@@ -31,7 +31,7 @@
 	if compare {
 		req.Versions = toUint64s(x.View.Versions())
 	}
-	req.Suspects = x.suspects(compare)
+	req.Suspects, req.Parts = x.suspects(compare), x.parts(compare)
 	resp, err := x.exchange(ctx, h.PeerAddress, Timeout, req)
 	if err != nil {
 		return nil, err
