Do not take the end of an endpoint for the end of a response

A response with neither a length nor chunks ends with its connection. If its engine terminated, that looked like a whole response: callers got streams that were cut between two events as complete, and under a part that ends engines nine more ended after five, since nobody counted them.

Such a stream without an event has failed. At the end of any other such response the daemon waits 20 ms, the time that a process may take to close its connections and its listener, and asks the address for its listener; the ends that come later count half a second after. Without the change TestUnframedStreamOfTerminatedEngineIsContinued gets two of five events as a whole stream, and the second case of TestPartThatTerminatesEnginesIsQuarantined ends nine more engines; both pass with it.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
 	"github.com/beechhead/beechhead/internal/placement"
+	"github.com/beechhead/beechhead/pkg/table"
 )
 
 const (
@@ -29,11 +30,16 @@
 	// minSilence is the lower limit of these timeouts: recovery from a lost
 	// packet takes that long.
 	minSilence = 1200 * time.Millisecond
+	// terminationTime is how long a process that terminates may take to close its
+	// connections and its listener, in any order.
+	terminationTime = 20 * time.Millisecond
 	// gapsUntilSilent is the number of target gaps between events after which an
 	// endpoint that has sent no further event is given up.
 	gapsUntilSilent = 4
 )
 
+var errEndpointTerminated = errors.New("the response ended with its endpoint")
+
 var errUnsigned = errors.New("a success without the endpoint's signature")
 
 // failedResult returns the result of an attempt that failed after the endpoint
@@ -43,11 +49,34 @@
 }
 
 // forwardedResult returns the result of an attempt whose response was forwarded
-// completely. A response that is delimited by the end of its connection does not
-// count as completed: it looks the same if the endpoint terminates.
+// completely. A response that is delimited by the end of its connection does not count
+// as completed yet: the endpoint may terminate a moment later.
 func forwardedResult(resp *http.Response) attemptResult {
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	return attemptResult{completed: framed && resp.StatusCode/100 == 2, report: peerv1.ReleaseOutcome_RELEASE_OUTCOME_DONE}
+	return attemptResult{
+		completed: isFramed(resp) && resp.StatusCode/100 == 2,
+		unframed:  !isFramed(resp) && resp.StatusCode/100 == 2,
+		report:    peerv1.ReleaseOutcome_RELEASE_OUTCOME_DONE,
+	}
+}
+
+// isFramed reports whether the response itself says where it ends, rather than ending
+// with its connection.
+func isFramed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
+// endedWithEndpoint reports whether a response that is delimited by the end of its
+// connection has ended because its endpoint terminated.
+func (r *run) endedWithEndpoint(ctx context.Context, resp *http.Response, e *table.Endpoint) bool {
+	if isFramed(resp) {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-r.f.Clock.After(terminationTime):
+	}
+	return r.f.Pool.HasTerminated(ctx, address(e))
 }
 
 // readResponse reads the response and forwards it.
@@ -78,7 +107,7 @@
 	case success && r.req.Kind == catalog.Stream:
 		return r.forwardStream(ctx, x, resp, grant)
 	}
-	return r.forwardWhole(ctx, x, resp)
+	return r.forwardWhole(ctx, x, resp, grant)
 }
 
 // discard reads the rest of a short response, so that its connection can be
@@ -103,16 +132,19 @@
 }
 
 // forwardWhole forwards a response that is not a stream.
-func (r *run) forwardWhole(ctx context.Context, x *http1.Exchange, resp *http.Response) attemptResult {
+func (r *run) forwardWhole(ctx context.Context, x *http1.Exchange, resp *http.Response, grant *placement.Grant) attemptResult {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered))
 	if err != nil {
 		return failedResult(readFailureReason(ctx, err), err)
 	}
 	a := &response{status: resp.StatusCode, header: resp.Header, body: body}
 	if len(body) == maxBuffered {
-		return r.forwardLong(ctx, x, resp, a)
+		return r.forwardLong(ctx, x, resp, a, grant)
 	}
 	x.Finish()
+	if r.endedWithEndpoint(ctx, resp, &grant.Endpoint) {
+		return failedResult(outcome.ReasonTruncated, errEndpointTerminated)
+	}
 	if resp.StatusCode/100 == 5 || r.f.Protocol.ImpliesNotRun(resp.StatusCode) {
 		r.errorResponse = a
 		return failedResult(outcome.ReasonEndpointFailed, errors.Errorf("status %d", resp.StatusCode))
@@ -125,7 +157,7 @@
 }
 
 // forwardLong forwards a response that is too long to be buffered.
-func (r *run) forwardLong(ctx context.Context, x *http1.Exchange, resp *http.Response, a *response) attemptResult {
+func (r *run) forwardLong(ctx context.Context, x *http1.Exchange, resp *http.Response, a *response, grant *placement.Grant) attemptResult {
 	r.headSent = true
 	r.sink.Head(a.status, a.header, resp.ContentLength)
 	buf := a.body
@@ -142,6 +174,9 @@
 				return failedResult(outcome.ReasonCallerGone, err)
 			}
 			x.Finish()
+			if r.endedWithEndpoint(ctx, resp, &grant.Endpoint) {
+				return failedResult(outcome.ReasonTruncated, errEndpointTerminated)
+			}
 			return forwardedResult(resp)
 		default:
 			return failedResult(readFailureReason(ctx, err), err)
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -112,11 +112,25 @@
 // recheck checks after recheckDelay whether an endpoint has terminated after a
 // request there was aborted, and records that for the quarantine.
 func (f *Forwarder) recheck(r *Request, endpoint table.Endpoint) {
+	f.checkLater(r, endpoint, func() {})
+}
+
+// recheckUnframed checks after recheckDelay whether an endpoint has terminated after its
+// response ended with the connection, and records that or the completion.
+func (f *Forwarder) recheckUnframed(r *Request, endpoint table.Endpoint) {
+	f.checkLater(r, endpoint, func() { f.recordCompletion(r) })
+}
+
+// checkLater waits for recheckDelay and calls alive if the endpoint still accepts
+// connections. If it has terminated, that is recorded.
+func (f *Forwarder) checkLater(r *Request, endpoint table.Endpoint, alive func()) {
 	<-f.Clock.After(recheckDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), recheckDelay)
 	defer cancel()
-	if f.Pool.Alive(address(&endpoint)) || !f.Pool.HasTerminated(ctx, address(&endpoint)) {
-		return
+	switch {
+	case f.Pool.IsListening(ctx, address(&endpoint)):
+		alive()
+	case f.Pool.HasTerminated(ctx, address(&endpoint)):
+		f.recordTermination(r, endpoint.Name)
 	}
-	f.recordTermination(r, endpoint.Name)
 }
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -42,9 +42,12 @@
 // recordAnswered records metrics and a log line for a response that was forwarded
 // completely.
 func (r *run) recordAnswered(grant *placement.Grant, e attemptResult) {
-	r.completed = e.completed
-	if e.completed {
+	r.completed = e.completed || e.unframed
+	switch {
+	case e.completed:
 		r.f.recordCompletion(r.req)
+	case e.unframed:
+		go r.f.recheckUnframed(r.req, grant.Endpoint)
 	}
 	took := r.f.Clock.Since(r.began)
 	r.f.Metrics.ObserveClass("answer.ms", string(r.req.Class), took.Milliseconds())
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -86,6 +86,9 @@
 	terminated bool
 	// completed reports whether the endpoint has completed the request.
 	completed bool
+	// unframed reports whether a response was forwarded that is delimited by the end of
+	// its connection.
+	unframed bool
 	// report is the outcome that is reported to the coordinator.
 	report peerv1.ReleaseOutcome
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -22,19 +22,24 @@
 	maxEvent = 1 << 20
 )
 
-var errPartialEvent = errors.New("the stream ends within an event")
+var (
+	errPartialEvent = errors.New("the stream ends within an event")
+	errNoEvent      = errors.New("the stream ends with its connection before any event")
+)
 
 // forwardStream forwards a stream of events, each as soon as it is complete. A
 // truncated event is never forwarded, so that the stream can be continued with
 // this event at another endpoint.
 func (r *run) forwardStream(ctx context.Context, x *http1.Exchange, resp *http.Response, grant *placement.Grant) attemptResult {
 	var pending []byte
+	received := false
 	chunk := make([]byte, readSize)
 	for {
 		n, err := resp.Body.Read(chunk)
 		pending = append(pending, chunk[:n]...)
 		whole := completeEvents(pending)
 		if whole > 0 {
+			received = true
 			if err := r.forwardEvents(pending[:whole], resp, grant); err != nil {
 				return attemptResult{err: err, reason: outcome.ReasonCallerGone, mayHaveRun: true, report: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE}
 			}
@@ -42,8 +47,10 @@
 			x.SetReadTimeout(r.silenceTimeout(gapsUntilSilent * r.req.GapTarget))
 		}
 		switch {
+		case errors.Is(err, io.EOF) && !received && !isFramed(resp):
+			return failedResult(outcome.ReasonTruncated, errNoEvent)
 		case errors.Is(err, io.EOF):
-			return r.endStream(x, resp, pending)
+			return r.endStream(ctx, x, resp, pending, grant)
 		case err != nil:
 			return failedResult(readFailureReason(ctx, err), err)
 		case len(pending) > maxEvent:
@@ -54,10 +61,13 @@
 
 // endStream handles the end of the stream; pending is the data after the last
 // complete event.
-func (r *run) endStream(x *http1.Exchange, resp *http.Response, pending []byte) attemptResult {
+func (r *run) endStream(ctx context.Context, x *http1.Exchange, resp *http.Response, pending []byte, grant *placement.Grant) attemptResult {
 	if len(pending) > 0 {
 		return failedResult(outcome.ReasonTruncated, errPartialEvent)
 	}
+	if r.endedWithEndpoint(ctx, resp, &grant.Endpoint) {
+		return failedResult(outcome.ReasonTruncated, errEndpointTerminated)
+	}
 	r.sendHead(resp)
 	x.Finish()
 	return forwardedResult(resp)
--- a/internal/gateway/part_test.go
+++ b/internal/gateway/part_test.go
@@ -78,7 +78,8 @@
 // that share all other parts.
 func TestPartThatTerminatesEnginesIsQuarantined(t *testing.T) {
 	for name, f := range map[string]standin.EngineFaults{
-		"the connection is reset": {},
+		"the connection is reset":                               {},
+		"the response ends with its connection before an event": {Unframed: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := partSite(t, f)
@@ -108,3 +109,21 @@
 		})
 	}
 }
+
+// Guards against taking the end of an engine for the end of a response that has neither
+// a length nor chunks.
+func TestUnframedStreamOfTerminatedEngineIsContinued(t *testing.T) {
+	s := newTestSite(t, 1)
+	s.engines["llm-1"].SetFaults(standin.EngineFaults{Unframed: true, TerminateAfter: 2})
+	s.engines["llm-2"].SetFaults(standin.EngineFaults{Unframed: true})
+	for range 6 {
+		if a := s.call(s.daemons[0], http.MethodPost, "/chat/x", map[string]string{
+			platform.HeaderTokens: "1200,30", platform.HeaderParts: ownPart(),
+		}, "prompt"); a.err != nil || a.body != fullStream(a.id, 5) {
+			t.Errorf("status %d, body %q, %v", a.status, a.body, a.err)
+		}
+	}
+	if s.terminations() != 1 {
+		t.Errorf("%d engines terminated", s.terminations())
+	}
+}
--- a/internal/http1/probe.go
+++ b/internal/http1/probe.go
@@ -19,6 +19,20 @@
 	return true
 }
 
+// IsListening reports whether the address has a listener: there is an intact idle
+// connection to it, or one can be opened, which is kept for the next request.
+func (p *Pool) IsListening(ctx context.Context, address string) bool {
+	if p.Alive(address) {
+		return true
+	}
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	p.put(address, p.newConn(c), defaultIdleTimeout)
+	return true
+}
+
 // HasTerminated reports whether the address has no listener any more, that is, whether
 // its machine refuses connections. If a connection can be opened, it is kept
 // for the next request.
