Check requests with a part that ends engines in the soak

In half of the runs requests of which no two are alike share such a part; in half of them streams have neither a length nor chunks.

Two checks: from 3 s after the fifth end at most three more such requests reach engines, and from 6 s after it sound streams begin at least half as often as at other times. check_test.go has records for both; the planted errors are `scatterParts`, a part of its own for each request, and `forgetKeys`, callers that are refused while such requests come.

--- a/internal/load/soak.go
+++ b/internal/load/soak.go
@@ -28,7 +28,7 @@
 	Callers    int           `long:"callers" default:"12" description:"Callers"`
 	Length     time.Duration `long:"length" default:"12s" description:"How long faults come"`
 	Keep       bool          `long:"keep" description:"Keep the logs of runs that keep all promises, too"`
-	Plant      string        `long:"plant" choice:"runTwice" choice:"foreign" choice:"runRefused" choice:"unsigned" choice:"hideLimit" choice:"otherTarget" choice:"hideEra" choice:"hideBrittle" choice:"hideBackoff" choice:"hideLeaving" choice:"swallowPath" choice:"hideVersions" choice:"loseStreams" description:"A fault of the stand-ins that breaks a promise; the run must fail"` //nolint:staticcheck // go-flags repeats the tag
+	Plant      string        `long:"plant" choice:"runTwice" choice:"foreign" choice:"runRefused" choice:"unsigned" choice:"hideLimit" choice:"otherTarget" choice:"hideEra" choice:"hideBrittle" choice:"hideBackoff" choice:"hideLeaving" choice:"swallowPath" choice:"hideVersions" choice:"loseStreams" choice:"scatterParts" choice:"forgetKeys" description:"A fault of the stand-ins that breaks a promise; the run must fail"` //nolint:staticcheck // go-flags repeats the tag
 }
 
 var errPromises = errors.New("promises were broken")
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -76,6 +76,9 @@
 			Key:      c.key(),
 			Deadline: callDeadline,
 		}
+		if c.r.o.Plant == plantForgetKeys && standin.IsStream(call.Route) && time.Since(c.r.rec.Began) > forgetAfter {
+			call.Key = "forgotten"
+		}
 		if call.Route == resumableRoute && c.leaves.Float64() < leaveShare {
 			call.LeaveAfter = 1 + c.leaves.IntN(streamEvents/2)
 		}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -42,6 +42,8 @@
 	{"graceful stop", gracefulStop},
 	{"recovery", recovered},
 	{"ending requests", endingRequests},
+	{"ending parts", endingPartRequests},
+	{"beside an ending part", soundBesideEndingPart},
 	{"engine limits", engineLimits},
 	{"brittle engines", brittleEngines},
 	{"leaving engines", leavingEngines},
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -69,6 +69,42 @@
 	}
 }
 
+// addPartEnds adds requests with a part under which engines end, the first five by the
+// fifth second.
+func addPartEnds(rec *Record, n int) {
+	rec.Faults = append(rec.Faults, Struck{Fault: Fault{Kind: KindEndingPart}, From: at(1), To: at(27)})
+	for i := range n {
+		id, sent := fmt.Sprint("part-", i), 14+float64(i)
+		if i < enoughPartEnds {
+			sent = 1 + float64(i)/2
+		}
+		c := Call{Call: standin.Call{ID: id, Route: "draft", Body: fmt.Sprint(partBody, i)}, Sent: at(sent), Ended: at(sent)}
+		c.Answer.Status = http.StatusBadGateway
+		rec.Calls = append(rec.Calls, c)
+		r := Run{Engine: 1}
+		r.ID, r.Method, r.Target, r.Body, r.Account, r.Began = id, http.MethodPost, c.Target(), c.Content(), "acme", at(sent)
+		rec.Runs = append(rec.Runs, r)
+	}
+}
+
+// addSound adds 30 sound streams beside them, of which some do not begin, and 30 at the
+// end of the run, which all do.
+func addSound(rec *Record, beside float64, refused int) {
+	for i := range 60 {
+		id, sent := fmt.Sprint("sound-", i), beside+float64(i)/10
+		if i >= 30 {
+			sent = 31 + float64(i)/100
+		}
+		c := Call{Call: standin.Call{ID: id, Route: "draft"}, Sent: at(sent), Ended: at(sent)}
+		c.Answer = standin.CallResponse{Status: http.StatusServiceUnavailable}
+		if i >= refused {
+			c.Answer = standin.CallResponse{Status: http.StatusOK, Signed: true}
+			c.Answer.Body = wholeBody(&c)
+		}
+		rec.Calls = append(rec.Calls, c)
+	}
+}
+
 // addTakenUp adds 20 streams of v1 that their callers leave and take up again, of which
 // some go on, at a version.
 func addTakenUp(rec *Record, version string, wentOn int) {
@@ -168,6 +204,11 @@
 			r.Calls[0].Answer = standin.CallResponse{Status: http.StatusServiceUnavailable}
 		}},
 		{"another's answer", "whole answers", func(r *Record) { r.Calls[0].Answer.Body = standin.ResponseBody("look") }},
+		{"requests with a part that ends engines", "ending parts", func(r *Record) { addPartEnds(r, enoughPartEnds+4) }},
+		{"sound streams that do not begin beside them", "beside an ending part", func(r *Record) {
+			addPartEnds(r, enoughPartEnds)
+			addSound(r, 18, 30)
+		}},
 		{"streams that go on at another version", "stream versions", func(r *Record) { addTakenUp(r, "v2", 12) }},
 		{"streams that do not go on", "streams taken up", func(r *Record) { addTakenUp(r, "v1", 9) }},
 		{"a short answer that looks whole", "whole answers", func(r *Record) { r.Calls[1].Answer.Body = standin.EventText("draft", 1) }},
@@ -238,6 +279,10 @@
 			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindPause}, From: at(21), To: at(23)})
 		}},
 		{"a request that ends engines, as often as it may be sent", func(r *Record) { addEnds(r, 6) }},
+		{"requests with a part at an engine that failed instead of ending", func(r *Record) {
+			addPartEnds(r, enoughPartEnds+4)
+			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindEngineFail, Target: 1}, From: at(0), To: at(4)})
+		}},
 		{"as many requests as a limit allows", func(r *Record) { addLimited(r, 17) }},
 		{"more by a daemon that was paused", func(r *Record) {
 			addLimited(r, 18)
@@ -267,6 +312,11 @@
 			addPathLoss(r, 0)
 			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindStoreDown}, From: at(16), To: at(23)})
 		}},
+		{"three more requests with a part that ends engines", func(r *Record) { addPartEnds(r, enoughPartEnds+3) }},
+		{"sound streams that begin beside them", func(r *Record) {
+			addPartEnds(r, enoughPartEnds)
+			addSound(r, 18, 15)
+		}},
 		{"streams that go on at their version", func(r *Record) { addTakenUp(r, "v1", 12) }},
 		{"streams that do not go on at a version with one engine", func(r *Record) {
 			addTakenUp(r, "v1", 0)
--- a/internal/soak/ending.go
+++ b/internal/soak/ending.go
@@ -53,6 +53,11 @@
 	// has callers name streams that never began.
 	plantHideVersions = "hideVersions"
 	plantLoseStreams  = "loseStreams"
+	// plantScatterParts has each request with an ending part name another one, all of
+	// which end engines. plantForgetKeys has callers of streams use no valid key while
+	// such requests come.
+	plantScatterParts = "scatterParts"
+	plantForgetKeys   = "forgetKeys"
 )
 
 // plantedFaults holds the fault that the plan of a planted variant consists of.
@@ -63,6 +68,8 @@
 	plantHideBrittle:  {Kind: KindEngineBrittle},
 	plantHideBackoff:  {Kind: KindEngineBackoff},
 	plantHideLeaving:  {Kind: KindEngineLeaving, For: 2 * maxFault},
+	plantScatterParts: {Kind: KindEndingPart},
+	plantForgetKeys:   {Kind: KindEndingPart},
 	plantHideVersions: {Kind: KindVersionRoll},
 	plantLoseStreams:  {Kind: KindConfig},
 	plantSwallow:      {Kind: KindPathLost, For: maxPathFault, Spread: SpreadZone, Path: paths.PathSwallows},
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -25,6 +25,8 @@
 		r.endEngines(f)
 	case f.Kind == KindPathLost:
 		r.losePath(f)
+	case f.Kind == KindEndingPart:
+		r.sendEndingPart(f)
 	case f.Kind == KindVersionRoll:
 		r.rollVersions()
 	case f.Kind == KindConfig || f.Kind == KindRevoke:
@@ -170,7 +172,10 @@
 	f.Limit, f.Brittle, f.Room, f.Leaving = a.Limit, a.Brittle, a.Room, a.Leaving
 	f.BackoffSeconds, f.BackoffShare = a.BackoffSeconds, a.BackoffShare
 	f.TerminateOn, f.HideAnnouncements = endingBody, r.o.hidesAnnouncements()
-	f.Version = r.site.version(engine)
+	f.Version, f.TerminateOnPart = r.site.version(engine), endingPart
+	if streamsUnframed(r.o.Seed) && engine%2 == 0 {
+		f.Unframed = true
+	}
 	f.RunTwice, f.Foreign, f.Unsigned = r.o.Plant == plantRunTwice, r.o.Plant == plantForeign, r.o.Plant == plantUnsigned
 	if r.o.Plant == plantRunRefused {
 		f.RunRefused, f.Refuse = true, true
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -57,6 +57,9 @@
 	// KindEndingRequest is a request that ends each engine that begins to run
 	// it, and that its caller sends again and again.
 	KindEndingRequest Kind = "endingRequest"
+	// KindEndingPart is a part of prompts that ends each engine that begins to write a
+	// response, in requests of which no two are alike.
+	KindEndingPart Kind = "endingPart"
 
 	KindConfig Kind = "config"
 	KindRevoke Kind = "revoke"
@@ -168,7 +171,7 @@
 
 // lastingKinds holds the kinds that go on for a while after the others: what
 // daemons do about them is looked at when nothing else troubles them.
-var lastingKinds = []Kind{KindEngineLimit, KindEndingRequest}
+var lastingKinds = []Kind{KindEngineLimit, KindEndingRequest, KindEndingPart}
 
 func (f Fault) lasts() bool {
 	return slices.Contains(lastingKinds, f.Kind) || slices.Contains(announcedKinds, f.Kind)
