Pass resets on in the relays of the soak

The fault was the soak's: where an engine's connection was reset, the relay before the engine ended its own in good order, and a stream with neither a length nor chunks ends just so. The relay resets both connections now. TestRelayPassesResetsOn gets EOF without the change.

--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/url"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -194,10 +195,10 @@
 	r.mu.Unlock()
 }
 
-// copy passes bytes on, and the end of the connection, until it is silent;
-// then it swallows both.
+// copy passes bytes on, and the end of the connection or its reset, until it is silent;
+// then it swallows them.
 func (p *relayed) copy(to, from net.Conn, cut func() bool) {
-	_, _ = io.Copy(writerFunc(func(b []byte) (int, error) {
+	_, err := io.Copy(writerFunc(func(b []byte) (int, error) {
 		if cut() {
 			// A connection that has lost bytes never works again.
 			p.silence()
@@ -207,6 +208,11 @@
 		}
 		return to.Write(b)
 	}), from)
+	if errors.Is(err, syscall.ECONNRESET) && !p.isSilent() {
+		// A response that ends with its connection would look complete.
+		p.reset()
+		return
+	}
 	_ = from.Close()
 	if !p.isSilent() {
 		_ = to.Close()
--- a/internal/standin/relay_test.go
+++ b/internal/standin/relay_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -116,3 +117,39 @@
 		t.Errorf("an unknown relay: status %d", status)
 	}
 }
+
+// Guards against a relay that turns the reset of a connection into its orderly end, so
+// that a response which ends with its connection looks complete.
+func TestRelayPassesResetsOn(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		buf := make([]byte, 1)
+		_, _ = c.Read(buf)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}()
+	r, err := NewRelay(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	c, err := net.Dial("tcp", r.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := c.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("got %v, want a reset", err)
+	}
+}
