Do not continue streams at a process that has not registered yet

Daemons took what responds there for the process before it.

- What responds under the name of an endpoint that has terminated of late has no known version: a stream that begins there is not recorded, and none goes on.
- Before a stream goes on, the engine is asked for the start time of its process, on the connection that will carry the request; another one than the registered one is not used.
A wrong report of an end is cleared up by the same answer.

Without the change TestRestartedEngineOfAnotherVersionContinuesNoStream and TestUnnoticedRestartAtAnotherVersionContinuesNoStream have streams of two versions; none with it.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -120,6 +120,11 @@
 	// ImpliesNotRun reports whether callers conclude from a status code that the
 	// request was not run.
 	ImpliesNotRun func(status int) bool
+	// ReportTarget is the target at which an endpoint reports about itself; empty if it
+	// does not. ReadReport reports whether the response comes from the process that has
+	// registered as the endpoint, and whether it shows that.
+	ReportTarget string
+	ReadReport   func(e *table.Endpoint, status int, h http.Header, body []byte) (same, known bool)
 }
 
 // Budget limits the retries to a pool. Add is called once for each request, Take
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -45,6 +45,9 @@
 	// begun reports whether the endpoint of the current attempt has begun to run
 	// the request.
 	begun bool
+	// confirmed reports whether a probe has shown that the connection of the current
+	// attempt leads to the process that has registered as the endpoint.
+	confirmed bool
 	// via is the address of the daemon through which the current attempt was
 	// sent; "" if it was sent directly.
 	via string
@@ -149,7 +152,7 @@
 
 // attempt sends the request to one endpoint and forwards the response.
 func (r *run) attempt(ctx context.Context, grant *placement.Grant) attemptResult {
-	r.begun, r.via = false, ""
+	r.begun, r.via, r.confirmed = false, "", false
 	left := r.req.Deadline - r.f.BootClock.Now()
 	endpoint := &grant.Endpoint
 	send := Attempt{Request: r.req, Endpoint: endpoint, TimeRemaining: left, LastEvent: r.lastEvent}
@@ -162,6 +165,7 @@
 		Host:          r.req.Host,
 		Header:        r.f.Protocol.Header(send),
 		Body:          r.req.Body,
+		Probe:         r.versionProbe(endpoint),
 		BeforeWrite:   func() error { return r.checkWrite(endpoint) },
 		IsOwnResponse: func(h http.Header) bool { return r.f.Protocol.BelongsTo(r.req, h) },
 	})
@@ -245,7 +249,7 @@
 	if refusal := r.checkSend(); refusal != nil {
 		return refusal
 	}
-	if !r.usable(e) {
+	if !r.usable(e) || r.continues() && r.mayBeReplaced(e) {
 		return errEndpointUnusable
 	}
 	return nil
--- a/internal/forward/version.go
+++ b/internal/forward/version.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/beechhead/beechhead/internal/catalog"
+	"github.com/beechhead/beechhead/internal/http1"
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/placement"
 	"github.com/beechhead/beechhead/pkg/table"
@@ -23,6 +25,36 @@
 	return !r.continues() || e.SoftwareVersion == r.begunVersion
 }
 
+// mayBeReplaced reports whether the endpoint may have started again at another version
+// that it has not registered yet: it has terminated, and the probe did not show that the
+// report of that was wrong.
+func (r *run) mayBeReplaced(e *table.Endpoint) bool {
+	return !r.confirmed && r.f.Quarantine.HasTerminated(e.Name)
+}
+
+// versionProbe returns the probe for an attempt whose endpoint may have started again at
+// another version that it has not registered yet; nil if that does not matter. An endpoint
+// that continues a stream may have done so unnoticed.
+func (r *run) versionProbe(e *table.Endpoint) *http1.Probe {
+	matters := r.continues() || r.req.Resumable && r.mayBeReplaced(e)
+	if !matters || r.f.Protocol.ReportTarget == "" {
+		return nil
+	}
+	return &http1.Probe{
+		Target: r.f.Protocol.ReportTarget,
+		Host:   r.req.Host,
+		Accept: func(status int, h http.Header, body []byte) error {
+			same, known := r.f.Protocol.ReadReport(e, status, h, body)
+			r.confirmed = same
+			if !known || same || !r.continues() {
+				return nil
+			}
+			r.f.Metrics.Inc("streams.endpointReplaced")
+			return errEndpointUnusable
+		},
+	}
+}
+
 // findVersion looks up the version of a stream that the caller takes up. A stream of
 // unknown version is not continued: any guess may be wrong.
 func (r *run) findVersion(ctx context.Context) *outcome.Refusal {
@@ -44,6 +76,9 @@
 	r.firstEvent = r.f.Clock.Since(r.began)
 	if !r.req.resumes() {
 		r.begunVersion = grant.Endpoint.SoftwareVersion
+		if r.mayBeReplaced(&grant.Endpoint) {
+			r.begunVersion = ""
+		}
 	}
 	if r.req.Resumable && r.begunVersion != "" {
 		r.endRecord = r.f.BeginStream(r.req, r.begunVersion)
--- a/internal/gateway/streamversion_test.go
+++ b/internal/gateway/streamversion_test.go
@@ -4,12 +4,16 @@
 	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/beechhead/beechhead/internal/quarantine"
 	"github.com/beechhead/beechhead/platform"
 	"github.com/beechhead/beechhead/platform/standin"
 )
@@ -167,6 +171,74 @@
 	}
 }
 
+// restartAs starts an engine that has terminated again at its address, under its id and
+// with another software version, which it has not registered yet.
+func (s *testSite) restartAs(id, version string) {
+	s.t.Helper()
+	old := s.engines[id]
+	l, err := net.Listen("tcp", old.address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	e := &testEngine{Engine: &standin.Engine{ID: id, Slots: old.Slots, Events: old.Events, Delay: old.Delay}, version: version}
+	e.server = httptest.NewUnstartedServer(e.Engine)
+	_ = e.server.Listener.Close()
+	e.server.Listener = l
+	e.server.Start()
+	s.t.Cleanup(func() { e.server.CloseClientConnections(); e.server.Close() })
+	s.engines[id+"-restarted"] = e
+}
+
+// Guards against streams going on at, or being recorded at the version of, an engine that
+// has started again under its id with another software version, before that is known.
+func TestRestartedEngineOfAnotherVersionContinuesNoStream(t *testing.T) {
+	s := newVersionedSite(t, 3)
+	var ids []string
+	for i := range 30 {
+		ids = append(ids, s.brokenStream(s.daemons[i%3]))
+	}
+	s.engines["llm-1"].SetFaults(standin.EngineFaults{TerminateAfter: 2})
+	for i := 0; s.terminations() == 0; i++ {
+		s.chatAlone(s.daemons[i%3], i)
+	}
+	s.restartAs("llm-1", "v2")
+	time.Sleep(propagationBound)
+	for i := range 30 {
+		ids = append(ids, s.brokenStream(s.daemons[i%3]))
+	}
+	s.takeUpAll(ids, s.daemons)
+}
+
+// Guards against the same where nobody has noticed that the engine has terminated.
+func TestUnnoticedRestartAtAnotherVersionContinuesNoStream(t *testing.T) {
+	s := newVersionedSite(t, 2)
+	var ids []string
+	for i := range 30 {
+		ids = append(ids, s.brokenStream(s.daemons[i%2]))
+	}
+	s.engines["llm-1"].Terminate()
+	s.engines["llm-1"].server.CloseClientConnections()
+	s.restartAs("llm-1", "v2")
+	s.takeUpAll(ids, s.daemons)
+}
+
+// Guards against streams that do not go on since daemons have been told by mistake that
+// their endpoints have terminated.
+func TestWrongReportOfTerminationDoesNotEndStreams(t *testing.T) {
+	s := newVersionedSite(t, 2)
+	for _, d := range s.daemons {
+		for i, e := range d.g.holder.Endpoints() {
+			d.g.suspects.RecordTermination(quarantine.Fingerprint(i), e.Name())
+		}
+	}
+	for i := range 12 {
+		id := s.brokenStream(s.daemons[i%2])
+		if a := s.takeUp(s.daemons[(i+1)%2], id); a.status != http.StatusOK {
+			t.Errorf("stream %s: status %d, %v", id, a.status, a.err)
+		}
+	}
+}
+
 // Guards against streams that do not go on, or at another version, while hosts are killed
 // and come back one after the other, coordinators among them, and versions roll.
 func TestStreamsGoOnWhileHostsAreReplaced(t *testing.T) {
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -23,6 +23,8 @@
 	Body   []byte
 	// NewConnection requires a new connection.
 	NewConnection bool
+	// Probe, if not nil, is sent first on the connection that will carry the request.
+	Probe *Probe
 	// BeforeWrite is called right before the request is written, after the
 	// connection was opened. If it returns an error, the request is not sent.
 	// BeforeWrite may be nil.
@@ -63,9 +65,9 @@
 }
 
 // Send writes a request to an address. It tries another connection only as long
-// as no byte of the request was written. An error other than BeforeWrite's is
-// ErrNotSent: once a byte was written, Send succeeds and failures are reported
-// by the Exchange.
+// as no byte of the request was written. An error other than BeforeWrite's and that of
+// Probe.Accept is ErrNotSent: once a byte was written, Send succeeds and failures are
+// reported by the Exchange.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Exchange, error) {
 	head := writeHead(r)
 	for {
@@ -73,8 +75,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := r.check(); err != nil {
+		if err := r.check(c); err != nil {
 			_ = c.Close()
+			if errors.Is(err, errProbe) && c.reused {
+				continue
+			}
 			return nil, err
 		}
 		x := &Exchange{pool: p, address: address, conn: c, request: r}
@@ -88,7 +93,13 @@
 	}
 }
 
-func (r *Request) check() error {
+// check returns an error if the request must not be written to the connection.
+func (r *Request) check(c *conn) error {
+	if r.Probe != nil {
+		if err := r.Probe.play(c); err != nil {
+			return err
+		}
+	}
 	if r.BeforeWrite == nil {
 		return nil
 	}
--- a/internal/http1/probe.go
+++ b/internal/http1/probe.go
@@ -2,10 +2,53 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
 
 	"github.com/beechhead/beechhead/internal/endpoint"
 )
 
+const (
+	// probeTimeout bounds the time to the end of the response to a Probe.
+	probeTimeout = DialTimeout
+	// maxProbeResponse is the maximum size in bytes of that response.
+	maxProbeResponse = 1 << 20
+)
+
+// Probe is a GET request that shows which process a connection leads to.
+type Probe struct {
+	Target, Host string
+	// Accept returns an error if a request must not be sent to the process that has sent
+	// this response.
+	Accept func(status int, h http.Header, body []byte) error
+}
+
+// errProbe is an ErrNotSent: the connection has not carried the probe and its response.
+var errProbe = errors.Wrap(ErrNotSent, "probe")
+
+// play sends the probe and reads its response.
+func (p *Probe) play(c *conn) error {
+	_ = c.SetDeadline(time.Now().Add(probeTimeout))
+	request := &Request{Method: http.MethodGet, Target: p.Target, Host: p.Host}
+	if _, err := c.Write(writeHead(request)); err != nil {
+		return errProbe
+	}
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodGet})
+	if err != nil {
+		return errProbe
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxProbeResponse))
+	if err != nil || len(body) == maxProbeResponse || resp.Close || c.reader.Buffered() > 0 {
+		return errProbe
+	}
+	_ = c.SetDeadline(time.Time{})
+	return p.Accept(resp.StatusCode, resp.Header, body)
+}
+
 // Alive reports whether there is an intact idle connection to an address, which
 // shows that the address has a listener.
 func (p *Pool) Alive(address string) bool {
--- a/internal/http1/probe_test.go
+++ b/internal/http1/probe_test.go
@@ -3,10 +3,62 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"slices"
 	"testing"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
+var errOtherProcess = errors.New("another process")
+
+// sendProbed sends a request after a probe, and returns what the endpoint has received.
+func sendProbed(t *testing.T, conns [][]step) (received []string, err error) {
+	t.Helper()
+	e := newEndpoint(t, conns)
+	x, err := newTestPool().Send(context.Background(), e.listener.Addr().String(), &Request{
+		Method: http.MethodPost, Target: "/x", Host: "x.example",
+		Probe: &Probe{Target: "/report", Host: "x.example", Accept: func(_ int, _ http.Header, body []byte) error {
+			if string(body) != "same" {
+				return errOtherProcess
+			}
+			return nil
+		}},
+	})
+	if err == nil {
+		_, err = x.Response() //nolint:bodyclose // the exchange ends with its connection
+		x.Abort()
+	}
+	for len(e.requests) > 0 {
+		received = append(received, <-e.requests)
+	}
+	return received, err
+}
+
+// Guards against a request being sent to a process that the probe has ruled out, or that
+// has not answered it, and on another connection than the probe.
+func TestProbe(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+	for name, tt := range map[string]struct {
+		conn []step
+		want []string
+		err  error
+	}{
+		"accepted":   {[]step{{Read: true, Write: ok + "same"}, {Read: true, Write: ok + "done"}}, []string{"GET /report ", "POST /x "}, nil},
+		"ruled out":  {[]step{{Read: true, Write: ok + "else"}, {Read: true, Write: ok + "done"}}, []string{"GET /report "}, errOtherProcess},
+		"unanswered": {[]step{{Read: true, Close: true}}, []string{"GET /report "}, ErrNotSent},
+		"closes":     {[]step{{Read: true, Write: "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\nsame"}}, []string{"GET /report "}, ErrNotSent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			received, err := sendProbed(t, [][]step{tt.conn})
+			if !slices.Equal(received, tt.want) || !errors.Is(err, tt.err) {
+				t.Errorf("the endpoint received %q, error %v; want %q, %v", received, err, tt.want, tt.err)
+			}
+		})
+	}
+}
+
 // Guards against treating an endpoint that can't be reached as terminated, and
 // a terminated endpoint as reachable.
 func TestEnded(t *testing.T) {
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -36,6 +36,11 @@
 	maxSuspects = 1024
 	// maxCompleted limits the requests that are remembered as completed.
 	maxCompleted = 4096
+	// maxTerminated limits the endpoints that are remembered as terminated, and
+	// terminatedFor is how long they are: the registration of one that does not start
+	// again lapses before.
+	maxTerminated = 4096
+	terminatedFor = 2 * time.Minute
 )
 
 // List tracks the requests during which endpoints have terminated, as observed
@@ -50,6 +55,8 @@
 	tracker[Fingerprint, *suspectRequest]
 	// completed holds the most recently completed requests.
 	completed recent[Fingerprint, struct{}]
+	// terminated holds when the endpoints that terminated last have done so.
+	terminated recent[EndpointID, time.Time]
 }
 
 // suspectRequest is a request during which endpoints have terminated.
@@ -71,9 +78,10 @@
 // NewList returns an empty list.
 func NewList(clock clockwork.Clock) *List {
 	return &List{
-		OnChange:  func(Fingerprint, bool) {},
-		tracker:   newTracker[Fingerprint, *suspectRequest](clock),
-		completed: newRecent[Fingerprint, struct{}](maxCompleted),
+		OnChange:   func(Fingerprint, bool) {},
+		tracker:    newTracker[Fingerprint, *suspectRequest](clock),
+		completed:  newRecent[Fingerprint, struct{}](maxCompleted),
+		terminated: newRecent[EndpointID, time.Time](maxTerminated),
 	}
 }
 
@@ -116,6 +124,15 @@
 	}
 }
 
+// HasTerminated reports whether an endpoint has terminated of late. What responds at its
+// address afterwards is another process, even if it has not registered yet.
+func (l *List) HasTerminated(endpoint table.EndpointName) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at, ok := l.terminated.values[EndpointIDOf(endpoint)]
+	return ok && l.clock.Since(at) < terminatedFor
+}
+
 // Apply merges an update. Updates may be applied in any order and repeatedly
 // without losing what is already known.
 func (l *List) Apply(n Update) {
@@ -126,6 +143,9 @@
 	_, completed := l.completed.values[n.Fingerprint]
 	n.Completed = n.Completed || completed
 	now := l.clock.Now()
+	for _, e := range n.Terminated {
+		l.recordTerminated(e, now.Add(-n.Age))
+	}
 	s := l.suspects[n.Fingerprint]
 	if s == nil {
 		s = &suspectRequest{lastTermination: now.Add(-n.Age)}
@@ -143,6 +163,15 @@
 	}
 }
 
+// recordTerminated records when an endpoint has terminated. An update about several has
+// the time of the last one, so that the earliest known time counts.
+func (l *List) recordTerminated(e EndpointID, at time.Time) {
+	if known, ok := l.terminated.values[e]; ok && known.Before(at) && at.Sub(known) < terminatedFor {
+		return
+	}
+	l.terminated.put(e, at)
+}
+
 // merge adds the information in an update that is not known yet, and reports
 // whether there is any.
 func (s *suspectRequest) merge(n Update, now time.Time) bool {
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -100,6 +100,12 @@
 	for f := range 3 * maxCompleted {
 		l.RecordCompletion(Fingerprint(f))
 	}
+	for e := range 3 * maxTerminated {
+		l.Apply(Update{Fingerprint: 2, Terminated: []EndpointID{EndpointID(e)}})
+	}
+	if n := len(l.terminated.values); n > maxTerminated || len(l.terminated.ring) != n {
+		t.Errorf("%d endpoints are remembered as terminated, %d in the ring", n, len(l.terminated.ring))
+	}
 	if n := len(l.suspects); n > maxSuspects {
 		t.Errorf("%d requests are tracked", n)
 	}
