Keep what a process announces before its registration is known

The announcement was kept under the old name and was forgotten with it, so that the engine got requests more than 2 s after it had said so. Requests for back-off were lost as well.

Announcements are kept by the id of the endpoint and count for the registration that follows, if its process had started by then. An endpoint that leaves, unlike one that only backs off, is excluded from all further attempts of a request. TestNoticesOfUnregisteredProcess has the cases.

--- a/internal/forward/notices_test.go
+++ b/internal/forward/notices_test.go
@@ -11,7 +11,8 @@
 )
 
 func newTestNotices(clock clockwork.Clock) *Notices {
-	return &Notices{Clock: clock, OnLeaving: func(table.EndpointName) {}, OnBackoff: func(table.EndpointName, time.Duration) {}}
+	processOf := func(name table.EndpointName) (string, time.Time) { return string(name), time.Time{} }
+	return &Notices{Clock: clock, ProcessOf: processOf, OnLeaving: func(table.EndpointName) {}, OnBackoff: func(table.EndpointName, time.Duration) {}}
 }
 
 // Guards against a back-off that a later refusal shortens, that outlives its end, or
@@ -47,3 +48,28 @@
 		t.Errorf("notices of endpoints that are gone: %v", n.all)
 	}
 }
+
+// Guards against forgetting what a process has said that had not registered yet, and was
+// taken for the one that had its ID before.
+func TestNoticesOfUnregisteredProcess(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	n := newTestNotices(clock)
+	starts := map[table.EndpointName]time.Time{"1": clock.Now(), "2": clock.Now().Add(time.Minute), "3": clock.Now().Add(time.Hour)}
+	n.ProcessOf = func(name table.EndpointName) (string, time.Time) { return "id", starts[name] }
+	first := &table.Endpoint{Name: "1", Pool: "p"}
+	clock.Advance(2 * time.Minute)
+	n.Record(first, placement.Announcement{Leaving: true, Backoff: time.Second})
+	if n.MaySend("1") || n.MaySend("2") {
+		t.Error("requests are sent to the process that has said that it is leaving")
+	}
+	if !n.MaySend("3") {
+		t.Error("no requests are sent to the process after it")
+	}
+	n.Record(&table.Endpoint{Name: "3", Pool: "p"}, placement.Announcement{Backoff: time.Second})
+	if n.MaySend("3") {
+		t.Error("requests are sent to a process that has asked for back-off")
+	}
+	if clock.Advance(time.Second); !n.MaySend("3") {
+		t.Error("the process counts as leaving since the one before was")
+	}
+}
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -76,7 +76,7 @@
 // excludes reports whether an endpoint that can't be used is excluded from all further
 // attempts. One that only backs off is excluded until it no longer does.
 func (r *run) excludes(e *table.Endpoint, backingOff int) bool {
-	return !r.f.Usable(e) || !r.hasVersion(e) || backingOff == maxBackingOff
+	return !r.f.Usable(e) || !r.hasVersion(e) || backingOff == maxBackingOff || !r.f.Notices.IsBackingOff(e.Name)
 }
 
 // startLimit returns how long after its arrival the response must begin to be of
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/beechhead/beechhead/internal/boottime"
 	"github.com/beechhead/beechhead/internal/cell"
 	"github.com/beechhead/beechhead/internal/cellhost"
+	"github.com/beechhead/beechhead/internal/endpointname"
 	"github.com/beechhead/beechhead/internal/facts"
 	"github.com/beechhead/beechhead/internal/factsync"
 	"github.com/beechhead/beechhead/internal/forward"
@@ -203,6 +204,9 @@
 		g.logger.Info("endpoint limit", "endpoint", endpoint, "perSecond", perSecond, "refusalsPerSecond", refusalsPerSecond)
 	}
 	g.notices = &forward.Notices{
+		ProcessOf: func(name table.EndpointName) (string, time.Time) {
+			return endpointname.ID(name), endpointname.Start(name)
+		},
 		Clock: g.clock,
 		OnLeaving: func(endpoint table.EndpointName) {
 			g.metrics.Inc("endpoints.leavingAnnounced")
