Move grants along when an endpoint registers anew under its id

A process serves before its registration is known and may run what was granted under the old name; once the new registration came, those grants and refusals no longer counted, and the coordinator granted as much again.

Grants, refusals and whether the engine is brittle move to the registration that replaces another under the same id; what was granted before the new one was known says nothing of its health. Cells follow from the id instead of the name, so that the coordinator stays the same.

--- a/internal/cell/convert.go
+++ b/internal/cell/convert.go
@@ -4,8 +4,10 @@
 	"slices"
 	"time"
 
+	"github.com/beechhead/beechhead/internal/endpointname"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
 	"github.com/beechhead/beechhead/internal/schedule"
+	"github.com/beechhead/beechhead/pkg/table"
 )
 
 // queuePerSlot is the number of requests that may wait in a cell's queue for
@@ -19,6 +21,7 @@
 	for _, e := range members {
 		cfg.Endpoints = append(cfg.Endpoints, schedule.EndpointPolicy{
 			Name:        schedule.Endpoint(e.Name),
+			ID:          endpointname.ID(e.Name),
 			Concurrency: (e.Concurrency + c.share - 1) / c.share,
 			CanPreempt:  e.CanCancel && e.CanResume,
 			CacheTokens: e.MemoryTokens / c.share,
@@ -82,6 +85,7 @@
 		Class:              schedule.Class(h.GetClass()),
 		Account:            schedule.Account(h.GetAccount()),
 		Endpoint:           schedule.Endpoint(h.GetEndpoint()),
+		EndpointID:         endpointname.ID(table.EndpointName(h.GetEndpoint())),
 		EstimatedTokens:    int(h.GetEstimatedTokens()),
 		PromptTokens:       int(h.GetPromptTokens()),
 		Parts:              parts(h.GetParts()),
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/beechhead/beechhead/internal/endpointname"
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
@@ -27,13 +28,14 @@
 	table.Endpoint
 	// Draining endpoints get no new grants.
 	Draining bool
-	// hash is the hash of the name.
+	// hash is the hash of the ID, so that an endpoint that starts again stays in its
+	// cell.
 	hash uint64
 }
 
 // NewMember returns an endpoint as a member of a cell.
 func NewMember(e table.Endpoint, draining bool) *Member {
-	return &Member{Endpoint: e, Draining: draining, hash: nameHash(e.Name)}
+	return &Member{Endpoint: e, Draining: draining, hash: idHash(e.Name)}
 }
 
 // Change adds an endpoint to a plan, replaces it or removes it.
@@ -237,14 +239,14 @@
 	}
 }
 
-func nameHash(name table.EndpointName) uint64 { return xxhash.Sum64String(string(name)) }
+func idHash(name table.EndpointName) uint64 { return xxhash.Sum64String(endpointname.ID(name)) }
 
 func (ms *members) search(name table.EndpointName) (int, bool) {
 	return slices.BinarySearchFunc(*ms, name, func(m *Member, name table.EndpointName) int { return cmp.Compare(m.Name, name) })
 }
 
 func (g *group) cellOf(name table.EndpointName) int {
-	return jumpHash(nameHash(name), len(g.cells))
+	return jumpHash(idHash(name), len(g.cells))
 }
 
 // member returns a member by name, or nil.
--- a/internal/cell/plan_test.go
+++ b/internal/cell/plan_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"testing"
 
+	"github.com/beechhead/beechhead/internal/endpointname"
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
@@ -111,3 +112,29 @@
 		t.Error("wrong endpoints are found by their names")
 	}
 }
+
+// Guards against endpoints that start again in another cell, whose coordinator does not
+// know what was granted under their name before.
+func TestEndpointThatStartsAgainStaysInItsCell(t *testing.T) {
+	member := func(i int, born int64) Change {
+		name := endpointname.New(fmt.Sprint("i-", i), born)
+		return Change{Member: NewMember(table.Endpoint{Name: name, Pool: "m", Region: "r"}, false)}
+	}
+	var changes []Change
+	for i := range 4 * planSize {
+		changes = append(changes, member(i, 1))
+	}
+	p := EmptyPlan(planSize).With(changes)
+	for i := range 4 * planSize {
+		before, after := member(i, 1), member(i, 2)
+		cell := cellsByEndpoint(p)[before.Name]
+		before.Removed = true
+		p = p.With([]Change{before, after})
+		if got := cellsByEndpoint(p)[after.Name]; got != cell {
+			t.Errorf("%s is in %s, %s was in %s", after.Name, got, before.Name, cell)
+		}
+		if p.Endpoint(cell, after.Name) == nil || p.Endpoint(cell, before.Name) != nil {
+			t.Errorf("the cell does not have %s instead of %s", after.Name, before.Name)
+		}
+	}
+}
--- a/internal/schedule/brittle.go
+++ b/internal/schedule/brittle.go
@@ -149,7 +149,7 @@
 // report may only have been delayed.
 func (c *Cell) removeBrittle(g *entry) {
 	b := &g.endpoint.brittle
-	if g.adopted || b.isReported && g.Granted <= b.reportedAt {
+	if g.adopted || g.Granted < g.endpoint.addedAt || b.isReported && g.Granted <= b.reportedAt {
 		return
 	}
 	*b = brittleness{isReported: true, reportedAt: g.Granted}
--- a/internal/schedule/configure.go
+++ b/internal/schedule/configure.go
@@ -16,9 +16,10 @@
 	if c.discipline != ByTier {
 		cfg.Classes = []ClassPolicy{{}}
 	}
-	c.configureEndpoints(cfg.Endpoints)
+	replaced := c.configureEndpoints(cfg.Endpoints)
 	c.configureClasses(cfg.Classes)
 	c.configurePool(cfg.Disabled)
+	c.moveGrants(replaced)
 }
 
 // configurePool passes the configuration on to the engine pool.
@@ -93,8 +94,9 @@
 	return all
 }
 
-func (c *Cell) configureEndpoints(policies []EndpointPolicy) {
-	old := c.endpoints
+// configureEndpoints returns the endpoints that others replace.
+func (c *Cell) configureEndpoints(policies []EndpointPolicy) replacements {
+	old, added := c.endpoints, map[string]*endpointState{}
 	c.endpoints = map[Endpoint]*endpointState{}
 	c.sortedEndpoints = c.sortedEndpoints[:0]
 	c.totalSlots = 0
@@ -103,9 +105,9 @@
 		delete(old, p.Name)
 		if e == nil {
 			e = c.newEndpoint()
+			added[p.ID] = e
 		}
 		e.setPolicy(p)
-		c.assumeBrittle(e)
 		c.endpoints[p.Name] = e
 		c.sortedEndpoints = append(c.sortedEndpoints, e)
 		c.totalSlots += p.Concurrency
@@ -113,12 +115,17 @@
 	for _, e := range old {
 		e.removed, e.Closed = true, true
 	}
+	replaced := findReplacements(old, added)
+	for _, e := range c.sortedEndpoints {
+		c.assumeBrittle(e)
+	}
 	slices.SortFunc(c.sortedEndpoints, func(a, b *endpointState) int {
 		if a.policy.Name < b.policy.Name {
 			return -1
 		}
 		return 1
 	})
+	return replaced
 }
 
 // class returns the queue of a class. The baseline disciplines have a single
--- a/internal/schedule/endpoint.go
+++ b/internal/schedule/endpoint.go
@@ -14,6 +14,9 @@
 	// coordinator issued.
 	batching.Engine
 	policy EndpointPolicy
+	// addedAt is when the endpoint became known. What was granted before may have run in
+	// the process that it replaces.
+	addedAt time.Duration
 	// outstanding is the estimated work of the running grants, in tokens.
 	outstanding float64
 	// lastGrant is the sequence number of the last grant; it breaks ties.
@@ -31,7 +34,7 @@
 
 // newEndpoint returns an endpoint that has no policy yet.
 func (c *Cell) newEndpoint() *endpointState {
-	e := &endpointState{}
+	e := &endpointState{addedAt: c.now()}
 	e.Free = e.hasFreeSlot
 	e.Ejected = e.health.ejected
 	e.RateLimited = e.limit.throttled
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -149,7 +149,7 @@
 // the given time, and ejects the endpoint if it fails more than the others.
 func (c *Cell) recordFailure(e *endpointState, began, now time.Duration) {
 	h := &e.health
-	if h.stale(began) || c.isDisabled(FailedEjection) {
+	if h.stale(began) || began < e.addedAt || c.isDisabled(FailedEjection) {
 		return
 	}
 	h.consecutiveFailures++
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -215,12 +215,8 @@
 func (c *Cell) startGrant(e *entry, to *endpointState, now time.Duration) {
 	c.grants++
 	to.lastGrant = c.grants
-	to.Running++
-	to.load.peakRunning = max(to.load.peakRunning, to.Running)
-	to.outstanding += e.work
-	c.pool.RecordGrant(&to.Engine, &e.RequestState, now)
+	c.occupy(e, to, now)
 	c.running++
-	e.endpoint = to
 	e.Granted = now
 	e.class.Running++
 	if e.class.policy.Preemptible && !e.aged && to.policy.CanPreempt {
@@ -228,11 +224,25 @@
 	}
 }
 
-// endGrant removes a running entry from its endpoint.
-func (c *Cell) endGrant(e *entry) {
+// occupy adds an entry to those that run on an endpoint.
+func (c *Cell) occupy(e *entry, to *endpointState, now time.Duration) {
+	to.Running++
+	to.load.peakRunning = max(to.load.peakRunning, to.Running)
+	to.outstanding += e.work
+	c.pool.RecordGrant(&to.Engine, &e.RequestState, now)
+	e.endpoint = to
+}
+
+// vacate removes an entry from those that run on its endpoint.
+func (e *entry) vacate() {
 	e.endpoint.Running--
 	e.endpoint.outstanding = max(0, e.endpoint.outstanding-e.work)
 	e.endpoint.RecordRelease(&e.RequestState)
+}
+
+// endGrant removes a running entry from its endpoint.
+func (c *Cell) endGrant(e *entry) {
+	e.vacate()
 	c.running--
 	e.class.Running--
 	if e.aged {
--- a/internal/schedule/property_test.go
+++ b/internal/schedule/property_test.go
@@ -24,6 +24,11 @@
 	preempted map[RequestID]bool
 	ended     map[RequestID]bool
 	n         int
+	cfg       Config
+	// processes holds the IDs of the endpoints of the running requests.
+	processes map[RequestID]string
+	// replaced counts the endpoints that have registered anew.
+	replaced int
 }
 
 var modelClasses = []ClassPolicy{
@@ -37,13 +42,18 @@
 	m := &model{
 		t: t, clock: newFakeClock(), tiers: map[Class]Tier{}, class: map[RequestID]Class{},
 		waiting: map[RequestID]bool{}, running: map[RequestID]bool{}, preempted: map[RequestID]bool{}, ended: map[RequestID]bool{},
+		processes: map[RequestID]string{},
 	}
 	m.cell = NewCell(m.clock)
-	m.cell.Configure(Config{
+	m.cfg = Config{
 		Classes:    modelClasses,
 		Endpoints:  endpoints(rapid.IntRange(1, 3).Draw(t, "endpoints"), rapid.IntRange(1, 3).Draw(t, "concurrency")),
 		MaxWaiting: rapid.IntRange(2, 8).Draw(t, "maxWaiting"),
-	})
+	}
+	for i := range m.cfg.Endpoints {
+		m.cfg.Endpoints[i].ID = string(m.cfg.Endpoints[i].Name)
+	}
+	m.cell.Configure(m.cfg)
 	for _, c := range modelClasses {
 		m.tiers[c.Name] = c.Tier
 	}
@@ -103,6 +113,15 @@
 	m.ended[r] = true
 }
 
+// replace has an endpoint register anew under its ID.
+func (m *model) replace() {
+	m.replaced++
+	e := &m.cfg.Endpoints[rapid.IntRange(0, len(m.cfg.Endpoints)-1).Draw(m.t, "replaced")]
+	e.Name = Endpoint(fmt.Sprintf("%s@%d", e.ID, m.replaced))
+	m.cell.Configure(m.cfg)
+	m.step()
+}
+
 func (m *model) wait() {
 	m.clock.advance(time.Duration(rapid.IntRange(1, 4000).Draw(m.t, "ms")) * time.Millisecond)
 	m.step()
@@ -150,14 +169,19 @@
 			}
 			delete(m.waiting, d.ID)
 			m.running[d.ID] = true
+			m.processes[d.ID] = m.cell.endpoints[d.Endpoint].policy.ID
 		}
 	}
 	if m.cell.waiting != len(m.waiting) || m.cell.running != len(m.running) || len(m.cell.entries) != len(m.waiting)+len(m.running) {
 		m.t.Fatalf("the cell has %d waiting and %d running of %d entries, the model %d and %d", m.cell.waiting, m.cell.running, len(m.cell.entries), len(m.waiting), len(m.running))
 	}
+	running := map[string]int{}
+	for r := range m.running {
+		running[m.processes[r]]++
+	}
 	for _, e := range m.cell.sortedEndpoints {
-		if e.Running < 0 || e.Running > e.policy.Concurrency {
-			m.t.Fatalf("%s runs %d grants, concurrency %d", e.policy.Name, e.Running, e.policy.Concurrency)
+		if e.Running != running[e.policy.ID] || e.Running > e.policy.Concurrency {
+			m.t.Fatalf("%s runs %d grants, %d in the model, concurrency %d", e.policy.Name, e.Running, running[e.policy.ID], e.policy.Concurrency)
 		}
 	}
 }
@@ -191,6 +215,7 @@
 			"release": func(*rapid.T) { m.release() },
 			"cancel":  func(*rapid.T) { m.cancel() },
 			"wait":    func(*rapid.T) { m.wait() },
+			"replace": func(*rapid.T) { m.replace() },
 		})
 	})
 }
--- a/internal/schedule/request.go
+++ b/internal/schedule/request.go
@@ -137,7 +137,7 @@
 		c.dequeue(e)
 		c.recycle(e)
 	}
-	q, to := c.class(h.Class), c.endpoints[h.Endpoint]
+	q, to := c.class(h.Class), c.holderOf(&h)
 	if q == nil || to == nil {
 		return
 	}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -59,6 +59,9 @@
 // EndpointPolicy is the configuration of an endpoint.
 type EndpointPolicy struct {
 	Name Endpoint
+	// ID is the ID under which the endpoint has registered; "" if it has none. An
+	// endpoint that starts again may register under the same ID and another name.
+	ID string
 	// Concurrency is the maximum number of concurrent grants.
 	Concurrency int
 	// Draining endpoints get no new grants.
@@ -139,10 +142,12 @@
 
 // Holding is a grant in use that was issued by another coordinator.
 type Holding struct {
-	ID              RequestID
-	Class           Class
-	Account         Account
-	Endpoint        Endpoint
+	ID       RequestID
+	Class    Class
+	Account  Account
+	Endpoint Endpoint
+	// EndpointID is the ID under which the endpoint has registered, if any.
+	EndpointID      string
 	EstimatedTokens int
 	PromptTokens    int
 	Parts           []Part
--- a/internal/schedule/script_test.go
+++ b/internal/schedule/script_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -62,8 +63,10 @@
 	case "endpoint":
 		s.cfg.Endpoints = append(s.cfg.Endpoints, EndpointPolicy{
 			Name: Endpoint(args[0]), Concurrency: s.number(args, "concurrency"), CanPreempt: !s.has(args, "cannotPreempt"),
-			Version: Version(s.text(args, "version")),
+			ID: s.text(args, "id"), Version: Version(s.text(args, "version")),
 		})
+	case "removeEndpoint":
+		s.cfg.Endpoints = slices.DeleteFunc(s.cfg.Endpoints, func(p EndpointPolicy) bool { return string(p.Name) == args[0] })
 	case "limit":
 		s.cfg.MaxWaiting = s.number(args, "waiting")
 	case "share":
@@ -106,7 +109,7 @@
 	case "cancel":
 		s.cell.Cancel(s.id(args[0]))
 	case "hold":
-		s.cell.AdoptGrant(Holding{ID: s.id(args[0]), Class: Class(args[1]), Endpoint: Endpoint(args[2])})
+		s.cell.AdoptGrant(Holding{ID: s.id(args[0]), Class: Class(args[1]), Endpoint: Endpoint(args[2]), EndpointID: s.text(args, "id")})
 	case "release":
 		s.cell.Release(s.id(args[0]), Report{
 			FirstToken: s.duration(args, "first"), Duration: s.duration(args, "duration"), Tokens: s.number(args, "tokens"),
