Let engines come back under their ids in the soak

All engines of the soak came back under new ids, so that nothing showed what is said by one process and taken for another's. An engine with a limit names it anew after each start, so that check counts from its first request; check_test.go has the case.

--- a/internal/load/soak.go
+++ b/internal/load/soak.go
@@ -22,6 +22,7 @@
 	Seed       uint64        `long:"seed" default:"1" description:"First seed"`
 	Seeds      int           `long:"seeds" default:"1" description:"Play that many seeds"`
 	Parallel   int           `long:"parallel" default:"1" description:"Play that many seeds at the same time, each with processes of its own"`
+	SameIDs    bool          `long:"same-ids" description:"Have engines that have ended start again under their ids"`
 	Regression string        `long:"regression" description:"Play the seeds of this file instead, which failed once"`
 	Daemons    int           `long:"daemons" default:"4" description:"Daemons"`
 	Engines    int           `long:"engines" default:"4" description:"Engines and instances of a plain service, half each"`
@@ -57,11 +58,11 @@
 	for i := range c.Parallel {
 		slots <- i
 	}
-	for _, seed := range seeds {
+	for _, one := range seeds {
 		slot := <-slots
 		grp.Go(func() error {
 			defer func() { slots <- slot }()
-			kept, err := c.play(ctx, seed, slot)
+			kept, err := c.play(ctx, one, slot)
 			if !kept {
 				broken.Store(true)
 			}
@@ -78,29 +79,22 @@
 }
 
 // seeds returns what is to be played.
-func (c *soakCommand) seeds() (seeds []uint64, err error) {
-	if c.Regression == "" {
-		for i := range c.Seeds {
-			seeds = append(seeds, c.Seed+uint64(i))
-		}
-		return seeds, nil
-	}
-	cases, err := soak.ReadRegression(c.Regression)
-	if err != nil {
-		return nil, err
+func (c *soakCommand) seeds() (seeds []soak.Regression, err error) {
+	if c.Regression != "" {
+		return soak.ReadRegression(c.Regression)
 	}
-	for _, one := range cases {
-		seeds = append(seeds, one.Seed)
+	for i := range c.Seeds {
+		seeds = append(seeds, soak.Regression{Seed: c.Seed + uint64(i), SameIDs: c.SameIDs})
 	}
 	return seeds, nil
 }
 
 // play plays one seed and reports whether all promises were kept.
-func (c *soakCommand) play(ctx context.Context, seed uint64, slot int) (kept bool, err error) {
+func (c *soakCommand) play(ctx context.Context, one soak.Regression, slot int) (kept bool, err error) {
 	var out bytes.Buffer
 	defer func() { _, _ = os.Stdout.Write(out.Bytes()) }()
 	o := &soak.Options{
-		Bin: c.Bin, Dir: c.Dir, Seed: seed, Network: os.Getpid()*c.Parallel + slot,
+		Bin: c.Bin, Dir: c.Dir, Seed: one.Seed, SameIDs: one.SameIDs, Network: os.Getpid()*c.Parallel + slot,
 		Daemons: max(2, c.Daemons), Engines: max(4, c.Engines), Callers: c.Callers,
 		Length: c.Length, Plant: c.Plant, Keep: c.Keep, Out: &out,
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -126,6 +126,21 @@
 	}
 }
 
+// addStart makes the limited requests reach a start of the engine that got its first
+// request at a time.
+func addStart(rec *Record, first float64) {
+	for i, r := range rec.Runs {
+		if strings.HasPrefix(r.ID, "limited-") {
+			a := Arrival{Engine: r.Engine}
+			a.ID, a.Instance, a.At = r.ID, "engine-1-start2", r.Began
+			if i == len(rec.Runs)-1 {
+				a.At = at(first)
+			}
+			rec.Arrivals = append(rec.Arrivals, a)
+		}
+	}
+}
+
 // addArrivals adds requests that reach an engine of the other pool from host-0, one each
 // 100 ms.
 func addArrivals(rec *Record, n int, from float64, change func(i int, a *Arrival)) {
@@ -317,6 +332,10 @@
 			addPartEnds(r, enoughPartEnds)
 			addSound(r, 18, 15)
 		}},
+		{"as many requests to an engine with a limit that has just started again", func(r *Record) {
+			addLimited(r, 30)
+			addStart(r, 18)
+		}},
 		{"streams that go on at their version", func(r *Record) { addTakenUp(r, "v1", 12) }},
 		{"streams that do not go on at a version with one engine", func(r *Record) {
 			addTakenUp(r, "v1", 0)
--- a/internal/soak/copy.go
+++ b/internal/soak/copy.go
@@ -16,6 +16,8 @@
 func (r *run) copyStore(f Fault) {
 	r.drainLock.Lock()
 	defer r.drainLock.Unlock()
+	r.copyLock.Lock()
+	defer r.copyLock.Unlock()
 	if r.o.Plant == plantHideEra {
 		r.writeMuch()
 	}
--- a/internal/soak/ending.go
+++ b/internal/soak/ending.go
@@ -24,6 +24,9 @@
 	// between two looks at which have.
 	backAfter = time.Second
 	lookPause = 50 * time.Millisecond
+	// registeredAfter is how long an engine that has started again under its id serves
+	// before it is registered.
+	registeredAfter = 500 * time.Millisecond
 	// enoughEnds is how many engines may end before a request must be kept back,
 	// sendsAfterwards how often it may be sent when all daemons know.
 	enoughEnds      = 3
@@ -110,39 +113,57 @@
 	}
 }
 
-// registerStarts lists engines that have ended under the ids of their new
-// starts.
+// registerStarts brings the engines back that have ended. None waits for another.
 func (r *run) registerStarts(ctx context.Context) {
+	var engines sync.WaitGroup
+	for i := range r.o.Engines {
+		engines.Go(func() { r.registerStartsOf(ctx, i) })
+	}
+	engines.Wait()
+}
+
+func (r *run) registerStartsOf(ctx context.Context, engine int) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(lookPause):
 		}
-		for i := range r.o.Engines {
-			if id, err := r.site.currentID(i); err == nil && id != r.site.engine(i) {
-				r.startAgain(i, id)
-			}
+		if id, err := r.site.currentID(engine); err == nil && id != r.site.engine(engine) {
+			r.startAgain(engine, id)
 		}
 	}
 }
 
-// startAgain brings an engine back that has ended. While it is announced that
-// the engine leaves, nothing is changed.
+// startAgain brings an engine back that has ended, and registers it under the id of its
+// new start. While it is announced that the engine leaves, nothing is changed.
 func (r *run) startAgain(i int, id string) {
-	r.drainLock.Lock()
-	defer r.drainLock.Unlock()
+	r.rowLocks[i].Lock()
+	defer r.rowLocks[i].Unlock()
+	r.copyLock.RLock()
+	defer r.copyLock.RUnlock()
 	r.noteEnd(i, time.Now())
 	time.Sleep(backAfter)
-	r.must(r.site.edit(standin.Edit{Table: platform.TableEngines, Key: r.site.engine(i)}))
+	if !r.o.SameIDs {
+		r.must(r.site.edit(standin.Edit{Table: platform.TableEngines, Key: r.site.engine(i)}))
+	}
 	r.site.mu.Lock()
-	r.site.ended = append(r.site.ended, r.site.engines[i])
+	if !r.o.SameIDs {
+		r.site.ended = append(r.site.ended, r.site.engines[i])
+	}
 	r.site.engines[i] = id
 	r.site.mu.Unlock()
+	r.must(r.site.readBorn(i))
 	r.adoptVersion(i)
 	r.must(r.site.post(r.site.relayURL(fmt.Sprintf("engine%d", i), "listen"), nil))
+	if r.o.SameIDs {
+		r.noteStart(i, time.Now())
+		time.Sleep(registeredAfter)
+	}
 	r.must(r.site.putEngine(i, false))
-	r.noteStart(i, time.Now())
+	if !r.o.SameIDs {
+		r.noteStart(i, time.Now())
+	}
 }
 
 // currentID asks an engine for its id.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -171,11 +171,11 @@
 	a := r.announced[engine]
 	f.Limit, f.Brittle, f.Room, f.Leaving = a.Limit, a.Brittle, a.Room, a.Leaving
 	f.BackoffSeconds, f.BackoffShare = a.BackoffSeconds, a.BackoffShare
-	f.TerminateOn, f.HideAnnouncements = endingBody, r.o.hidesAnnouncements()
 	f.Version, f.TerminateOnPart = r.site.version(engine), endingPart
 	if streamsUnframed(r.o.Seed) && engine%2 == 0 {
 		f.Unframed = true
 	}
+	f.TerminateOn, f.HideAnnouncements, f.KeepID = endingBody, r.o.hidesAnnouncements(), r.o.SameIDs
 	f.RunTwice, f.Foreign, f.Unsigned = r.o.Plant == plantRunTwice, r.o.Plant == plantForeign, r.o.Plant == plantUnsigned
 	if r.o.Plant == plantRunRefused {
 		f.RunRefused, f.Refuse = true, true
@@ -188,6 +188,8 @@
 func (r *run) drain(f Fault) {
 	r.drainLock.Lock()
 	defer r.drainLock.Unlock()
+	r.rowLocks[f.Target].Lock()
+	defer r.rowLocks[f.Target].Unlock()
 	r.must(r.site.putEngine(f.Target, true))
 	began := time.Now()
 	time.Sleep(f.For + drainBound)
--- a/internal/soak/limit.go
+++ b/internal/soak/limit.go
@@ -20,13 +20,15 @@
 // much from daemons in touch.
 func engineLimits(rec *Record) (found []string) {
 	daemons := rec.daemonsByID()
+	starts := rec.firstArrivals()
 	for _, f := range rec.Faults {
 		if f.Kind != KindEngineLimit {
 			continue
 		}
 		var counted []Run
 		for _, r := range rec.Runs {
-			during := r.Began.After(f.From.Add(touchWindow)) && r.Began.Before(f.To)
+			named := maxTime(f.From, starts[arrivalKey{r.ID, r.Engine}])
+			during := r.Began.After(named.Add(touchWindow)) && r.Began.Before(f.To)
 			if r.Engine == f.Target && during && !rec.outOfTouch(daemons[r.ID], r.Began) {
 				counted = append(counted, r)
 			}
@@ -40,6 +42,29 @@
 	return found
 }
 
+// arrivalKey identifies the arrival of a request at an engine.
+type arrivalKey struct {
+	id     string
+	engine int
+}
+
+// firstArrivals returns, for each arrival, when the first request reached the same start
+// of the engine. An engine that has started again names its limit anew.
+func (rec *Record) firstArrivals() map[arrivalKey]time.Time {
+	first := map[string]time.Time{}
+	for _, a := range rec.Arrivals {
+		if at, ok := first[a.Instance]; !ok || a.At.Before(at) {
+			first[a.Instance] = a.At
+		}
+	}
+	starts := map[arrivalKey]time.Time{}
+	for _, a := range rec.Arrivals {
+		k := arrivalKey{a.ID, a.Engine}
+		starts[k] = maxTime(starts[k], first[a.Instance])
+	}
+	return starts
+}
+
 // mostWithin returns the greatest number of runs that began within a span; they
 // are in order of time.
 func mostWithin(runs []Run, span time.Duration) (most int) {
--- a/internal/soak/regression.go
+++ b/internal/soak/regression.go
@@ -9,8 +9,10 @@
 
 // Regression is a seed that failed once.
 type Regression struct {
-	Seed  uint64 `json:"seed"`
-	Cause string `json:"cause"`
+	Seed uint64 `json:"seed"`
+	// SameIDs is as in Options.
+	SameIDs bool   `json:"sameIds,omitempty"`
+	Cause   string `json:"cause"`
 }
 
 // ReadRegression reads the file of the seeds that failed once.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -36,6 +36,9 @@
 	// Plant names a fault of the stand-ins that breaks a promise, to show that
 	// the checks can fail; see standin.EngineFaults.
 	Plant string
+	// SameIDs has engines that have ended start again under their ids, at a time when
+	// only their old registrations are known.
+	SameIDs bool
 	// Keep keeps the logs of all runs, not only of those that fail.
 	Keep bool
 	Out  io.Writer
@@ -62,6 +65,12 @@
 	ctx  context.Context
 
 	daemonLocks, engineLocks []sync.Mutex
+	// rowLocks are held while the registration of an engine changes: it leaves, or
+	// starts again. copyLock is held while the store is replaced, and for reading while
+	// an engine starts again; drainLock allows one engine at a time to leave, and none
+	// while the store is replaced.
+	rowLocks []sync.Mutex
+	copyLock sync.RWMutex
 	// announced holds what each engine announces, under its lock.
 	announced []standin.EngineFaults
 	// lasting ends with the faults that last.
@@ -96,6 +105,7 @@
 		o: o, ctx: ctx,
 		daemonLocks: make([]sync.Mutex, o.Daemons),
 		engineLocks: make([]sync.Mutex, o.Engines),
+		rowLocks:    make([]sync.Mutex, o.Engines),
 		announced:   make([]standin.EngineFaults, o.Engines),
 	}
 	r.site = &site{
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -65,9 +65,12 @@
 	client  *http.Client
 
 	mu sync.Mutex
-	// engines holds the ids by number; an engine that has ended starts again under
-	// a new id, at the same number.
+	// engines holds the ids of the starts by number; an engine that has ended starts
+	// again under a new id, at the same number. With Options.SameIDs it registers under
+	// that of its first start.
 	engines []string
+	// born holds when the engines have started, as they report it.
+	born []int64
 	// ended holds the ids that are registered no more.
 	ended []string
 	// versions holds the software versions by number, nextVersions those with which
@@ -99,8 +102,8 @@
 	}
 	args := []string{"relays", "--listen", s.address(standinAddress, portRelays)}
 	for i := range s.o.Engines {
-		id := fmt.Sprintf("engine-%d", i)
-		s.engines = append(s.engines, id)
+		id := firstID(i)
+		s.engines, s.born = append(s.engines, id), append(s.born, 0)
 		s.versions, s.nextVersions = append(s.versions, 1), append(s.nextVersions, 1)
 		address := s.address(standinAddress, portEngines+i)
 		if _, err := s.procs.start(id, s.binary("beechhead-standin"), "gateway-engine", "--listen", address, "--id", id,
@@ -136,6 +139,11 @@
 // register lists all engines in the store.
 func (s *site) register() error {
 	for i := range s.engines {
+		if s.bornOf(i) == 0 {
+			if err := s.readBorn(i); err != nil {
+				return err
+			}
+		}
 		if err := s.putEngine(i, false); err != nil {
 			return err
 		}
@@ -143,6 +151,26 @@
 	return nil
 }
 
+// readBorn asks an engine when it has started.
+func (s *site) readBorn(engine int) error {
+	var report struct {
+		Born int64 `json:"born"`
+	}
+	if err := s.get(s.engineURL(engine, platform.PathReport), &report); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.born[engine] = report.Born
+	return nil
+}
+
+func (s *site) bornOf(engine int) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.born[engine]
+}
+
 // pool returns the pool of an engine: one half of them runs streams.
 func (s *site) pool(engine int) string {
 	if engine%2 == 0 {
@@ -156,9 +184,16 @@
 	if s.o.Plant != plantHideVersions {
 		entry["version"] = s.version(i)
 	}
-	return s.operate(platform.TableEngines, s.engine(i), entry)
+	if !s.o.SameIDs {
+		return s.operate(platform.TableEngines, s.engine(i), entry)
+	}
+	entry["born"] = s.bornOf(i)
+	return s.operate(platform.TableEngines, firstID(i), entry)
 }
 
+// firstID returns the id of the first start of an engine.
+func firstID(engine int) string { return fmt.Sprintf("engine-%d", engine) }
+
 // engine returns the id of an engine.
 func (s *site) engine(i int) string {
 	s.mu.Lock()
