Give simulations a clock that the race detector bears

It is the Go runtime's: in a bubble of testing/synctest, channel timers that expire while nobody waits are run by any goroutine, with one race context for all.

--- a/internal/cell/poll_test.go
+++ b/internal/cell/poll_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/jonboulle/clockwork"
 
+	"github.com/beechhead/beechhead/internal/bubbleclock"
 	"github.com/beechhead/beechhead/internal/engine"
 	"github.com/beechhead/beechhead/internal/membership"
 	"github.com/beechhead/beechhead/internal/schedule"
@@ -26,7 +26,7 @@
 		for _, name := range []table.EndpointName{"crashed", "silent", "reportless", "well"} {
 			tbl.Endpoints = append(tbl.Endpoints, table.Endpoint{Name: name, Kind: table.KindEngine, Pool: "model", Region: "r", Concurrency: 4})
 		}
-		c := NewCoordinator(clockwork.NewRealClock(), "host", DefaultSize, settings.PolicyCells)
+		c := NewCoordinator(bubbleclock.New(), "host", DefaultSize, settings.PolicyCells)
 		c.Configure(tbl)
 		c.Tick(membership.NewSnapshot([]membership.Host{{ID: "host", Incarnation: 1, State: membership.Ready, Region: "r"}}), nil)
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
--- a/internal/facts/partial_test.go
+++ b/internal/facts/partial_test.go
@@ -7,8 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
+	"github.com/beechhead/beechhead/internal/bubbleclock"
 	"github.com/beechhead/beechhead/internal/platform"
 	"github.com/beechhead/beechhead/internal/tick"
 )
@@ -37,7 +36,7 @@
 	select {
 	case <-ctx.Done():
 		return platform.Rows{}, ctx.Err()
-	case <-time.After(pagedCallDelay):
+	case <-bubbleclock.After(pagedCallDelay):
 	}
 	rows := platform.Rows{NowMs: int64(time.Since(p.began)/time.Millisecond) + 1}
 	rows.Version = min(p.version(), since+pageRows)
@@ -56,7 +55,7 @@
 			table := &pagedTable{began: time.Now(), rows: rows}
 			s := newFixture()
 			r := newEndpointReader(s)
-			r.Clock, r.Checks = clockwork.NewRealClock(), tick.NewGrid(clockwork.NewRealClock())
+			r.Clock, r.Checks = bubbleclock.New(), tick.NewGrid(bubbleclock.New())
 			r.ShouldRead, r.OnRead = func() bool { return true }, func() {}
 			r.Endpoints = Feed{Changes: table.changes, Snapshot: func(ctx context.Context) (platform.Rows, error) { return table.changes(ctx, 0, 0) }}
 			ctx, cancel := context.WithCancel(t.Context())
--- a/internal/factsync/sim_test.go
+++ b/internal/factsync/sim_test.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/jonboulle/clockwork"
 
+	"github.com/beechhead/beechhead/internal/bubbleclock"
 	"github.com/beechhead/beechhead/internal/catalog"
 	"github.com/beechhead/beechhead/internal/facts"
 	"github.com/beechhead/beechhead/internal/heartbeat"
@@ -99,7 +99,7 @@
 	select {
 	case <-ctx.Done():
 		return errNoResponse
-	case <-time.After(delay):
+	case <-bubbleclock.After(delay):
 		return nil
 	}
 }
@@ -272,7 +272,7 @@
 }
 
 func (s *simSite) newDaemon(i int) *simDaemon {
-	clock := clockwork.NewRealClock()
+	clock := bubbleclock.New()
 	id := membership.HostID(fmt.Sprintf(hostName, i))
 	d := &simDaemon{site: s, id: id, stableSince: time.Now(), began: time.Now()}
 	d.view = membership.NewView(clock, membership.Host{
@@ -338,7 +338,7 @@
 
 func (s *simSite) newReader(d *simDaemon) *facts.Reader {
 	return &facts.Reader{
-		Clock: clockwork.NewRealClock(), Checks: d.sync.Checks, Boot: s.clock, StoreClock: d.sync.StoreClock, Holder: d.holder,
+		Clock: bubbleclock.New(), Checks: d.sync.Checks, Boot: s.clock, StoreClock: d.sync.StoreClock, Holder: d.holder,
 		Logger: d.sync.Logger, Metrics: d.sync.Metrics,
 		Config: s.store.feed(d, "c"), Endpoints: s.store.feed(d, "e"),
 		DecodeConfig: func(rows []platform.FeedRow) (c facts.Config, ok bool) {
--- a/internal/factsync/simnet_test.go
+++ b/internal/factsync/simnet_test.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/beechhead/beechhead/internal/bubbleclock"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
 )
 
@@ -92,7 +93,7 @@
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
-	case <-time.After(left):
+	case <-bubbleclock.After(left):
 		return nil
 	}
 }
--- a/internal/factsync/simstore_test.go
+++ b/internal/factsync/simstore_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/beechhead/beechhead/internal/bubbleclock"
 	"github.com/beechhead/beechhead/internal/facts"
 	"github.com/beechhead/beechhead/internal/membership"
 	"github.com/beechhead/beechhead/internal/platform"
@@ -143,7 +144,7 @@
 			return s.snapshot(prefix), nil
 		},
 		Changes: func(ctx context.Context, since uint64, wait time.Duration) (platform.Rows, error) {
-			timeout := time.After(wait)
+			timeout := bubbleclock.After(wait)
 			s.count()
 			for {
 				if err := d.deliver(ctx, storeDelay); err != nil {
--- a/internal/heartbeat/seeds_test.go
+++ b/internal/heartbeat/seeds_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/beechhead/beechhead/internal/bubbleclock"
 	"github.com/beechhead/beechhead/internal/heartbeat"
 	"github.com/beechhead/beechhead/internal/membership"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
@@ -20,7 +21,7 @@
 // and against one without any other host that keeps probing at the fast rate.
 func TestLoneDaemonSlowsDownSeedProbes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		clock := clockwork.NewRealClock()
+		clock := bubbleclock.New()
 		var calls atomic.Int64
 		x := &heartbeat.Exchanger{
 			Clock: clock, View: membership.NewView(clock, membership.Host{ID: "a", Incarnation: 1, State: membership.Ready, PeerAddress: "a"}),
@@ -64,7 +65,7 @@
 func TestSeedSendsAFewHostsToANewDaemon(t *testing.T) {
 	const hosts, few = 300, 32
 	synctest.Test(t, func(t *testing.T) {
-		clock := clockwork.NewRealClock()
+		clock := bubbleclock.New()
 		seed := newExchanger(clock, seedView(clock, hosts), nil)
 		own := membership.NewView(clock, membership.Host{ID: "new", Incarnation: 1, State: membership.Starting, PeerAddress: "new"})
 		joiner := newExchanger(clock, own, func(_ context.Context, _ string, req *peerv1.HeartbeatRequest) (*peerv1.HeartbeatResponse, error) {
@@ -85,7 +86,7 @@
 // can respond.
 func TestProbesThatTimeOutBecomeLonger(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		clock := clockwork.NewRealClock()
+		clock := bubbleclock.New()
 		var calls atomic.Int64
 		x := newExchanger(clock, seedView(clock, 0), func(ctx context.Context, _ string, _ *peerv1.HeartbeatRequest) (*peerv1.HeartbeatResponse, error) {
 			calls.Add(1)
--- a/internal/limit/scenario_test.go
+++ b/internal/limit/scenario_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/beechhead/beechhead/internal/bubbleclock"
 	"github.com/beechhead/beechhead/internal/membership"
 	"github.com/beechhead/beechhead/internal/metric"
 	"github.com/beechhead/beechhead/pkg/table"
@@ -190,7 +191,7 @@
 	f.mu.Unlock()
 	// The requests of a daemon end when it is killed.
 	select {
-	case <-time.After(time.Duration(f.sc.HoldMs) * time.Millisecond):
+	case <-bubbleclock.After(time.Duration(f.sc.HoldMs) * time.Millisecond):
 	case <-ctx.Done():
 	}
 	f.mu.Lock()
@@ -270,7 +271,7 @@
 
 func newCluster(t *testing.T, sc scenario, limits table.Limits) *cluster {
 	return &cluster{
-		t: t, sc: sc, clock: clockwork.NewRealClock(),
+		t: t, sc: sc, clock: bubbleclock.New(),
 		table: &table.Table{Classes: []table.Class{{Name: testClass, Limits: limits}}},
 		nodes: make([]*node, sc.Hosts), partition: make([]int, sc.Hosts), rng: rand.New(rand.NewPCG(sc.Seed, 1)),
 	}
@@ -327,7 +328,7 @@
 // ends.
 func TestRequestDuringOwnerCallIsSentNext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		clock := clockwork.NewRealClock()
+		clock := bubbleclock.New()
 		view := membership.NewView(clock, membership.Host{ID: "h", Incarnation: 1, State: membership.Ready})
 		ask := func(_ context.Context, _ membership.Host, _ Holder, wants []SliceRequest) ([]int, bool) {
 			time.Sleep(50 * time.Millisecond)
@@ -352,7 +353,7 @@
 				if err != nil {
 					t.Error(err)
 				}
-			case <-time.After(time.Minute):
+			case <-bubbleclock.After(time.Minute):
 				t.Fatal("a request was not included in any call to the owner")
 			}
 		}
--- a/internal/streamversion/directory_test.go
+++ b/internal/streamversion/directory_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/jonboulle/clockwork"
 
+	"github.com/beechhead/beechhead/internal/bubbleclock"
 	"github.com/beechhead/beechhead/internal/membership"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
 	"github.com/beechhead/beechhead/pkg/table"
@@ -66,7 +66,7 @@
 // start replaces the directory of a host by an empty one.
 func (f *fleet) start(self membership.Host) {
 	d := &Directory{
-		Clock: clockwork.NewRealClock(), Self: func() membership.Host { return self },
+		Clock: bubbleclock.New(), Self: func() membership.Host { return self },
 		Hosts: func() *membership.Snapshot { return f.hosts }, Count: func(string) {},
 	}
 	d.Send = func(addresses []string, m *peerv1.StreamVersion) {
--- a/internal/tunnel/fleet_test.go
+++ b/internal/tunnel/fleet_test.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/jonboulle/clockwork"
 
+	"github.com/beechhead/beechhead/internal/bubbleclock"
 	"github.com/beechhead/beechhead/internal/membership"
 )
 
@@ -49,7 +49,7 @@
 	ready := membership.NewSnapshot(f.hosts)
 	for _, h := range f.hosts {
 		f.dialers[h.ID] = &Dialer{
-			Clock:    clockwork.NewRealClock(),
+			Clock:    bubbleclock.New(),
 			Direct:   func(ctx context.Context, _ string) (net.Conn, error) { return f.direct(ctx, h.ID) },
 			Through:  f.through,
 			Hosts:    func() []membership.Host { return Candidates(ready, h) },
@@ -97,6 +97,17 @@
 	return c, nil
 }
 
+// carriedByHosts returns how many connections the busiest host has carried, and how many
+// all have. Attempts that were overtaken by others may still be under way.
+func (f *fleet) carriedByHosts() (most, total int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.carried {
+		most, total = max(most, n), total+n
+	}
+	return most, total
+}
+
 // noConn is a connection that carries nothing.
 type noConn struct{ net.Conn }
 
@@ -156,10 +167,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(tt.hosts, tt.cut, tt.refuses)
 				opened, failed := f.dialAll(tt.interval)
-				most, total := 0, 0
-				for _, n := range f.carried {
-					most, total = max(most, n), total+n
-				}
+				most, total := f.carriedByHosts()
 				carriers := 0
 				for _, h := range f.hosts {
 					if !f.cut[h.ID] {
