Order requests of one tier at engines by their routes

An account's own tier made its requests on all routes equal at engines, which then preempt the newest.

Requests name a rank from 0 to 9: the tier first, and within a tier whether that of the route is more or less urgent. Where tiers above 3 are in use, ranks are tiers as before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -109,6 +109,8 @@
 	byHost map[string][]*Route
 	byKey  map[string]*Account
 	pools  map[table.Pool]*Pool
+	// maxTier is the highest tier number of all routes and accounts.
+	maxTier table.Tier
 }
 
 // Index builds the lookup maps. It must be called once, before any lookup.
@@ -127,6 +129,7 @@
 			c.byKey[key] = &c.Accounts[i]
 		}
 	}
+	c.maxTier = c.findMaxTier()
 	c.pools = map[table.Pool]*Pool{}
 	for i := range c.Pools {
 		c.pools[c.Pools[i].Name] = &c.Pools[i]
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -38,7 +38,7 @@
 	Class   table.ClassName
 	Pool    table.Pool
 	Account table.AccountName
-	Tier    table.Tier
+	Rank    catalog.Rank
 	Kind    catalog.Kind
 	// Resumable streams can be continued at another endpoint.
 	Resumable bool
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -262,7 +262,7 @@
 		Class:        catalog.ClassName(route, tier),
 		Pool:         route.PickPool(rand.Float64()), //nolint:gosec // shares of traffic
 		Account:      account,
-		Tier:         tier,
+		Rank:         m.catalog.RankOf(route, m.account),
 		Kind:         route.Kind,
 		Resumable:    route.Resumable,
 		Attempts:     route.Attempts,
