Check which streams engines preempt in the soak

No engine of the soak had a memory that runs out, so that TIER could not be seen. A check finds a stream that is preempted while a less urgent one runs on; the planted error is `ignorePriority`, engines that preempt the newest.

--- a/internal/load/soak.go
+++ b/internal/load/soak.go
@@ -17,19 +17,20 @@
 
 // soakCommand runs the fault soak.
 type soakCommand struct {
-	Bin        string        `long:"bin" default:"bin" description:"Directory with the programs"`
-	Dir        string        `long:"dir" description:"Directory for the logs; a temporary one if absent"`
-	Seed       uint64        `long:"seed" default:"1" description:"First seed"`
-	Seeds      int           `long:"seeds" default:"1" description:"Play that many seeds"`
-	Parallel   int           `long:"parallel" default:"1" description:"Play that many seeds at the same time, each with processes of its own"`
-	SameIDs    bool          `long:"same-ids" description:"Have engines that have ended start again under their ids"`
-	Regression string        `long:"regression" description:"Play the seeds of this file instead, which failed once"`
-	Daemons    int           `long:"daemons" default:"4" description:"Daemons"`
-	Engines    int           `long:"engines" default:"4" description:"Engines and instances of a plain service, half each"`
-	Callers    int           `long:"callers" default:"12" description:"Callers"`
-	Length     time.Duration `long:"length" default:"12s" description:"How long faults come"`
-	Keep       bool          `long:"keep" description:"Keep the logs of runs that keep all promises, too"`
-	Plant      string        `long:"plant" choice:"runTwice" choice:"foreign" choice:"runRefused" choice:"unsigned" choice:"hideLimit" choice:"otherTarget" choice:"hideEra" choice:"hideBrittle" choice:"hideBackoff" choice:"hideLeaving" choice:"swallowPath" choice:"hideVersions" choice:"loseStreams" choice:"scatterParts" choice:"forgetKeys" description:"A fault of the stand-ins that breaks a promise; the run must fail"` //nolint:staticcheck // go-flags repeats the tag
+	Bin         string        `long:"bin" default:"bin" description:"Directory with the programs"`
+	Dir         string        `long:"dir" description:"Directory for the logs; a temporary one if absent"`
+	Seed        uint64        `long:"seed" default:"1" description:"First seed"`
+	Seeds       int           `long:"seeds" default:"1" description:"Play that many seeds"`
+	Parallel    int           `long:"parallel" default:"1" description:"Play that many seeds at the same time, each with processes of its own"`
+	SameIDs     bool          `long:"same-ids" description:"Have engines that have ended start again under their ids"`
+	SmallMemory bool          `long:"small-memory" description:"Have engines preempt streams because their memory runs out"`
+	Regression  string        `long:"regression" description:"Play the seeds of this file instead, which failed once"`
+	Daemons     int           `long:"daemons" default:"4" description:"Daemons"`
+	Engines     int           `long:"engines" default:"4" description:"Engines and instances of a plain service, half each"`
+	Callers     int           `long:"callers" default:"12" description:"Callers"`
+	Length      time.Duration `long:"length" default:"12s" description:"How long faults come"`
+	Keep        bool          `long:"keep" description:"Keep the logs of runs that keep all promises, too"`
+	Plant       string        `long:"plant" choice:"runTwice" choice:"foreign" choice:"runRefused" choice:"unsigned" choice:"hideLimit" choice:"otherTarget" choice:"hideEra" choice:"hideBrittle" choice:"hideBackoff" choice:"hideLeaving" choice:"swallowPath" choice:"hideVersions" choice:"loseStreams" choice:"scatterParts" choice:"forgetKeys" choice:"ignorePriority" description:"A fault of the stand-ins that breaks a promise; the run must fail"` //nolint:staticcheck // go-flags repeats the tag
 }
 
 var errPromises = errors.New("promises were broken")
@@ -84,7 +85,7 @@
 		return soak.ReadRegression(c.Regression)
 	}
 	for i := range c.Seeds {
-		seeds = append(seeds, soak.Regression{Seed: c.Seed + uint64(i), SameIDs: c.SameIDs})
+		seeds = append(seeds, soak.Regression{Seed: c.Seed + uint64(i), SameIDs: c.SameIDs, SmallMemory: c.SmallMemory})
 	}
 	return seeds, nil
 }
@@ -94,7 +95,7 @@
 	var out bytes.Buffer
 	defer func() { _, _ = os.Stdout.Write(out.Bytes()) }()
 	o := &soak.Options{
-		Bin: c.Bin, Dir: c.Dir, Seed: one.Seed, SameIDs: one.SameIDs, Network: os.Getpid()*c.Parallel + slot,
+		Bin: c.Bin, Dir: c.Dir, Seed: one.Seed, SameIDs: one.SameIDs, SmallMemory: one.SmallMemory, Network: os.Getpid()*c.Parallel + slot,
 		Daemons: max(2, c.Daemons), Engines: max(4, c.Engines), Callers: c.Callers,
 		Length: c.Length, Plant: c.Plant, Keep: c.Keep, Out: &out,
 	}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -22,6 +22,9 @@
 	// revokedShare is the part of the requests with a key that is, or will
 	// soon be, taken away.
 	revokedShare = 0.3
+	// raisedShare is the part of the streams that are not resumable which come from the
+	// account with a tier of its own, if there is one.
+	raisedShare  = 0.5
 	callDeadline = 4 * time.Second
 )
 
@@ -76,6 +79,9 @@
 			Key:      c.key(),
 			Deadline: callDeadline,
 		}
+		if c.r.o.smallMemory() && call.Route == raisedRoute && c.leaves.Float64() < raisedShare {
+			call.Key = standin.OtherSampleKey
+		}
 		if c.r.o.Plant == plantForgetKeys && standin.IsStream(call.Route) && time.Since(c.r.rec.Began) > forgetAfter {
 			call.Key = "forgotten"
 		}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -51,6 +51,7 @@
 	{"lost path", withoutPath},
 	{"stream versions", streamVersions},
 	{"streams taken up", streamsTakenUp},
+	{"urgent streams", preemptedForOthers},
 	{"duties", func(rec *Record) []string { return rec.Duties.Broken }},
 }
 
@@ -136,13 +137,24 @@
 			found = append(found, fmt.Sprintf("%q ran, which nobody sent", r.ID))
 		case r.Method != http.MethodPost || r.Target != c.Target() || r.Body != c.Content():
 			found = append(found, fmt.Sprintf("%s ran as %s %s with body %q", r.ID, r.Method, r.Target, r.Body))
-		case r.Key != "" || (r.Account != "acme") != (c.Route == "open" || strings.HasPrefix(c.Route, "extra")):
+		case r.Key != "" || !c.isOf(r.Account):
 			found = append(found, fmt.Sprintf("%s (%s) ran with key %q for account %q", r.ID, c.Route, r.Key, r.Account))
 		}
 	}
 	return found
 }
 
+// isOf reports whether a run of the request may be charged to an account.
+func (c *Call) isOf(account string) bool {
+	switch {
+	case c.Route == "open" || strings.HasPrefix(c.Route, "extra"):
+		return account != "acme" && account != "other"
+	case c.Key == standin.OtherSampleKey:
+		return account == "other"
+	}
+	return account == "acme"
+}
+
 // revokedKeys looks for runs of requests that were sent too long after their
 // key was taken away; that binds every daemon, whatever troubles it.
 func revokedKeys(rec *Record) (found []string) {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -256,6 +256,9 @@
 		{"an engine that leaves is reached", "leaving engines", func(r *Record) { addLeaving(r, 2.1) }},
 		{"an engine gets no rest", "back-off", func(r *Record) { addBackoff(r, 3) }},
 		{"a host without a path serves less", "lost path", func(r *Record) { addPathLoss(r, 18) }},
+		{"a stream is preempted for a less urgent one", "urgent streams", func(r *Record) {
+			r.Preemptions = []standin.Preemption{{ID: "calm", Others: []string{"draft"}}}
+		}},
 		{"a window has two contents", "duties", func(r *Record) { r.Duties.Broken = []string{"window 3 has two contents"} }},
 		{"too many repeats", "retry budget", func(r *Record) {
 			for range retrySlack + 2 {
@@ -336,6 +339,9 @@
 			addLimited(r, 30)
 			addStart(r, 18)
 		}},
+		{"a stream is preempted beside more urgent ones", func(r *Record) {
+			r.Preemptions = []standin.Preemption{{ID: "draft", Others: []string{"calm"}}}
+		}},
 		{"streams that go on at their version", func(r *Record) { addTakenUp(r, "v1", 12) }},
 		{"streams that do not go on at a version with one engine", func(r *Record) {
 			addTakenUp(r, "v1", 0)
--- a/internal/soak/ending.go
+++ b/internal/soak/ending.go
@@ -61,6 +61,8 @@
 	// such requests come.
 	plantScatterParts = "scatterParts"
 	plantForgetKeys   = "forgetKeys"
+	// plantIgnorePriority has engines with a small memory preempt the newest stream.
+	plantIgnorePriority = "ignorePriority"
 )
 
 // plantedFaults holds the fault that the plan of a planted variant consists of.
@@ -75,9 +77,13 @@
 	plantForgetKeys:   {Kind: KindEndingPart},
 	plantHideVersions: {Kind: KindVersionRoll},
 	plantLoseStreams:  {Kind: KindConfig},
-	plantSwallow:      {Kind: KindPathLost, For: maxPathFault, Spread: SpreadZone, Path: paths.PathSwallows},
+
+	plantIgnorePriority: {Kind: KindConfig},
+	plantSwallow:        {Kind: KindPathLost, For: maxPathFault, Spread: SpreadZone, Path: paths.PathSwallows},
 }
 
+func (o *Options) smallMemory() bool { return o.SmallMemory || o.Plant == plantIgnorePriority }
+
 func (o *Options) hidesAnnouncements() bool {
 	return slices.Contains([]string{plantHideLimit, plantHideBrittle, plantHideBackoff, plantHideLeaving}, o.Plant)
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -175,6 +175,9 @@
 	if streamsUnframed(r.o.Seed) && engine%2 == 0 {
 		f.Unframed = true
 	}
+	if r.o.smallMemory() && engine%2 == 0 {
+		f.Memory, f.IgnorePriority = smallMemory, r.o.Plant == plantIgnorePriority
+	}
 	f.TerminateOn, f.HideAnnouncements, f.KeepID = endingBody, r.o.hidesAnnouncements(), r.o.SameIDs
 	f.RunTwice, f.Foreign, f.Unsigned = r.o.Plant == plantRunTwice, r.o.Plant == plantForeign, r.o.Plant == plantUnsigned
 	if r.o.Plant == plantRunRefused {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -22,9 +22,11 @@
 	Runs    []Run  `json:"runs"`
 	// Arrivals are the requests that reached engines, also those turned away.
 	Arrivals []Arrival `json:"arrivals"`
-	Faults   []Struck  `json:"faults"`
-	Stops    []Stop    `json:"stops"`
-	Drains   []Drain   `json:"drains"`
+	// Preemptions are the streams that engines preempted because their memory ran out.
+	Preemptions []standin.Preemption `json:"preemptions"`
+	Faults      []Struck             `json:"faults"`
+	Stops       []Stop               `json:"stops"`
+	Drains      []Drain              `json:"drains"`
 	// Starts are the starts of engines.
 	Starts  []EngineStart `json:"starts"`
 	Revoked []Revoke      `json:"revoked"`
--- a/internal/soak/regression.go
+++ b/internal/soak/regression.go
@@ -11,8 +11,10 @@
 type Regression struct {
 	Seed uint64 `json:"seed"`
 	// SameIDs is as in Options.
-	SameIDs bool   `json:"sameIds,omitempty"`
-	Cause   string `json:"cause"`
+	SameIDs bool `json:"sameIds,omitempty"`
+	// SmallMemory is as in Options.
+	SmallMemory bool   `json:"smallMemory,omitempty"`
+	Cause       string `json:"cause"`
 }
 
 // ReadRegression reads the file of the seeds that failed once.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -39,6 +39,9 @@
 	// SameIDs has engines that have ended start again under their ids, at a time when
 	// only their old registrations are known.
 	SameIDs bool
+	// SmallMemory gives the engines that run streams a memory that runs out, and one
+	// account a tier of its own.
+	SmallMemory bool
 	// Keep keeps the logs of all runs, not only of those that fail.
 	Keep bool
 	Out  io.Writer
@@ -114,6 +117,9 @@
 		config: standin.SampleDocument(), key: "key-2",
 	}
 	r.rec.Daemons = o.Daemons
+	if o.smallMemory() {
+		rankAccounts(&r.site.config)
+	}
 	defer r.site.procs.endAll()
 	if err := r.site.start(ctx); err != nil {
 		return v, err
@@ -233,6 +239,11 @@
 		for _, one := range arrivals {
 			r.rec.Arrivals = append(r.rec.Arrivals, Arrival{Arrival: one, Engine: i})
 		}
+		var preemptions []standin.Preemption
+		if err := r.site.get(r.site.engineURL(i, "/preemptions"), &preemptions); err != nil {
+			return err
+		}
+		r.rec.Preemptions = append(r.rec.Preemptions, preemptions...)
 	}
 	return r.site.get("http://"+r.site.address(standinAddress, portStore)+standin.PathDuties, &r.rec.Duties)
 }
