Count falls of brittle engines only while the store is in no trouble

A daemon that was paused coordinated without knowing that the pool is brittle, and the copy brought a registration back whose address another process has.

A fall counts if most of what was rejected came from machines in touch, and none is in touch until 3 s after a disruption of the store. The check looked at the daemons' own troubles only, and has the whole condition now; falls at other times count as before. check_test.go has the case beside those that must be found. What the trace shows stays open: a new coordinator learns only from the next response that a pool is brittle.

--- a/internal/soak/announce.go
+++ b/internal/soak/announce.go
@@ -109,7 +109,7 @@
 }
 
 // brittleEngines looks for engines that terminated too often because they had to turn
-// away requests of daemons in touch.
+// away requests of daemons in touch, while the store was in no trouble.
 func brittleEngines(rec *Record) (found []string) {
 	daemons := rec.daemonsByID()
 	for _, f := range rec.Faults {
@@ -134,8 +134,11 @@
 }
 
 // causedInTouch reports whether most of the requests that made an engine terminate came
-// from daemons in touch.
+// from daemons in touch. None is while the store is in trouble.
 func (rec *Record) causedInTouch(fall Arrival, daemons map[string]int) bool {
+	if rec.storeTroubled(fall.At) {
+		return false
+	}
 	all, inTouch := 0, 0
 	for _, a := range rec.Arrivals {
 		if !a.Full || a.Instance != fall.Instance || a.At.After(fall.At) || fall.At.Sub(a.At) >= fallWindow {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -307,6 +307,10 @@
 			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindPause}, From: at(18), To: at(18.5)})
 		}},
 		{"as many terminations of brittle engines as allowed", func(r *Record) { addFalls(r, 2) }},
+		{"terminations of brittle engines after an outage of the store", func(r *Record) {
+			addFalls(r, 3)
+			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindStoreDown}, From: at(17), To: at(18)})
+		}},
 		{"terminations by a daemon that was paused", func(r *Record) {
 			addFalls(r, 3)
 			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindPause}, From: at(18), To: at(18.5)})
