Reserve the network of a soak, so that two at once keep apart

Networks followed from process ids. A run holds a port of its network now, and takes the next one if that is held.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -30,8 +30,8 @@
 	Daemons, Engines, Callers int
 	// Length is how long faults come.
 	Length time.Duration
-	// Network is the number of the loopback network, below Networks, that no
-	// other run may use meanwhile.
+	// Network is the number of the loopback network at which the search for an unused one
+	// begins.
 	Network int
 	// Plant names a fault of the stand-ins that breaks a promise, to show that
 	// the checks can fail; see standin.EngineFaults.
@@ -54,10 +54,6 @@
 	lastingTime = 8 * time.Second
 	// calmTime is how long it is then looked at.
 	calmTime = 2 * time.Second
-	// Networks is how many runs may go on at once, each in a network of its
-	// own within 127.0.0.0/8.
-	Networks     = 200
-	firstNetwork = 20
 )
 
 // run is one run of the soak.
@@ -104,6 +100,11 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return v, err
 	}
+	network, release, err := reserveNetwork(o.Network)
+	if err != nil {
+		return v, err
+	}
+	defer release()
 	r := &run{
 		o: o, ctx: ctx,
 		daemonLocks: make([]sync.Mutex, o.Daemons),
@@ -112,7 +113,7 @@
 		announced:   make([]standin.EngineFaults, o.Engines),
 	}
 	r.site = &site{
-		o: o, procs: newProcesses(dir), network: firstNetwork + o.Network%Networks,
+		o: o, procs: newProcesses(dir), network: network,
 		client: &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}},
 		config: standin.SampleDocument(), key: "key-2",
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -6,12 +6,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -85,7 +83,7 @@
 }
 
 func (s *site) address(host, port int) string {
-	return net.JoinHostPort(fmt.Sprintf("127.%d.0.%d", s.network, host), strconv.Itoa(port))
+	return hostAddress(s.network, host, port)
 }
 
 func (s *site) binary(name string) string { return filepath.Join(s.o.Bin, name) }
