Log why a request gets no further attempt, and its configurations

Logs of broken answers had the failure of the last attempt, and not why no other attempt followed, nor whether the configuration had changed under the request. `no further attempt` names the obstacle (attempts, retry budget, no slot, ...) and `answer broken off` the configuration at the start of the request and at its end.

No decision changes.

--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -115,3 +115,9 @@
 		"reason", e.reason, "mayHaveRun", e.mayHaveRun, "endpointEnded", e.terminated, "events", r.events,
 		"sinceBeginMs", r.f.Clock.Since(r.began).Milliseconds(), "cause", e.err.Error())
 }
+
+// recordNoRetry records why a request is not sent to another endpoint.
+func (r *run) recordNoRetry(why obstacle) {
+	r.f.Logger.Info("no further attempt", "request", r.req.ID, "class", r.req.Class, "why", why,
+		"attempts", r.mayHaveRun+r.notRun, "events", r.events, "sinceBeginMs", r.f.Clock.Since(r.began).Milliseconds())
+}
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -29,6 +29,9 @@
 // failReserve ends a request for which no slot could be reserved.
 func (r *run) failReserve(ctx context.Context, err error) error {
 	refusal, ok := errors.Into[*outcome.Refusal](err)
+	if r.mayHaveRun > 0 {
+		r.recordNoRetry(obstacle("noSlot: " + err.Error()))
+	}
 	switch {
 	case r.headSent:
 		return errors.Wrap(ErrTruncated, err.Error())
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -116,38 +116,53 @@
 			return nil
 		}
 		r.recordFailure(grant, e)
-		if !r.mayRetry(ctx, e) {
+		if obstacle := r.retryObstacle(ctx, e); obstacle != "" {
+			r.recordNoRetry(obstacle)
 			return r.failAttempts(ctx, e)
 		}
+		r.f.Metrics.CountRetry(e.reason)
 	}
 }
 
-// mayRetry reports whether the request may be sent to another endpoint after a
-// failed attempt.
-func (r *run) mayRetry(ctx context.Context, e attemptResult) bool {
+// obstacle is the reason why a request is not sent to another endpoint.
+type obstacle string
+
+const (
+	obstacleEnded         obstacle = "ended"
+	obstacleNotRepeatable obstacle = "notRepeatable"
+	obstacleRefused       obstacle = "refused"
+	obstacleVersion       obstacle = "versionUnknown"
+	obstacleAttempts      obstacle = "attempts"
+	obstacleQuarantined   obstacle = "quarantined"
+	obstacleBudget        obstacle = "retryBudget"
+)
+
+// retryObstacle returns why the request must not be sent to another endpoint after
+// a failed attempt; "" if it may. A retry that is charged has then been taken from the
+// budget.
+func (r *run) retryObstacle(ctx context.Context, e attemptResult) obstacle {
 	switch {
 	case ctx.Err() != nil:
-		return false
+		return obstacleEnded
 	case e.mayHaveRun && !r.req.repeatable():
-		return false
+		return obstacleNotRepeatable
 	case errors.As(e.err, new(*outcome.Refusal)):
-		return false
+		return obstacleRefused
 	case r.continues() && r.begunVersion == "":
 		r.f.Metrics.Inc("streams.versionUnknown")
-		return false
+		return obstacleVersion
 	case r.mayHaveRun >= r.req.Attempts || r.notRun >= maxNotRun:
-		return false
+		return obstacleAttempts
 	case r.isQuarantined():
-		return false
+		return obstacleQuarantined
 	case e.reason == outcome.ReasonConnect:
 		// The endpoint has received nothing, so the next attempt repeats nothing
 		// and is not charged to the retry budget.
 	case !r.budget.Take():
 		r.f.Metrics.Inc("retryBudget.exhausted")
-		return false
+		return obstacleBudget
 	}
-	r.f.Metrics.CountRetry(e.reason)
-	return true
+	return ""
 }
 
 // attempt sends the request to one endpoint and forwards the response.
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -61,6 +61,7 @@
 	defer g.inProgress.Add(-1)
 	began := g.boot.Now()
 	call := wire.ParseCallerRequest(r.Header)
+	config := g.holder.Summary().Config
 	req, refusal := g.admit(w, r, &call, began)
 	if refusal != nil {
 		g.refuse(w, r, &call, refusal)
@@ -76,7 +77,8 @@
 	}
 	if errors.Is(err, forward.ErrTruncated) {
 		g.metrics.Inc("requests.broken")
-		g.logger.Warn("answer broken off", "request", req.ID, "class", req.Class, "cause", err.Error())
+		g.logger.Warn("answer broken off", "request", req.ID, "class", req.Class, "cause", err.Error(),
+			"configAtStart", config, "config", g.holder.Summary().Config, "tookMs", (g.boot.Now() - began).Milliseconds())
 		panic(http.ErrAbortHandler)
 	}
 	g.refuse(w, r, &call, outcome.FromError(err))
