--- /dev/null
+++ b/internal/forward/call.go
@@ -0,0 +1,258 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/beechhead/beechhead/internal/http1"
+	"github.com/beechhead/beechhead/internal/outcome"
+	"github.com/beechhead/beechhead/internal/peer/peerv1"
+	"github.com/beechhead/beechhead/internal/placement"
+	"github.com/beechhead/beechhead/pkg/table"
+)
+
+// call is one attempt of a run: the reservation of a slot and the exchange with its
+// endpoint. It runs in a goroutine of its own. Its methods must be called without
+// run.mu unless they say otherwise.
+type call struct {
+	run    *run
+	ctx    context.Context //nolint:containedctx // ends with the call
+	cancel context.CancelFunc
+	// hedge reports whether the call was begun because the one before was silent.
+	hedge bool
+
+	// err is the error of the reservation, result that of the exchange if there was one.
+	// They are written before the call has ended.
+	err    error
+	result attemptResult
+	// via is the address of the daemon through which the request was sent; "" if it
+	// was sent directly.
+	via string
+	// confirmed reports whether a probe has shown that the connection leads to the
+	// process that has registered as the endpoint.
+	confirmed bool
+	// begun reports whether the endpoint has begun to run the request.
+	begun bool
+
+	// heard is what this daemon has heard from the endpoint; nil until the request is
+	// sent.
+	heard *heard
+
+	// The fields below are guarded by run.mu.
+
+	// grant is the slot; nil before it is reserved.
+	grant *placement.Grant
+	// sent reports whether the endpoint has received the request.
+	sent bool
+	// events counts the events that this call has forwarded.
+	events int
+	// superseded reports whether another call has gone on in place of this one, which
+	// may then forward nothing any more.
+	superseded bool
+	// quietSince is when the endpoint has last sent something for this call, or when it
+	// was sent the request.
+	quietSince time.Time
+	// quiet and silent report whether half of the time, or all of it, after which the
+	// endpoint counts as silent has passed since quietSince.
+	quiet, silent bool
+	// over reports whether the exchange has ended.
+	over bool
+	// replaced reports whether the call was superseded by a later one, since its
+	// endpoint was silent.
+	replaced bool
+}
+
+// attemptResult describes how an attempt ended.
+type attemptResult struct {
+	// err is nil if the response was forwarded completely.
+	err    error
+	reason outcome.Reason
+	// mayHaveRun reports whether the endpoint may have run the request.
+	mayHaveRun bool
+	// terminated reports whether the endpoint's process terminated, rather than
+	// only the connection being lost.
+	terminated bool
+	// completed reports whether the endpoint has completed the request.
+	completed bool
+	// unframed reports whether a response was forwarded that is delimited by the end of
+	// its connection.
+	unframed bool
+	// report is the outcome that is reported to the coordinator.
+	report peerv1.ReleaseOutcome
+}
+
+var (
+	// errEndpointUnusable reports that the endpoint no longer accepted work when the
+	// request was about to be written.
+	errEndpointUnusable = errors.New("the endpoint has left")
+	errSuperseded       = errors.New("another endpoint has gone on")
+)
+
+// do makes the attempt.
+func (c *call) do() {
+	defer c.cancel()
+	if c.err = c.reserve(); c.err != nil {
+		return
+	}
+	r := c.run
+	began := r.f.Clock.Now()
+	c.result = c.exchange()
+	r.mu.Lock()
+	if c.superseded {
+		c.result = c.supersededResult()
+	}
+	c.endQuiet()
+	c.over = true
+	report := placement.Report{Outcome: c.result.report, Duration: r.f.Clock.Since(began), Tokens: c.events}
+	r.mu.Unlock()
+	if c.heard != nil {
+		c.heard.end()
+	}
+	c.grant.Release(report)
+}
+
+// exchange sends the request to the endpoint and forwards the response.
+func (c *call) exchange() attemptResult {
+	r := c.run
+	endpoint := &c.grant.Endpoint
+	x, err := r.f.Pool.Send(c.ctx, address(endpoint), c.request())
+	if err != nil {
+		return c.notSent(err)
+	}
+	c.via = x.Via()
+	stop := context.AfterFunc(c.ctx, x.Abort)
+	defer stop()
+	c.markSent()
+	e := c.readResponse(x)
+	if e.err == nil {
+		return e
+	}
+	x.Abort()
+	if e.responseLost(c.ctx) {
+		c.markBegun()
+	}
+	if c.ctx.Err() != nil && e.mayHaveRun {
+		e.report = peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE
+	} else if e.reason == outcome.ReasonConnectionLost {
+		r.f.Pool.CloseIdle(address(endpoint))
+	}
+	e.terminated = c.terminated(e, endpoint)
+	if e.mayHaveRun && !e.terminated && r.f.PathLost(address(endpoint)) {
+		e.report = peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE
+	}
+	return e
+}
+
+// request returns the request as it is sent to the endpoint.
+func (c *call) request() *http1.Request {
+	r := c.run
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	endpoint := &c.grant.Endpoint
+	send := Attempt{Request: r.req, Endpoint: endpoint, TimeRemaining: r.req.Deadline - r.f.BootClock.Now(), LastEvent: r.lastEvent}
+	if c.grant.FetchFrom != nil {
+		send.FetchFrom = address(c.grant.FetchFrom)
+	}
+	return &http1.Request{
+		Method:        r.req.Method,
+		Target:        r.req.Target,
+		Host:          r.req.Host,
+		Header:        r.f.Protocol.Header(send),
+		Body:          r.req.Body,
+		Probe:         c.versionProbe(),
+		BeforeWrite:   c.checkWrite,
+		IsOwnResponse: func(h http.Header) bool { return r.f.Protocol.BelongsTo(r.req, h) },
+	}
+}
+
+// notSent returns the result of an attempt whose request was not sent.
+func (c *call) notSent(err error) attemptResult {
+	e := attemptResult{err: err, reason: outcome.ReasonConnect, report: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE}
+	if refusal, ok := errors.Into[*outcome.Refusal](err); ok {
+		e.err, e.reason = refusal, refusal.Reason
+		return e
+	}
+	switch {
+	case errors.Is(err, errEndpointUnusable):
+		c.run.f.Metrics.Inc("places.unusable")
+	case errors.Is(err, errSuperseded), errors.Is(err, http1.ErrUnconfirmed):
+	default:
+		e.report = peerv1.ReleaseOutcome_RELEASE_OUTCOME_ENDPOINT_FAILED
+	}
+	return e
+}
+
+// markSent records that the endpoint has received the request.
+func (c *call) markSent() {
+	r := c.run
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c.heard = r.f.silences.begin(&c.grant.Endpoint)
+	c.quietSince = r.f.Clock.Now()
+	r.reached, c.sent = true, true
+	if c.hedge {
+		r.f.Metrics.CountRetry(outcome.ReasonSilent)
+	}
+}
+
+// markBegun records that the endpoint has begun to run the request.
+func (c *call) markBegun() {
+	if c.begun {
+		return
+	}
+	c.begun = true
+	if c.run.f.OnBegun != nil {
+		c.run.f.OnBegun(c.run.req)
+	}
+}
+
+// responseLost reports whether the endpoint has probably run the request although
+// its response was not received.
+func (e *attemptResult) responseLost(ctx context.Context) bool {
+	if !e.mayHaveRun || ctx.Err() != nil {
+		return false
+	}
+	switch e.reason {
+	case outcome.ReasonConnectionLost, outcome.ReasonTruncated, outcome.ReasonWrongAnswer:
+		return true
+	}
+	return false
+}
+
+// checkWrite returns an error if the request may not be written to an open
+// connection. Opening a connection may take a second, during which the endpoint
+// may be removed, the caller's key revoked, or a silent endpoint go on.
+func (c *call) checkWrite() error {
+	r := c.run
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c.superseded {
+		return errSuperseded
+	}
+	if refusal := r.checkSend(); refusal != nil {
+		return refusal
+	}
+	if e := &c.grant.Endpoint; !r.usable(e) || r.continues() && c.mayBeReplaced() {
+		return errEndpointUnusable
+	}
+	return nil
+}
+
+// checkSend returns a refusal if the request may not be sent. It is called after
+// a slot was granted and again right before the request is written.
+func (r *run) checkSend() *outcome.Refusal {
+	if refusal := r.req.MaySend(); refusal != nil {
+		return refusal
+	}
+	return r.checkQuarantine()
+}
+
+// address returns the host and port of an endpoint.
+func address(e *table.Endpoint) string {
+	_, address, _ := strings.Cut(e.URL, "://")
+	return address
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -13,8 +12,6 @@
 	"github.com/beechhead/beechhead/internal/http1"
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
-	"github.com/beechhead/beechhead/internal/placement"
-	"github.com/beechhead/beechhead/pkg/table"
 )
 
 const (
@@ -22,20 +19,9 @@
 	// it is forwarded, so that a truncated one can still be replaced by that of
 	// another attempt.
 	maxBuffered = 1 << 20
-	// targetsUntilSilent is the number of response time targets after which an
-	// endpoint that has sent nothing is given up, if the request can be retried
-	// at another one. It is above 1 because a busy endpoint responds late, and
-	// retries would then add to the load.
-	targetsUntilSilent = 4
-	// minSilence is the lower limit of these timeouts: recovery from a lost
-	// packet takes that long.
-	minSilence = 1200 * time.Millisecond
 	// terminationTime is how long a process that terminates may take to close its
 	// connections and its listener, in any order.
 	terminationTime = 20 * time.Millisecond
-	// gapsUntilSilent is the number of target gaps between events after which an
-	// endpoint that has sent no further event is given up.
-	gapsUntilSilent = 4
 )
 
 var errEndpointTerminated = errors.New("the response ended with its endpoint")
@@ -67,30 +53,31 @@
 
 // endedWithEndpoint reports whether a response that is delimited by the end of its
 // connection has ended because its endpoint terminated.
-func (r *run) endedWithEndpoint(ctx context.Context, resp *http.Response, e *table.Endpoint) bool {
+func (c *call) endedWithEndpoint(resp *http.Response) bool {
+	f := c.run.f
 	if isFramed(resp) {
 		return false
 	}
 	select {
-	case <-ctx.Done():
+	case <-c.ctx.Done():
 		return false
-	case <-r.f.Clock.After(terminationTime):
+	case <-f.Clock.After(terminationTime):
 	}
-	return r.f.Pool.HasTerminated(ctx, address(e))
+	return f.Pool.HasTerminated(c.ctx, address(&c.grant.Endpoint))
 }
 
 // readResponse reads the response and forwards it.
-func (r *run) readResponse(ctx context.Context, x *http1.Exchange, grant *placement.Grant) attemptResult {
-	x.SetReadTimeout(r.silenceTimeout(targetsUntilSilent * r.req.StartTarget))
+func (c *call) readResponse(x *http1.Exchange) attemptResult {
+	r := c.run
 	resp, err := x.Response() //nolint:bodyclose // the exchange manages its connection; closing the body would read it to the end
 	if err != nil {
-		return failedResult(readFailureReason(ctx, err), err)
+		return failedResult(readFailureReason(c.ctx, err), err)
 	}
 	verdict := r.f.Protocol.ReadHead(resp.StatusCode, resp.Header)
-	grant.RecordAnnouncement(verdict.Announcement)
-	r.f.Notices.Record(&grant.Endpoint, verdict.Announcement)
+	c.grant.RecordAnnouncement(verdict.Announcement)
+	r.f.Notices.Record(&c.grant.Endpoint, verdict.Announcement)
 	if verdict.NotRun {
-		r.discard(x, resp)
+		discard(x, resp)
 		return attemptResult{
 			err:    errors.Errorf("refused with status %d", resp.StatusCode),
 			reason: outcome.ReasonEndpointRefused,
@@ -98,21 +85,21 @@
 		}
 	}
 	if r.req.Kind != catalog.Stream {
-		r.markBegun()
+		c.markBegun()
 	}
 	success := resp.StatusCode/100 == 2
 	switch {
 	case success && !verdict.Signed:
 		return failedResult(outcome.ReasonWrongAnswer, errUnsigned)
 	case success && r.req.Kind == catalog.Stream:
-		return r.forwardStream(ctx, x, resp, grant)
+		return c.forwardStream(x, resp)
 	}
-	return r.forwardWhole(ctx, x, resp, grant)
+	return c.forwardWhole(x, resp)
 }
 
 // discard reads the rest of a short response, so that its connection can be
 // reused.
-func (r *run) discard(x *http1.Exchange, resp *http.Response) {
+func discard(x *http1.Exchange, resp *http.Response) {
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBuffered)); err != nil {
 		x.Abort()
 		return
@@ -120,70 +107,101 @@
 	x.Finish()
 }
 
-// silenceTimeout returns how long to wait for an endpoint that sends nothing, at
-// least minSilence. It returns 0, no limit, for requests that can't be retried at
-// another endpoint: they wait until their deadline, since the response may still
-// arrive.
-func (r *run) silenceTimeout(d time.Duration) time.Duration {
-	if !r.req.repeatable() || r.mayHaveRun+1 >= r.req.Attempts || d == 0 {
-		return 0
+// progressReader records the progress of a call with each part that is read.
+type progressReader struct {
+	io.Reader
+	call *call
+}
+
+func (r progressReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.call.run.mu.Lock()
+		defer r.call.run.mu.Unlock()
+		r.call.progress()
 	}
-	return max(d, minSilence)
+	return n, err
 }
 
 // forwardWhole forwards a response that is not a stream.
-func (r *run) forwardWhole(ctx context.Context, x *http1.Exchange, resp *http.Response, grant *placement.Grant) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered))
+func (c *call) forwardWhole(x *http1.Exchange, resp *http.Response) attemptResult {
+	r := c.run
+	body, err := io.ReadAll(io.LimitReader(progressReader{resp.Body, c}, maxBuffered))
 	if err != nil {
-		return failedResult(readFailureReason(ctx, err), err)
+		return failedResult(readFailureReason(c.ctx, err), err)
 	}
 	a := &response{status: resp.StatusCode, header: resp.Header, body: body}
 	if len(body) == maxBuffered {
-		return r.forwardLong(ctx, x, resp, a, grant)
+		return c.forwardLong(x, resp, a)
 	}
 	x.Finish()
-	if r.endedWithEndpoint(ctx, resp, &grant.Endpoint) {
+	if c.endedWithEndpoint(resp) {
 		return failedResult(outcome.ReasonTruncated, errEndpointTerminated)
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if resp.StatusCode/100 == 5 || r.f.Protocol.ImpliesNotRun(resp.StatusCode) {
 		r.errorResponse = a
 		return failedResult(outcome.ReasonEndpointFailed, errors.Errorf("status %d", resp.StatusCode))
 	}
+	if !c.lead() {
+		return failedResult(outcome.ReasonSuperseded, errSuperseded)
+	}
 	r.headSent = true
 	if err := r.forwardResponse(a); err != nil {
-		return attemptResult{err: err, reason: outcome.ReasonCallerGone, mayHaveRun: true, report: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE}
+		return callerGoneResult(err)
 	}
 	return forwardedResult(resp)
 }
 
 // forwardLong forwards a response that is too long to be buffered.
-func (r *run) forwardLong(ctx context.Context, x *http1.Exchange, resp *http.Response, a *response, grant *placement.Grant) attemptResult {
-	r.headSent = true
-	r.sink.Head(a.status, a.header, resp.ContentLength)
+func (c *call) forwardLong(x *http1.Exchange, resp *http.Response, a *response) attemptResult {
+	if !c.leadWith(a, resp.ContentLength) {
+		return failedResult(outcome.ReasonSuperseded, errSuperseded)
+	}
 	buf := a.body
 	for {
-		if err := r.sink.Body(buf); err != nil {
-			return attemptResult{err: err, reason: outcome.ReasonCallerGone, mayHaveRun: true, report: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE}
+		if err := c.run.sink.Body(buf); err != nil {
+			return callerGoneResult(err)
 		}
 		n, err := resp.Body.Read(a.body[:cap(a.body)])
 		buf = a.body[:n]
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
-			if err := r.sink.Body(buf); err != nil {
+			if err := c.run.sink.Body(buf); err != nil {
 				return failedResult(outcome.ReasonCallerGone, err)
 			}
 			x.Finish()
-			if r.endedWithEndpoint(ctx, resp, &grant.Endpoint) {
+			if c.endedWithEndpoint(resp) {
 				return failedResult(outcome.ReasonTruncated, errEndpointTerminated)
 			}
 			return forwardedResult(resp)
 		default:
-			return failedResult(readFailureReason(ctx, err), err)
+			return failedResult(readFailureReason(c.ctx, err), err)
 		}
 	}
 }
 
+// leadWith forwards the head of a response and reports whether the call leads.
+func (c *call) leadWith(a *response, length int64) bool {
+	r := c.run
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !c.lead() {
+		return false
+	}
+	r.headSent = true
+	r.sink.Head(a.status, a.header, length)
+	return true
+}
+
+// callerGoneResult returns the result of an attempt whose response could not be written
+// to the caller.
+func callerGoneResult(err error) attemptResult {
+	return attemptResult{err: err, reason: outcome.ReasonCallerGone, mayHaveRun: true, report: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE}
+}
+
 // readFailureReason returns the reason why reading a response failed.
 func readFailureReason(ctx context.Context, err error) outcome.Reason {
 	switch {
@@ -191,8 +209,6 @@
 		return outcome.ReasonDeadline
 	case ctx.Err() != nil:
 		return outcome.ReasonCallerGone
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return outcome.ReasonSilent
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		return outcome.ReasonTruncated
 	case errors.Is(err, http1.ErrForeignResponse):
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -128,10 +128,12 @@
 }
 
 // Budget limits the retries to a pool. Add is called once for each request, Take
-// for each retry; a retry is allowed if Take returns true.
+// for each retry; a retry is allowed if Take returns true. Return gives back one that was
+// not sent.
 type Budget interface {
 	Add()
 	Take() bool
+	Return()
 }
 
 // Forwarder forwards requests to endpoints. All fields must be set before use. It
@@ -171,6 +173,8 @@
 	// OnBegun is called, if set, when an endpoint has begun to run a request; for
 	// each endpoint if there are several.
 	OnBegun func(r *Request)
+
+	silences silences
 }
 
 // ErrTruncated reports that a response was truncated after its head was forwarded.
@@ -183,7 +187,10 @@
 func (f *Forwarder) Do(ctx context.Context, r *Request, sink Sink) error {
 	ctx, cancel := context.WithTimeout(ctx, r.Deadline-f.BootClock.Now())
 	defer cancel()
-	run := &run{f: f, began: f.Clock.Now(), req: r, sink: sink, budget: f.Budget(r.Pool), lastEvent: r.LastEvent, partKeys: r.partKeys()}
+	run := &run{
+		f: f, req: r, sink: sink, budget: f.Budget(r.Pool), began: f.Clock.Now(),
+		partKeys: r.partKeys(), lastEvent: r.LastEvent, ended: make(chan *call, max(1, r.Attempts)),
+	}
 	run.budget.Add()
 	defer run.endStreamRecord()
 	defer run.endTrial()
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -95,6 +95,8 @@
 	return b.left >= 0
 }
 
+func (b *fixedBudget) Return() { b.left++ }
+
 // site is a set of scripted endpoints, whose slots are granted in order.
 type site struct {
 	mu   sync.Mutex
@@ -103,6 +105,10 @@
 	urls []string
 	// versions is as in script.
 	versions []string
+	// closeLink closes the link to the coordinator. It is nil before the link is opened
+	// and after it was closed; linkClosed reports the latter.
+	closeLink  func()
+	linkClosed bool
 }
 
 // listen starts an endpoint that sends the given response on each connection; see
@@ -170,6 +176,10 @@
 			}
 			handle(resp)
 		}, func() {})
+		s.closeLink = q.Close
+		if s.linkClosed {
+			q.Close()
+		}
 		return placement.Link{Send: q.Send, Done: q.Done(), Close: q.Close}
 	}
 	p := placement.NewPlacer(clock, view, dial, metric.NewRegistry(), 32, "")
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -46,8 +46,11 @@
 	return found
 }
 
-// endTrial records the result of a trial that has not completed.
+// endTrial records the result of a trial that has not completed. It must be called
+// without mu.
 func (r *run) endTrial() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if !r.tried || r.completed {
 		return
 	}
@@ -92,16 +95,17 @@
 
 // terminated reports whether the endpoint's process terminated while it ran the
 // request. If the request was aborted, it returns false and starts a later check.
-func (r *run) terminated(ctx context.Context, e attemptResult, endpoint *table.Endpoint) bool {
+func (c *call) terminated(e attemptResult, endpoint *table.Endpoint) bool {
+	r := c.run
 	lost := e.reason == outcome.ReasonTruncated || e.reason == outcome.ReasonConnectionLost
 	switch {
-	case !e.mayHaveRun:
+	case !e.mayHaveRun || c.isSuperseded():
 		return false
-	case ctx.Err() != nil:
+	case c.ctx.Err() != nil:
 		go r.f.recheck(r.req, *endpoint)
 		return false
 	}
-	return lost && r.f.Pool.HasTerminated(ctx, address(endpoint))
+	return lost && r.f.Pool.HasTerminated(c.ctx, address(endpoint))
 }
 
 // recheckDelay is how long after an aborted request its endpoint is checked. If
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -41,7 +41,8 @@
 
 // recordAnswered records metrics and a log line for a response that was forwarded
 // completely.
-func (r *run) recordAnswered(grant *placement.Grant, e attemptResult) {
+func (r *run) recordAnswered(c *call) {
+	grant, e := c.grant, c.result
 	r.completed = e.completed || e.unframed
 	switch {
 	case e.completed:
@@ -58,7 +59,7 @@
 		r.recordLate(grant, pause, at)
 	}
 	if r.req.Logged {
-		r.f.Logger.Info("answered", "request", r.req.ID, "class", r.req.Class, "endpoint", grant.Endpoint.Name, "via", r.via,
+		r.f.Logger.Info("answered", "request", r.req.ID, "class", r.req.Class, "endpoint", grant.Endpoint.Name, "via", c.via,
 			"attempts", r.mayHaveRun+r.notRun+1, "events", r.events, "firstEventMs", r.firstEvent.Milliseconds(),
 			"longestPauseMs", pause.Milliseconds(), "longestPauseEvent", at, "tookMs", took.Milliseconds())
 	}
@@ -98,7 +99,8 @@
 }
 
 // recordFailure records a failed attempt.
-func (r *run) recordFailure(grant *placement.Grant, e attemptResult) {
+func (r *run) recordFailure(c *call) {
+	grant, e := c.grant, c.result
 	r.failed = append(r.failed, grant.Endpoint.Name)
 	r.terminatedEndpoint = r.terminatedEndpoint || e.terminated
 	if e.mayHaveRun {
@@ -110,7 +112,7 @@
 	if e.terminated {
 		r.f.recordTermination(r.req, grant.Endpoint.Name)
 	}
-	r.f.Logger.Info("attempt failed", "request", r.req.ID, "class", r.req.Class, "endpoint", grant.Endpoint.Name, "version", grant.Endpoint.SoftwareVersion, "via", r.via,
+	r.f.Logger.Info("attempt failed", "request", r.req.ID, "class", r.req.Class, "endpoint", grant.Endpoint.Name, "version", grant.Endpoint.SoftwareVersion, "via", c.via,
 		"fingerprint", r.req.Fingerprint.String(), "parts", sharedParts(r.req.Parts), "coordinator", grant.Coordinator(),
 		"reason", e.reason, "mayHaveRun", e.mayHaveRun, "endpointEnded", e.terminated, "events", r.events,
 		"sinceBeginMs", r.f.Clock.Since(r.began).Milliseconds(), "cause", e.err.Error())
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -32,47 +32,84 @@
 
 // reserve reserves a slot on an endpoint that, as far as this daemon knows,
 // accepts work.
-func (r *run) reserve(ctx context.Context) (*placement.Grant, error) {
+func (c *call) reserve() error {
+	r := c.run
 	for {
 		backingOff, _ := r.f.Notices.BackingOff(r.req.Pool)
-		request := placement.Request{
-			Pool:            r.req.Pool,
-			Class:           r.req.Class,
-			Account:         r.req.Account,
-			PromptTokens:    r.req.PromptTokens,
-			EstimatedTokens: r.req.OutputTokens,
-			Parts:           r.req.Parts,
-			Waited:          r.f.BootClock.Now() - r.req.ReceivedAt,
-			StartTimeout:    r.startLimit(),
-			Excluded:        append(backingOff, r.failed...),
-			Attempt:         r.mayHaveRun + r.notRun,
-		}
-		if r.continues() {
-			request.Version = &r.begunVersion
-		}
-		grant, err := r.f.Reserve(ctx, request)
+		grant, err := r.f.Reserve(c.ctx, c.placementRequest(backingOff))
 		if err != nil {
-			if !r.awaitBackoff(ctx, err) && !r.awaitTable(ctx, err) {
-				return nil, err
+			if !r.awaitBackoff(c.ctx, err) && !r.awaitTable(c.ctx, err) {
+				return err
 			}
 			continue
 		}
-		if refusal := r.checkSend(); refusal != nil {
-			grant.Release(placement.Report{Outcome: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE})
-			return nil, refusal
-		}
-		if r.usable(&grant.Endpoint) {
-			r.recordPlaced(grant)
-			return grant, nil
+		usable, err := c.accept(grant, len(backingOff))
+		if usable {
+			return nil
 		}
 		grant.Release(placement.Report{Outcome: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE})
-		if r.excludes(&grant.Endpoint, len(backingOff)) {
-			r.failed = append(r.failed, grant.Endpoint.Name)
+		if err != nil {
+			return err
 		}
 		r.f.Metrics.Inc("places.unusable")
 	}
 }
 
+// placementRequest returns the request for a slot.
+func (c *call) placementRequest(backingOff []table.EndpointName) placement.Request {
+	r := c.run
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	excluded := append(backingOff, r.failed...)
+	for _, other := range r.calls {
+		if other != c && other.grant != nil {
+			excluded = append(excluded, other.grant.Endpoint.Name)
+		}
+	}
+	if c.hedge {
+		excluded = append(excluded, r.f.silences.silent(r.req.Pool, r.f.Clock.Now())...)
+	}
+	request := placement.Request{
+		Pool:            r.req.Pool,
+		Class:           r.req.Class,
+		Account:         r.req.Account,
+		PromptTokens:    r.req.PromptTokens,
+		EstimatedTokens: r.req.OutputTokens,
+		Parts:           r.req.Parts,
+		Waited:          r.f.BootClock.Now() - r.req.ReceivedAt,
+		StartTimeout:    r.startLimit(),
+		Excluded:        excluded,
+		Attempt:         r.mayHaveRun + r.notRun + len(r.calls) - 1,
+	}
+	if r.continues() {
+		request.Version = &r.begunVersion
+	}
+	return request
+}
+
+// accept takes a granted slot and reports whether it may be used. It returns an error if
+// the request must not be sent any more.
+func (c *call) accept(grant *placement.Grant, backingOff int) (usable bool, err error) {
+	r := c.run
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c.superseded {
+		return false, errSuperseded
+	}
+	if refusal := r.checkSend(); refusal != nil {
+		return false, refusal
+	}
+	if r.usable(&grant.Endpoint) {
+		c.grant = grant
+		r.recordPlaced(grant)
+		return true, nil
+	}
+	if r.excludes(&grant.Endpoint, backingOff) {
+		r.failed = append(r.failed, grant.Endpoint.Name)
+	}
+	return false, nil
+}
+
 // excludes reports whether an endpoint that can't be used is excluded from all further
 // attempts. One that only backs off is excluded until it no longer does.
 func (r *run) excludes(e *table.Endpoint, backingOff int) bool {
@@ -84,7 +121,7 @@
 // request: the coordinator refuses late requests as not run, which would then be
 // wrong.
 func (r *run) startLimit() time.Duration {
-	if r.mayHaveRun > 0 || r.headSent {
+	if r.mayHaveRun > 0 || r.headSent || len(r.calls) > 1 {
 		return 0
 	}
 	until := r.req.Deadline - r.req.ReceivedAt
@@ -96,7 +133,8 @@
 
 // awaitBackoff reports whether a reservation that was refused while endpoints have
 // asked for back-off should be repeated. It waits until the first of them may be used
-// again. If that takes too long, the refusal tells the caller when to return.
+// again. If that takes too long, the refusal tells the caller when to return. It must be
+// called without mu.
 func (r *run) awaitBackoff(ctx context.Context, err error) bool {
 	refusal, ok := errors.Into[*outcome.Refusal](err)
 	if !ok || refusal.Reason != outcome.ReasonNoEndpoint {
@@ -108,25 +146,36 @@
 		return false
 	}
 	left := r.req.Deadline - r.f.BootClock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	isUntried := func(name table.EndpointName) bool { return !slices.Contains(r.failed, name) }
 	if backoff > left/backoffWaitDivisor || !slices.ContainsFunc(names, isUntried) {
 		refusal.RetryAfter = backoff + time.Duration(rand.Int64N(int64(backoff/backoffSpreadDivisor)+1)) //nolint:gosec // spreads callers
 		r.staleRetries = maxStaleRetries
 		return false
 	}
+	return r.sleep(ctx, backoff)
+}
+
+// sleep waits without mu, which it requires. It returns false if the context ends first.
+func (r *run) sleep(ctx context.Context, d time.Duration) bool {
+	r.mu.Unlock()
+	defer r.mu.Lock()
 	select {
 	case <-ctx.Done():
 		return false
-	case <-r.f.Clock.After(backoff):
+	case <-r.f.Clock.After(d):
 		return true
 	}
 }
 
 // awaitTable reports whether a reservation should be repeated because its refusal
 // may be due to different table versions at this daemon and the coordinator. It
-// waits for staleRetryDelay first.
+// waits for staleRetryDelay first. It must be called without mu.
 func (r *run) awaitTable(ctx context.Context, err error) bool {
 	refusal, ok := errors.Into[*outcome.Refusal](err)
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if !ok || r.staleRetries >= maxStaleRetries {
 		return false
 	}
@@ -134,12 +183,7 @@
 		return false
 	}
 	r.staleRetries++
-	select {
-	case <-ctx.Done():
-		return false
-	case <-r.f.Clock.After(staleRetryDelay):
-		return true
-	}
+	return r.sleep(ctx, staleRetryDelay)
 }
 
 // usable reports whether a request may be sent to the endpoint, by what this daemon
--- /dev/null
+++ b/internal/forward/silence.go
@@ -0,0 +1,279 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/beechhead/beechhead/internal/catalog"
+	"github.com/beechhead/beechhead/internal/outcome"
+	"github.com/beechhead/beechhead/internal/peer/peerv1"
+	"github.com/beechhead/beechhead/pkg/table"
+)
+
+const (
+	// targetsUntilSilent is the number of targets without a sign after which an endpoint
+	// counts as silent. It is above 1 because a busy endpoint responds late, and
+	// further attempts would then add to the load.
+	targetsUntilSilent = 4
+	// minSilence is the lower limit of that time: recovery from a lost packet takes
+	// that long.
+	minSilence = 1200 * time.Millisecond
+	// hedgeInterval is the time until the next attempt is tried when an endpoint
+	// is silent and no further attempt was possible, or it has failed.
+	hedgeInterval = 250 * time.Millisecond
+	// pausedAfter is how late a timer expires if this process was paused. What
+	// endpoints sent meanwhile is then read first, which takes less than that.
+	pausedAfter = 100 * time.Millisecond
+	// never is longer than any request.
+	never = 24 * time.Hour
+)
+
+// silenceLimit returns the time without a sign after which the endpoint of a call counts
+// as silent; 0 means that no other endpoint can be asked instead.
+func (r *run) silenceLimit(c *call) time.Duration {
+	target := r.req.StartTarget
+	if c.events > 0 {
+		target = r.req.GapTarget
+	}
+	switch {
+	case !r.req.repeatable() || target == 0:
+		return 0
+	case r.headSent && r.req.Kind != catalog.Stream:
+		return 0
+	case r.mayHaveRun+len(r.calls) >= r.req.Attempts:
+		return 0
+	}
+	return max(targetsUntilSilent*target, minSilence)
+}
+
+// newest returns the latest attempt.
+func (r *run) newest() *call {
+	for _, c := range slices.Backward(r.calls) {
+		if !c.superseded {
+			return c
+		}
+	}
+	return nil
+}
+
+// untilSilent returns the time until checkSilence must be called. It must be called
+// without mu.
+func (r *run) untilSilent() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.newest()
+	if c == nil || !r.req.repeatable() {
+		return never
+	}
+	now := r.f.Clock.Now()
+	limit := r.silenceLimit(c)
+	switch {
+	case limit == 0 || !c.sent || c.over:
+		// Another check finds out what has changed, or when the request was sent.
+		return minSilence / 2
+	case !c.quiet:
+		return c.quietSince.Add(limit / 2).Sub(now)
+	}
+	return max(c.quietSince.Add(limit).Sub(now), r.nextHedge.Sub(now))
+}
+
+// checkSilence begins another attempt if the endpoint of the latest one is silent. That
+// one goes on: its endpoint may only be paused. It must be called without mu.
+func (r *run) checkSilence(ctx context.Context) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.newest()
+	if c == nil || !c.sent || c.over {
+		return
+	}
+	limit := r.silenceLimit(c)
+	now := r.f.Clock.Now()
+	quiet := now.Sub(c.quietSince)
+	if limit == 0 || quiet < limit/2 {
+		return
+	}
+	c.beginQuiet()
+	if quiet < limit || now.Before(r.nextHedge) {
+		return
+	}
+	first := !c.silent
+	c.silent = true
+	if first && quiet > limit+pausedAfter {
+		r.nextHedge = now.Add(pausedAfter)
+		return
+	}
+	why := r.hedgeObstacle(ctx)
+	r.recordSilent(c, quiet, first, why)
+	if why != "" {
+		r.nextHedge = now.Add(hedgeInterval)
+		return
+	}
+	r.start(ctx, true)
+}
+
+// hedgeObstacle returns why no other endpoint is asked while one is silent; "" if one is.
+// The attempt has then been taken from the budget.
+func (r *run) hedgeObstacle(ctx context.Context) obstacle {
+	switch {
+	case ctx.Err() != nil:
+		return obstacleEnded
+	case r.tried:
+		// A trial may end its endpoint, and no second one at the same time.
+		return obstacleQuarantined
+	}
+	return r.repeatObstacle(true)
+}
+
+// lead supersedes all other attempts, since the endpoint of this one has gone on. It
+// returns false if the call was itself superseded. It requires run.mu.
+func (c *call) lead() bool {
+	if c.superseded {
+		return false
+	}
+	isLater := false
+	for _, other := range c.run.calls {
+		switch {
+		case other == c:
+			isLater = true
+		case !other.superseded:
+			other.superseded, other.replaced = true, !isLater
+			other.cancel()
+		}
+	}
+	return true
+}
+
+func (c *call) isSuperseded() bool {
+	c.run.mu.Lock()
+	defer c.run.mu.Unlock()
+	return c.superseded
+}
+
+// supersededResult returns the result of a superseded call. Silence counts against an
+// endpoint only if another one went on meanwhile. It requires run.mu.
+func (c *call) supersededResult() attemptResult {
+	e := attemptResult{err: errSuperseded, reason: outcome.ReasonSuperseded, mayHaveRun: c.sent, report: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE}
+	if !c.replaced || !c.sent {
+		return e
+	}
+	e.reason = outcome.ReasonSilent
+	endpoint := address(&c.grant.Endpoint)
+	c.run.f.Pool.CloseIdle(endpoint)
+	if !c.run.f.PathLost(endpoint) {
+		e.report = peerv1.ReleaseOutcome_RELEASE_OUTCOME_ENDPOINT_FAILED
+	}
+	return e
+}
+
+// progress records that the endpoint has sent something. It requires run.mu.
+func (c *call) progress() {
+	now := c.run.f.Clock.Now()
+	if c.silent {
+		c.run.recordWentOn(c, now.Sub(c.quietSince))
+	}
+	c.silent = false
+	c.quietSince = now
+	c.heard.at.Store(now.UnixNano())
+	c.endQuiet()
+}
+
+func (c *call) beginQuiet() {
+	if !c.quiet {
+		c.quiet = true
+		c.heard.addQuiet(1)
+	}
+}
+
+func (c *call) endQuiet() {
+	if c.quiet {
+		c.quiet = false
+		c.heard.addQuiet(-1)
+	}
+}
+
+// silences knows which endpoints are silent at the moment, so that none of them is asked
+// in place of another one. Its zero value is ready for use. It is safe for concurrent use.
+type silences struct {
+	mu        sync.Mutex
+	endpoints map[table.EndpointName]*heard
+}
+
+// heard is what was heard from an endpoint of which responses are awaited.
+type heard struct {
+	silences *silences
+	name     table.EndpointName
+	pool     table.Pool
+	// at is when the endpoint has last sent something, in nanoseconds since 1970.
+	at atomic.Int64
+	// calls counts the responses that are awaited, quiet those that are late. Both are
+	// guarded by silences.mu.
+	calls, quiet int
+}
+
+// begin records that a response of an endpoint is awaited.
+func (s *silences) begin(e *table.Endpoint) *heard {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.endpoints[e.Name]
+	if h == nil {
+		h = &heard{silences: s, name: e.Name, pool: e.Pool}
+		if s.endpoints == nil {
+			s.endpoints = map[table.EndpointName]*heard{}
+		}
+		s.endpoints[e.Name] = h
+	}
+	h.calls++
+	return h
+}
+
+// end records that a response is no longer awaited.
+func (h *heard) end() {
+	h.silences.mu.Lock()
+	defer h.silences.mu.Unlock()
+	if h.calls--; h.calls == 0 {
+		delete(h.silences.endpoints, h.name)
+	}
+}
+
+func (h *heard) addQuiet(n int) {
+	h.silences.mu.Lock()
+	defer h.silences.mu.Unlock()
+	h.quiet += n
+}
+
+// silent returns the endpoints of a pool from which a response is late and nothing else
+// was heard lately.
+func (s *silences) silent(pool table.Pool, now time.Time) (names []table.EndpointName) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, h := range s.endpoints {
+		if h.pool == pool && h.quiet > 0 && now.UnixNano()-h.at.Load() > int64(minSilence/2) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// recordSilent records that an endpoint is silent, and why no other one is asked, if so.
+func (r *run) recordSilent(c *call, quiet time.Duration, first bool, why obstacle) {
+	if first {
+		r.f.Metrics.Inc("silence.begun")
+	}
+	if why == "" {
+		r.f.Metrics.Inc("silence.hedged")
+	}
+	if first || why == "" {
+		r.f.Logger.Info("endpoint silent", "request", r.req.ID, "class", r.req.Class, "endpoint", c.grant.Endpoint.Name, "events", r.events,
+			"silentMs", quiet.Milliseconds(), "asksAnother", why == "", "why", why, "silentEndpoints", len(r.f.silences.silent(r.req.Pool, r.f.Clock.Now())))
+	}
+}
+
+// recordWentOn records that an endpoint has gone on after it was silent.
+func (r *run) recordWentOn(c *call, quiet time.Duration) {
+	r.f.Metrics.Inc("silence.wentOn")
+	r.f.Logger.Info("endpoint went on", "request", r.req.ID, "class", r.req.Class, "endpoint", c.grant.Endpoint.Name, "events", r.events,
+		"silentMs", quiet.Milliseconds(), "superseded", c.superseded)
+}
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -2,104 +2,267 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/beechhead/beechhead/internal/boottime"
+	"github.com/beechhead/beechhead/internal/bubbleclock"
 	"github.com/beechhead/beechhead/internal/catalog"
+	"github.com/beechhead/beechhead/internal/http1"
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
-const streamHead = "HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Type: text/event-stream\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+// silenceScript is a test case of testdata/silence.json.
+type silenceScript struct {
+	Name             string
+	Kind             string
+	Attempts, Budget int
+	// Endpoints holds what each endpoint does with a request, in the order in which they
+	// are granted; see scriptedEndpoint.play for the steps.
+	Endpoints []string
+	// Want holds the ids of the events that the caller receives, or "whole" or "long".
+	Want string
+	// Sent is the number of endpoints that received the request, Aborted the names of
+	// those whose response was aborted, BudgetLeft what is left of the budget.
+	Sent       int
+	Aborted    string
+	BudgetLeft int
+}
+
+const (
+	longBody   = 3 * maxBuffered
+	streamHead = "HTTP/1.1 200 OK\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	wholeBody  = "HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Length: 5\r\n\r\nwhole"
+	failedBody = "HTTP/1.1 500 Oops\r\nSigned: 1\r\nContent-Length: 4\r\n\r\noops"
+)
 
-// chunk returns an event in a chunk.
-func chunk(id int) string {
-	event := fmt.Sprintf("id: %d\ndata: %d\n\n", id, id)
-	return fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+// scriptedEndpoint answers requests on pipes.
+type scriptedEndpoint struct {
+	steps []string
+	// sent and aborted are written by play and read after all goroutines have ended.
+	sent, aborted bool
+}
+
+// play reads a request and sends the response.
+func (e *scriptedEndpoint) play(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	buf := make([]byte, 4096)
+	n, _ := c.Read(buf)
+	if n == 0 {
+		return
+	}
+	e.sent = true
+	last := 0
+	if _, after, ok := strings.Cut(string(buf[:n]), "Last: "); ok {
+		last, _ = strconv.Atoi(strings.TrimSpace(strings.SplitN(after, "\r\n", 2)[0]))
+	}
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		_, _ = io.Copy(io.Discard, c)
+	}()
+	for _, step := range e.steps {
+		if !e.step(c, gone, step, last) {
+			e.aborted = true
+			return
+		}
+		if step == "reset" {
+			return
+		}
+	}
 }
 
-// events returns the events from first to last without chunks.
-func events(first, last int) string {
-	var b strings.Builder
-	for i := first; i <= last; i++ {
-		fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", i, i)
+// step returns false if the response was aborted.
+func (e *scriptedEndpoint) step(c net.Conn, gone <-chan struct{}, step string, last int) bool {
+	word, arg, _ := strings.Cut(step, " ")
+	out := map[string]string{"head": streamHead, "end": "0\r\n\r\n", "whole": wholeBody, "failure": failedBody}[word]
+	id, _ := strconv.Atoi(arg)
+	switch {
+	case word == "event" && id > last, word == "repeat":
+		event := fmt.Sprintf("id: %d\ndata: x\n\n", id)
+		out = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+	case word == "hang":
+		<-gone
+		return false
+	case word == "wait":
+		d, _ := time.ParseDuration(arg)
+		select {
+		case <-gone:
+			return false
+		case <-bubbleclock.After(d):
+		}
+	case word == "long":
+		out = fmt.Sprintf("HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Length: %d\r\n\r\n%s", longBody, strings.Repeat("x", 2*maxBuffered))
+		_, _ = io.WriteString(c, out)
+		<-bubbleclock.After(9 * time.Second)
+		out = strings.Repeat("x", longBody-2*maxBuffered)
 	}
-	return b.String()
+	_, err := io.WriteString(c, out)
+	return err == nil
 }
 
-// serve starts an endpoint that runs handle for each connection after a request
-// has arrived. gone is closed when the other side has closed the connection.
-func (s *site) serve(t *testing.T, handle func(c net.Conn, gone <-chan struct{})) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// Guards against ending a response for its endpoint's silence alone, and against waiting
+// for a silent endpoint while another one could go on.
+func TestSilentEndpoints(t *testing.T) {
+	data, err := os.ReadFile("testdata/silence.json")
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	s.urls = append(s.urls, "http://"+l.Addr().String())
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if n, _ := c.Read(make([]byte, 4096)); n == 0 {
-					return
-				}
-				s.mu.Lock()
-				s.sent++
-				s.mu.Unlock()
-				gone := make(chan struct{})
-				go func() {
-					defer close(gone)
-					_, _ = io.Copy(io.Discard, c)
-				}()
-				handle(c, gone)
-			}()
-		}
-	}()
+	var scripts []silenceScript
+	if err := json.Unmarshal(data, &scripts); err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range scripts {
+		t.Run(tt.Name, func(t *testing.T) { synctest.Test(t, tt.play) })
+	}
 }
 
-// streamRequest returns a resumable stream that has time left.
-func streamRequest() *Request {
-	now := boottime.System{}.Now()
+// silentSite returns a forwarder to scripted endpoints. The function end waits until all
+// have ended.
+func silentSite(scripts []string) (f *Forwarder, endpoints []*scriptedEndpoint, end func()) {
+	s := &site{}
+	var wg sync.WaitGroup
+	for i, steps := range scripts {
+		s.urls = append(s.urls, "http://"+string(endpointName(i)))
+		endpoints = append(endpoints, &scriptedEndpoint{steps: strings.Split(steps, ", ")})
+	}
+	f = newTestForwarder(s)
+	f.Clock = bubbleclock.New()
+	f.BootClock = boottime.FromClock(f.Clock)
+	f.Pool = http1.NewPool(f.Clock, func(_ context.Context, address string) (net.Conn, error) {
+		here, there := net.Pipe()
+		e := endpoints[address[0]-'a']
+		wg.Go(func() { e.play(there) })
+		return here, nil
+	})
+	return f, endpoints, func() {
+		<-bubbleclock.After(2 * recheckDelay)
+		f.Pool.CloseIdleIf(func(string) bool { return true })
+		wg.Wait()
+		s.linkClosed = true
+		s.closeLink()
+		synctest.Wait()
+	}
+}
+
+func (tt *silenceScript) request(f *Forwarder) *Request {
+	kinds := map[string]catalog.Kind{"safe": catalog.Safe, "unsafe": catalog.Unsafe, "stream": catalog.Stream, "onceStream": catalog.Stream}
+	now := f.BootClock.Now()
 	return &Request{
 		ID: "r", Method: http.MethodPost, Target: "/x", Host: "h", Class: "c", Pool: "p",
-		Kind: catalog.Stream, Resumable: true, Attempts: 3, StartTarget: time.Millisecond, GapTarget: time.Millisecond,
+		Kind: kinds[tt.Kind], Resumable: tt.Kind == "stream", Attempts: tt.Attempts,
+		StartTarget: time.Millisecond, GapTarget: time.Millisecond,
 		ReceivedAt: now, Deadline: now + 20*time.Second, MaySend: func() *outcome.Refusal { return nil },
 	}
 }
 
-// receive runs a request and returns what its caller receives.
-func receive(f *Forwarder, r *Request) (string, error) {
+func (tt *silenceScript) play(t *testing.T) {
+	f, endpoints, end := silentSite(tt.Endpoints)
+	budget := &fixedBudget{left: tt.Budget}
+	f.Budget = func(table.Pool) Budget { return budget }
 	var body strings.Builder
-	err := f.Do(context.Background(), r, Sink{
+	err := f.Do(context.Background(), tt.request(f), Sink{
 		Head: func(int, http.Header, int64) {},
 		Body: func(p []byte) error { body.Write(p); return nil },
 	})
-	return body.String(), err
+	end()
+	sent, aborted := 0, ""
+	for i, e := range endpoints {
+		if e.sent {
+			sent++
+		}
+		if e.aborted {
+			aborted += string(endpointName(i))
+		}
+	}
+	if got := summary(body.String()); err != nil || got != tt.Want {
+		t.Errorf("the caller received %q, %v, want %q", got, err, tt.Want)
+	}
+	if sent != tt.Sent || aborted != tt.Aborted {
+		t.Errorf("%d endpoints received the request and %q were aborted, want %d and %q", sent, aborted, tt.Sent, tt.Aborted)
+	}
+	if want := tt.BudgetLeft; want > 0 && budget.left != want {
+		t.Errorf("%d retries are left, want %d", budget.left, want)
+	}
 }
 
-// Guards against breaking off the stream of an endpoint that is only silent for a while,
-// when no other endpoint may be asked.
-func TestSilentStreamWithoutBudgetGoesOn(t *testing.T) {
-	s := &site{}
-	s.serve(t, func(c net.Conn, _ <-chan struct{}) {
-		_, _ = io.WriteString(c, streamHead+chunk(1))
-		time.Sleep(2 * minSilence)
-		_, _ = io.WriteString(c, chunk(2)+"0\r\n\r\n")
-	})
-	s.listen(t, streamHead+chunk(2)+"0\r\n\r\n")
-	f := newTestForwarder(s)
-	f.Budget = func(table.Pool) Budget { return &fixedBudget{} }
-	if got, err := receive(f, streamRequest()); err != nil || got != events(1, 2) {
-		t.Errorf("received %q, %v, want two events", got, err)
+// summary returns what a caller has received in the form of silenceScript.Want.
+func summary(body string) string {
+	if len(body) == longBody {
+		return "long"
+	}
+	var ids []string
+	for line := range strings.Lines(body) {
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			ids = append(ids, strings.TrimSpace(id))
+		}
+	}
+	if ids == nil {
+		return body
 	}
+	return strings.Join(ids, " ")
+}
+
+// Guards against requests that go on at endpoints after their caller has left.
+func TestCallerLeavesWhileEndpointsAreSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tt := &silenceScript{Kind: "stream", Attempts: 3}
+		f, endpoints, end := silentSite([]string{"head, event 1, hang", "head, hang", "head, hang"})
+		f.Budget = func(table.Pool) Budget { return &fixedBudget{left: 9} }
+		ctx, leave := context.WithCancel(context.Background())
+		go func() {
+			<-bubbleclock.After(5 * time.Second)
+			leave()
+		}()
+		err := f.Do(ctx, tt.request(f), Sink{Head: func(int, http.Header, int64) {}, Body: func([]byte) error { return nil }})
+		if !errors.Is(err, ErrTruncated) {
+			t.Errorf("error %v, want %v", err, ErrTruncated)
+		}
+		end()
+		for i, e := range endpoints {
+			if !e.sent || !e.aborted {
+				t.Errorf("endpoint %s: received %v, aborted %v", endpointName(i), e.sent, e.aborted)
+			}
+		}
+	})
+}
+
+// Guards against using up the retry budget on endpoints that are silent as well.
+func TestSilentEndpointsAreNotAskedInPlaceOfEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var s silences
+		clock := bubbleclock.New()
+		endpoints := []*table.Endpoint{{Name: "a", Pool: "p"}, {Name: "b", Pool: "p"}, {Name: "c", Pool: "q"}}
+		var all []*heard
+		for _, e := range endpoints {
+			h := s.begin(e)
+			h.addQuiet(1)
+			all = append(all, h)
+		}
+		time.Sleep(minSilence)
+		all[1].at.Store(clock.Now().UnixNano())
+		if got := fmt.Sprint(s.silent("p", clock.Now())); got != "[a]" {
+			t.Errorf("silent endpoints: %s, want a, since b has sent something", got)
+		}
+		for _, h := range all {
+			h.addQuiet(-1)
+			h.end()
+		}
+		if len(s.endpoints) > 0 {
+			t.Errorf("%d endpoints are kept without a response that is awaited", len(s.endpoints))
+		}
+	})
 }
--- a/internal/forward/start_limit_test.go
+++ b/internal/forward/start_limit_test.go
@@ -11,15 +11,15 @@
 func TestNoStartLimitOnceRequestMayHaveRun(t *testing.T) {
 	r := &Request{ReceivedAt: time.Second, Deadline: 6 * time.Second, StartTimeout: 2 * time.Second}
 	for _, one := range []struct {
-		run  run
+		run  *run
 		want time.Duration
 	}{
-		{run{req: r}, 2 * time.Second},
-		{run{req: r, notRun: 1}, 2 * time.Second},
-		{run{req: r, mayHaveRun: 1}, 0},
-		{run{req: r, headSent: true}, 0},
-		{run{req: &Request{ReceivedAt: time.Second, Deadline: 2 * time.Second, StartTimeout: 2 * time.Second}}, time.Second},
-		{run{req: &Request{Deadline: 3 * time.Second}}, 3 * time.Second},
+		{&run{req: r}, 2 * time.Second},
+		{&run{req: r, notRun: 1}, 2 * time.Second},
+		{&run{req: r, mayHaveRun: 1}, 0},
+		{&run{req: r, headSent: true}, 0},
+		{&run{req: &Request{ReceivedAt: time.Second, Deadline: 2 * time.Second, StartTimeout: 2 * time.Second}}, time.Second},
+		{&run{req: &Request{Deadline: 3 * time.Second}}, 3 * time.Second},
 	} {
 		if got := one.run.startLimit(); got != one.want {
 			t.Errorf("mayHaveRun %d, headSent %v: start limit is %v, want %v", one.run.mayHaveRun, one.run.headSent, got, one.want)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -11,8 +10,6 @@
 
 	"github.com/beechhead/beechhead/internal/http1"
 	"github.com/beechhead/beechhead/internal/outcome"
-	"github.com/beechhead/beechhead/internal/peer/peerv1"
-	"github.com/beechhead/beechhead/internal/placement"
 )
 
 const (
@@ -30,7 +27,7 @@
 // forwardStream forwards a stream of events, each as soon as it is complete. A
 // truncated event is never forwarded, so that the stream can be continued with
 // this event at another endpoint.
-func (r *run) forwardStream(ctx context.Context, x *http1.Exchange, resp *http.Response, grant *placement.Grant) attemptResult {
+func (c *call) forwardStream(x *http1.Exchange, resp *http.Response) attemptResult {
 	var pending []byte
 	received := false
 	chunk := make([]byte, readSize)
@@ -40,19 +37,21 @@
 		whole := completeEvents(pending)
 		if whole > 0 {
 			received = true
-			if err := r.forwardEvents(pending[:whole], resp, grant); err != nil {
-				return attemptResult{err: err, reason: outcome.ReasonCallerGone, mayHaveRun: true, report: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE}
+			switch err := c.forwardEvents(pending[:whole], resp); {
+			case errors.Is(err, errSuperseded):
+				return failedResult(outcome.ReasonSuperseded, err)
+			case err != nil:
+				return callerGoneResult(err)
 			}
 			pending = append(pending[:0], pending[whole:]...)
-			x.SetReadTimeout(r.silenceTimeout(gapsUntilSilent * r.req.GapTarget))
 		}
 		switch {
 		case errors.Is(err, io.EOF) && !received && !isFramed(resp):
 			return failedResult(outcome.ReasonTruncated, errNoEvent)
 		case errors.Is(err, io.EOF):
-			return r.endStream(ctx, x, resp, pending, grant)
+			return c.endStream(x, resp, pending)
 		case err != nil:
-			return failedResult(readFailureReason(ctx, err), err)
+			return failedResult(readFailureReason(c.ctx, err), err)
 		case len(pending) > maxEvent:
 			return failedResult(outcome.ReasonWrongAnswer, errors.New("an event is too long"))
 		}
@@ -61,14 +60,19 @@
 
 // endStream handles the end of the stream; pending is the data after the last
 // complete event.
-func (r *run) endStream(ctx context.Context, x *http1.Exchange, resp *http.Response, pending []byte, grant *placement.Grant) attemptResult {
+func (c *call) endStream(x *http1.Exchange, resp *http.Response, pending []byte) attemptResult {
 	if len(pending) > 0 {
 		return failedResult(outcome.ReasonTruncated, errPartialEvent)
 	}
-	if r.endedWithEndpoint(ctx, resp, &grant.Endpoint) {
+	if c.endedWithEndpoint(resp) {
 		return failedResult(outcome.ReasonTruncated, errEndpointTerminated)
 	}
-	r.sendHead(resp)
+	c.run.mu.Lock()
+	defer c.run.mu.Unlock()
+	if !c.lead() {
+		return failedResult(outcome.ReasonSuperseded, errSuperseded)
+	}
+	c.run.sendHead(resp)
 	x.Finish()
 	return forwardedResult(resp)
 }
@@ -84,44 +88,65 @@
 }
 
 // forwardEvents forwards complete events, except those that the caller has
-// already received.
-func (r *run) forwardEvents(events []byte, resp *http.Response, grant *placement.Grant) error {
-	r.markBegun()
+// already received. The error is errSuperseded if another call has gone on.
+func (c *call) forwardEvents(events []byte, resp *http.Response) error {
+	c.markBegun()
+	r := c.run
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c.progress()
+	out, count, last := r.newEvents(events)
+	if count == 0 {
+		return nil
+	}
+	if !c.lead() {
+		return errSuperseded
+	}
 	r.sendHead(resp)
-	var out []byte
+	r.lastEvent = last
+	c.events += count
+	if r.events += count; r.events == count {
+		r.recordFirstEvent(c)
+	}
+	for range count {
+		c.grant.RecordToken()
+	}
+	err := r.sink.Body(out)
+	// A caller that reads slowly is no silence of the endpoint.
+	c.quietSince = r.f.Clock.Now()
+	return err
+}
+
+// newEvents returns those of the events that the caller has not received yet, their
+// number, and the id of the last event that the caller has with them.
+func (r *run) newEvents(events []byte) (out []byte, count int, last string) {
+	last = r.lastEvent
 	for len(events) > 0 {
 		n := completeEvent(events)
 		event := events[:n]
 		events = events[n:]
 		id, ok := eventID(event)
-		if ok && !r.isNext(id) {
+		if ok && !isNext(last, id) {
 			r.f.Metrics.Inc("events.repeated")
 			continue
 		}
 		if ok {
-			r.lastEvent = id
+			last = id
 		}
-		if r.events++; r.events == 1 {
-			r.recordFirstEvent(grant)
-		}
-		grant.RecordToken()
+		count++
 		out = append(out, event...)
 	}
-	if len(out) == 0 {
-		return nil
-	}
-	return r.sink.Body(out)
+	return out, count, last
 }
 
-// isNext reports whether an event comes after the last one that the caller has
-// received.
-func (r *run) isNext(id string) bool {
-	last, err := strconv.ParseInt(r.lastEvent, 10, 64)
+// isNext reports whether the event with an id comes after the last one.
+func isNext(last, id string) bool {
+	before, err := strconv.ParseInt(last, 10, 64)
 	if err != nil {
 		return true
 	}
 	n, err := strconv.ParseInt(id, 10, 64)
-	return err != nil || n > last
+	return err != nil || n > before
 }
 
 // completeEvents returns the length of the complete events at the start of data.
--- a/internal/forward/unknown_class_test.go
+++ b/internal/forward/unknown_class_test.go
@@ -36,8 +36,8 @@
 				return nil, outcome.NotRunError(outcome.ReasonShed, "known by now")
 			},
 		}
-		r := &run{f: f, req: &Request{MaySend: func() *outcome.Refusal { return nil }}}
-		_, err := r.reserve(context.Background())
+		c := &call{run: &run{f: f, req: &Request{MaySend: func() *outcome.Refusal { return nil }}}, ctx: context.Background()}
+		err := c.reserve()
 		want := outcome.ReasonShed
 		if unknown > maxStaleRetries {
 			want = outcome.ReasonUnknownClass
--- a/internal/forward/version.go
+++ b/internal/forward/version.go
@@ -7,7 +7,6 @@
 	"github.com/beechhead/beechhead/internal/catalog"
 	"github.com/beechhead/beechhead/internal/http1"
 	"github.com/beechhead/beechhead/internal/outcome"
-	"github.com/beechhead/beechhead/internal/placement"
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
@@ -28,25 +27,26 @@
 // mayBeReplaced reports whether the endpoint may have started again at another version
 // that it has not registered yet: it has terminated, and the probe did not show that the
 // report of that was wrong.
-func (r *run) mayBeReplaced(e *table.Endpoint) bool {
-	return !r.confirmed && r.f.Quarantine.HasTerminated(e.Name)
+func (c *call) mayBeReplaced() bool {
+	return !c.confirmed && c.run.f.Quarantine.HasTerminated(c.grant.Endpoint.Name)
 }
 
 // versionProbe returns the probe for an attempt whose endpoint may have started again at
 // another version that it has not registered yet; nil if that does not matter. An endpoint
-// that continues a stream may have done so unnoticed.
-func (r *run) versionProbe(e *table.Endpoint) *http1.Probe {
-	matters := r.continues() || r.req.Resumable && r.mayBeReplaced(e)
-	if !matters || r.f.Protocol.ReportTarget == "" {
+// that continues a stream may have done so unnoticed. It requires run.mu.
+func (c *call) versionProbe() *http1.Probe {
+	r := c.run
+	continues := r.continues()
+	if r.f.Protocol.ReportTarget == "" || !continues && !(r.req.Resumable && c.mayBeReplaced()) {
 		return nil
 	}
 	return &http1.Probe{
 		Target: r.f.Protocol.ReportTarget,
 		Host:   r.req.Host,
 		Accept: func(status int, h http.Header, body []byte) error {
-			same, known := r.f.Protocol.ReadReport(e, status, h, body)
-			r.confirmed = same
-			if !known || same || !r.continues() {
+			same, known := r.f.Protocol.ReadReport(&c.grant.Endpoint, status, h, body)
+			c.confirmed = same
+			if !known || same || !continues {
 				return nil
 			}
 			r.f.Metrics.Inc("streams.endpointReplaced")
@@ -72,11 +72,11 @@
 }
 
 // recordFirstEvent records that the first event of the response has arrived.
-func (r *run) recordFirstEvent(grant *placement.Grant) {
+func (r *run) recordFirstEvent(c *call) {
 	r.firstEvent = r.f.Clock.Since(r.began)
 	if !r.req.resumes() {
-		r.begunVersion = grant.Endpoint.SoftwareVersion
-		if r.mayBeReplaced(&grant.Endpoint) {
+		r.begunVersion = c.grant.Endpoint.SoftwareVersion
+		if c.mayBeReplaced() {
 			r.begunVersion = ""
 		}
 	}
@@ -85,8 +85,10 @@
 	}
 }
 
-// endStreamRecord ends the record of the stream's version.
+// endStreamRecord ends the record of the stream's version. It must be called without mu.
 func (r *run) endStreamRecord() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.endRecord != nil {
 		r.endRecord()
 	}
--- a/internal/gateway/silent_test.go
+++ b/internal/gateway/silent_test.go
@@ -7,9 +7,16 @@
 	"time"
 )
 
-// Guards against daemons that give up a sound engine which is silent for a second,
-// or leave it alone afterwards.
-func TestSoundEnginesMayBeSilentForASecond(t *testing.T) {
+// Guards against daemons that give up sound engines which are silent for some time,
+// or leave them alone afterwards.
+func TestSoundEnginesMayBeSilent(t *testing.T) {
+	t.Run("requests before and during a second", func(t *testing.T) { testSilence(t, time.Second, true) })
+	// Requests that come during a longer silence may be refused: their callers leave
+	// before a slot is free.
+	t.Run("requests before three seconds", func(t *testing.T) { testSilence(t, 3*time.Second, false) })
+}
+
+func testSilence(t *testing.T, silence time.Duration, during bool) {
 	s := newTestSite(t, 2)
 	for _, e := range s.engines {
 		e.Events, e.Delay = 20, 10*time.Millisecond
@@ -40,9 +47,11 @@
 	sendAll()
 	time.Sleep(50 * time.Millisecond)
 	for _, e := range s.engines {
-		e.Silence(time.Second)
+		e.Silence(silence)
+	}
+	if during {
+		sendAll()
 	}
-	sendAll()
 	wg.Wait()
 	for _, id := range ids {
 		if n := len(s.runs(id)); n != 1 {
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -172,15 +172,6 @@
 // a direct one.
 func (x *Exchange) Via() string { return x.conn.via() }
 
-// SetReadTimeout sets the timeout for reading from now on; zero means none.
-func (x *Exchange) SetReadTimeout(d time.Duration) {
-	var deadline time.Time
-	if d > 0 {
-		deadline = time.Now().Add(d)
-	}
-	_ = x.conn.SetReadDeadline(deadline)
-}
-
 // Response waits for the headers of the response. It skips informational
 // responses and responses that belong to other requests.
 func (x *Exchange) Response() (*http.Response, error) {
@@ -217,7 +208,6 @@
 	if !x.finished.CompareAndSwap(false, true) {
 		return
 	}
-	_ = x.conn.SetReadDeadline(time.Time{})
 	if x.isReusable() {
 		x.pool.put(x.address, x.conn, idleTimeout(x.resp.Header))
 		return
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -57,6 +57,7 @@
 	ReasonTruncated       Reason = "truncated"
 	ReasonWrongAnswer     Reason = "wrongAnswer"
 	ReasonSilent          Reason = "silent"
+	ReasonSuperseded      Reason = "superseded"
 	ReasonPreempted       Reason = "preempted"
 	ReasonCallerGone      Reason = "callerGone"
 	ReasonStoreDown       Reason = "storeDown"
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -76,3 +76,10 @@
 	}
 	return true
 }
+
+// Return gives back a retry that was taken and not sent.
+func (b *Budget) Return() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.earned = min(b.earned+1, b.config.MaxEarned)
+}
