Wait out a silence that several endpoints share

An endpoint that is silent for this daemon is not asked in place of another one. If two or more are silent and no other one of the pool has sent anything for 0.6 s, or if one that was silent has just gone on, no second attempt is made until twice the usual time has passed.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -171,6 +171,7 @@
 	obstacleAttempts      obstacle = "attempts"
 	obstacleQuarantined   obstacle = "quarantined"
 	obstacleBudget        obstacle = "retryBudget"
+	obstacleShared        obstacle = "sharedSilence"
 )
 
 // retryObstacle returns why the request must not be sent to another endpoint after
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"slices"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/beechhead/beechhead/internal/catalog"
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
-	"github.com/beechhead/beechhead/pkg/table"
 )
 
 const (
@@ -27,6 +24,9 @@
 	// pausedAfter is how late a timer expires if this process was paused. What
 	// endpoints sent meanwhile is then read first, which takes less than that.
 	pausedAfter = 100 * time.Millisecond
+	// sharedSilenceFactor is the multiple of the time after which an endpoint counts as
+	// silent for which a silence that others share is waited out.
+	sharedSilenceFactor = 2
 	// never is longer than any request.
 	never = 24 * time.Hour
 )
@@ -105,7 +105,7 @@
 		r.nextHedge = now.Add(pausedAfter)
 		return
 	}
-	why := r.hedgeObstacle(ctx)
+	why := r.hedgeObstacle(ctx, quiet >= sharedSilenceFactor*limit)
 	r.recordSilent(c, quiet, first, why)
 	if why != "" {
 		r.nextHedge = now.Add(hedgeInterval)
@@ -115,11 +115,14 @@
 }
 
 // hedgeObstacle returns why no other endpoint is asked while one is silent; "" if one is.
-// The attempt has then been taken from the budget.
-func (r *run) hedgeObstacle(ctx context.Context) obstacle {
+// The attempt has then been taken from the budget. Silence that other endpoints share says
+// nothing about one of them, and they would be silent to a second attempt as well.
+func (r *run) hedgeObstacle(ctx context.Context, long bool) obstacle {
 	switch {
 	case ctx.Err() != nil:
 		return obstacleEnded
+	case !long && r.f.silences.isShared(r.req.Pool, r.f.Clock.Now()):
+		return obstacleShared
 	case r.tried:
 		// A trial may end its endpoint, and no second one at the same time.
 		return obstacleQuarantined
@@ -176,7 +179,7 @@
 	}
 	c.silent = false
 	c.quietSince = now
-	c.heard.at.Store(now.UnixNano())
+	c.heard.record(now, c.quiet)
 	c.endQuiet()
 }
 
@@ -194,69 +197,6 @@
 	}
 }
 
-// silences knows which endpoints are silent at the moment, so that none of them is asked
-// in place of another one. Its zero value is ready for use. It is safe for concurrent use.
-type silences struct {
-	mu        sync.Mutex
-	endpoints map[table.EndpointName]*heard
-}
-
-// heard is what was heard from an endpoint of which responses are awaited.
-type heard struct {
-	silences *silences
-	name     table.EndpointName
-	pool     table.Pool
-	// at is when the endpoint has last sent something, in nanoseconds since 1970.
-	at atomic.Int64
-	// calls counts the responses that are awaited, quiet those that are late. Both are
-	// guarded by silences.mu.
-	calls, quiet int
-}
-
-// begin records that a response of an endpoint is awaited.
-func (s *silences) begin(e *table.Endpoint) *heard {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	h := s.endpoints[e.Name]
-	if h == nil {
-		h = &heard{silences: s, name: e.Name, pool: e.Pool}
-		if s.endpoints == nil {
-			s.endpoints = map[table.EndpointName]*heard{}
-		}
-		s.endpoints[e.Name] = h
-	}
-	h.calls++
-	return h
-}
-
-// end records that a response is no longer awaited.
-func (h *heard) end() {
-	h.silences.mu.Lock()
-	defer h.silences.mu.Unlock()
-	if h.calls--; h.calls == 0 {
-		delete(h.silences.endpoints, h.name)
-	}
-}
-
-func (h *heard) addQuiet(n int) {
-	h.silences.mu.Lock()
-	defer h.silences.mu.Unlock()
-	h.quiet += n
-}
-
-// silent returns the endpoints of a pool from which a response is late and nothing else
-// was heard lately.
-func (s *silences) silent(pool table.Pool, now time.Time) (names []table.EndpointName) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for name, h := range s.endpoints {
-		if h.pool == pool && h.quiet > 0 && now.UnixNano()-h.at.Load() > int64(minSilence/2) {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 // recordSilent records that an endpoint is silent, and why no other one is asked, if so.
 func (r *run) recordSilent(c *call, quiet time.Duration, first bool, why obstacle) {
 	if first {
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -253,10 +253,20 @@
 			all = append(all, h)
 		}
 		time.Sleep(minSilence)
-		all[1].at.Store(clock.Now().UnixNano())
+		if !s.isShared("p", clock.Now()) || s.isShared("q", clock.Now()) {
+			t.Error("the silence of two endpoints is not shared, or that of one is")
+		}
+		all[1].record(clock.Now(), true)
 		if got := fmt.Sprint(s.silent("p", clock.Now())); got != "[a]" {
 			t.Errorf("silent endpoints: %s, want a, since b has sent something", got)
 		}
+		if !s.isShared("p", clock.Now()) {
+			t.Error("a silence that ends at one endpoint is not shared by the other any more")
+		}
+		time.Sleep(2 * hedgeInterval)
+		if s.isShared("p", clock.Now()) {
+			t.Error("a silence is shared although an endpoint has sent something")
+		}
 		for _, h := range all {
 			h.addQuiet(-1)
 			h.end()
