Follow the linter in the reservation of an attempt

Two lines of the new attempts did not pass golangci-lint: an append to another slice, which could also have shared the array of the endpoints that back off, and a condition. No decision changes; the package's tests pass.

--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -60,7 +60,7 @@
 	r := c.run
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	excluded := append(backingOff, r.failed...)
+	excluded := slices.Concat(backingOff, r.failed)
 	for _, other := range r.calls {
 		if other != c && other.grant != nil {
 			excluded = append(excluded, other.grant.Endpoint.Name)
--- a/internal/forward/version.go
+++ b/internal/forward/version.go
@@ -37,7 +37,8 @@
 func (c *call) versionProbe() *http1.Probe {
 	r := c.run
 	continues := r.continues()
-	if r.f.Protocol.ReportTarget == "" || !continues && !(r.req.Resumable && c.mayBeReplaced()) {
+	matters := continues || r.req.Resumable && c.mayBeReplaced()
+	if !matters || r.f.Protocol.ReportTarget == "" {
 		return nil
 	}
 	return &http1.Probe{
