Count silent endpoints against those that still send

A silence is shared now if two or more endpoints are silent for this daemon, more than twice as many as have sent something within 0.6 s.

--- a/internal/forward/silences.go
+++ b/internal/forward/silences.go
@@ -11,8 +11,10 @@
 const (
 	// recently is the age up to which a sign of an endpoint shows that it is not silent.
 	recently = minSilence / 2
-	// minShared is the number of silent endpoints from which on a silence may be shared.
-	minShared = 2
+	// minShared is the number of silent endpoints from which on a silence may be shared,
+	// sharedRatio how many times the number of the others they must exceed.
+	minShared   = 2
+	sharedRatio = 2
 )
 
 // silences knows which endpoints are silent at the moment. Its zero value is ready for
@@ -93,26 +95,41 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for name, h := range s.endpoints {
-		if h.pool == pool && h.quiet > 0 && !isWithin(&h.at, now, recently) {
+		if h.pool == pool && h.isSilent(now) {
 			names = append(names, name)
 		}
 	}
 	return names
 }
 
-// isShared reports whether several endpoints of a pool are silent and nothing was heard
-// recently from any other, or whether one that was silent as well has just gone on.
+// isShared reports whether most endpoints of a pool are silent that this daemon knows
+// about, or whether one that was silent as well has just gone on.
 func (s *silences) isShared(pool table.Pool, now time.Time) bool {
 	s.mu.Lock()
-	h := s.pools[pool]
-	s.mu.Unlock()
-	switch {
-	case h == nil:
+	defer s.mu.Unlock()
+	p := s.pools[pool]
+	if p == nil {
 		return false
-	case isWithin(&h.wentOn, now, hedgeInterval):
-		return true
 	}
-	return !isWithin(&h.at, now, recently) && len(s.silent(pool, now)) >= minShared
+	silent, active := 0, 0
+	for _, h := range s.endpoints {
+		switch {
+		case h.pool != pool:
+		case h.isSilent(now):
+			silent++
+		case isWithin(&h.at, now, recently):
+			active++
+		}
+	}
+	if active == 0 && isWithin(&p.at, now, recently) {
+		active = 1
+	}
+	return isWithin(&p.wentOn, now, hedgeInterval) || silent >= minShared && silent > sharedRatio*active
+}
+
+// isSilent requires silences.mu.
+func (h *heard) isSilent(now time.Time) bool {
+	return h.quiet > 0 && !isWithin(&h.at, now, recently)
 }
 
 // isWithin reports whether a time in nanoseconds since 1970 is at most d ago.
