Keep connections whose peer acknowledges but reads nothing

An endpoint that was stopped for longer than 2.5 s ended the connection on which a long body was being sent to it, though its machine acknowledged and it would have gone on: Linux counts the time for which the receive window is full against TCP_USER_TIMEOUT as well. The same ended a tunnel whose endpoint read nothing, and one whose user read a long response slowly.

While a body of more than 8 KiB is sent, and on both sides of a tunnel, the user timeout is now off, and the daemon looks each 500 ms in TCP_INFO whether acknowledgements are missing. Five checks in a row without one close the connection. The number of keep-alive probes now gives the same 3 s without a user timeout.

--- a/internal/http1/dial.go
+++ b/internal/http1/dial.go
@@ -23,9 +23,9 @@
 	// An idle connection outlives the loss of one probe, and one with data in
 	// transit a machine that stands still for a second.
 	tcpUserTimeout = 2500 * time.Millisecond
-	// maxProbes is above the number of probes within tcpUserTimeout, which
-	// therefore decides.
-	maxProbes = 5
+	// maxProbes is the number of probes within tcpUserTimeout. It decides while the
+	// kernel's user timeout is off.
+	maxProbes = int(tcpUserTimeout / keepAliveTime)
 )
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveTime, Interval: keepAliveTime, Count: maxProbes}
@@ -68,6 +68,10 @@
 	}
 }
 
+// WatchLoss detects the loss of a connection's peer in place of the kernel until stop is
+// called; see endpoint.WatchLoss.
+func WatchLoss(c net.Conn) (stop func()) { return endpoint.WatchLoss(c, tcpUserTimeout) }
+
 // DetectLoss makes a connection that was accepted detect the loss of its peer.
 func DetectLoss(c net.Conn) error {
 	tcp, ok := c.(*net.TCPConn)
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -59,6 +59,9 @@
 	// bodyWritten is closed when the body has been written; nil if it was
 	// written before the response is read.
 	bodyWritten chan struct{}
+	// stopWatch ends the watch for the loss of the endpoint; nil if the kernel detects
+	// it.
+	stopWatch func()
 	// noReuse is set if the connection must not carry another exchange.
 	noReuse  bool
 	finished atomic.Bool
@@ -130,6 +133,8 @@
 		x.noReuse = true
 		return n > 0
 	}
+	// An endpoint that is stopped does not take all of a long body.
+	x.stopWatch = WatchLoss(x.conn.Conn)
 	x.bodyWritten = make(chan struct{})
 	go func() {
 		defer close(x.bodyWritten)
@@ -218,6 +223,9 @@
 		return
 	}
 	_ = x.conn.SetReadDeadline(time.Time{})
+	if x.stopWatch != nil {
+		x.stopWatch()
+	}
 	if x.isReusable() {
 		x.pool.put(x.address, x.conn, idleTimeout(x.resp.Header))
 		return
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -123,8 +123,11 @@
 	w.WriteHeader(status)
 }
 
-// carry copies data in both directions until either side has ended.
+// carry copies data in both directions until either side has ended. While one side
+// reads nothing, the other one is kept.
 func (s *Server) carry(local, remote net.Conn, address string) {
+	defer http1.WatchLoss(local)()
+	defer http1.WatchLoss(remote)()
 	var requested atomic.Bool
 	up := make(chan struct{})
 	go func() {
--- /dev/null
+++ b/internal/tunnel/stopped_test.go
@@ -0,0 +1,70 @@
+package tunnel
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/beechhead/beechhead/internal/http1"
+)
+
+// Guards against the end of a tunnel whose endpoint does not read a long body for a
+// while, or whose user does not read a long response, though all machines acknowledge.
+func TestEitherEndOfATunnelMayStopReading(t *testing.T) {
+	t.Parallel()
+	const (
+		// pause is longer than unacknowledged data is waited for.
+		pause = 5 * time.Second
+		// size is more than the buffers on the way take.
+		size = 32 << 20
+	)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		time.Sleep(pause)
+		if n, _ := io.Copy(io.Discard, req.Body); n != size {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: "+strconv.Itoa(size)+"\r\n\r\n")
+		_, _ = c.Write(make([]byte, size))
+	}()
+	host, _ := newHost(t, 1, "works", new(atomic.Int64))
+	pool := http1.NewPool(clockwork.NewRealClock(), func(ctx context.Context, address string) (net.Conn, error) {
+		return Through(http1.Dial)(ctx, host, address)
+	})
+	x, err := pool.Send(t.Context(), l.Addr().String(), &http1.Request{
+		Method: http.MethodPost, Target: "/x", Host: "x.example", Body: make([]byte, size),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer x.Abort()
+	resp, err := x.Response() //nolint:bodyclose // the exchange ends with its connection
+	if err != nil {
+		t.Fatal("the body did not arrive: ", err)
+	}
+	time.Sleep(pause)
+	if n, err := io.Copy(io.Discard, resp.Body); n != size || err != nil {
+		t.Errorf("%d bytes of the response, %v", n, err)
+	}
+}
