Don't take a reset for the end of a response

A response without a length ends with its connection. If the connection was reset while the rest of a long body was being written, the goroutine that wrote could get the error, which Linux reports once, and the one that read got an orderly end: the truncated response looked complete as long as the endpoint still listened. The same happened at the daemon that carries a tunnel, which then sent the mark of an orderly end.

An end that is read is now checked against the state of the connection: one that the peer has closed in order is still open in the other direction.

--- a/internal/http1/loss_test.go
+++ b/internal/http1/loss_test.go
@@ -54,3 +54,40 @@
 		t.Errorf("response %q, %v", got, err)
 	}
 }
+
+// Guards against a response without a length that looks complete although its connection
+// was reset: the error is reported once, and the goroutine that writes a long body may get
+// it.
+func TestResetWhileABodyIsWrittenIsNoEnd(t *testing.T) {
+	for range 20 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}()
+		p := NewPool(clockwork.NewRealClock(), Dial)
+		x, err := p.Send(t.Context(), l.Addr().String(), &Request{Method: http.MethodPost, Target: "/x", Host: "x.example", Body: make([]byte, 16<<20)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := x.Response() //nolint:bodyclose // the exchange ends with its connection
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(resp.Body); err == nil {
+			t.Errorf("the response %q looks complete", body)
+		}
+		x.Abort()
+		_ = l.Close()
+	}
+}
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -15,6 +15,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
+
+	"github.com/beechhead/beechhead/internal/endpoint"
 )
 
 var (
@@ -81,6 +83,12 @@
 	probesConfigured bool
 }
 
+// Read reads from the connection. A reset is never an io.EOF.
+func (c *conn) Read(p []byte) (n int, err error) {
+	n, err = c.Conn.Read(p)
+	return n, endpoint.EndError(c.Conn, err)
+}
+
 // via returns the address of the daemon that carries the connection; "" if it is
 // a direct one.
 func (c *conn) via() string {
@@ -225,5 +233,7 @@
 // newConn counts a new connection and adds its reader.
 func (p *Pool) newConn(c net.Conn) *conn {
 	p.Opened.Add(1)
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, bufferSize)}
+	conn := &conn{Conn: c}
+	conn.reader = bufio.NewReaderSize(conn, bufferSize)
+	return conn
 }
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -171,10 +171,11 @@
 
 // copyFrames copies data as frames. It returns nil if the data ended in order and
 // the end was sent.
-func copyFrames(to io.Writer, from io.Reader, onData func([]byte)) error {
+func copyFrames(to io.Writer, from net.Conn, onData func([]byte)) error {
 	buf := make([]byte, frameHeaderSize+maxFrame)
 	for {
 		n, err := from.Read(buf[frameHeaderSize:])
+		err = endpoint.EndError(from, err)
 		if n > 0 {
 			onData(buf[frameHeaderSize : frameHeaderSize+n])
 			if err := writeFrame(to, buf[:frameHeaderSize+n]); err != nil {
--- a/internal/tunnel/stopped_test.go
+++ b/internal/tunnel/stopped_test.go
@@ -48,23 +48,61 @@
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: "+strconv.Itoa(size)+"\r\n\r\n")
 		_, _ = c.Write(make([]byte, size))
 	}()
+	x := sendThrough(t, l.Addr().String(), size)
+	resp, err := x.Response() //nolint:bodyclose // the exchange ends with its connection
+	if err != nil {
+		t.Fatal("the body did not arrive: ", err)
+	}
+	time.Sleep(pause)
+	if n, err := io.Copy(io.Discard, resp.Body); n != size || err != nil {
+		t.Errorf("%d bytes of the response, %v", n, err)
+	}
+}
+
+// sendThrough sends a request with a body of a given size through a tunnel.
+func sendThrough(t *testing.T, address string, size int) *http1.Exchange {
+	t.Helper()
 	host, _ := newHost(t, 1, "works", new(atomic.Int64))
 	pool := http1.NewPool(clockwork.NewRealClock(), func(ctx context.Context, address string) (net.Conn, error) {
 		return Through(http1.Dial)(ctx, host, address)
 	})
-	x, err := pool.Send(t.Context(), l.Addr().String(), &http1.Request{
+	x, err := pool.Send(t.Context(), address, &http1.Request{
 		Method: http.MethodPost, Target: "/x", Host: "x.example", Body: make([]byte, size),
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer x.Abort()
-	resp, err := x.Response() //nolint:bodyclose // the exchange ends with its connection
-	if err != nil {
-		t.Fatal("the body did not arrive: ", err)
-	}
-	time.Sleep(pause)
-	if n, err := io.Copy(io.Discard, resp.Body); n != size || err != nil {
-		t.Errorf("%d bytes of the response, %v", n, err)
+	t.Cleanup(x.Abort)
+	return x
+}
+
+// Guards against a response without a length that looks complete at the other end of a
+// tunnel although the endpoint's connection was reset while a body was written to it.
+func TestResetWhileABodyIsCarriedIsNoEnd(t *testing.T) {
+	for range 20 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
+			time.Sleep(20 * time.Millisecond)
+			reset(c)
+			_ = c.Close()
+		}()
+		x := sendThrough(t, l.Addr().String(), 16<<20)
+		resp, err := x.Response() //nolint:bodyclose // the exchange ends with its connection
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(resp.Body); err == nil {
+			t.Errorf("the response %q looks complete", body)
+		}
+		_ = l.Close()
 	}
 }
