Say that a probed endpoint is silent, and probe it at most twice

The probe before a stream is continued waits 300 ms on each kept connection, one after the other, before a new connection is opened: a paused endpoint with three kept connections held the request for 1.2 s and got four probes. Then the caller of the pool could not tell an endpoint that is only silent from one that could not be reached.

After one kept connection without a response a new one is opened, which tells a silent connection from a silent endpoint. If there is no response either, the error is ErrSilent, still an ErrNotSent.

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -73,14 +73,17 @@
 // reported by the Exchange.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Exchange, error) {
 	head := writeHead(r)
+	fresh := r.NewConnection
 	for {
-		c, err := p.connection(ctx, address, r.NewConnection)
+		c, err := p.connection(ctx, address, fresh)
 		if err != nil {
 			return nil, err
 		}
 		if err := r.check(c); err != nil {
 			_ = c.Close()
 			if errors.Is(err, errProbe) && c.reused {
+				// Only a new connection tells a silent endpoint from a silent connection.
+				fresh = fresh || errors.Is(err, ErrSilent)
 				continue
 			}
 			return nil, err
--- a/internal/http1/probe.go
+++ b/internal/http1/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -26,23 +27,39 @@
 	Accept func(status int, h http.Header, body []byte) error
 }
 
-// errProbe is an ErrNotSent: the connection has not carried the probe and its response.
-var errProbe = errors.Wrap(ErrNotSent, "probe")
+var (
+	// errProbe is an ErrNotSent: the connection has not carried the probe and its response.
+	errProbe = errors.Wrap(ErrNotSent, "probe")
+	// ErrSilent is an ErrNotSent: the endpoint has accepted a connection and not answered
+	// the probe in time. It may only be paused.
+	ErrSilent = errors.Wrap(errProbe, "no response in time")
+)
+
+// probeError returns the error of a probe that could not be sent or has no response.
+func probeError(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return ErrSilent
+	}
+	return errProbe
+}
 
 // play sends the probe and reads its response.
 func (p *Probe) play(c *conn) error {
 	_ = c.SetDeadline(time.Now().Add(probeTimeout))
 	request := &Request{Method: http.MethodGet, Target: p.Target, Host: p.Host}
 	if _, err := c.Write(writeHead(request)); err != nil {
-		return errProbe
+		return probeError(err)
 	}
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodGet})
 	if err != nil {
-		return errProbe
+		return probeError(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxProbeResponse))
-	if err != nil || len(body) == maxProbeResponse || resp.Close || c.reader.Buffered() > 0 {
+	if err != nil {
+		return probeError(err)
+	}
+	if len(body) == maxProbeResponse || resp.Close || c.reader.Buffered() > 0 {
 		return errProbe
 	}
 	_ = c.SetDeadline(time.Time{})
--- a/internal/http1/probe_test.go
+++ b/internal/http1/probe_test.go
@@ -59,6 +59,31 @@
 	}
 }
 
+// Guards against a probe that waits for a silent endpoint on one kept connection after the
+// other, and against an endpoint that is only silent being taken for one that has failed.
+func TestSilentEndpointIsProbedOnOneKeptConnection(t *testing.T) {
+	const kept = 3
+	e := newEndpoint(t, [][]step{{{Read: true}}, {{Read: true}}, {{Read: true}}, {{Read: true}}})
+	address := e.listener.Addr().String()
+	p := newTestPool()
+	for range kept {
+		c, err := p.dialConn(t.Context(), address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.put(address, c, defaultIdleTimeout)
+	}
+	_, err := p.Send(t.Context(), address, &Request{
+		Method: http.MethodPost, Target: "/x", Host: "x.example", Probe: &Probe{Target: "/report", Host: "x.example"},
+	})
+	if !errors.Is(err, ErrSilent) || !errors.Is(err, ErrNotSent) {
+		t.Errorf("error %v, want %v", err, ErrSilent)
+	}
+	if got := len(e.requests); got != 2 {
+		t.Errorf("%d probes, want one on a kept connection and one on a new one", got)
+	}
+}
+
 // Guards against treating an endpoint that can't be reached as terminated, and
 // a terminated endpoint as reachable.
 func TestEnded(t *testing.T) {
