Don't send a request whose caller has left during the probe

Opening a connection and probing it take up to 900 ms. A caller who left meanwhile had his request written to the endpoint and aborted at once. The context is now checked right before the request is written.

TestRequestIsNotSentAfterItsCallerHasLeft failed before: the request was sent. go test -race of internal/http1 and internal/forward passes (one run).

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -79,7 +79,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := r.check(c); err != nil {
+		if err := r.check(ctx, c); err != nil {
 			_ = c.Close()
 			if errors.Is(err, errProbe) && c.reused {
 				// Only a new connection tells a silent endpoint from a silent connection.
@@ -100,12 +100,15 @@
 }
 
 // check returns an error if the request must not be written to the connection.
-func (r *Request) check(c *conn) error {
+func (r *Request) check(ctx context.Context, c *conn) error {
 	if r.Probe != nil {
 		if err := r.Probe.play(c); err != nil {
 			return err
 		}
 	}
+	if err := ctx.Err(); err != nil {
+		return errors.Wrap(ErrNotSent, err.Error())
+	}
 	if r.BeforeWrite == nil {
 		return nil
 	}
--- a/internal/http1/probe_test.go
+++ b/internal/http1/probe_test.go
@@ -84,6 +84,20 @@
 	}
 }
 
+// Guards against a request that is sent after its caller has left while the endpoint was
+// probed.
+func TestRequestIsNotSentAfterItsCallerHasLeft(t *testing.T) {
+	ctx, leave := context.WithCancel(t.Context())
+	e := newEndpoint(t, [][]step{{{Read: true, Write: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}, {Read: true}}})
+	_, err := newTestPool().Send(ctx, e.listener.Addr().String(), &Request{
+		Method: http.MethodPost, Target: "/x", Host: "x.example",
+		Probe: &Probe{Target: "/report", Host: "x.example", Accept: func(int, http.Header, []byte) error { leave(); return nil }},
+	})
+	if !errors.Is(err, ErrNotSent) {
+		t.Errorf("error %v, want %v", err, ErrNotSent)
+	}
+}
+
 // Guards against treating an endpoint that can't be reached as terminated, and
 // a terminated endpoint as reachable.
 func TestEnded(t *testing.T) {
