Deliver the rest of a tunnel that its endpoint has closed

When an endpoint had closed its connection in order, the daemon that carries the tunnel closed its side a second later. The kernel still held the end of a long response if the daemon that uses the tunnel had a slow caller, and with the user timeout of 2.5 s it gave that up while the receive window was full.

Both sides of a tunnel now keep the user timeout off until they are closed. The pool sets it again when an exchange with a long body has ended.

--- a/internal/endpoint/loss.go
+++ b/internal/endpoint/loss.go
@@ -13,7 +13,8 @@
 // WatchLoss closes a connection whose peer acknowledges nothing for the given time. It
 // does so in place of the user timeout, which also counts the time for which the peer
 // acknowledges but accepts no more data, as the machine of a stopped process does. stop
-// sets the user timeout again.
+// leaves the user timeout off: data that is sent after the connection was closed may be
+// accepted late as well.
 func WatchLoss(c net.Conn, timeout time.Duration) (stop func()) {
 	raw, ok := rawConn(c)
 	if !ok || SetUserTimeout(raw, 0) != nil {
@@ -24,9 +25,7 @@
 		defer close(ended)
 		if watchLoss(raw, timeout, done) {
 			_ = c.Close()
-			return
 		}
-		_ = SetUserTimeout(raw, timeout)
 	}()
 	return func() {
 		close(done)
--- a/internal/http1/dial.go
+++ b/internal/http1/dial.go
@@ -72,6 +72,17 @@
 // called; see endpoint.WatchLoss.
 func WatchLoss(c net.Conn) (stop func()) { return endpoint.WatchLoss(c, tcpUserTimeout) }
 
+// restoreUserTimeout lets the kernel detect the loss of a connection's peer again.
+func restoreUserTimeout(c net.Conn) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := sc.SyscallConn(); err == nil {
+		_ = endpoint.SetUserTimeout(raw, tcpUserTimeout)
+	}
+}
+
 // DetectLoss makes a connection that was accepted detect the loss of its peer.
 func DetectLoss(c net.Conn) error {
 	tcp, ok := c.(*net.TCPConn)
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -231,6 +231,7 @@
 	_ = x.conn.SetReadDeadline(time.Time{})
 	if x.stopWatch != nil {
 		x.stopWatch()
+		restoreUserTimeout(x.conn.Conn)
 	}
 	if x.isReusable() {
 		x.pool.put(x.address, x.conn, idleTimeout(x.resp.Header))
--- a/internal/http1/loss_test.go
+++ b/internal/http1/loss_test.go
@@ -53,6 +53,8 @@
 	if got, err := io.ReadAll(resp.Body); err != nil || !bytes.Equal(got, []byte("done")) {
 		t.Errorf("response %q, %v", got, err)
 	}
+	x.Finish()
+	checkTimes(t, x.conn.Conn)
 }
 
 // Guards against a response without a length that looks complete although its connection
--- a/internal/tunnel/stopped_test.go
+++ b/internal/tunnel/stopped_test.go
@@ -106,3 +106,37 @@
 		_ = l.Close()
 	}
 }
+
+// Guards against the loss of the end of a response whose endpoint has closed its
+// connection while the daemon that uses the tunnel still waits for its slow caller.
+func TestSlowUserGetsTheEndOfAClosedTunnel(t *testing.T) {
+	t.Parallel()
+	const (
+		pause = 5 * time.Second
+		size  = 1 << 20
+	)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+		_, _ = c.Write(make([]byte, size))
+	}()
+	x := sendThrough(t, l.Addr().String(), 0)
+	resp, err := x.Response() //nolint:bodyclose // the exchange ends with its connection
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(pause)
+	if n, err := io.Copy(io.Discard, resp.Body); n != size || err != nil {
+		t.Errorf("%d bytes of %d, %v", n, size, err)
+	}
+}
