--- a/internal/http1/dial.go
+++ b/internal/http1/dial.go
@@ -23,9 +23,9 @@
 	// An idle connection outlives the loss of one probe, and one with data in
 	// transit a machine that stands still for a second.
 	tcpUserTimeout = 2500 * time.Millisecond
-	// maxProbes is above the number of probes within tcpUserTimeout, which
-	// therefore decides.
-	maxProbes = 5
+	// maxProbes is the number of probes within tcpUserTimeout. It decides while the
+	// kernel's user timeout is off.
+	maxProbes = int(tcpUserTimeout / keepAliveTime)
 )
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveTime, Interval: keepAliveTime, Count: maxProbes}
@@ -68,6 +68,21 @@
 	}
 }
 
+// WatchLoss detects the loss of a connection's peer in place of the kernel until stop is
+// called; see endpoint.WatchLoss.
+func WatchLoss(c net.Conn) (stop func()) { return endpoint.WatchLoss(c, tcpUserTimeout) }
+
+// restoreUserTimeout lets the kernel detect the loss of a connection's peer again.
+func restoreUserTimeout(c net.Conn) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := sc.SyscallConn(); err == nil {
+		_ = endpoint.SetUserTimeout(raw, tcpUserTimeout)
+	}
+}
+
 // DetectLoss makes a connection that was accepted detect the loss of its peer.
 func DetectLoss(c net.Conn) error {
 	tcp, ok := c.(*net.TCPConn)
