Test that silent engines are waited for in the daemon with its own table

Cause: an attempt is cancelled when its progress deadline passes, and only then is it asked whether another one may be made. Silence that engines share uses up the retry budget at once, and what is silent for longer than its deadline and may not be repeated fails in any case, though the engine would have gone on.

The tests fail on this code. The test of an engine that hangs for good passes.

--- /dev/null
+++ b/internal/dispatch/silence_test.go
@@ -0,0 +1,275 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/beechhead/beechhead/internal/standin"
+	"github.com/beechhead/beechhead/pkg/table"
+)
+
+// pausingEngine is an engine that can stop as a suspended process does: it keeps
+// its connections, accepts new ones, and sends nothing until it goes on.
+type pausingEngine struct {
+	*standin.Engine
+	handler http.Handler
+
+	mu sync.Mutex
+	// running is closed unless the engine is paused.
+	running chan struct{}
+}
+
+func newPausingEngine(speed standin.EngineSpeed) *pausingEngine {
+	e := &pausingEngine{Engine: standin.NewEngine(speed), running: make(chan struct{})}
+	close(e.running)
+	e.handler = e.Handler()
+	return e
+}
+
+func (e *pausingEngine) pause() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running = make(chan struct{})
+}
+
+func (e *pausingEngine) resume() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.running)
+}
+
+// wait returns false if the request ends while the engine is paused.
+func (e *pausingEngine) wait(r *http.Request) bool {
+	e.mu.Lock()
+	running := e.running
+	e.mu.Unlock()
+	select {
+	case <-running:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (e *pausingEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if e.wait(r) {
+		e.handler.ServeHTTP(&pausingWriter{ResponseWriter: w, r: r, engine: e}, r)
+	}
+}
+
+type pausingWriter struct {
+	http.ResponseWriter
+	r      *http.Request
+	engine *pausingEngine
+}
+
+func (w *pausingWriter) Write(b []byte) (int, error) {
+	if !w.engine.wait(w.r) {
+		return 0, io.ErrClosedPipe
+	}
+	return w.ResponseWriter.Write(b)
+}
+
+func (w *pausingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// pausingSite is a site with one daemon whose engines can be paused.
+type pausingSite struct {
+	*standin.Site
+	engines []*pausingEngine
+}
+
+// startPausingSite starts a site with n engines of some slots each. Its class
+// "stream" has deadlines of 2 s between tokens, and "streamOnce" as well, but
+// must not be executed twice.
+func startPausingSite(t *testing.T, n, slots int) *pausingSite {
+	t.Helper()
+	s := &pausingSite{}
+	target := table.Target{FirstToken: table.Duration(time.Second), BetweenTokens: table.Duration(100 * time.Millisecond)}
+	s.Site = startSiteWith(t, n, func(tab *table.Table) {
+		for i := range n {
+			e := newPausingEngine(standin.EngineSpeed{Concurrency: slots, Token: 20 * time.Millisecond})
+			server := httptest.NewServer(e)
+			t.Cleanup(server.Close)
+			s.engines = append(s.engines, e)
+			tab.Endpoints[i].URL = server.URL
+			tab.Endpoints[i].Concurrency = slots
+		}
+		pools, wait := []table.Pool{standin.SampleModel}, table.Duration(time.Minute)
+		tab.Classes = append(tab.Classes,
+			table.Class{Name: "stream", Weight: 1, Pools: pools, MaxWait: wait, Idempotent: true, Target: target},
+			table.Class{Name: "streamOnce", Weight: 1, Pools: pools, MaxWait: wait, Target: target},
+		)
+		tab.Accounts[0].Classes = append(tab.Accounts[0].Classes, "stream", "streamOnce")
+	})
+	return s
+}
+
+// lookup calls the plain service with a class whose calls may be repeated, are
+// late after 1 s and end after 3 s.
+func lookup(t *testing.T, s *standin.Site, body string) (status int, answer string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.Settings[0].CallerAddress+"/v1/services/booking/slots", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+standin.StudioKey)
+	req.Header.Set("Beechhead-Class", "lookup")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Error(err)
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Error(err)
+	}
+	return resp.StatusCode, string(data)
+}
+
+// Guards against calls to a plain service that fail because their answers are
+// late and the retry budget is used up.
+func TestLateAnswersOfAServiceAreWaitedFor(t *testing.T) {
+	t.Parallel()
+	const calls = 24
+	s := startSiteWith(t, 1, func(tab *table.Table) {
+		target := table.Target{WholeAnswer: table.Duration(300 * time.Millisecond)}
+		tab.Classes = append(tab.Classes, table.Class{Name: "lookup", Weight: 1, Pools: []table.Pool{standin.SampleService}, MaxWait: table.Duration(time.Minute), Idempotent: true, Target: target})
+		tab.Accounts[0].Classes = append(tab.Accounts[0].Classes, "lookup")
+		for i := range tab.Endpoints {
+			tab.Endpoints[i].Concurrency = 2 * calls
+		}
+	})
+	s.Service.SetFaults(standin.ServiceFaults{DelayMs: 1500})
+	var wg sync.WaitGroup
+	for i := range calls {
+		wg.Go(func() {
+			body := fmt.Sprintf(`{"day":%d}`, i)
+			if status, answer := lookup(t, s, body); status != http.StatusOK {
+				t.Errorf("call %d: %d %s", i, status, answer)
+			}
+		})
+	}
+	wg.Wait()
+	executed := 0
+	for _, n := range s.Service.Executions() {
+		executed += n
+	}
+	if executed > calls*11/10+4 {
+		t.Errorf("%d calls were executed %d times", calls, executed)
+	}
+}
+
+func (s *pausingSite) requests() (n int) {
+	for _, e := range s.engines {
+		n += e.Stats().Requests
+	}
+	return n
+}
+
+func (s *pausingSite) tokens() (n int) {
+	for _, e := range s.engines {
+		n += e.Stats().Tokens
+	}
+	return n
+}
+
+// stream sends n requests at once and waits until their answers are under way.
+// The returned function waits for all answers to be whole.
+func (s *pausingSite) stream(t *testing.T, class string, n, tokens int) (wait func()) {
+	t.Helper()
+	before, begun := s.tokens(), 5*n
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() {
+			prompt := fmt.Sprintf("Which slots are open on day %d? [[tokens=%d]]", i, tokens)
+			r, err := sendChatWithTimeout(t, callerTimeout, s.Site, class, prompt)
+			if want := strings.Join(standin.Answer(prompt), ""); err != nil || r.text != want || !r.done || r.outcome != "done" {
+				t.Errorf("stream %d: got %+v, %v, want the text %q", i, r, err, want)
+			}
+		})
+	}
+	for s.tokens() < before+begun {
+		time.Sleep(time.Millisecond)
+	}
+	return wg.Wait
+}
+
+func pauseAll(engines []*pausingEngine, d time.Duration) {
+	for _, e := range engines {
+		e.pause()
+	}
+	time.Sleep(d)
+	for _, e := range engines {
+		e.resume()
+	}
+}
+
+// longSilence is longer than the deadline between tokens of the test's classes.
+const longSilence = 3 * time.Second
+
+// Guards against answers that break off because all engines are silent at once:
+// the retry budget is used up by the first of them.
+func TestSilenceOfAllEnginesBreaksNoAnswer(t *testing.T) {
+	t.Parallel()
+	const streams = 24
+	s := startPausingSite(t, 3, 16)
+	wait := s.stream(t, "stream", streams, 60)
+	pauseAll(s.engines, longSilence)
+	wait()
+	if n := s.requests(); n > streams*11/10+4 {
+		t.Errorf("engines received %d requests for %d answers", n, streams)
+	}
+}
+
+// Guards against answers of requests that must not run twice, which break off
+// though their engine goes on.
+func TestSilentEngineOfARequestThatMustNotRunTwiceIsWaitedFor(t *testing.T) {
+	t.Parallel()
+	s := startPausingSite(t, 2, 4)
+	wait := s.stream(t, "streamOnce", 4, 60)
+	pauseAll(s.engines, longSilence)
+	wait()
+	if n := s.requests(); n != 4 {
+		t.Errorf("engines received %d requests for 4 answers", n)
+	}
+}
+
+// Guards against an answer that is given up for silence before there is a slot
+// on another engine: the only other one is busy until the answer is whole.
+func TestSilentEngineIsWaitedForWhileTheOthersAreBusy(t *testing.T) {
+	t.Parallel()
+	s := startPausingSite(t, 2, 1)
+	waitBoth := s.stream(t, "stream", 2, 300)
+	pauseAll(s.engines[:1], longSilence)
+	waitBoth()
+	if n := s.requests(); n != 2 {
+		t.Errorf("engines received %d requests for 2 answers", n)
+	}
+}
+
+// Guards against an engine that hangs for good and is not left though another
+// one can take over, and against attempts that go on after they have lost.
+func TestHungEngineIsLeft(t *testing.T) {
+	t.Parallel()
+	s := startPausingSite(t, 2, 4)
+	wait := s.stream(t, "stream", 4, 100)
+	hung := s.engines[0]
+	before := hung.Stats()
+	hung.pause()
+	defer hung.resume()
+	wait()
+	for cancelled := 0; cancelled < before.Requests; cancelled = hung.Stats().Cancelled {
+		time.Sleep(time.Millisecond)
+	}
+	if n := s.requests(); n != 4+before.Requests {
+		t.Errorf("engines received %d requests, %d of 4 were on the hung one", n, before.Requests)
+	}
+}
+
