Keep silent attempts open while another one is asked for

Cause: deadlines of progress cancelled an attempt before it was known whether another one could be made, so that silence became a broken answer when the retry budget was empty, no slot was free, or the request must not run twice.

Silence no longer ends an attempt. The mechanism of hedges, which now serves chats, resumes and calls to plain services alike, asks for another attempt when a deadline has passed: first whether the class, the answer, the number of attempts and the budget allow it, then for a slot. A retry for which no slot came goes back to the budget. All attempts stay open; the one that brings the next event goes on and the others are cancelled. If none can be made, the open ones are waited for until ten times the target for whole answers (a minute without one) after the last event or sending. Another attempt uses a new connection, and the idle ones to a silent endpoint are closed.

A silent attempt that lost counts as a failure of its endpoint only if another endpoint went on after its deadline. The deadline is measured in two steps, so that a timer that fires late because the process stood still starts nothing before the sockets are read.

Counters silence.wentOn.*, silence.alone.*, silence.ms, and a log line for each answer that was waited for.

The clients of engines and services have no deadlines of silence any more.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -142,6 +142,7 @@
 func (d *Daemon) buildServers() {
 	sender := endpoint.NewSender(endpoint.NewTransport())
 	dispatcher := dispatch.NewDispatcher(d.clock, d.limits, d.placer, engine.NewClient(sender), service.NewClient(sender), d.suspects, d.metrics)
+	dispatcher.Logger = d.logger
 	dispatcher.OtherEndpoints = d.otherEndpoints
 	d.callerHandler = &caller.Server{
 		Logger:     d.logger,
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -1,11 +1,8 @@
 package dispatch
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -14,143 +11,190 @@
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
 	"github.com/beechhead/beechhead/internal/placement"
+	"github.com/beechhead/beechhead/internal/service"
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
-// Errors that end an attempt, in addition to those of the engine client.
+// Errors that end an attempt, in addition to those of the clients.
 var (
 	errPreempted          = errors.New("preempted")
 	errCallerDisconnected = errors.New("caller disconnected")
-	errHedgeLost          = errors.New("another engine was faster")
+	errHedgeLost          = errors.New("another endpoint was faster")
 )
 
-// attempt is one attempt to execute a chat request on an engine.
+// occasion is why an attempt is made.
+type occasion int
+
+const (
+	// inSequence means that no other attempt is open.
+	inSequence occasion = iota
+	// asHedge means that the open attempt is slow, but not beyond its deadline.
+	asHedge
+	// afterSilence means that the open attempts are silent beyond their
+	// deadline.
+	afterSilence
+)
+
+// eventKind is the kind of an event of an attempt.
+type eventKind int
+
+const (
+	// eventSending means that a slot is reserved and the request is about to
+	// be sent.
+	eventSending eventKind = iota
+	// eventBegun means that the header of the response was received.
+	eventBegun
+	// eventData means that a part of the response was received.
+	eventData
+	// eventEnd means that the attempt has ended.
+	eventEnd
+)
+
+// event is something that happened in an attempt. The attempt waits until it
+// was handled, so that data stays valid until then.
+type event struct {
+	attempt *attempt
+	kind    eventKind
+	data    []byte
+	// err is nil if the response is complete.
+	err error
+}
+
+// attempt is one attempt to execute a request on an endpoint. Its goroutine
+// reserves a slot, exchanges request and response, and releases the slot once
+// the run has decided on the outcome.
 type attempt struct {
-	run    *chatRun
+	run    *run
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	// index is the position among the attempts of the request, from zero.
-	index int
-	// resumes is set if the engine is to continue a response that an earlier
-	// attempt began.
-	resumes  bool
-	excluded []table.EndpointName
-	// silent lists those of the excluded engines that may be used again if no
-	// others are left.
+	index    int
+	occasion occasion
+	// version is that of the response which the endpoint is to continue; nil if
+	// the response begins with this attempt.
+	version *table.SoftwareVersion
+	// body is what the attempt sends, unless preparing it failed.
+	body       []byte
+	prepareErr error
+	excluded   []table.EndpointName
+	// silent lists those of the excluded endpoints that may be used again, over
+	// a new connection, if no others are left.
 	silent []table.EndpointName
 
-	// sending is closed when the request is about to be sent.
-	sending chan struct{}
+	events chan<- event
+	// handled receives a value when an event other than the end was handled.
+	handled chan struct{}
+	// verdict receives the outcome for the coordinator, exactly once.
+	verdict chan peerv1.ReleaseOutcome
+	// released is closed when the slot was released.
+	released chan struct{}
 
-	mu    sync.Mutex
 	grant *placement.Grant
-
-	stream *engine.Stream
-	began  time.Time
+	began time.Time
 	// timeToFirstToken is the time from sending the request to the first event.
 	timeToFirstToken time.Duration
-	firstEvent       []byte
 	tokens           int
 	// id is the id of the response, which all chunks must carry.
 	id string
-	// maybeExecuted is set if the engine may have executed the request.
+	// response is the response to a call.
+	response *service.Response
+	// maybeExecuted is set if the endpoint may have executed the request.
 	maybeExecuted bool
-	err           error
+
+	// sent and hasData are set once the run has handled such an event, lastSign
+	// is when it handled the last one.
+	sent, hasData bool
+	lastSign      time.Time
 }
 
-// launch starts an attempt in the background. The attempt is sent to results
-// once it has received its first event or failed.
-func (r *chatRun) launch(ctx context.Context, results chan<- *attempt, excluded []table.EndpointName) *attempt {
+// launch starts an attempt beside those that are open.
+func (r *run) launch(ctx context.Context, o occasion) {
+	open := r.openEndpoints()
 	a := &attempt{
 		run:      r,
 		index:    r.attempts,
-		resumes:  len(r.response.text) > 0,
-		excluded: excluded,
-		silent:   slices.Clone(r.silent),
-		sending:  make(chan struct{}),
+		occasion: o,
+		excluded: slices.Concat(r.failed, open),
+		silent:   slices.Concat(r.silent, open),
+		events:   r.events,
+		handled:  make(chan struct{}, 1),
+		verdict:  make(chan peerv1.ReleaseOutcome, 1),
+		released: make(chan struct{}),
 	}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	a.prepareErr = r.content.prepare(a)
 	r.attempts++
-	body, err := r.requestBody()
-	go func() {
-		if err != nil {
-			err = outcome.NotRunError(outcome.ReasonBadRequest, err.Error())
-		} else {
-			err = a.start(body)
-		}
-		if err != nil {
-			a.err = a.failureCause(err)
-			a.finish(releaseOutcome(a.err))
-		}
-		results <- a
-	}()
-	return a
+	r.open = append(r.open, a)
+	go a.execute()
 }
 
-// endpoint returns the name of the reserved endpoint, or an empty one if
-// nothing is reserved yet.
-func (a *attempt) endpoint() table.EndpointName {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.grant == nil {
-		return ""
+// execute runs the attempt until its slot is released.
+func (a *attempt) execute() {
+	defer close(a.released)
+	err := a.exchange()
+	cause := context.Cause(a.ctx)
+	if errors.Is(cause, errPreempted) || errors.Is(cause, errHedgeLost) {
+		err = cause
+	}
+	var o peerv1.ReleaseOutcome
+	select {
+	case a.events <- event{attempt: a, kind: eventEnd, err: err}:
+		o = <-a.verdict
+	case o = <-a.verdict:
 	}
-	return a.grant.Endpoint.Name
+	a.cancel(nil)
+	a.release(o)
 }
 
-// start reserves a slot on an engine, sends the request and waits for the first
-// event.
-func (a *attempt) start(body []byte) error {
+func (a *attempt) exchange() error {
+	if a.prepareErr != nil {
+		return outcome.NotRunError(outcome.ReasonBadRequest, a.prepareErr.Error())
+	}
 	if err := a.reserve(); err != nil {
 		return err
 	}
-	target := a.run.chat.Class.Target
 	a.began = a.run.d.clock.Now()
-	close(a.sending)
-	s, err := a.run.d.engines.Chat(a.ctx, &a.grant.Endpoint, engine.Request{
-		ID:            a.run.chat.ID,
-		Body:          body,
-		Idempotent:    a.run.chat.Class.Idempotent,
-		MayRepeat:     a.run.mayRepeat,
-		FirstToken:    firstTokenDeadline(target),
-		BetweenTokens: betweenTokensDeadline(target),
-	})
-	if err != nil {
-		a.maybeExecuted = !errors.Is(err, engine.ErrNotSent) && !errors.Is(err, engine.ErrRefused)
+	if err := a.tell(eventSending, nil); err != nil {
 		return err
 	}
-	a.stream = s
-	a.maybeExecuted = true
-	data, err := s.Next()
-	if errors.Is(err, io.EOF) {
-		return errors.Wrap(engine.ErrTruncated, "an answer without any event")
+	return a.run.content.exchange(a)
+}
+
+// tell hands an event to the run and waits until it is handled. It returns an
+// error if the attempt was cancelled.
+func (a *attempt) tell(kind eventKind, data []byte) error {
+	select {
+	case a.events <- event{attempt: a, kind: kind, data: data}:
+	case <-a.ctx.Done():
+		if kind == eventData {
+			a.run.d.metrics.Inc("wasted.tokens.hedge")
+		}
+		return context.Cause(a.ctx)
 	}
-	if err != nil {
-		return err
+	select {
+	case <-a.handled:
+		return nil
+	case <-a.ctx.Done():
+		return context.Cause(a.ctx)
 	}
-	a.firstEvent = bytes.Clone(data)
-	a.timeToFirstToken = a.run.d.clock.Since(a.began)
-	return nil
 }
 
-// reserve waits for a slot on an engine that has the abilities that the attempt
-// needs.
+// end cancels the attempt and reports its outcome to the coordinator. It must be
+// called once for each attempt.
+func (a *attempt) end(cause error, o peerv1.ReleaseOutcome) {
+	a.cancel(cause)
+	a.verdict <- o
+}
+
+// reserve waits for a slot on an endpoint that has the abilities that the
+// attempt needs.
 func (a *attempt) reserve() error {
-	chat := a.run.chat
 	for {
-		request := placement.Request{
-			Pool:         chat.Pool,
-			Class:        chat.Class.Name,
-			Account:      chat.Account,
-			PromptTokens: chat.PromptTokens,
-			Prefix:       chat.Prefix,
-			Waited:       a.run.d.clock.Since(a.run.began),
-			Excluded:     a.excluded,
-			Attempt:      a.index,
-		}
-		if a.resumes {
-			request.Version = &a.run.version
-		}
+		request := a.run.request
+		request.Waited = a.run.d.clock.Since(a.run.began)
+		request.Excluded = a.excluded
+		request.Attempt = a.index
+		request.Version = a.version
 		g, err := a.run.d.placer.Reserve(a.ctx, request)
 		if hasReason(err, outcome.ReasonNoEndpoint) && a.readmitSilent() {
 			continue
@@ -158,8 +202,11 @@
 		if err != nil {
 			return err
 		}
-		if !a.resumes || g.Endpoint.CanResume && g.Endpoint.SoftwareVersion == a.run.version {
-			a.setGrant(g)
+		if a.version == nil || g.Endpoint.CanResume && g.Endpoint.SoftwareVersion == *a.version {
+			a.grant = g
+			if a.run.content.preemptible() {
+				g.OnPreempted(func() { a.cancel(errPreempted) })
+			}
 			return nil
 		}
 		g.Release(placement.Report{Outcome: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE})
@@ -167,11 +214,11 @@
 	}
 }
 
-// readmitSilent allows the attempt to use engines again that did not respond in
-// time, and reports whether there are any. The engines may be healthy and only
-// their connections stalled: a network device that loses its connection state
-// breaks the connections to all engines at once, which excludes every engine
-// although new connections work.
+// readmitSilent allows the attempt to use endpoints again that did not respond
+// in time, and reports whether there are any. The endpoints may be healthy and
+// only their connections stalled: a network device that loses its connection
+// state breaks the connections to all endpoints at once, which excludes every
+// endpoint although new connections work.
 func (a *attempt) readmitSilent() bool {
 	before := len(a.excluded)
 	a.excluded = slices.DeleteFunc(a.excluded, func(e table.EndpointName) bool { return slices.Contains(a.silent, e) })
@@ -184,24 +231,6 @@
 	return ok && refusal.Reason == reason
 }
 
-// setGrant stores the grant and cancels the attempt if the grant is revoked.
-func (a *attempt) setGrant(g *placement.Grant) {
-	a.mu.Lock()
-	a.grant = g
-	a.mu.Unlock()
-	g.OnPreempted(func() { a.cancel(errPreempted) })
-}
-
-// failureCause returns the reason why the attempt was cancelled if it was
-// preempted or lost to another attempt, and err otherwise.
-func (a *attempt) failureCause(err error) error {
-	cause := context.Cause(a.ctx)
-	if errors.Is(cause, errPreempted) || errors.Is(cause, errHedgeLost) {
-		return cause
-	}
-	return err
-}
-
 // checkID verifies that all chunks belong to the same response.
 func (a *attempt) checkID(c *engine.Chunk) error {
 	if a.id == "" {
@@ -213,21 +242,16 @@
 	return nil
 }
 
-// finish closes the stream and releases the reservation.
-func (a *attempt) finish(o peerv1.ReleaseOutcome) {
-	a.cancel(nil)
-	if a.stream != nil {
-		a.stream.Close()
-	}
+// release returns the slot, if one was reserved.
+func (a *attempt) release(o peerv1.ReleaseOutcome) {
 	if a.grant == nil {
 		return
 	}
-	a.grant.Release(placement.Report{
-		Outcome:    o,
-		FirstToken: a.timeToFirstToken,
-		Duration:   a.run.d.clock.Since(a.began),
-		Tokens:     a.tokens,
-	})
+	report := placement.Report{Outcome: o, FirstToken: a.timeToFirstToken, Tokens: a.tokens}
+	if !a.began.IsZero() {
+		report.Duration = a.run.d.clock.Since(a.began)
+	}
+	a.grant.Release(report)
 }
 
 func releaseOutcome(err error) peerv1.ReleaseOutcome {
@@ -247,6 +271,9 @@
 
 // reasonOf returns the reason under which a failure is counted.
 func reasonOf(err error) outcome.Reason {
+	if refusal, ok := errors.Into[*outcome.Refusal](err); ok {
+		return refusal.Reason
+	}
 	switch {
 	case errors.Is(err, errPreempted):
 		return outcome.ReasonPreempted
@@ -256,11 +283,9 @@
 		return outcome.ReasonConnect
 	case errors.Is(err, engine.ErrRefused):
 		return outcome.ReasonEndpointRefused
-	case errors.Is(err, engine.ErrSilent):
-		return outcome.ReasonSilent
-	case errors.Is(err, engine.ErrTruncated):
+	case errors.Is(err, engine.ErrTruncated), errors.Is(err, service.ErrTruncated):
 		return outcome.ReasonTruncated
-	case errors.Is(err, engine.ErrWrongResponse), errors.Is(err, engine.ErrMalformed):
+	case errors.Is(err, engine.ErrWrongResponse), errors.Is(err, engine.ErrMalformed), errors.Is(err, service.ErrWrongResponse):
 		return outcome.ReasonWrongAnswer
 	}
 	return outcome.ReasonEndpointFailed
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -30,6 +31,9 @@
 	metrics  *metric.Registry
 	budgets  *budgets
 	suspects *quarantine.List
+	// Logger receives a line for each answer that was waited for. It must be set
+	// before use, or nothing is logged.
+	Logger *slog.Logger
 	// OtherEndpoints returns the URLs of some other endpoints, which tell a lost path
 	// from an endpoint that has terminated. It must be set before use.
 	OtherEndpoints func(e *table.Endpoint) []string
@@ -47,6 +51,7 @@
 		budgets:  newBudgets(clock),
 		suspects: suspects,
 
+		Logger:         slog.New(slog.DiscardHandler),
 		OtherEndpoints: func(*table.Endpoint) []string { return nil },
 	}
 }
@@ -85,7 +90,6 @@
 	err = run.do(ctx)
 	if err != nil && ctx.Err() != nil {
 		d.metrics.Add("wasted.tokens."+string(outcome.ReasonCallerGone), int64(run.tokens))
-		return run.refusal(outcome.ReasonCallerGone, "the caller is gone")
 	}
 	return err
 }
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -272,4 +272,3 @@
 		t.Errorf("engines received %d requests, %d of 4 were on the hung one", n, before.Requests)
 	}
 }
-
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -14,7 +14,7 @@
 // connection, the request is recorded as a suspect for quarantine.
 func (d *Dispatcher) recordEndpointFailure(ctx context.Context, f quarantine.Fingerprint, e *table.Endpoint, reason outcome.Reason) {
 	switch reason {
-	case outcome.ReasonCallerGone, outcome.ReasonPreempted, outcome.ReasonSilent, outcome.ReasonEndpointRefused:
+	case outcome.ReasonCallerGone, outcome.ReasonPreempted, outcome.ReasonEndpointRefused:
 		return
 	}
 	if ctx.Err() == nil && endpoint.HasTerminated(ctx, e.URL, d.OtherEndpoints(e)) {
--- a/internal/endpoint/sender.go
+++ b/internal/endpoint/sender.go
@@ -9,9 +9,9 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -19,10 +19,6 @@
 // ErrNotSent means that no byte of the request was written to the endpoint.
 var ErrNotSent = errors.New("not sent")
 
-// ErrSilent is the cause with which a context is cancelled when a progress
-// deadline expires.
-var ErrSilent = errors.New("silent beyond the progress deadline")
-
 // maxConnAttempts limits how many connections are tried for one request if they
 // turn out to be lost.
 const maxConnAttempts = 4
@@ -39,40 +35,27 @@
 	// is written to it, it is unknown whether the request was executed.
 	Pooled bool
 	// Repeatable allows the request to be sent twice: once more over a new
-	// connection if a reused one is lost or stalls before the response.
+	// connection if a reused one is lost before the response.
 	Repeatable bool
 	// MayRepeat is called before such a repeat, so that a budget can limit
 	// repeats. If nil, a repeat is always allowed.
 	MayRepeat func() bool
-	// FirstByte limits the time until the response begins on one connection;
-	// zero means no limit.
-	FirstByte time.Duration
 }
 
 // Response is the response of an endpoint. Its body must be closed or
 // discarded.
 type Response struct {
 	*http.Response
-	conn   *conn
-	sender *Sender
+	conn *conn
 	// cancel ends the remainder of the exchange.
-	cancel context.CancelCauseFunc
+	cancel context.CancelFunc
 }
 
 // Close closes the response. Its connection is reused if the body was read
 // completely.
 func (a *Response) Close() {
 	_ = a.Body.Close()
-	a.cancel(nil)
-}
-
-// DiscardStalled discards a response whose connection has stalled, and closes
-// the idle connections to the same address as well.
-func (a *Response) DiscardStalled() {
-	a.Discard()
-	if a.conn != nil {
-		a.sender.closeIdle(a.conn.RemoteAddr().String())
-	}
+	a.cancel()
 }
 
 // Discard closes the response and its connection. It is for connections that
@@ -147,33 +130,14 @@
 // try sends a request over one connection.
 func (s *Sender) try(ctx context.Context, r Request, transport *http.Transport) (*Response, *connTracker, error) {
 	t := &connTracker{sender: s}
-	ctx, cancel := context.WithCancelCause(ctx)
-	stop := startTimeout(r.FirstByte, cancel)
-	resp, err := s.roundTrip(ctx, r, transport, t)
-	if inTime := stop(); err == nil && inTime {
-		return &Response{Response: resp, conn: t.conn, sender: s, cancel: cancel}, t, nil
-	}
-	if err == nil {
-		_ = resp.Body.Close()
-		err = ErrSilent
-	}
-	err = t.classifyError(err)
-	if errors.Is(context.Cause(ctx), ErrSilent) && !errors.Is(err, ErrNotSent) {
-		err = errors.Wrap(ErrSilent, err.Error())
-		t.closeIdle()
-	}
-	cancel(nil)
-	return nil, t, err
-}
-
-// startTimeout cancels with ErrSilent after d unless it is stopped before; zero
-// means never. The returned function reports whether it stopped the timeout in
-// time.
-func startTimeout(d time.Duration, cancel context.CancelCauseFunc) (stop func() bool) {
-	if d == 0 {
-		return func() bool { return true }
+	ctx, cancel := context.WithCancel(ctx)
+	resp, err := s.roundTrip(ctx, r, transport, t) //nolint:bodyclose // the caller closes the response
+	if err != nil {
+		err = t.classifyError(err)
+		cancel()
+		return nil, t, err
 	}
-	return time.AfterFunc(d, func() { cancel(ErrSilent) }).Stop
+	return &Response{Response: resp, conn: t.conn, cancel: cancel}, t, nil
 }
 
 func (s *Sender) roundTrip(ctx context.Context, r Request, transport *http.Transport, t *connTracker) (*http.Response, error) {
@@ -211,12 +175,17 @@
 	return false
 }
 
-// closeIdle closes the idle connections to an address. When the network drops
-// one connection, others to the same address are often affected. New
-// connections show whether the endpoint itself is down.
-func (s *Sender) closeIdle(address string) {
+// CloseIdle closes the idle connections to the address of a URL. When the
+// network drops one connection, others to the same address are often affected.
+// New connections show whether the endpoint itself is down. Requests in progress
+// go on.
+func (s *Sender) CloseIdle(rawURL string) {
+	u, err := url.Parse(rawURL)
+	if err != nil {
+		return
+	}
 	s.mu.Lock()
-	conns := slices.Collect(maps.Keys(s.conns[address]))
+	conns := slices.Collect(maps.Keys(s.conns[u.Host]))
 	s.mu.Unlock()
 	for _, c := range conns {
 		c.closeIfIdle()
@@ -283,14 +252,6 @@
 	return counting
 }
 
-// closeIdle closes the idle connections to the address that the request was
-// sent to.
-func (t *connTracker) closeIdle() {
-	if t.conn != nil {
-		t.sender.closeIdle(t.conn.RemoteAddr().String())
-	}
-}
-
 // classifyError returns an ErrNotSent for a failed request of which nothing was
 // written. That is certain if there was no connection. If the connection does
 // not count its writes, something may have been written.
--- a/internal/endpoint/transport.go
+++ b/internal/endpoint/transport.go
@@ -1,6 +1,6 @@
 // Package endpoint sends HTTP requests to endpoints. It sends each request at
 // most once unless told otherwise, knows whether any byte of it was written,
-// and detects stalled connections.
+// and replaces connections that may have stalled.
 package endpoint
 
 import (
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -47,8 +47,6 @@
 	ErrTruncated = errors.New("the engine's answer is cut off")
 	// ErrWrongResponse means that the response belongs to another request.
 	ErrWrongResponse = errors.New("the engine answered another request")
-	// ErrSilent means that nothing was received before the progress deadline.
-	ErrSilent = endpoint.ErrSilent
 	// ErrNoLoad means that the engine responded but does not report its load.
 	ErrNoLoad = errors.New("the engine reports no load")
 )
@@ -73,39 +71,33 @@
 	// MayRepeat is called before a repeat and reports whether it is allowed;
 	// nil always allows it.
 	MayRepeat func() bool
-	// FirstToken bounds the time until the response begins, and then the time
-	// until its first event; BetweenTokens bounds the time between events.
-	FirstToken    time.Duration
-	BetweenTokens time.Duration
+	// NewConnection keeps the request from using a connection that may have
+	// stalled.
+	NewConnection bool
 }
 
 // Stream is an engine's streamed response. It must be closed.
 type Stream struct {
 	response *endpoint.Response
 	events   *eventReader
-	// ctx covers the stream's lifetime; its cause distinguishes a progress
-	// timeout from a cancellation by the caller.
-	ctx    context.Context
-	cancel context.CancelCauseFunc
-
-	// timer enforces the progress deadline.
-	timer         *time.Timer
-	betweenTokens time.Duration
+	// cancel ends the stream.
+	cancel context.CancelFunc
+
 	// endMarkerSeen is set once the end marker was read.
 	endMarkerSeen bool
 }
 
 // Chat sends a request, at most once unless it is idempotent, and returns its
-// streamed response.
+// streamed response. Silence ends neither the call nor the stream; ctx does.
 func (c *Client) Chat(ctx context.Context, e *table.Endpoint, r Request) (_ *Stream, err error) {
-	s := &Stream{betweenTokens: r.BetweenTokens}
-	s.ctx, s.cancel = context.WithCancelCause(ctx)
+	s := &Stream{}
+	ctx, s.cancel = context.WithCancel(ctx)
 	defer func() {
 		if err != nil {
-			s.cancel(nil)
+			s.cancel()
 		}
 	}()
-	s.response, err = c.sender.Send(s.ctx, endpoint.Request{
+	s.response, err = c.sender.Send(ctx, endpoint.Request{
 		Method: http.MethodPost,
 		URL:    e.URL + PathChat,
 		Header: http.Header{
@@ -114,32 +106,27 @@
 			HeaderRequestID: {r.ID},
 		},
 		Body:       r.Body,
-		Pooled:     true,
+		Pooled:     !r.NewConnection,
 		Repeatable: r.Idempotent,
 		MayRepeat:  r.MayRepeat,
-		FirstByte:  r.FirstToken,
 	})
+	if errors.Is(err, ErrNotSent) {
+		return nil, err
+	}
 	if err != nil {
-		return nil, s.sendError(err)
+		return nil, errors.Wrap(err, "send to engine")
 	}
 	if err := checkResponse(e, r.ID, s.response.Response); err != nil {
 		s.response.Discard()
 		return nil, err
 	}
-	s.timer = time.AfterFunc(r.FirstToken, func() { s.cancel(ErrSilent) })
 	s.events = newEventReader(s.response.Body)
 	return s, nil
 }
 
-func (s *Stream) sendError(err error) error {
-	switch {
-	case errors.Is(err, ErrNotSent):
-		return err
-	case errors.Is(err, ErrSilent):
-		return ErrSilent
-	}
-	return errors.Wrap(err, "send to engine")
-}
+// CloseIdle closes the idle connections to an engine, so that the next requests
+// open new ones.
+func (c *Client) CloseIdle(e *table.Endpoint) { c.sender.CloseIdle(e.URL) }
 
 func checkResponse(e *table.Endpoint, id string, resp *http.Response) error {
 	switch {
@@ -153,39 +140,31 @@
 	return nil
 }
 
-func (s *Stream) timedOut() bool { return errors.Is(context.Cause(s.ctx), ErrSilent) }
-
 // Next returns the data of the next event, which is valid until the next call.
 // After the end marker it returns io.EOF; if the stream ends in any other way,
 // it returns another error.
 func (s *Stream) Next() ([]byte, error) {
 	data, err := s.events.next()
 	switch {
-	case err != nil && s.timedOut():
-		s.response.DiscardStalled()
-		return nil, ErrSilent
 	case errors.Is(err, ErrMalformed):
 		return nil, err
 	case err != nil:
 		return nil, errors.Wrap(ErrTruncated, err.Error())
 	case string(data) == endMarker:
-		s.timer.Stop()
 		s.endMarkerSeen = true
 		return nil, io.EOF
 	}
-	s.timer.Reset(s.betweenTokens)
 	return data, nil
 }
 
 // Close ends the stream. If the end marker was not read yet, it closes the
 // connection, which cancels the request at the engine.
 func (s *Stream) Close() {
-	s.timer.Stop()
 	if s.endMarkerSeen {
 		go s.drain()
 		return
 	}
-	s.cancel(nil)
+	s.cancel()
 	s.response.Discard()
 }
 
@@ -194,8 +173,8 @@
 // belong to this response, and the connection is closed so that no other
 // request can read it.
 func (s *Stream) drain() {
-	defer s.cancel(nil)
-	stop := time.AfterFunc(drainTimeout, func() { s.cancel(nil) })
+	defer s.cancel()
+	stop := time.AfterFunc(drainTimeout, s.cancel)
 	defer stop.Stop()
 	if _, err := s.events.next(); !errors.Is(err, io.EOF) {
 		s.response.Discard()
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -58,6 +58,13 @@
 	b.earned = min(b.earned+b.config.RetryRatio, b.config.MaxEarned)
 }
 
+// Return gives back a retry that was taken and not made.
+func (b *Budget) Return() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.earned = min(b.earned+1, max(b.config.MaxEarned, 1))
+}
+
 // Take takes one retry from the budget, first from the earned ones, then from the
 // reserve. It returns false if none is left.
 func (b *Budget) Take() bool {
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -21,8 +21,6 @@
 	ErrNotSent = endpoint.ErrNotSent
 	// ErrNoResponse means that no response was received.
 	ErrNoResponse = errors.New("no answer from the service")
-	// ErrSilent means that the response did not begin before its deadline.
-	ErrSilent = endpoint.ErrSilent
 	// ErrTruncated means that the response ended before its stated length, or
 	// that it has no length by which to detect truncation.
 	ErrTruncated = errors.New("the service's answer is cut off")
@@ -51,9 +49,11 @@
 	// MayRepeat is called before a repeat and reports whether it is allowed;
 	// nil always allows it.
 	MayRepeat func() bool
-	// FirstByte bounds the time until the response begins; if zero, only
-	// Timeout applies.
-	FirstByte time.Duration
+	// NewConnection keeps the request from using a connection that may have
+	// stalled.
+	NewConnection bool
+	// OnBegun is called, if set, when the header of the response was received.
+	OnBegun func()
 	// Timeout bounds the whole call.
 	Timeout time.Duration
 }
@@ -86,14 +86,21 @@
 	defer cancel()
 	response, err := c.sender.Send(ctx, endpoint.Request{
 		Method: r.Method, URL: e.URL + r.Path, Header: requestHeader(r), Body: r.Body,
-		Pooled: r.Idempotent, Repeatable: r.Idempotent, MayRepeat: r.MayRepeat, FirstByte: r.FirstByte,
+		Pooled: r.Idempotent && !r.NewConnection, Repeatable: r.Idempotent, MayRepeat: r.MayRepeat,
 	})
 	if err != nil {
 		return nil, sendError(err)
 	}
+	if r.OnBegun != nil {
+		r.OnBegun()
+	}
 	return c.readResponse(e, r.ID, response)
 }
 
+// CloseIdle closes the idle connections to a service, so that the next requests
+// open new ones.
+func (c *Client) CloseIdle(e *table.Endpoint) { c.sender.CloseIdle(e.URL) }
+
 func requestHeader(r Request) http.Header {
 	h := EndToEnd(r.Header)
 	h.Set(headerRequestID, r.ID)
@@ -105,7 +112,7 @@
 }
 
 func sendError(err error) error {
-	if errors.Is(err, ErrNotSent) || errors.Is(err, ErrSilent) {
+	if errors.Is(err, ErrNotSent) {
 		return err
 	}
 	return errors.Wrap(ErrNoResponse, err.Error())
