--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -1,6 +1,8 @@
 package dispatch_test
 
 import (
+	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/beechhead/beechhead/internal/engine"
 	"github.com/beechhead/beechhead/internal/standin"
 	"github.com/beechhead/beechhead/pkg/table"
 )
@@ -23,6 +26,9 @@
 	mu sync.Mutex
 	// running is closed unless the engine is paused.
 	running chan struct{}
+	// received counts the chat requests that have arrived, open those of them
+	// that have not ended.
+	received, open int
 }
 
 func newPausingEngine(speed standin.EngineSpeed) *pausingEngine {
@@ -57,7 +63,30 @@
 	}
 }
 
+func (e *pausingEngine) counts() (received, open int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.received, e.open
+}
+
+func (e *pausingEngine) count(open int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.received += max(open, 0)
+	e.open += open
+}
+
 func (e *pausingEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == engine.PathChat {
+		e.count(1)
+		defer e.count(-1)
+	}
+	// The server notices the end of a connection once the body was read.
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
 	if e.wait(r) {
 		e.handler.ServeHTTP(&pausingWriter{ResponseWriter: w, r: r, engine: e}, r)
 	}
@@ -166,11 +195,21 @@
 	}
 }
 
-func (s *pausingSite) requests() (n int) {
+// requests returns the number of chat requests that all engines have received,
+// and that of those which are open.
+func (s *pausingSite) requests() (received, open int) {
 	for _, e := range s.engines {
-		n += e.Stats().Requests
+		r, o := e.counts()
+		received, open = received+r, open+o
+	}
+	return received, open
+}
+
+// waitForEnd waits until no engine has an open request.
+func (s *pausingSite) waitForEnd() {
+	for _, open := s.requests(); open > 0; _, open = s.requests() {
+		time.Sleep(time.Millisecond)
 	}
-	return n
 }
 
 func (s *pausingSite) tokens() (n int) {
@@ -223,7 +262,7 @@
 	wait := s.stream(t, "stream", streams, 60)
 	pauseAll(s.engines, longSilence)
 	wait()
-	if n := s.requests(); n > streams*11/10+4 {
+	if n, _ := s.requests(); n > streams*11/10+4 {
 		t.Errorf("engines received %d requests for %d answers", n, streams)
 	}
 }
@@ -236,7 +275,7 @@
 	wait := s.stream(t, "streamOnce", 4, 60)
 	pauseAll(s.engines, longSilence)
 	wait()
-	if n := s.requests(); n != 4 {
+	if n, _ := s.requests(); n != 4 {
 		t.Errorf("engines received %d requests for 4 answers", n)
 	}
 }
@@ -249,7 +288,7 @@
 	waitBoth := s.stream(t, "stream", 2, 300)
 	pauseAll(s.engines[:1], longSilence)
 	waitBoth()
-	if n := s.requests(); n != 2 {
+	if n, _ := s.requests(); n != 2 {
 		t.Errorf("engines received %d requests for 2 answers", n)
 	}
 }
@@ -261,14 +300,45 @@
 	s := startPausingSite(t, 2, 4)
 	wait := s.stream(t, "stream", 4, 100)
 	hung := s.engines[0]
-	before := hung.Stats()
+	before, _ := hung.counts()
 	hung.pause()
 	defer hung.resume()
 	wait()
-	for cancelled := 0; cancelled < before.Requests; cancelled = hung.Stats().Cancelled {
-		time.Sleep(time.Millisecond)
+	s.waitForEnd()
+	if n, _ := s.requests(); n != 4+before {
+		t.Errorf("engines received %d requests, %d of 4 were on the hung one", n, before)
 	}
-	if n := s.requests(); n != 4+before.Requests {
-		t.Errorf("engines received %d requests, %d of 4 were on the hung one", n, before.Requests)
+}
+
+// Guards against attempts that go on after their caller has left.
+func TestCallerThatLeavesEndsBothAttempts(t *testing.T) {
+	t.Parallel()
+	s := startPausingSite(t, 2, 4)
+	for _, e := range s.engines {
+		e.pause()
+		defer e.resume()
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Settings[0].CallerAddress+engine.PathChat,
+		bytes.NewReader(standin.ChatBody(string(standin.SampleModel), "Which slots are open?", true)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+standin.StudioKey)
+	req.Header.Set("Beechhead-Class", "stream")
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			_ = resp.Body.Close()
+			t.Errorf("status %d of engines that are silent", resp.StatusCode)
+		}
+	}()
+	for _, open := s.requests(); open < 2; _, open = s.requests() {
+		time.Sleep(time.Millisecond)
 	}
+	cancel()
+	<-ended
+	s.waitForEnd()
 }
