Keep one id in a stream whose first engine sent no text

Cause: the id of a chunk was replaced only if the answer went on from text that the caller has. An engine that sent its role and then nothing more left its id in the stream, and the engine that began the answer added its own.

The id is replaced whenever it differs from the first one.

A part of an answer that comes too late is counted as wasted by a hedge only if the attempt lost to another one.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -166,10 +166,11 @@
 	select {
 	case a.events <- event{attempt: a, kind: kind, data: data}:
 	case <-a.ctx.Done():
-		if kind == eventData {
+		cause := context.Cause(a.ctx)
+		if kind == eventData && errors.Is(cause, errHedgeLost) {
 			a.run.d.metrics.Inc("wasted.tokens.hedge")
 		}
-		return context.Cause(a.ctx)
+		return cause
 	}
 	select {
 	case <-a.handled:
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -92,7 +92,7 @@
 	if err := a.checkID(&chunk); err != nil {
 		return err
 	}
-	if a.version != nil {
+	if a.version != nil || !r.response.hasID(&chunk) {
 		if data, err = r.response.rewrite(data, &chunk); err != nil {
 			return err
 		}
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -44,6 +44,9 @@
 	return true
 }
 
+// hasID reports whether a chunk has the id that the caller has seen, if any.
+func (r *response) hasID(c *engine.Chunk) bool { return r.id == "" || r.id == c.ID }
+
 // resumable reports whether another engine can continue the response.
 func (r *response) resumable() bool { return !r.opaque && !r.finished }
 
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -310,6 +311,18 @@
 	}
 }
 
+func chatRequest(t *testing.T, s *standin.Site, class string) *http.Request {
+	t.Helper()
+	body := standin.ChatBody(string(standin.SampleModel), "Which slots are open?", true)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.Settings[0].CallerAddress+engine.PathChat, bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+standin.StudioKey)
+	req.Header.Set("Beechhead-Class", class)
+	return req
+}
+
 // Guards against attempts that go on after their caller has left.
 func TestCallerThatLeavesEndsBothAttempts(t *testing.T) {
 	t.Parallel()
@@ -320,17 +333,11 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Settings[0].CallerAddress+engine.PathChat,
-		bytes.NewReader(standin.ChatBody(string(standin.SampleModel), "Which slots are open?", true)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Header.Set("Authorization", "Bearer "+standin.StudioKey)
-	req.Header.Set("Beechhead-Class", "stream")
+	req := chatRequest(t, s.Site, "stream")
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		if resp, err := http.DefaultClient.Do(req); err == nil {
+		if resp, err := http.DefaultClient.Do(req.WithContext(ctx)); err == nil {
 			_ = resp.Body.Close()
 			t.Errorf("status %d of engines that are silent", resp.StatusCode)
 		}
@@ -342,3 +349,38 @@
 	<-ended
 	s.waitForEnd()
 }
+
+// Guards against a stream with two ids: an engine is silent after an event
+// without text, and another one begins the answer.
+func TestStreamHasOneIDAfterSilence(t *testing.T) {
+	t.Parallel()
+	var requests atomic.Int32
+	engines := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != engine.PathChat {
+			_, _ = io.WriteString(w, "{}")
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		n := requests.Add(1)
+		w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
+		_, _ = fmt.Fprintf(w, "data: {\"id\":\"engine-%d\",\"choices\":[{\"delta\":{\"role\":\"assistant\",\"content\":\"\"}}]}\n\n", n)
+		if n == 1 {
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+			return
+		}
+		_, _ = fmt.Fprintf(w, "data: {\"id\":\"engine-%d\",\"choices\":[{\"delta\":{\"content\":\"nine\"},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n", n)
+	})
+	server := httptest.NewServer(engines)
+	t.Cleanup(server.Close)
+	s := startSiteWith(t, 1, func(tab *table.Table) { tab.Endpoints[0].URL = server.URL })
+	resp, err := http.DefaultClient.Do(chatRequest(t, s, "summary"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil || strings.Contains(string(data), "engine-2") || !strings.Contains(string(data), "nine") || !strings.HasSuffix(string(data), "[DONE]\n\n") {
+		t.Errorf("got %s, %v", data, err)
+	}
+}
