Tell answered probes of a full window from unanswered ones

The watch for the loss of a peer counted each outstanding probe as unanswered. On loopback a probe may be answered before the kernel counts it, so that one stays outstanding until the next one. As the probes come at growing intervals, an endpoint that read nothing for long enough was taken for lost.

Two probes must now be unanswered, and data counts as unanswered only if no acknowledgement has come since it was last sent.

--- a/internal/endpoint/tcpinfo_linux.go
+++ b/internal/endpoint/tcpinfo_linux.go
@@ -7,14 +7,20 @@
 	"golang.org/x/sys/unix"
 )
 
-// acknowledgement returns whether sent data or probes are unacknowledged, and the time
-// since the last acknowledgement of anything.
+// maxUnansweredProbes is the number of probes that may be unanswered: an answer on
+// loopback may precede the count of its probe, and one probe may be lost.
+const maxUnansweredProbes = 1
+
+// acknowledgement returns whether what was sent last is unanswered, and the time since
+// the last acknowledgement. A peer whose receive window is full answers probes, and data
+// that it discards; both are sent again at growing intervals.
 func acknowledgement(c syscall.RawConn) (awaited bool, since time.Duration, err error) {
 	info, err := tcpInfo(c)
 	if err != nil {
 		return false, 0, err
 	}
-	return info.Unacked > 0 || info.Probes > 0, time.Duration(info.Last_ack_recv) * time.Millisecond, nil
+	unanswered := info.Unacked > 0 && info.Last_data_sent < info.Last_ack_recv
+	return unanswered || info.Probes > maxUnansweredProbes, time.Duration(info.Last_ack_recv) * time.Millisecond, nil
 }
 
 // isClosed reports whether a connection is closed in both directions. One that only the
--- a/internal/http1/loss_test.go
+++ b/internal/http1/loss_test.go
@@ -53,6 +53,7 @@
 	if got, err := io.ReadAll(resp.Body); err != nil || !bytes.Equal(got, []byte("done")) {
 		t.Errorf("response %q, %v", got, err)
 	}
+	<-x.bodyWritten
 	x.Finish()
 	checkTimes(t, x.conn.Conn)
 }
