Keep requests of the sender whose endpoint reads nothing for a while

The daemon with its own table had the same fault as the gateway: an endpoint that was stopped for 8 s ended a request with a long body, though its machine acknowledged. The loss of the endpoint is now watched for in TCP_INFO until the response begins if the body has more than 8 KiB.

TestEndpointMayStopReading failed before with a user timeout of 1 s (2 of 2: "connection timed out", "broken pipe"). go test -race of internal/endpoint passes (four runs), of internal/dispatch and internal/caller (one run).

--- a/internal/endpoint/loss_test.go
+++ b/internal/endpoint/loss_test.go
@@ -1,6 +1,10 @@
 package endpoint
 
 import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -35,3 +39,28 @@
 		}
 	}
 }
+
+// Guards against the end of a request whose endpoint reads nothing of a long body for
+// longer than the user timeout, though its machine acknowledges.
+func TestEndpointMayStopReading(t *testing.T) {
+	t.Parallel()
+	const (
+		timeout = time.Second
+		size    = 16 << 20
+	)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(3 * timeout)
+		n, _ := io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, strconv.FormatInt(n, 10))
+	}))
+	defer server.Close()
+	s := NewSender(newTransport(timeout))
+	resp, err := s.Send(t.Context(), Request{Method: http.MethodPost, URL: server.URL, Header: http.Header{}, Body: make([]byte, size)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Close()
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != strconv.Itoa(size) {
+		t.Errorf("the endpoint has read %s bytes, %v", body, err)
+	}
+}
--- a/internal/endpoint/sender.go
+++ b/internal/endpoint/sender.go
@@ -146,10 +146,11 @@
 
 // try sends a request over one connection.
 func (s *Sender) try(ctx context.Context, r Request, transport *http.Transport) (*Response, *connTracker, error) {
-	t := &connTracker{sender: s}
+	t := &connTracker{sender: s, longBody: len(r.Body) > longBody}
 	ctx, cancel := context.WithCancelCause(ctx)
 	stop := startTimeout(r.FirstByte, cancel)
 	resp, err := s.roundTrip(ctx, r, transport, t)
+	t.endWatch()
 	if inTime := stop(); err == nil && inTime {
 		return &Response{Response: resp, conn: t.conn, sender: s, cancel: cancel}, t, nil
 	}
@@ -243,9 +244,19 @@
 	}
 }
 
+// longBody is the size in bytes above which a body may not fit into the buffers of an
+// endpoint that is stopped.
+const longBody = 8 << 10
+
 // connTracker records which connection a request uses.
 type connTracker struct {
-	sender  *Sender
+	sender *Sender
+	// longBody reports whether the request has a long body. The loss of the endpoint is
+	// then watched for until the response begins.
+	longBody bool
+	// stopWatch ends the watch; nil if there is none.
+	stopWatch func()
+
 	hasConn bool
 	reused  bool
 	conn    *conn
@@ -265,6 +276,20 @@
 	t.conn = c
 	t.use, t.writesBefore = c.acquire(func() { t.sender.remove(c) })
 	t.sender.add(c)
+	if t.longBody {
+		t.stopWatch = WatchLoss(c.Conn, c.userTimeout)
+	}
+}
+
+// endWatch lets the kernel detect the loss of the endpoint again.
+func (t *connTracker) endWatch() {
+	if t.stopWatch == nil {
+		return
+	}
+	t.stopWatch()
+	if raw, ok := rawConn(t.conn.Conn); ok {
+		_ = SetUserTimeout(raw, t.conn.userTimeout)
+	}
 }
 
 func (t *connTracker) putIdle(err error) {
--- a/internal/endpoint/transport.go
+++ b/internal/endpoint/transport.go
@@ -34,7 +34,10 @@
 )
 
 // NewTransport returns a transport whose connections count their writes.
-func NewTransport() *http.Transport {
+func NewTransport() *http.Transport { return newTransport(userTimeout) }
+
+// newTransport returns a transport with a given user timeout.
+func newTransport(userTimeout time.Duration) *http.Transport {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -48,7 +51,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: c}, nil
+			return &conn{Conn: c, userTimeout: userTimeout}, nil
 		},
 		MaxIdleConnsPerHost: maxIdlePerEndpoint,
 		IdleConnTimeout:     idleTimeout,
@@ -63,6 +66,8 @@
 // conn is a connection that counts the writes started on it.
 type conn struct {
 	net.Conn
+	// userTimeout is the user timeout that was set when the connection was opened.
+	userTimeout time.Duration
 
 	mu sync.Mutex
 	// writes counts the writes that were started. Each may have sent a byte.
