Don't end an HTTP/2 caller's stream while its engine is silent

The write deadline that detects a stalled caller is set at an event for 30 s and extended at later ones. Over HTTP/2, net/http resets the stream when the deadline expires, also if nothing is being written: a stream whose engine said nothing for 22.5 s or more was broken off. It is now removed after each event there; HTTP/1 checks it only in writes.

--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -93,7 +93,7 @@
 // streamChat forwards events as they arrive. Nothing is written before the
 // first event, so that a refusal can still have its own status.
 func (s *Server) streamChat(c *echo.Context, chat *dispatch.Chat, record *attainment.Request, usage bool) error {
-	w := newEventWriter(c.Response(), s.StallTimeout)
+	w := newEventWriter(c.Response(), c.Request(), s.StallTimeout)
 	err := s.Dispatcher.Chat(c.Request().Context(), chat, func(data []byte, chunk *engine.Chunk) error {
 		if isUsage(chunk) && !usage {
 			return nil
--- a/internal/caller/event.go
+++ b/internal/caller/event.go
@@ -17,6 +17,9 @@
 	// stallTimeout bounds the time in which the caller must receive what is
 	// written.
 	stallTimeout time.Duration
+	// http2 reports whether the connection speaks HTTP/2, where a write deadline that
+	// expires ends the stream even if nothing is being written.
+	http2 bool
 	// deadlineSetAt is when the connection's write deadline was last set.
 	deadlineSetAt time.Time
 	// started is set once the response headers were sent.
@@ -25,8 +28,8 @@
 	buf []byte
 }
 
-func newEventWriter(w http.ResponseWriter, stall time.Duration) *eventWriter {
-	return &eventWriter{w: w, rc: http.NewResponseController(w), stallTimeout: stall}
+func newEventWriter(w http.ResponseWriter, r *http.Request, stall time.Duration) *eventWriter {
+	return &eventWriter{w: w, rc: http.NewResponseController(w), stallTimeout: stall, http2: r.ProtoMajor > 1}
 }
 
 // writeEvent writes an event and flushes it.
@@ -39,17 +42,21 @@
 	if _, err := e.w.Write(e.buf); err != nil {
 		return err
 	}
-	return e.rc.Flush()
+	err := e.rc.Flush()
+	if e.http2 {
+		_ = e.rc.SetWriteDeadline(time.Time{})
+	}
+	return err
 }
 
 // extendDeadline extends the connection's write deadline. If the caller's
 // connection stalls without being closed, a write without a deadline would
 // block and the request would keep its slot on the engine. Setting the deadline
 // costs more than reading the time, so it is extended only after a quarter of
-// the timeout.
+// the timeout, unless writeEvent removes it each time.
 func (e *eventWriter) extendDeadline() {
 	now := time.Now()
-	if now.Sub(e.deadlineSetAt) < e.stallTimeout/4 {
+	if !e.http2 && now.Sub(e.deadlineSetAt) < e.stallTimeout/4 {
 		return
 	}
 	e.deadlineSetAt = now
--- a/internal/caller/stall_test.go
+++ b/internal/caller/stall_test.go
@@ -17,8 +17,8 @@
 // slot on the engine.
 func TestStalledCallerEndsTheStream(t *testing.T) {
 	ended := make(chan error, 1)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		e := newEventWriter(w, 100*time.Millisecond)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e := newEventWriter(w, r, 100*time.Millisecond)
 		data := make([]byte, 64<<10)
 		for {
 			if err := e.writeEvent(data); err != nil {
@@ -45,3 +45,28 @@
 		t.Fatal("the write still blocks")
 	}
 }
+
+// Guards against a stream whose engine is silent for longer than a caller may receive
+// nothing: the deadline is for writes, and HTTP/2 also applies it when there are none.
+func TestSilentEngineDoesNotEndTheStream(t *testing.T) {
+	for _, http2 := range []bool{false, true} {
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			e := newEventWriter(w, r, 100*time.Millisecond)
+			_ = e.writeEvent([]byte("one"))
+			time.Sleep(300 * time.Millisecond)
+			_ = e.writeEvent([]byte("two"))
+		}))
+		server.EnableHTTP2 = http2
+		server.StartTLS()
+		resp, err := server.Client().Get(server.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if want := "data: one\n\ndata: two\n\n"; err != nil || string(body) != want {
+			t.Errorf("%s: %q, %v; want %q", resp.Proto, body, err, want)
+		}
+		server.Close()
+	}
+}
