Bound what one late first token teaches about all engines

Cause: the time from the end of prefill to the first token is the mean of samples without a bound. After a silence that all engines share, each of them brings a sample as long as the silence, within milliseconds. The estimate rose from 75 ms to over a second, and waiting requests were refused as too late while the engines had just gone on and the callers would have waited.

Change: a sample's deviation counts for at most half of the estimate.

--- a/internal/batching/prefill.go
+++ b/internal/batching/prefill.go
@@ -25,6 +25,9 @@
 	// maxRateDeviation is the greatest factor by which a sample of the rate may
 	// differ from the present estimate.
 	maxRateDeviation = 3
+	// maxOverheadDeviation is the greatest deviation of a sample of the overhead that
+	// counts, relative to the present estimate.
+	maxOverheadDeviation = 0.5
 	// attentionCost is the additional cost of a prompt token for each token
 	// before it: attention grows with the square of the prompt's length.
 	attentionCost = 1.6e-5
@@ -131,7 +134,12 @@
 	case !g.engineIdle:
 	case g.prefillCost <= maxOverheadPrompt:
 		p.overheadSamples++
-		p.overhead += time.Duration(sampleWeight(p.overheadSamples) * float64(took-p.overhead))
+		// All engines may be silent for seconds at once, and then begin to respond
+		// within milliseconds. Bounded deviations let the estimate follow a change
+		// that lasts, and not that.
+		most := time.Duration(maxOverheadDeviation * float64(p.overhead))
+		deviation := min(max(took-p.overhead, -most), most)
+		p.overhead += time.Duration(sampleWeight(p.overheadSamples) * float64(deviation))
 	case g.prefillCost >= minRatePrompt && took > p.overhead:
 		rate := g.prefillCost / (took - p.overhead).Seconds() * p.decodeSlowdown(e)
 		// A first token right after the overhead, or a very late one, has other
