Tell which terminations another quarantined part explains

A response with neither a length nor chunks counts as completed once its endpoint is seen to listen half a second later. Where the next request has terminated the endpoint meanwhile, the termination counts against the response as well, and the completion of its parts is lost: sound requests stay kept back with the part that all share. IsExplained tells such a termination from one by the request itself. The forwarder does not ask for it yet; that needs a change in its recheck of responses that end with their connection.

TestTerminationByAnotherPartIsExplained covers it.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -187,6 +187,21 @@
 	}
 }
 
+// IsExplained reports whether the termination of an endpoint within the last moments is
+// explained by a quarantined part that a request does not have, so that it does not speak
+// against the response to that request.
+func (p *Parts) IsExplained(keys []PartKey, endpoint table.EndpointName) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ended := Termination{EndpointIDOf(endpoint), p.clock.Now()}
+	for k, s := range p.suspects {
+		if s.quarantined() && !slices.Contains(keys, k) && slices.ContainsFunc(s.counted(), ended.isSame) {
+			return true
+		}
+	}
+	return false
+}
+
 // clearedAt reports whether a completion that this daemon has seen speaks against a
 // termination, so that others need not hear of it.
 func (p *Parts) clearedAt(k PartKey, at time.Time) bool {
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -357,3 +357,27 @@
 		}
 	}
 }
+
+// Guards against taking the termination of an endpoint for evidence against a request that
+// it had answered before: the next request terminated it.
+func TestTerminationByAnotherPartIsExplained(t *testing.T) {
+	const common, bad, rare = PartKey(1), PartKey(2), PartKey(3)
+	clock := clockwork.NewFakeClock()
+	p := NewParts(clock)
+	check := func(what string, keys []PartKey, i int, want bool) {
+		t.Helper()
+		if got := p.IsExplained(keys, endpointName(i)); got != want {
+			t.Errorf("%s: explained %v, want %v", what, got, want)
+		}
+	}
+	for i := range partThreshold {
+		check("before the part is quarantined", []PartKey{common}, 0, false)
+		p.RecordTermination([]PartKey{common, bad}, endpointName(i))
+	}
+	p.RecordTermination([]PartKey{rare}, endpointName(9))
+	check("a response without the part", []PartKey{common}, 0, true)
+	check("a response with the part", []PartKey{common, bad}, 0, false)
+	check("an endpoint that terminated under another part", []PartKey{common}, 9, false)
+	clock.Advance(sameTermination)
+	check("an earlier termination", []PartKey{common}, 0, false)
+}
