Do not grant the same slots by coordinators that start together

Daemons that start together become ready within some 20 ms of each other. They know each other as starting then, and hear only 20 to 130 ms later that the others are ready, since news goes to all partners at most each 100 ms. Until then each is the only ready host it knows, ranks first for all cells, finds that all hosts have reported, and grants all slots of the same endpoints, which turn requests away until their attempts are used up. Some also granted in the very tick in which they heard that another host ranks first.

A cell that is made while at least half of the known hosts are not ready yet, or while a daemon has met none that its settings name, does not grant until that is over and this host ranks first, at most for the 500 ms that recovery may take.

TestCoordinatorsWaitWhileTheFleetStarts fails without the change in three of four cases (granted at 25 ms).

--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -51,6 +51,8 @@
 	share   int
 	self    membership.HostID
 	ranking *Ranking
+	// starting is the number of other hosts that are not ready yet.
+	starting int
 	// suspects holds the hosts that this daemon can't reach.
 	suspects map[membership.HostID]bool
 	// sessions holds the newest session of each entry daemon incarnation.
@@ -77,6 +79,8 @@
 	// lastReport is when the last report of grants arrived, or when the cell
 	// was created.
 	lastReport time.Time
+	// inStart is set if the cell was created while the fleet started.
+	inStart bool
 	// reported holds the hosts that have reported their grants.
 	reported map[schedule.Host]bool
 }
@@ -150,6 +154,14 @@
 	out.flush()
 }
 
+// SetStarting sets the number of other hosts that are not ready yet. It must be called
+// before Apply and Tick.
+func (c *Coordinator) SetStarting(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.starting = n
+}
+
 func everyCell(ID) bool { return true }
 
 // reconfigure applies the current classes, plan, draining endpoints and share to
@@ -261,6 +273,7 @@
 		Cell:             schedule.NewCell(c.clock),
 		recoveryDeadline: c.clock.Now().Add(recoveryTimeout),
 		lastReport:       c.clock.Now(),
+		inStart:          c.fleetStarts(),
 		reported:         map[schedule.Host]bool{},
 	}
 	if c.discipline != schedule.ByTier {
@@ -273,19 +286,29 @@
 
 // recovering reports whether a cell still waits for reports. Until all reports
 // have arrived, the cell does not know which slots are in use, and a grant
-// could assign a slot twice.
-func (c *Coordinator) recovering(cell *cellState) bool {
+// could assign a slot twice. While the fleet starts, other hosts may coordinate the
+// same cell before this daemon hears that they are ready; the requests here move
+// if one of them ranks first.
+func (c *Coordinator) recovering(id ID, cell *cellState) bool {
 	if cell.recoveryDeadline.IsZero() {
 		return false
 	}
 	now := c.clock.Now()
-	if now.Before(cell.recoveryDeadline) && now.Sub(cell.lastReport) < reportQuietPeriod && !c.allReported(cell) {
+	inStart := cell.inStart && (c.fleetStarts() || !c.coordinates(id))
+	awaitsReports := now.Sub(cell.lastReport) < reportQuietPeriod && !c.allReported(cell)
+	if now.Before(cell.recoveryDeadline) && (inStart || awaitsReports) {
 		return true
 	}
 	cell.recoveryDeadline = time.Time{}
 	return false
 }
 
+// fleetStarts reports whether at least half of the hosts that this daemon knows are not
+// ready yet.
+func (c *Coordinator) fleetStarts() bool {
+	return c.starting >= max(1, c.ranking.Hosts().Len())
+}
+
 func (c *Coordinator) allReported(cell *cellState) bool {
 	for _, h := range c.ranking.Hosts().All() {
 		if !cell.reported[schedule.Host(h.ID)] && !c.suspects[h.ID] {
@@ -320,7 +343,7 @@
 	out := outbox{}
 	for id := range c.dirty {
 		cell := c.cells[id]
-		if c.recovering(cell) {
+		if c.recovering(id, cell) {
 			continue
 		}
 		delete(c.dirty, id)
--- a/internal/cell/recovery_test.go
+++ b/internal/cell/recovery_test.go
@@ -127,3 +127,47 @@
 		t.Errorf("granted at %v, although a report arrived at %v", at, last)
 	}
 }
+
+// Guards against daemons that start together and each grant the slots of the same
+// endpoints before they hear that the others are ready.
+func TestCoordinatorsWaitWhileTheFleetStarts(t *testing.T) {
+	alone := membership.NewSnapshot([]membership.Host{{ID: "host-00", Incarnation: 1, State: membership.Ready, Region: "r", Capacity: 1}})
+	for _, tt := range []struct {
+		name     string
+		starting int
+		// first is the capacity of another host that is ready after a while; zero if
+		// there is none.
+		first uint32
+		want  time.Duration
+	}{
+		{"no other host starts", 0, 0, takeoverTick},
+		{"the others stay as they are", 4, 0, takeoverTick + recoveryTimeout},
+		{"another host turns out to be first", 4, 100, takeoverTick + recoveryTimeout},
+		{"this host turns out to be first", 4, 1, 6 * takeoverTick},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newTakeover()
+			all := c.hosts
+			if tt.first == 100 {
+				all = membership.NewSnapshot([]membership.Host{alone.All()[0], {ID: "host-01", Incarnation: 1, State: membership.Ready, Region: "r", Capacity: 100}})
+			}
+			c.hosts = alone
+			c.SetStarting(tt.starting)
+			c.Configure(takeoverTable("pool"))
+			c.run(takeoverTick)
+			c.attach("host-00").Handle(&peerv1.ReservationsRequest{
+				Batch: 1, HoldingsComplete: true, Reported: []string{"pool@r/0"},
+				Reserves: []*peerv1.Reserve{{Sequence: 7, Cell: "pool@r/0", Class: "c"}},
+			})
+			c.run(4 * takeoverTick)
+			if tt.first > 0 {
+				c.SetStarting(0)
+				c.hosts = all
+			}
+			c.run(recoveryTimeout)
+			if at, ok := c.granted[7]; !ok || at != tt.want {
+				t.Errorf("granted at %v (granted: %v), want %v", at, ok, tt.want)
+			}
+		})
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -201,6 +201,7 @@
 
 // applyTable configures all components with a table that has become active.
 func (d *Daemon) applyTable(v *table.Versioned) {
+	d.coordinator.SetStarting(d.view.StartingCount())
 	d.coordinator.Configure(v.Table)
 	d.updateDraining(v.Table)
 	d.placer.Configure(v.Table)
--- a/internal/daemon/tick.go
+++ b/internal/daemon/tick.go
@@ -22,6 +22,7 @@
 			}
 			d.view.Sweep()
 			d.limitOwner.Update(d.view.Hosts(), d.hostList.liveDaemons())
+			d.coordinator.SetStarting(d.view.StartingCount())
 			d.coordinator.Tick(d.view.Ready(), d.placer.Suspects())
 			d.cells.DropOrphans()
 			d.placer.Tick()
--- a/internal/gateway/facts.go
+++ b/internal/gateway/facts.go
@@ -118,6 +118,7 @@
 	}
 	p := g.endpoints
 	p.update(c, g.changed.take(), g.holder)
+	g.coordinator.SetStarting(g.startingHosts())
 	g.coordinator.Apply(p.classes, p.plan)
 	g.placer.Apply(p.classes, p.plan)
 	g.limitConnections()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -384,6 +384,7 @@
 		g.logger.Warn("this daemon was paused")
 	}
 	g.view.Sweep()
+	g.coordinator.SetStarting(g.startingHosts())
 	g.coordinator.Tick(g.view.Ready(), g.placer.Suspects())
 	g.cells.DropOrphans()
 	g.placer.Tick()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -82,6 +82,15 @@
 	return slices.ContainsFunc(g.conf().Peers, func(address string) bool { return address != self })
 }
 
+// startingHosts returns the number of other hosts that are not ready yet. A daemon that
+// has met no other host, though its settings contain one, assumes that one starts.
+func (g *Gateway) startingHosts() int {
+	if g.view.Hosts().Len() < 2 && g.expectsHosts() {
+		return 1
+	}
+	return g.view.StartingCount()
+}
+
 // register keeps this daemon registered in the store if it is one of the hosts
 // selected for that, so that a new daemon can join even if all hosts in its
 // settings are gone. While this daemon knows no other host, it also reads the
--- a/internal/membership/hosts.go
+++ b/internal/membership/hosts.go
@@ -136,6 +136,18 @@
 	return missing
 }
 
+// StartingCount returns the number of other hosts that are alive and not ready yet.
+func (v *View) StartingCount() (n int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, e := range v.hosts {
+		if e.update.Status == Alive && e.update.Host.State == Starting {
+			n++
+		}
+	}
+	return n
+}
+
 // countHosts counts the hosts that are alive, including this daemon's own, and
 // those that are missing: suspect, or gone without having left.
 func (v *View) countHosts() (alive, missing int) {
