Keep hedges out of accounts that are not theirs

A review of the attempts beside a silent one found cases in which an unsent or beaten second attempt still decided something; each has a test that failed before:

- the first attempt failed while the second waited for a slot, and the stream ended when the slot was refused, with attempts and retries left;
- or while the second was opening a connection, and the next attempt was not charged;
- a cancelled reservation counted as an attempt, and a beaten endpoint as failed, so that a later failure found no endpoint;
- a caller that read slowly kept the slot of the superseded attempt;
- an endpoint that had just sent something was reported as failed;
- one late first token in a busy pool made a silence a shared one, and a step of the time of day as well.

A request is judged by its last attempt that was sent or was no hedge. Attempts are written to the caller without the run's mutex, by the one that leads. What was heard from endpoints has monotonic times, and only an endpoint that counted as silent shows by going on that others will. A second attempt is no trial of a quarantined part, and is not asked for when route or key are gone.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -59,6 +59,8 @@
 	// quiet and silent report whether half of the time, or all of it, after which the
 	// endpoint counts as silent has passed since quietSince.
 	quiet, silent bool
+	// writing reports whether the call writes to the caller, which may be slow to read.
+	writing bool
 	// over reports whether the exchange has ended.
 	over bool
 	// replaced reports whether the call was superseded by a later one, since its
@@ -191,8 +193,8 @@
 	r := c.run
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c.heard = r.f.silences.begin(&c.grant.Endpoint)
 	c.quietSince = r.f.Clock.Now()
+	c.heard = r.f.silences.begin(&c.grant.Endpoint, c.quietSince)
 	r.reached, c.sent = true, true
 	if c.hedge {
 		r.f.Metrics.CountRetry(outcome.ReasonSilent)
@@ -233,7 +235,7 @@
 	if c.superseded {
 		return errSuperseded
 	}
-	if refusal := r.checkSend(); refusal != nil {
+	if refusal := r.checkSend(!c.hedge); refusal != nil {
 		return refusal
 	}
 	if e := &c.grant.Endpoint; !r.usable(e) || r.continues() && c.mayBeReplaced() {
@@ -243,12 +245,13 @@
 }
 
 // checkSend returns a refusal if the request may not be sent. It is called after
-// a slot was granted and again right before the request is written.
-func (r *run) checkSend() *outcome.Refusal {
+// a slot was granted and again right before the request is written. If mayTry is set, the
+// request may become the trial of a quarantined part.
+func (r *run) checkSend(mayTry bool) *outcome.Refusal {
 	if refusal := r.req.MaySend(); refusal != nil {
 		return refusal
 	}
-	return r.checkQuarantine()
+	return r.checkQuarantine(mayTry)
 }
 
 // address returns the host and port of an endpoint.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -138,22 +138,35 @@
 	if c.endedWithEndpoint(resp) {
 		return failedResult(outcome.ReasonTruncated, errEndpointTerminated)
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if resp.StatusCode/100 == 5 || r.f.Protocol.ImpliesNotRun(resp.StatusCode) {
-		r.errorResponse = a
-		return failedResult(outcome.ReasonEndpointFailed, errors.Errorf("status %d", resp.StatusCode))
-	}
-	if !c.lead() {
-		return failedResult(outcome.ReasonSuperseded, errSuperseded)
+	if err := c.takeWhole(a); err != nil {
+		return failedResult(outcome.ReasonEndpointFailed, err)
 	}
-	r.headSent = true
 	if err := r.forwardResponse(a); err != nil {
 		return callerGoneResult(err)
 	}
 	return forwardedResult(resp)
 }
 
+// takeWhole takes a whole response, or returns an error if it must not be forwarded. A
+// failure is kept, in case that no other endpoint answers.
+func (c *call) takeWhole(a *response) error {
+	r := c.run
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case c.superseded:
+		return errSuperseded
+	case a.status/100 == 5, r.f.Protocol.ImpliesNotRun(a.status):
+		r.errorResponse = a
+		return errors.Errorf("status %d", a.status)
+	}
+	c.lead()
+	c.progress()
+	c.writing = true
+	r.headSent = true
+	return nil
+}
+
 // forwardLong forwards a response that is too long to be buffered.
 func (c *call) forwardLong(x *http1.Exchange, resp *http.Response, a *response) attemptResult {
 	if !c.leadWith(a, resp.ContentLength) {
@@ -191,6 +204,8 @@
 	if !c.lead() {
 		return false
 	}
+	c.progress()
+	c.writing = true
 	r.headSent = true
 	r.sink.Head(a.status, a.header, length)
 	return true
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -19,13 +19,14 @@
 }
 
 // checkQuarantine returns a refusal if the request or a part of its prompt is
-// quarantined. It has no Retry-After, because a retry would be refused as well.
-func (r *run) checkQuarantine() *outcome.Refusal {
+// quarantined. It has no Retry-After, because a retry would be refused as well. If mayTry
+// is set, the request may become the trial of a part.
+func (r *run) checkQuarantine(mayTry bool) *outcome.Refusal {
 	if r.f.Quarantine.IsQuarantined(r.req.Fingerprint) {
 		r.f.Logger.Info("request kept back", "request", r.req.ID, "fingerprint", r.req.Fingerprint.String(), "class", r.req.Class)
 		return outcome.NotRunError(outcome.ReasonQuarantined, quarantine.Message)
 	}
-	if part, ok := r.quarantinedPart(); ok {
+	if part, ok := r.quarantinedPart(mayTry); ok {
 		r.f.Metrics.Inc("quarantine.partRefused")
 		r.f.Logger.Info("request kept back", "request", r.req.ID, "part", part.String(), "parts", sharedParts(r.req.Parts), "class", r.req.Class)
 		return outcome.NotRunError(outcome.ReasonQuarantined, quarantine.PartMessage)
@@ -42,7 +43,7 @@
 	if r.tried {
 		return r.mayHaveRun > 0 || r.reached && !r.f.Parts.MayRepeatTrial(r.partKeys)
 	}
-	_, found := r.quarantinedPart()
+	_, found := r.quarantinedPart(true)
 	return found
 }
 
@@ -66,12 +67,12 @@
 }
 
 // quarantinedPart returns a part that keeps the request back; false if there is none, or
-// if the request is a trial.
-func (r *run) quarantinedPart() (quarantine.PartKey, bool) {
+// if the request is a trial. If mayTry is set, it may become one.
+func (r *run) quarantinedPart(mayTry bool) (quarantine.PartKey, bool) {
 	if len(r.partKeys) == 0 || r.tried {
 		return 0, false
 	}
-	k, found, trial := r.f.Parts.Quarantined(r.partKeys, func() bool { return r.f.MayTry(r.req.Pool) })
+	k, found, trial := r.f.Parts.Quarantined(r.partKeys, func() bool { return mayTry && r.f.MayTry(r.req.Pool) })
 	if trial {
 		r.tried = true
 		r.f.Metrics.Inc("quarantine.partTrials")
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -101,7 +101,9 @@
 // recordFailure records a failed attempt.
 func (r *run) recordFailure(c *call) {
 	grant, e := c.grant, c.result
-	r.failed = append(r.failed, grant.Endpoint.Name)
+	if !c.superseded || c.replaced {
+		r.failed = append(r.failed, grant.Endpoint.Name)
+	}
 	r.terminatedEndpoint = r.terminatedEndpoint || e.terminated
 	if e.mayHaveRun {
 		r.mayHaveRun++
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -38,7 +38,7 @@
 		backingOff, _ := r.f.Notices.BackingOff(r.req.Pool)
 		grant, err := r.f.Reserve(c.ctx, c.placementRequest(backingOff))
 		if err != nil {
-			if !r.awaitBackoff(c.ctx, err) && !r.awaitTable(c.ctx, err) {
+			if c.hedge || !r.awaitBackoff(c.ctx, err) && !r.awaitTable(c.ctx, err) {
 				return err
 			}
 			continue
@@ -96,7 +96,7 @@
 	if c.superseded {
 		return false, errSuperseded
 	}
-	if refusal := r.checkSend(); refusal != nil {
+	if refusal := r.checkSend(!c.hedge); refusal != nil {
 		return false, refusal
 	}
 	if r.usable(&grant.Endpoint) {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -64,6 +64,9 @@
 	// firstEvent is the time until the first event, slotWait the time until the
 	// last slot was granted; both since began.
 	firstEvent, slotWait time.Duration
+	// failure is the result of the last attempt that failed and was no hedge, or was sent;
+	// nil if there was none.
+	failure *attemptResult
 	// errorResponse is the last error response of an endpoint. It is forwarded
 	// if no later attempt succeeds.
 	errorResponse *response
@@ -100,7 +103,7 @@
 func (r *run) begin(ctx context.Context) *outcome.Refusal {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if refusal := r.checkQuarantine(); refusal != nil {
+	if refusal := r.checkQuarantine(true); refusal != nil {
 		return refusal
 	}
 	if refusal := r.findVersion(ctx); refusal != nil {
@@ -127,37 +130,72 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.calls = slices.DeleteFunc(r.calls, func(other *call) bool { return other == c })
-	switch {
-	case c.err == nil && c.result.err == nil:
+	if c.err == nil && c.result.err == nil {
 		r.recordAnswered(c)
 		return true, nil
+	}
+	r.recordEnd(c)
+	if r.isInProgress() {
+		r.nextHedge = r.f.Clock.Now().Add(hedgeInterval)
+		return false, nil
+	}
+	return r.retry(ctx, c)
+}
+
+// recordEnd records a call that has brought no response.
+func (r *run) recordEnd(c *call) {
+	switch {
 	case c.err == nil && (c.sent || !c.superseded):
 		r.recordFailure(c)
+		if !c.superseded && (c.sent || !c.hedge) {
+			r.failure = &c.result
+		}
 	case c.hedge && !c.superseded:
 		r.f.Metrics.Inc("silence.noSlot")
 	}
 	if c.hedge && !c.sent {
 		r.budget.Return()
 	}
-	if r.isInProgress() {
-		r.nextHedge = r.f.Clock.Now().Add(hedgeInterval)
-		return false, nil
-	}
-	if c.err != nil {
-		return true, r.failReserve(ctx, c.err)
+}
+
+// retry makes another attempt after the last call in progress has ended, or ends the
+// request. A hedge that was not sent decides nothing: its slot was asked for under other
+// conditions than that of a retry.
+func (r *run) retry(ctx context.Context, last *call) (done bool, err error) {
+	failure := r.failure
+	switch {
+	case failure != nil && last.hedge && !last.sent:
+	case last.err != nil:
+		return true, r.failReserve(ctx, last.err)
+	default:
+		failure = &last.result
 	}
-	if why := r.retryObstacle(ctx, c.result); why != "" {
+	if why := r.retryObstacle(ctx, *failure); why != "" {
 		r.recordNoRetry(why)
-		return true, r.failAttempts(ctx, c.result)
+		return true, r.failAttempts(ctx, *failure)
 	}
-	r.f.Metrics.CountRetry(c.result.reason)
+	r.f.Metrics.CountRetry(failure.reason)
 	r.start(ctx, false)
 	return false, nil
 }
 
 // isInProgress reports whether an attempt that was not superseded goes on.
-func (r *run) isInProgress() bool {
-	return slices.ContainsFunc(r.calls, func(c *call) bool { return !c.superseded })
+func (r *run) isInProgress() bool { return r.goesOnWithout(nil) }
+
+// goesOnWithout reports whether an attempt other than c goes on that was not superseded.
+func (r *run) goesOnWithout(c *call) bool {
+	return slices.ContainsFunc(r.calls, func(other *call) bool { return other != c && !other.superseded })
+}
+
+// attempts returns the number of endpoints that may have run the request or may yet do so.
+func (r *run) attempts() int {
+	n := r.mayHaveRun
+	for _, c := range r.calls {
+		if c.sent || !c.superseded {
+			n++
+		}
+	}
+	return n
 }
 
 // obstacle is the reason why a request is not sent to another endpoint.
@@ -186,25 +224,39 @@
 	case errors.As(e.err, new(*outcome.Refusal)):
 		return obstacleRefused
 	}
-	// If the endpoint has received nothing, the next attempt repeats nothing and is not
-	// charged to the retry budget.
-	return r.repeatObstacle(e.reason != outcome.ReasonConnect)
+	if why := r.attemptObstacle(); why != "" {
+		return why
+	}
+	switch {
+	case r.isQuarantined():
+		return obstacleQuarantined
+	case e.reason == outcome.ReasonConnect:
+		// The endpoint has received nothing, so the next attempt repeats nothing
+		// and is not charged to the retry budget.
+	case !r.takeRetry():
+		return obstacleBudget
+	}
+	return ""
 }
 
-// repeatObstacle returns why no further attempt of a repeatable request may be made; ""
-// if it may. If it is charged, it has then been taken from the budget.
-func (r *run) repeatObstacle(charged bool) obstacle {
+// attemptObstacle returns why no further attempt may be made, whatever the last one was;
+// "" if it may.
+func (r *run) attemptObstacle() obstacle {
 	switch {
 	case r.continues() && r.begunVersion == "":
 		r.f.Metrics.Inc("streams.versionUnknown")
 		return obstacleVersion
-	case r.mayHaveRun+len(r.calls) >= r.req.Attempts || r.notRun >= maxNotRun:
+	case r.attempts() >= r.req.Attempts || r.notRun >= maxNotRun:
 		return obstacleAttempts
-	case r.isQuarantined():
-		return obstacleQuarantined
-	case charged && !r.budget.Take():
-		r.f.Metrics.Inc("retryBudget.exhausted")
-		return obstacleBudget
 	}
 	return ""
 }
+
+// takeRetry takes a retry from the budget and reports whether there was one.
+func (r *run) takeRetry() bool {
+	if r.budget.Take() {
+		return true
+	}
+	r.f.Metrics.Inc("retryBudget.exhausted")
+	return false
+}
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -43,12 +43,17 @@
 		return 0
 	case r.headSent && r.req.Kind != catalog.Stream:
 		return 0
-	case r.mayHaveRun+len(r.calls) >= r.req.Attempts:
+	case r.attempts() >= r.req.Attempts:
 		return 0
 	}
 	return max(targetsUntilSilent*target, minSilence)
 }
 
+// mayHedge reports whether a second attempt can become possible at all.
+func (r *run) mayHedge() bool {
+	return r.req.repeatable() && r.req.Attempts > 1 && max(r.req.StartTarget, r.req.GapTarget) > 0
+}
+
 // newest returns the latest attempt.
 func (r *run) newest() *call {
 	for _, c := range slices.Backward(r.calls) {
@@ -65,13 +70,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.newest()
-	if c == nil || !r.req.repeatable() {
+	if c == nil || !r.mayHedge() {
 		return never
 	}
 	now := r.f.Clock.Now()
 	limit := r.silenceLimit(c)
 	switch {
-	case limit == 0 || !c.sent || c.over:
+	case limit == 0 || !c.sent || c.over || c.writing:
 		// Another check finds out what has changed, or when the request was sent.
 		return minSilence / 2
 	case !c.quiet:
@@ -86,7 +91,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.newest()
-	if c == nil || !c.sent || c.over {
+	if c == nil || !c.sent || c.over || c.writing {
 		return
 	}
 	limit := r.silenceLimit(c)
@@ -123,11 +128,19 @@
 		return obstacleEnded
 	case !long && r.f.silences.isShared(r.req.Pool, r.f.Clock.Now()):
 		return obstacleShared
-	case r.tried:
+	case r.tried || r.checkQuarantine(false) != nil:
 		// A trial may end its endpoint, and no second one at the same time.
 		return obstacleQuarantined
+	case r.req.MaySend() != nil:
+		return obstacleRefused
+	}
+	if why := r.attemptObstacle(); why != "" {
+		return why
 	}
-	return r.repeatObstacle(true)
+	if !r.takeRetry() {
+		return obstacleBudget
+	}
+	return ""
 }
 
 // lead supersedes all other attempts, since the endpoint of this one has gone on. It
@@ -142,7 +155,7 @@
 		case other == c:
 			isLater = true
 		case !other.superseded:
-			other.superseded, other.replaced = true, !isLater
+			other.superseded, other.replaced = true, !isLater && other.silent
 			other.cancel()
 		}
 	}
@@ -177,9 +190,9 @@
 	if c.silent {
 		c.run.recordWentOn(c, now.Sub(c.quietSince))
 	}
-	c.silent = false
 	c.quietSince = now
-	c.heard.record(now, c.quiet)
+	c.heard.record(now, c.silent)
+	c.silent = false
 	c.endQuiet()
 }
 
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,6 +23,7 @@
 	"github.com/beechhead/beechhead/internal/catalog"
 	"github.com/beechhead/beechhead/internal/http1"
 	"github.com/beechhead/beechhead/internal/outcome"
+	"github.com/beechhead/beechhead/internal/placement"
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
@@ -33,13 +35,18 @@
 	// Endpoints holds what each endpoint does with a request, in the order in which they
 	// are granted; see scriptedEndpoint.play for the steps.
 	Endpoints []string
-	// Want holds the ids of the events that the caller receives, or "whole" or "long".
+	// Want holds the ids of the events that the caller receives, or "whole", or "long" and
+	// the number of buffers that a long body fills.
 	Want string
 	// Sent is the number of endpoints that received the request, Aborted the names of
 	// those whose response was aborted, BudgetLeft what is left of the budget.
 	Sent       int
 	Aborted    string
 	BudgetLeft int
+	// Again names an endpoint that the last attempt does not exclude.
+	Again string
+	// Broken reports whether the response breaks off.
+	Broken bool
 }
 
 const (
@@ -47,6 +54,7 @@
 	streamHead = "HTTP/1.1 200 OK\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
 	wholeBody  = "HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Length: 5\r\n\r\nwhole"
 	failedBody = "HTTP/1.1 500 Oops\r\nSigned: 1\r\nContent-Length: 4\r\n\r\noops"
+	notFound   = "HTTP/1.1 404 Not Found\r\nSigned: 1\r\nContent-Length: 4\r\n\r\nnope"
 )
 
 // scriptedEndpoint answers requests on pipes.
@@ -88,7 +96,7 @@
 // step returns false if the response was aborted.
 func (e *scriptedEndpoint) step(c net.Conn, gone <-chan struct{}, step string, last int) bool {
 	word, arg, _ := strings.Cut(step, " ")
-	out := map[string]string{"head": streamHead, "end": "0\r\n\r\n", "whole": wholeBody, "failure": failedBody}[word]
+	out := map[string]string{"head": streamHead, "end": "0\r\n\r\n", "whole": wholeBody, "failure": failedBody, "notFound": notFound}[word]
 	id, _ := strconv.Atoi(arg)
 	switch {
 	case word == "event" && id > last, word == "repeat":
@@ -104,10 +112,9 @@
 			return false
 		case <-bubbleclock.After(d):
 		}
-	case word == "long":
+	case word == "longStart":
 		out = fmt.Sprintf("HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Length: %d\r\n\r\n%s", longBody, strings.Repeat("x", 2*maxBuffered))
-		_, _ = io.WriteString(c, out)
-		<-bubbleclock.After(9 * time.Second)
+	case word == "longEnd":
 		out = strings.Repeat("x", longBody-2*maxBuffered)
 	}
 	_, err := io.WriteString(c, out)
@@ -145,6 +152,10 @@
 	f.Pool = http1.NewPool(f.Clock, func(_ context.Context, address string) (net.Conn, error) {
 		here, there := net.Pipe()
 		e := endpoints[address[0]-'a']
+		if e.steps[0] == "refuse" {
+			<-bubbleclock.After(http1.DialTimeout)
+			return nil, errors.New("refused")
+		}
 		wg.Go(func() { e.play(there) })
 		return here, nil
 	})
@@ -173,9 +184,16 @@
 	f, endpoints, end := silentSite(tt.Endpoints)
 	budget := &fixedBudget{left: tt.Budget}
 	f.Budget = func(table.Pool) Budget { return budget }
+	var excluded []table.EndpointName
+	reserve := f.Reserve
+	f.Reserve = func(ctx context.Context, r placement.Request) (*placement.Grant, error) {
+		excluded = r.Excluded
+		return reserve(ctx, r)
+	}
 	var body strings.Builder
+	heads := 0
 	err := f.Do(context.Background(), tt.request(f), Sink{
-		Head: func(int, http.Header, int64) {},
+		Head: func(int, http.Header, int64) { heads++ },
 		Body: func(p []byte) error { body.Write(p); return nil },
 	})
 	end()
@@ -188,12 +206,18 @@
 			aborted += string(endpointName(i))
 		}
 	}
-	if got := summary(body.String()); err != nil || got != tt.Want {
+	if heads != 1 || errors.Is(err, ErrTruncated) != tt.Broken {
+		t.Errorf("the caller received %d heads, %v", heads, err)
+	}
+	if got := summary(body.String()); got != tt.Want {
 		t.Errorf("the caller received %q, %v, want %q", got, err, tt.Want)
 	}
 	if sent != tt.Sent || aborted != tt.Aborted {
 		t.Errorf("%d endpoints received the request and %q were aborted, want %d and %q", sent, aborted, tt.Sent, tt.Aborted)
 	}
+	if tt.Again != "" && slices.Contains(excluded, table.EndpointName(tt.Again)) {
+		t.Errorf("the last attempt excludes %s: %v", tt.Again, excluded)
+	}
 	if want := tt.BudgetLeft; want > 0 && budget.left != want {
 		t.Errorf("%d retries are left, want %d", budget.left, want)
 	}
@@ -201,8 +225,8 @@
 
 // summary returns what a caller has received in the form of silenceScript.Want.
 func summary(body string) string {
-	if len(body) == longBody {
-		return "long"
+	if n := len(body) / maxBuffered; n > 0 {
+		return fmt.Sprintf("long %d", n)
 	}
 	var ids []string
 	for line := range strings.Lines(body) {
@@ -240,28 +264,103 @@
 	})
 }
 
+// Guards against breaking off a stream for a second attempt that was not sent: its slot was
+// refused after the first one had failed, or was cancelled late.
+func TestHedgeThatIsNotSentDecidesNothing(t *testing.T) {
+	for name, second := range map[string]func(ctx context.Context) error{
+		"refused": func(context.Context) error {
+			<-bubbleclock.After(300 * time.Millisecond)
+			return outcome.NotRunError(outcome.ReasonShed, "no slot")
+		},
+		"cancelled late": func(ctx context.Context) error {
+			<-ctx.Done()
+			<-bubbleclock.After(time.Millisecond)
+			return ctx.Err()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tt := &silenceScript{Kind: "stream", Attempts: 2}
+				first := map[string]string{"refused": "reset", "cancelled late": "event 2, reset"}[name]
+				f, _, end := silentSite([]string{"head, event 1, wait 1300ms, " + first, "head, event 2, event 3, end"})
+				f.Budget = func(table.Pool) Budget { return &fixedBudget{left: 9} }
+				reserve, n := f.Reserve, 0
+				f.Reserve = func(ctx context.Context, r placement.Request) (*placement.Grant, error) {
+					if n++; n == 2 {
+						return nil, second(ctx)
+					}
+					return reserve(ctx, r)
+				}
+				if got, err := receive(f, tt.request(f)); err != nil || summary(got) != "1 2 3" {
+					t.Errorf("received %q, %v", summary(got), err)
+				}
+				end()
+			})
+		})
+	}
+}
+
+// receive runs a request and returns the body that its caller receives.
+func receive(f *Forwarder, r *Request) (string, error) {
+	var body strings.Builder
+	err := f.Do(context.Background(), r, Sink{
+		Head: func(int, http.Header, int64) {},
+		Body: func(p []byte) error { body.Write(p); return nil },
+	})
+	return body.String(), err
+}
+
+// Guards against a caller that reads slowly and keeps the slot of a superseded attempt.
+func TestSlowCallerKeepsNoSupersededSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tt := &silenceScript{Kind: "stream", Attempts: 2}
+		f, endpoints, end := silentSite([]string{"head, event 1, wait 1500ms, event 2, end", "head, hang"})
+		f.Budget = func(table.Pool) Budget { return &fixedBudget{left: 9} }
+		calls, over := 0, false
+		err := f.Do(context.Background(), tt.request(f), Sink{
+			Head: func(int, http.Header, int64) {},
+			Body: func([]byte) error {
+				if calls++; calls == 2 {
+					<-bubbleclock.After(5 * time.Second)
+					f.silences.mu.Lock()
+					defer f.silences.mu.Unlock()
+					_, open := f.silences.endpoints["b"]
+					over = !open
+				}
+				return nil
+			},
+		})
+		end()
+		if err != nil || !endpoints[1].sent || !over {
+			t.Errorf("%v; the superseded attempt was sent %v and has ended %v while the caller reads", err, endpoints[1].sent, over)
+		}
+	})
+}
+
 // Guards against using up the retry budget on endpoints that are silent as well.
 func TestSilentEndpointsAreNotAskedInPlaceOfEachOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var s silences
 		clock := bubbleclock.New()
-		endpoints := []*table.Endpoint{{Name: "a", Pool: "p"}, {Name: "b", Pool: "p"}, {Name: "c", Pool: "q"}}
+		endpoints := []*table.Endpoint{{Name: "a", Pool: "p"}, {Name: "b", Pool: "p"}, {Name: "c", Pool: "q"}, {Name: "d", Pool: "p"}}
 		var all []*heard
 		for _, e := range endpoints {
-			h := s.begin(e)
+			h := s.begin(e, clock.Now())
 			h.addQuiet(1)
 			all = append(all, h)
 		}
 		time.Sleep(minSilence)
 		if !s.isShared("p", clock.Now()) || s.isShared("q", clock.Now()) {
-			t.Error("the silence of two endpoints is not shared, or that of one is")
+			t.Error("the silence of three endpoints is not shared, or that of one is")
 		}
 		all[1].record(clock.Now(), true)
-		if got := fmt.Sprint(s.silent("p", clock.Now())); got != "[a]" {
-			t.Errorf("silent endpoints: %s, want a, since b has sent something", got)
+		got := s.silent("p", clock.Now())
+		slices.Sort(got)
+		if fmt.Sprint(got) != "[a d]" {
+			t.Errorf("silent endpoints: %s, want a and d, since b has sent something", got)
 		}
 		if !s.isShared("p", clock.Now()) {
-			t.Error("a silence that ends at one endpoint is not shared by the other any more")
+			t.Error("a silence that ends at one endpoint is not shared by the others any more")
 		}
 		time.Sleep(2 * hedgeInterval)
 		if s.isShared("p", clock.Now()) {
--- a/internal/forward/silences.go
+++ b/internal/forward/silences.go
@@ -23,12 +23,19 @@
 	mu        sync.Mutex
 	endpoints map[table.EndpointName]*heard
 	pools     map[table.Pool]*poolHeard
+	// base is the time from which times are counted. It is before all of them, and has a
+	// monotonic reading, so that steps of the time of day change nothing.
+	base time.Time
 }
 
-// poolHeard is what was heard from the endpoints of a pool, in nanoseconds since 1970.
+// longAgo is longer than any time that is compared.
+const longAgo = time.Hour
+
+// poolHeard is what was heard from the endpoints of a pool, in nanoseconds since
+// silences.base.
 type poolHeard struct {
 	// at is when one of them has last sent something, wentOn when one has last done so after
-	// it was quiet.
+	// it was silent.
 	at, wentOn atomic.Int64
 }
 
@@ -37,7 +44,7 @@
 	silences *silences
 	name     table.EndpointName
 	pool     table.Pool
-	// at is when the endpoint has last sent something, in nanoseconds since 1970.
+	// at is when the endpoint has last sent something, in nanoseconds since silences.base.
 	at     atomic.Int64
 	ofPool *poolHeard
 	// calls counts the responses that are awaited, quiet those that are late. Both are
@@ -46,10 +53,11 @@
 }
 
 // begin records that a response of an endpoint is awaited.
-func (s *silences) begin(e *table.Endpoint) *heard {
+func (s *silences) begin(e *table.Endpoint, now time.Time) *heard {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.endpoints == nil {
+		s.base = now.Add(-longAgo)
 		s.endpoints, s.pools = map[table.EndpointName]*heard{}, map[table.Pool]*poolHeard{}
 	}
 	if s.pools[e.Pool] == nil {
@@ -73,13 +81,14 @@
 	}
 }
 
-// record records that the endpoint has sent something; wentOn reports whether it was quiet
-// before.
+// record records that the endpoint has sent something; wentOn reports whether it was
+// silent before.
 func (h *heard) record(now time.Time, wentOn bool) {
-	h.at.Store(now.UnixNano())
-	h.ofPool.at.Store(now.UnixNano())
+	at := int64(now.Sub(h.silences.base))
+	h.at.Store(at)
+	h.ofPool.at.Store(at)
 	if wentOn {
-		h.ofPool.wentOn.Store(now.UnixNano())
+		h.ofPool.wentOn.Store(at)
 	}
 }
 
@@ -117,22 +126,22 @@
 		case h.pool != pool:
 		case h.isSilent(now):
 			silent++
-		case isWithin(&h.at, now, recently):
+		case s.isWithin(&h.at, now, recently):
 			active++
 		}
 	}
-	if active == 0 && isWithin(&p.at, now, recently) {
+	if active == 0 && s.isWithin(&p.at, now, recently) {
 		active = 1
 	}
-	return isWithin(&p.wentOn, now, hedgeInterval) || silent >= minShared && silent > sharedRatio*active
+	return silent >= minShared && (silent > sharedRatio*active || s.isWithin(&p.wentOn, now, hedgeInterval))
 }
 
 // isSilent requires silences.mu.
 func (h *heard) isSilent(now time.Time) bool {
-	return h.quiet > 0 && !isWithin(&h.at, now, recently)
+	return h.quiet > 0 && !h.silences.isWithin(&h.at, now, recently)
 }
 
-// isWithin reports whether a time in nanoseconds since 1970 is at most d ago.
-func isWithin(at *atomic.Int64, now time.Time, d time.Duration) bool {
-	return now.UnixNano()-at.Load() <= int64(d)
+// isWithin reports whether a time in nanoseconds since base is at most d ago.
+func (s *silences) isWithin(at *atomic.Int64, now time.Time, d time.Duration) bool {
+	return now.Sub(s.base)-time.Duration(at.Load()) <= d
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -72,6 +72,7 @@
 	if !c.lead() {
 		return failedResult(outcome.ReasonSuperseded, errSuperseded)
 	}
+	c.progress()
 	c.run.sendHead(resp)
 	x.Finish()
 	return forwardedResult(resp)
@@ -91,17 +92,28 @@
 // already received. The error is errSuperseded if another call has gone on.
 func (c *call) forwardEvents(events []byte, resp *http.Response) error {
 	c.markBegun()
+	out, err := c.takeEvents(events, resp)
+	if err != nil || len(out) == 0 {
+		return err
+	}
+	return c.write(out)
+}
+
+// takeEvents returns the events that the caller has not received yet. The call leads then,
+// and may write them to the caller.
+func (c *call) takeEvents(events []byte, resp *http.Response) ([]byte, error) {
 	r := c.run
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c.progress()
 	out, count, last := r.newEvents(events)
 	if count == 0 {
-		return nil
+		return nil, nil
 	}
 	if !c.lead() {
-		return errSuperseded
+		return nil, errSuperseded
 	}
+	c.writing = true
 	r.sendHead(resp)
 	r.lastEvent = last
 	c.events += count
@@ -111,9 +123,17 @@
 	for range count {
 		c.grant.RecordToken()
 	}
-	err := r.sink.Body(out)
-	// A caller that reads slowly is no silence of the endpoint.
-	c.quietSince = r.f.Clock.Now()
+	return out, nil
+}
+
+// write writes a part of the body to the caller. A caller that reads slowly is no silence
+// of the endpoint, and keeps no superseded call from ending.
+func (c *call) write(p []byte) error {
+	err := c.run.sink.Body(p)
+	c.run.mu.Lock()
+	defer c.run.mu.Unlock()
+	c.writing = false
+	c.quietSince = c.run.f.Clock.Now()
 	return err
 }
 
