Forward nothing but events to a stream that has begun

A silent stream had a second endpoint asked that answered 404: the caller got a second head, the text of the failure behind its events, and an end that looked complete, though the first endpoint would have gone on. A retry after a lost connection could do the same.

A whole response to a stream that has begun, or that another endpoint may still begin, is a failed attempt. It is forwarded if nothing has been and no attempt is left.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -148,15 +148,17 @@
 }
 
 // takeWhole takes a whole response, or returns an error if it must not be forwarded. A
-// failure is kept, in case that no other endpoint answers.
+// failure is kept, in case that no other endpoint answers. So is any response other than
+// events to a stream that has begun, or that another endpoint may still begin.
 func (c *call) takeWhole(a *response) error {
 	r := c.run
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	elsewhere := r.req.Kind == catalog.Stream && (r.headSent || r.goesOnWithout(c))
 	switch {
 	case c.superseded:
 		return errSuperseded
-	case a.status/100 == 5, r.f.Protocol.ImpliesNotRun(a.status):
+	case elsewhere, a.status/100 == 5, r.f.Protocol.ImpliesNotRun(a.status):
 		r.errorResponse = a
 		return errors.Errorf("status %d", a.status)
 	}
