Read the next event of an engine while the last one is passed on

An attempt waited until its event was handled before it read on, which costs a change of goroutines for each. It now keeps the data of two events and waits when it has the next one.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -50,8 +50,8 @@
 	eventEnd
 )
 
-// event is something that happened in an attempt. The attempt waits until it
-// was handled, so that data stays valid until then.
+// event is something that happened in an attempt. Its data is valid until the
+// next event is received.
 type event struct {
 	attempt *attempt
 	kind    eventKind
@@ -82,8 +82,9 @@
 	silent []table.EndpointName
 
 	events chan<- event
-	// handled receives a value when an event other than the end was handled.
-	handled chan struct{}
+	// buffers hold the data of the last event and of the one before in turn: a
+	// run that receives an event may still use it while the next one is read.
+	buffers [2][]byte
 	// verdict receives the outcome for the coordinator, exactly once.
 	verdict chan peerv1.ReleaseOutcome
 	// released is closed when the slot was released.
@@ -117,7 +118,6 @@
 		excluded: slices.Concat(r.failed, open),
 		silent:   slices.Concat(r.silent, open),
 		events:   r.events,
-		handled:  make(chan struct{}, 1),
 		verdict:  make(chan peerv1.ReleaseOutcome, 1),
 		released: make(chan struct{}),
 	}
@@ -160,24 +160,22 @@
 	return a.run.content.exchange(a)
 }
 
-// tell hands an event to the run and waits until it is handled. It returns an
-// error if the attempt was cancelled.
+// tell hands an event to the run, which receives it when it has handled the one
+// before. It returns an error if the attempt was cancelled.
 func (a *attempt) tell(kind eventKind, data []byte) error {
+	b := &a.buffers[0]
+	*b = append((*b)[:0], data...)
+	a.buffers[0], a.buffers[1] = a.buffers[1], a.buffers[0]
 	select {
-	case a.events <- event{attempt: a, kind: kind, data: data}:
-	case <-a.ctx.Done():
-		cause := context.Cause(a.ctx)
-		if kind == eventData && errors.Is(cause, errHedgeLost) {
-			a.run.d.metrics.Inc("wasted.tokens.hedge")
-		}
-		return cause
-	}
-	select {
-	case <-a.handled:
+	case a.events <- event{attempt: a, kind: kind, data: a.buffers[1]}:
 		return nil
 	case <-a.ctx.Done():
-		return context.Cause(a.ctx)
 	}
+	cause := context.Cause(a.ctx)
+	if kind == eventData && errors.Is(cause, errHedgeLost) {
+		a.run.d.metrics.Inc("wasted.tokens.hedge")
+	}
+	return cause
 }
 
 // end cancels the attempt and reports its outcome to the coordinator. It must be
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -220,7 +220,6 @@
 	case eventEnd:
 		return r.handleEnd(a, e.err)
 	}
-	a.handled <- struct{}{}
 	return false, nil
 }
 
