Set the timer of silence anew only when it has fired

Each event stopped the timer and set it again. Now an event only moves the end of the deadline, and a timer that fires before it waits for the rest.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -212,7 +212,7 @@
 	case eventSending:
 		r.handleSending(a)
 	case eventBegun:
-		r.silence.timer.timer.Stop()
+		r.silence.timer.stop()
 	case eventData:
 		if err := r.handleData(a, e.data); err != nil {
 			return r.handleEnd(a, err)
@@ -240,23 +240,22 @@
 	case afterSilence:
 		r.countRetry(outcome.ReasonSilent)
 	}
-	r.silence.timer.start(limit)
+	r.silence.timer.start(now, limit)
 }
 
 func (r *run) handleData(a *attempt, data []byte) error {
 	r.settle(a)
 	a.hasData = true
 	r.maybeExecuted = true
-	// The caller may be slow to take the data, which is not the endpoint's
-	// silence.
-	r.silence.timer.timer.Stop()
 	if err := r.content.deliver(a, data); err != nil {
 		return err
 	}
+	// The caller may be slow to take the data, which is not the endpoint's
+	// silence.
 	now := r.d.clock.Now()
 	a.lastSign = now
 	r.silence.since, r.silence.lastSign = now, now
-	r.silence.timer.start(r.limits.between)
+	r.silence.timer.start(now, r.limits.between)
 	return nil
 }
 
@@ -329,7 +328,7 @@
 
 // dropAll ends the attempts that are still open.
 func (r *run) dropAll() {
-	r.silence.timer.timer.Stop()
+	r.silence.timer.stop()
 	r.endSilence(nil)
 	for _, a := range r.open {
 		r.refund(a)
@@ -342,7 +341,8 @@
 // handleSilence asks another endpoint if that is possible. The open attempts go
 // on in any case, until the last one asked has had all of its time.
 func (r *run) handleSilence(ctx context.Context) error {
-	lasted := r.d.clock.Since(r.silence.lastSign)
+	now := r.d.clock.Now()
+	lasted := now.Sub(r.silence.lastSign)
 	if r.limits.total > 0 && lasted >= r.limits.total {
 		r.maybeExecuted = true
 		return r.refusal(outcome.ReasonSilent, "no endpoint has sent anything within the deadline")
@@ -363,7 +363,7 @@
 		r.launch(ctx, o)
 	}
 	r.setAlone(reason)
-	r.silence.timer.start(next)
+	r.silence.timer.start(now, next)
 	return nil
 }
 
--- a/internal/dispatch/run_test.go
+++ b/internal/dispatch/run_test.go
@@ -31,9 +31,15 @@
 		"late":                 {5 * time.Second, 100 * time.Millisecond},
 		"late in the grace":    {900 * time.Millisecond, 3 * time.Second, 100 * time.Millisecond},
 		"late again and again": {5 * time.Second, 5 * time.Second, 100 * time.Millisecond},
+		"after an event":       {-500 * time.Millisecond, 400 * time.Millisecond, 500 * time.Millisecond, 100 * time.Millisecond},
 	} {
-		timer.start(time.Second)
+		timer.start(clock.Now(), time.Second)
 		for i, d := range steps {
+			if d < 0 {
+				clock.Advance(-d)
+				timer.start(clock.Now(), time.Second)
+				continue
+			}
 			if got, last := expires(d), i == len(steps)-1; got != last {
 				t.Errorf("%s, step %d: expired %v", name, i, got)
 			}
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -42,7 +42,10 @@
 type silenceTimer struct {
 	clock clockwork.Clock
 	timer clockwork.Timer
-	// due is when the current step ends.
+	// firesAt is when the timer fires; zero if it is not set. It may be before
+	// due, since events that follow each other closely do not set it anew.
+	firesAt time.Time
+	// due is when the current step ends; zero if nothing is measured.
 	due   time.Time
 	grace time.Duration
 	// inGrace is set during the second step.
@@ -55,27 +58,41 @@
 	return t
 }
 
-// start starts the timer anew.
-func (t *silenceTimer) start(d time.Duration) {
+// start measures a deadline from now on, instead of what was measured before.
+func (t *silenceTimer) start(now time.Time, d time.Duration) {
 	t.grace = d / graceDivisor
 	t.inGrace = false
-	t.reset(d - t.grace)
+	t.wait(now, d-t.grace)
 }
 
-func (t *silenceTimer) reset(d time.Duration) {
-	t.due = t.clock.Now().Add(d)
-	t.timer.Reset(d)
+func (t *silenceTimer) wait(now time.Time, d time.Duration) {
+	t.due = now.Add(d)
+	if t.firesAt.IsZero() || t.firesAt.After(t.due) {
+		t.firesAt = t.due
+		t.timer.Reset(d)
+	}
 }
 
+// stop ends the measurement.
+func (t *silenceTimer) stop() { t.due = time.Time{} }
+
 // expired reports whether the deadline has passed. It must be called when the
 // timer fires.
 func (t *silenceTimer) expired() bool {
-	late := t.clock.Since(t.due)
-	if t.inGrace && late < t.grace {
+	t.firesAt = time.Time{}
+	now := t.clock.Now()
+	late := now.Sub(t.due)
+	switch {
+	case t.due.IsZero():
+		return false
+	case late < 0:
+		t.wait(now, -late)
+		return false
+	case t.inGrace && late < t.grace:
 		return true
 	}
 	t.inGrace = true
-	t.reset(t.grace)
+	t.wait(now, t.grace)
 	return false
 }
 
