Keep a silent attempt open when another one answers with an error

Cause: the first event of another attempt cancelled the silent one before the event was parsed. An engine that answers with an error in its stream, as one out of memory does, thus ended an answer whose engine would have gone on.

While several attempts are open, an event is parsed before the others are cancelled. The test failed before: the answer broke off with noEndpoint after its first event.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -74,6 +74,7 @@
 	return err
 }
 
+func (r *callRun) check([]byte) error             { return nil }
 func (r *callRun) deliver(*attempt, []byte) error { return nil }
 
 func (r *callRun) complete(a *attempt) error {
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -83,6 +83,11 @@
 	}
 }
 
+func (r *chatRun) check(data []byte) error {
+	_, err := engine.ParseChunk(data)
+	return err
+}
+
 // deliver sends one event to the caller.
 func (r *chatRun) deliver(a *attempt, data []byte) error {
 	chunk, err := engine.ParseChunk(data)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -35,6 +35,8 @@
 	// exchange sends the request to the reserved endpoint and tells the events
 	// of the response.
 	exchange(a *attempt) error
+	// check returns an error if data is not a part of a response.
+	check(data []byte) error
 	// deliver passes data of the response to the caller.
 	deliver(a *attempt, data []byte) error
 	// complete is called when the response has ended.
@@ -244,6 +246,12 @@
 }
 
 func (r *run) handleData(a *attempt, data []byte) error {
+	if len(r.open) > 1 {
+		// An endpoint that answers with an error must not end the others.
+		if err := r.content.check(data); err != nil {
+			return err
+		}
+	}
 	r.settle(a)
 	a.hasData = true
 	r.maybeExecuted = true
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -350,6 +350,43 @@
 	s.waitForEnd()
 }
 
+// Guards against a silent engine that is given up for one whose first event is
+// an error, though it goes on.
+func TestErrorOfAnotherEngineDoesNotEndTheSilentOne(t *testing.T) {
+	t.Parallel()
+	var requests atomic.Int32
+	failed := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != engine.PathChat {
+			_, _ = io.WriteString(w, "{}")
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
+		if requests.Add(1) > 1 {
+			_, _ = io.WriteString(w, "data: {\"error\":{\"message\":\"out of memory\"}}\n\n")
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+			close(failed)
+			return
+		}
+		_, _ = io.WriteString(w, "data: {\"id\":\"a\",\"choices\":[{\"delta\":{\"content\":\"nine \"}}]}\n\n")
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-failed:
+		case <-r.Context().Done():
+			return
+		}
+		_, _ = io.WriteString(w, "data: {\"id\":\"a\",\"choices\":[{\"delta\":{\"content\":\"thirty\"},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n")
+	}))
+	t.Cleanup(server.Close)
+	s := startSiteWith(t, 1, func(tab *table.Table) { tab.Endpoints[0].URL = server.URL })
+	r := sendChat(t, s, "summary", "Which slots are open?")
+	if n := requests.Load(); r.text != "nine thirty" || !r.done || n != 2 {
+		t.Errorf("got %+v with %d requests", r, n)
+	}
+}
+
 // Guards against a stream with two ids: an engine is silent after an event
 // without text, and another one begins the answer.
 func TestStreamHasOneIDAfterSilence(t *testing.T) {
