--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -35,6 +35,8 @@
 	// exchange sends the request to the reserved endpoint and tells the events
 	// of the response.
 	exchange(a *attempt) error
+	// check returns an error if data is not a part of a response.
+	check(data []byte) error
 	// deliver passes data of the response to the caller.
 	deliver(a *attempt, data []byte) error
 	// complete is called when the response has ended.
@@ -212,7 +214,7 @@
 	case eventSending:
 		r.handleSending(a)
 	case eventBegun:
-		r.silence.timer.timer.Stop()
+		r.silence.timer.stop()
 	case eventData:
 		if err := r.handleData(a, e.data); err != nil {
 			return r.handleEnd(a, err)
@@ -220,7 +222,6 @@
 	case eventEnd:
 		return r.handleEnd(a, e.err)
 	}
-	a.handled <- struct{}{}
 	return false, nil
 }
 
@@ -241,23 +242,28 @@
 	case afterSilence:
 		r.countRetry(outcome.ReasonSilent)
 	}
-	r.silence.timer.start(limit)
+	r.silence.timer.start(now, limit)
 }
 
 func (r *run) handleData(a *attempt, data []byte) error {
+	if len(r.open) > 1 {
+		// An endpoint that answers with an error must not end the others.
+		if err := r.content.check(data); err != nil {
+			return err
+		}
+	}
 	r.settle(a)
 	a.hasData = true
 	r.maybeExecuted = true
-	// The caller may be slow to take the data, which is not the endpoint's
-	// silence.
-	r.silence.timer.timer.Stop()
 	if err := r.content.deliver(a, data); err != nil {
 		return err
 	}
+	// The caller may be slow to take the data, which is not the endpoint's
+	// silence.
 	now := r.d.clock.Now()
 	a.lastSign = now
 	r.silence.since, r.silence.lastSign = now, now
-	r.silence.timer.start(r.limits.between)
+	r.silence.timer.start(now, r.limits.between)
 	return nil
 }
 
@@ -330,7 +336,7 @@
 
 // dropAll ends the attempts that are still open.
 func (r *run) dropAll() {
-	r.silence.timer.timer.Stop()
+	r.silence.timer.stop()
 	r.endSilence(nil)
 	for _, a := range r.open {
 		r.refund(a)
@@ -343,7 +349,8 @@
 // handleSilence asks another endpoint if that is possible. The open attempts go
 // on in any case, until the last one asked has had all of its time.
 func (r *run) handleSilence(ctx context.Context) error {
-	lasted := r.d.clock.Since(r.silence.lastSign)
+	now := r.d.clock.Now()
+	lasted := now.Sub(r.silence.lastSign)
 	if r.limits.total > 0 && lasted >= r.limits.total {
 		r.maybeExecuted = true
 		return r.refusal(outcome.ReasonSilent, "no endpoint has sent anything within the deadline")
@@ -364,7 +371,7 @@
 		r.launch(ctx, o)
 	}
 	r.setAlone(reason)
-	r.silence.timer.start(next)
+	r.silence.timer.start(now, next)
 	return nil
 }
 
