Dial again if this process was paused meanwhile

A daemon that stood still for more than 300 ms while it opened a connection gave the endpoint up on waking, though the answer lay in its socket, and reported the failure to the endpoint's coordinator. If a dial fails later than its timeout allows, the time says nothing about the endpoint; it is tried once more, and dials.paused counts that.

TestPausedDaemonDialsAgain failed before: one dial, "i/o timeout". go test -race of internal/tunnel passes (one run).

--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -31,6 +31,8 @@
 	// tunnelLifetime is how long after the last tunnel was opened idle
 	// connections through other daemons may exist.
 	tunnelLifetime = time.Minute
+	// pauseThreshold is how late a dial must fail for this process to have been paused.
+	pauseThreshold = 200 * time.Millisecond
 	// addressesUntilLost is the number of addresses that must be lost, with no
 	// direct connection in between, before this daemon counts as cut off.
 	addressesUntilLost = 2
@@ -87,7 +89,19 @@
 // Dial opens a connection to an endpoint, directly or through another daemon,
 // whichever succeeds first. The error is that of a refused connection only if
 // another daemon confirms it, another endpoint is reached, or no daemon can be asked.
+// If this process was paused meanwhile, the time that has passed says nothing about
+// the endpoint, and Dial tries once more.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	began := d.Clock.Now()
+	c, err := d.dial(ctx, address)
+	if err != nil && ctx.Err() == nil && d.Clock.Since(began) > http1.DialTimeout+pauseThreshold {
+		d.Count("dials.paused")
+		return d.dial(ctx, address)
+	}
+	return c, err
+}
+
+func (d *Dialer) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, http1.DialTimeout)
 	defer cancel()
 	results := make(chan result, 1+maxVia)
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -155,6 +155,34 @@
 	}
 }
 
+// Guards against a daemon that was paused and takes a sound endpoint for one that does not
+// answer, since its timers have expired.
+func TestPausedDaemonDialsAgain(t *testing.T) {
+	for _, paused := range []bool{false, true} {
+		address := echo(t)
+		clock := clockwork.NewFakeClock()
+		dials := 0
+		d := newDialer("works")
+		d.Clock = clock
+		d.Direct = func(ctx context.Context, address string) (net.Conn, error) {
+			if dials++; dials > 1 {
+				return http1.Dial(ctx, address)
+			}
+			if paused {
+				clock.Advance(2 * time.Second)
+			}
+			return nil, os.ErrDeadlineExceeded
+		}
+		c, err := d.Dial(t.Context(), address)
+		if (err == nil) != paused {
+			t.Errorf("paused: %v; %d dials, error %v", paused, dials, err)
+		}
+		if c != nil {
+			_ = c.Close()
+		}
+	}
+}
+
 func describe(c net.Conn, err error) string {
 	switch _, tunneled := c.(*Conn); {
 	case tunneled:
