Don't reuse a connection whose long body is not delivered

An endpoint may answer before it has read a long body. If the rest lay in this machine's send buffer, the connection was kept, and the next request on it waited behind that body: if the endpoint read nothing for 2.5 s, the kernel closed the connection and the request was lost. A connection is now kept only if all that was written is acknowledged.

TestConnectionWithUndeliveredBodyIsNotReused failed before (3 of 3).

--- a/internal/endpoint/loss.go
+++ b/internal/endpoint/loss.go
@@ -33,6 +33,13 @@
 	}
 }
 
+// IsDelivered reports whether a connection's peer has acknowledged all data that was
+// written, or whether that is not known.
+func IsDelivered(c net.Conn) bool {
+	raw, ok := rawConn(c)
+	return !ok || isDelivered(raw)
+}
+
 func rawConn(c net.Conn) (syscall.RawConn, bool) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
--- a/internal/endpoint/tcpinfo_linux.go
+++ b/internal/endpoint/tcpinfo_linux.go
@@ -23,6 +23,12 @@
 	return unanswered || info.Probes > maxUnansweredProbes, time.Duration(info.Last_ack_recv) * time.Millisecond, nil
 }
 
+// isDelivered reports whether all data that was written to a connection is acknowledged.
+func isDelivered(c syscall.RawConn) bool {
+	info, err := tcpInfo(c)
+	return err == nil && info.Unacked == 0 && info.Notsent_bytes == 0
+}
+
 // isClosed reports whether a connection is closed in both directions. One that only the
 // peer has closed is not.
 func isClosed(c syscall.RawConn) bool {
--- a/internal/endpoint/tcpinfo_other.go
+++ b/internal/endpoint/tcpinfo_other.go
@@ -16,3 +16,5 @@
 }
 
 func isClosed(syscall.RawConn) bool { return false }
+
+func isDelivered(syscall.RawConn) bool { return true }
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/beechhead/beechhead/internal/endpoint"
 )
 
 // Request is a request to an endpoint.
@@ -244,16 +246,16 @@
 	return !x.noReuse && x.resp != nil && !x.resp.Close && x.isWritten() && x.conn.reader.Buffered() == 0
 }
 
-// isWritten reports whether the whole request was written. An endpoint that
-// responds early still expects the rest of the body and would read the next
-// request as part of it.
+// isWritten reports whether the whole request was written and has reached the
+// endpoint's machine. An endpoint that responds early still expects the rest of the body
+// and would read the next request as part of it, or never get to it.
 func (x *Exchange) isWritten() bool {
 	if x.bodyWritten == nil {
 		return true
 	}
 	select {
 	case <-x.bodyWritten:
-		return true
+		return endpoint.IsDelivered(x.conn.Conn)
 	default:
 		return false
 	}
--- a/internal/http1/loss_test.go
+++ b/internal/http1/loss_test.go
@@ -94,3 +94,42 @@
 		_ = l.Close()
 	}
 }
+
+// Guards against a request that waits behind a long body which its endpoint has not read:
+// the kernel would close the connection.
+func TestConnectionWithUndeliveredBodyIsNotReused(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+		<-t.Context().Done()
+		_ = c.Close()
+	}()
+	p := newTestPool()
+	address := l.Addr().String()
+	// More than the endpoint's buffer takes, and less than this end's.
+	x, err := p.Send(t.Context(), address, &Request{Method: http.MethodPost, Target: "/x", Host: "x.example", Body: make([]byte, 1<<20)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := x.Response() //nolint:bodyclose // the exchange ends with its connection
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	<-x.bodyWritten
+	x.Finish()
+	if p.Alive(address) {
+		t.Error("the connection was kept")
+	}
+}
