Pause engines in the soak, and check that answers are kept

No fault of the soak made engines fall silent and go on: hangs last until the deadline, and silent connections never work again. So it did not see that daemons break streams off when engines stand still for 1.2 s.

Pauses of engines (one, a pool, all but one; 0.8 to 2.6 s; alone and in series) come with edits of timeouts, routes and keys, SIGHUP and SIGTERM beside them. Engines are stopped by SIGSTOP: what a stopped process still does and what it does not is then the kernel's, as with daemons.

Two cases of the check's tests broke the new promise as well as theirs: a request cut off by a stop now was not passed on yet, and the stream with an event twice is broken off by its engine. What the older checks must find in them is the same.

--- a/internal/load/soak.go
+++ b/internal/load/soak.go
@@ -26,13 +26,14 @@
 	Parallel    int           `long:"parallel" default:"1" description:"Play that many seeds at the same time, each with processes of its own"`
 	SameIDs     bool          `long:"same-ids" description:"Have engines that have ended start again under their ids"`
 	SmallMemory bool          `long:"small-memory" description:"Have engines preempt streams because their memory runs out"`
+	Pauses      bool          `long:"pauses" description:"Pause engines beside planned work, and bring about no other faults"`
 	Regression  string        `long:"regression" description:"Play the seeds of this file instead, which failed once"`
 	Daemons     int           `long:"daemons" default:"4" description:"Daemons"`
 	Engines     int           `long:"engines" default:"4" description:"Engines and instances of a plain service, half each"`
 	Callers     int           `long:"callers" default:"12" description:"Callers"`
 	Length      time.Duration `long:"length" default:"12s" description:"How long faults come"`
 	Keep        bool          `long:"keep" description:"Keep the logs of runs that keep all promises, too"`
-	Plant       string        `long:"plant" choice:"runTwice" choice:"foreign" choice:"runRefused" choice:"unsigned" choice:"hideLimit" choice:"otherTarget" choice:"hideEra" choice:"hideBrittle" choice:"hideBackoff" choice:"hideLeaving" choice:"swallowPath" choice:"hideVersions" choice:"loseStreams" choice:"scatterParts" choice:"forgetKeys" choice:"ignorePriority" description:"A fault of the stand-ins that breaks a promise; the run must fail"` //nolint:staticcheck // go-flags repeats the tag
+	Plant       string        `long:"plant" choice:"runTwice" choice:"foreign" choice:"runRefused" choice:"unsigned" choice:"hideLimit" choice:"otherTarget" choice:"hideEra" choice:"hideBrittle" choice:"hideBackoff" choice:"hideLeaving" choice:"swallowPath" choice:"hideVersions" choice:"loseStreams" choice:"scatterParts" choice:"forgetKeys" choice:"ignorePriority" choice:"endSilent" description:"A fault of the stand-ins that breaks a promise; the run must fail"` //nolint:staticcheck // go-flags repeats the tag
 
 	// KnownRed holds the promises that seeds may break, by the seeds.
 	KnownRed map[uint64]string `long:"known-red" value-name:"SEED:PROMISE" description:"Do not fail if this seed breaks this promise and no other"`
@@ -90,7 +91,7 @@
 		return soak.ReadRegression(c.Regression)
 	}
 	for i := range c.Seeds {
-		seeds = append(seeds, soak.Regression{Seed: c.Seed + uint64(i), SameIDs: c.SameIDs, SmallMemory: c.SmallMemory})
+		seeds = append(seeds, soak.Regression{Seed: c.Seed + uint64(i), SameIDs: c.SameIDs, SmallMemory: c.SmallMemory, Pauses: c.Pauses})
 	}
 	return seeds, nil
 }
@@ -100,7 +101,7 @@
 	var out bytes.Buffer
 	defer func() { _, _ = os.Stdout.Write(out.Bytes()) }()
 	o := &soak.Options{
-		Bin: c.Bin, Dir: c.Dir, Seed: one.Seed, SameIDs: one.SameIDs, SmallMemory: one.SmallMemory, Network: os.Getpid()*c.Parallel + slot,
+		Bin: c.Bin, Dir: c.Dir, Seed: one.Seed, SameIDs: one.SameIDs, SmallMemory: one.SmallMemory, Pauses: one.Pauses, Network: os.Getpid()*c.Parallel + slot,
 		Daemons: max(2, c.Daemons), Engines: max(4, c.Engines), Callers: c.Callers,
 		Length: c.Length, Plant: c.Plant, Keep: c.Keep, Out: &out,
 	}
--- a/internal/soak/announce.go
+++ b/internal/soak/announce.go
@@ -103,7 +103,7 @@
 	r.sleep(f.For)
 	r.announce(f.Target, func(a *standin.EngineFaults) {
 		a.Leaving = false
-		r.must(r.site.post(r.site.engineURL(f.Target, "/terminate"), nil))
+		r.must(r.site.postEngine(f.Target, "/terminate", nil))
 	})
 	r.endFault(note, time.Now())
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -54,6 +54,8 @@
 	{"stream versions", streamVersions},
 	{"streams taken up", streamsTakenUp},
 	{"urgent streams", preemptedForOthers},
+	{"answers kept", answersKept},
+	{"served again", servedAgain},
 	{"duties", func(rec *Record) []string { return rec.Duties.Broken }},
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -200,6 +200,32 @@
 	}
 }
 
+// breakOff has the stream that can't go on broken off after two seconds, beside a pause of
+// its engine and an edit.
+func breakOff(rec *Record) {
+	c := &rec.Calls[1]
+	c.Cause, c.Answer.Body, c.Ended = "unexpected EOF", standin.EventText("draft", 1), c.Sent.Add(2*time.Second)
+	rec.Faults = append(rec.Faults,
+		Struck{Fault: Fault{Kind: KindEnginePause, Spread: SpreadPool}, From: at(12.2), To: at(13.8)},
+		Struck{Fault: Fault{Kind: KindTimes}, From: at(12.1), To: at(12.11)})
+}
+
+// addPoolPause has all engines of the other pool pause, and adds 30 requests from some
+// time after on, of which some are served.
+func addPoolPause(rec *Record, after float64, served int) {
+	rec.Faults = append(rec.Faults, Struck{Fault: Fault{Kind: KindEnginePause, Target: 1, Spread: SpreadPool}, From: at(16), To: at(18)})
+	for i := range 30 {
+		c := Call{Call: standin.Call{ID: fmt.Sprint("again-", i), Route: "look", Deadline: callDeadline}, Sent: at(18 + after + float64(i)/20)}
+		c.Ended = c.Sent
+		c.Answer.Status = http.StatusServiceUnavailable
+		if i < served {
+			c.Answer = standin.CallResponse{Status: http.StatusOK, Signed: true}
+			c.Answer.Body = wholeBody(&c)
+		}
+		rec.Calls = append(rec.Calls, c)
+	}
+}
+
 func TestNothingIsFoundWhereAllIsWell(t *testing.T) {
 	if found := Find(goodRecord()); len(found) > 0 {
 		t.Errorf("found %v", found)
@@ -227,8 +253,8 @@
 		{"streams that go on at another version", "stream versions", func(r *Record) { addTakenUp(r, "v2", 12) }},
 		{"streams that do not go on", "streams taken up", func(r *Record) { addTakenUp(r, "v1", 9) }},
 		{"a short answer that looks whole", "whole answers", func(r *Record) { r.Calls[1].Answer.Body = standin.EventText("draft", 1) }},
-		{"an event twice before it broke off", "whole answers", func(r *Record) {
-			r.Calls[1].Cause = "EOF"
+		{"an event twice before its engine broke it off", "whole answers", func(r *Record) {
+			r.Calls[1].Cause, r.Runs[1].BrokenOff = "EOF", true
 			r.Calls[1].Answer.Body = standin.EventText("draft", 1) + standin.EventText("draft", 1)
 		}},
 		{"a success without signature", "whole answers", func(r *Record) { r.Calls[0].Answer.Signed = false }},
@@ -240,8 +266,9 @@
 			r.Calls[0].Key, r.Calls[0].Sent = "old", at(10.6)
 		}},
 		{"a run after the drain", "drain", func(r *Record) { r.Runs[3].Began = at(23) }},
-		{"a request cut off by a stop", "graceful stop", func(r *Record) {
+		{"a request cut off by a stop before it was passed on", "graceful stop", func(r *Record) {
 			r.Calls[0].Cause, r.Calls[0].Answer.Status = "EOF", 0
+			r.Runs = r.Runs[1:]
 		}},
 		{"a stop that fails", "graceful stop", func(r *Record) { r.Stops[0].Clean = false }},
 		{"not served in the calm time", "recovery", func(r *Record) {
@@ -266,6 +293,18 @@
 		{"a stream is preempted for a less urgent one", "urgent streams", func(r *Record) {
 			r.Preemptions = []standin.Preemption{{ID: "calm", Others: []string{"draft"}}}
 		}},
+		{"a stream is broken off while its engine is paused", "answers kept", breakOff},
+		{"a request without an event is broken off within the grace", "answers kept", func(r *Record) {
+			breakOff(r)
+			r.Calls[1].Answer = standin.CallResponse{}
+			r.Stops = append(r.Stops, Stop{At: at(12.5), Ended: at(14), Clean: true})
+			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindStop}, From: at(12.5), To: at(14.2)})
+		}},
+		{"a stream is broken off beside a fault of another engine", "answers kept", func(r *Record) {
+			breakOff(r)
+			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindEngineReset, Target: 2}, From: at(13), To: at(13.1)})
+		}},
+		{"a pool that was paused is not served again", "served again", func(r *Record) { addPoolPause(r, 3.1, 28) }},
 		{"a window has two contents", "duties", func(r *Record) { r.Duties.Broken = []string{"window 3 has two contents"} }},
 		{"too many repeats", "retry budget", func(r *Record) {
 			for range retrySlack + 2 {
@@ -359,6 +398,40 @@
 			addTakenUp(r, "v1", 0)
 			r.Starts = r.Starts[:1]
 		}},
+		{"a stream is broken off by its engine, which ends", func(r *Record) {
+			breakOff(r)
+			r.Runs[1].BrokenOff = true
+		}},
+		{"a stream is broken off at its route's timeout", func(r *Record) {
+			breakOff(r)
+			r.Calls[1].Ended = r.Calls[1].Sent.Add(leastTimeout)
+		}},
+		{"a stream that its caller leaves", func(r *Record) {
+			breakOff(r)
+			r.Calls[1].Left = true
+		}},
+		{"a request that reached no engine is broken off", func(r *Record) {
+			breakOff(r)
+			r.Calls[1].Answer, r.Runs = standin.CallResponse{}, slices.Delete(r.Runs, 1, 2)
+		}},
+		{"a stream whose engine's connections are reset", func(r *Record) {
+			breakOff(r)
+			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindEngineReset}, From: at(13), To: at(13.1)})
+		}},
+		{"a stream at a daemon that is killed", func(r *Record) {
+			breakOff(r)
+			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindKill}, From: at(13.9), To: at(15)})
+		}},
+		{"a stream longer than the grace", func(r *Record) {
+			breakOff(r)
+			r.Stops = append(r.Stops, Stop{At: at(5.9), Ended: at(14), Clean: true})
+		}},
+		{"a pool that is not served within the bound", func(r *Record) { addPoolPause(r, 1.4, 0) }},
+		{"a pool that is served again", func(r *Record) { addPoolPause(r, 3.1, 29) }},
+		{"a pool that is paused once more", func(r *Record) {
+			addPoolPause(r, 3.1, 0)
+			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindEnginePause, Target: 1}, From: at(20), To: at(21)})
+		}},
 		{"a safe request that runs again", func(r *Record) { r.Runs = append(r.Runs, r.Runs[2]) }},
 	}
 	for _, tt := range tests {
@@ -412,13 +485,15 @@
 				least, most = least+drainBound, most+drainBound
 			case f.Kind == KindPathLost:
 				least, most = minPathFault, maxPathFault
+			case f.Kind == KindEnginePause:
+				least, most = minPause, maxPause
 			}
 			if f.Target < 0 || f.Target > 3 || f.For < least || f.For > most {
 				t.Errorf("%v", f)
 			}
 		}
 	}
-	if n := len(kinds) + len(lastingKinds) + len(announcedKinds) + 3; len(seen) != n {
+	if n := len(kinds) + len(lastingKinds) + len(announcedKinds) + 5; len(seen) != n {
 		t.Errorf("%d of %d kinds are drawn", len(seen), n)
 	}
 }
--- a/internal/soak/ending.go
+++ b/internal/soak/ending.go
@@ -63,6 +63,8 @@
 	plantForgetKeys   = "forgetKeys"
 	// plantIgnorePriority has engines with a small memory preempt the newest stream.
 	plantIgnorePriority = "ignorePriority"
+	// plantEndSilent has relays end the connections of silent answers.
+	plantEndSilent = "endSilent"
 )
 
 // plantedFaults holds the fault that the plan of a planted variant consists of.
@@ -79,6 +81,7 @@
 	plantLoseStreams:  {Kind: KindConfig},
 
 	plantIgnorePriority: {Kind: KindConfig},
+	plantEndSilent:      {Kind: KindEnginePause, For: maxPause, Spread: SpreadPool},
 	plantSwallow:        {Kind: KindPathLost, For: maxPathFault, Spread: SpreadZone, Path: paths.PathSwallows},
 }
 
@@ -95,6 +98,9 @@
 		f.At = time.Second
 		return []Fault{f}
 	}
+	if o.Pauses {
+		return pausePlan(o.Seed, o.Daemons, o.Engines, o.Length)
+	}
 	return Plan(o.Seed, o.Daemons, o.Engines, o.Length)
 }
 
@@ -174,6 +180,8 @@
 
 // currentID asks an engine for its id.
 func (s *site) currentID(i int) (string, error) {
+	s.pauseLocks[i].RLock()
+	defer s.pauseLocks[i].RUnlock()
 	resp, err := s.client.Get(s.engineURL(i, "/healthz"))
 	if err != nil {
 		return "", err
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -29,8 +29,10 @@
 		r.sendEndingPart(f)
 	case f.Kind == KindVersionRoll:
 		r.rollVersions()
-	case f.Kind == KindConfig || f.Kind == KindRevoke:
-		r.edit(f.Kind == KindRevoke)
+	case f.Kind == KindEnginePause:
+		r.pauseEngines(f)
+	case f.isEdit():
+		r.edit(f)
 	case f.ofDaemon():
 		r.strikeDaemon(f)
 	case f.Kind == KindStoreCopy:
@@ -183,7 +185,7 @@
 	if r.o.Plant == plantRunRefused {
 		f.RunRefused, f.Refuse = true, true
 	}
-	return r.site.post(r.site.engineURL(engine, "/faults"), f)
+	return r.site.postEngine(engine, "/faults", f)
 }
 
 // drain has an engine announce that it leaves, and come back later. One engine
@@ -200,19 +202,20 @@
 	r.must(r.site.putEngine(f.Target, false))
 }
 
-// edit puts a new version of the operators' document in force. It adds a route
-// and removes the one that the edit before added; revoke also replaces the
-// second key.
-func (r *run) edit(revoke bool) {
+// edit puts a new version of the operators' document in force. It changes timeouts, or
+// adds a route and removes the one that such an edit before added; KindRevoke also
+// replaces the second key.
+func (r *run) edit(f Fault) {
+	revoke := f.Kind == KindRevoke
 	s := r.site
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.config.Version += 1 + s.config.Version%3
-	if s.extra != "" {
-		s.config.Routes = s.config.Routes[:len(s.config.Routes)-1]
+	if f.Kind == KindTimes {
+		s.changeTimes(f.Target)
+	} else {
+		s.replaceRoute()
 	}
-	s.extra = fmt.Sprintf("extra%d", s.config.Version)
-	s.config.AddOpenRoute(s.extra)
 	old := s.key
 	if revoke {
 		s.key = fmt.Sprintf("key-%d", s.config.Version)
@@ -223,3 +226,13 @@
 		r.noteRevoked(old, time.Now())
 	}
 }
+
+// replaceRoute adds a route to the document and removes the one added before. The caller
+// must hold the mutex.
+func (s *site) replaceRoute() {
+	if s.extra != "" {
+		s.config.Routes = s.config.Routes[:len(s.config.Routes)-1]
+	}
+	s.extra = fmt.Sprintf("extra%d", s.config.Version)
+	s.config.AddOpenRoute(s.extra)
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -61,8 +61,13 @@
 	// response, in requests of which no two are alike.
 	KindEndingPart Kind = "endingPart"
 
+	// KindEnginePause stops the processes of engines for a time.
+	KindEnginePause Kind = "enginePause"
+
 	KindConfig Kind = "config"
 	KindRevoke Kind = "revoke"
+	// KindTimes is an edit that changes the timeouts of routes and of idle connections.
+	KindTimes Kind = "times"
 )
 
 // kinds holds the kinds with how often each is drawn.
@@ -86,7 +91,8 @@
 	For time.Duration `json:"for"`
 	// Target is the number of the daemon or engine, where the kind has one.
 	Target int `json:"target"`
-	// Spread and Path are which daemons lose their path, and how.
+	// Spread is which daemons lose their path, or which engines are paused; Path is
+	// how the path is lost.
 	Spread Spread            `json:"spread,omitempty"`
 	Path   standin.PathState `json:"path,omitempty"`
 }
@@ -100,12 +106,17 @@
 // as work that an operator plans.
 func (f Fault) planned() bool {
 	switch f.Kind {
-	case KindStop, KindReload, KindConfig, KindRevoke, KindEngineDrain, KindEngineLimit, KindEngineBackoff:
+	case KindStop, KindReload, KindConfig, KindRevoke, KindTimes, KindEngineDrain, KindEngineLimit, KindEngineBackoff:
 		return true
 	}
 	return false
 }
 
+// isEdit reports whether the fault is an edit of the operators' document.
+func (f Fault) isEdit() bool {
+	return f.Kind == KindConfig || f.Kind == KindRevoke || f.Kind == KindTimes
+}
+
 // ofDaemon reports whether the target of a fault is a daemon.
 func (f Fault) ofDaemon() bool {
 	switch f.Kind {
@@ -162,6 +173,7 @@
 	plan = append(plan, announcedFaults(seed, engines, length)...)
 	plan = append(plan, pathFaults(seed, daemons, length)...)
 	plan = append(plan, versionRolls(seed, length)...)
+	plan = append(plan, pauseFaults(seed, daemons, engines, length)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
--- a/internal/soak/regression.go
+++ b/internal/soak/regression.go
@@ -13,8 +13,10 @@
 	// SameIDs is as in Options.
 	SameIDs bool `json:"sameIds,omitempty"`
 	// SmallMemory is as in Options.
-	SmallMemory bool   `json:"smallMemory,omitempty"`
-	Cause       string `json:"cause"`
+	SmallMemory bool `json:"smallMemory,omitempty"`
+	// Pauses is as in Options.
+	Pauses bool   `json:"pauses,omitempty"`
+	Cause  string `json:"cause"`
 }
 
 // ReadRegression reads the file of the seeds that failed once.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -42,6 +42,8 @@
 	// SmallMemory gives the engines that run streams a memory that runs out, and one
 	// account a tier of its own.
 	SmallMemory bool
+	// Pauses has engines pause beside planned work, and brings about no other fault.
+	Pauses bool
 	// Keep keeps the logs of all runs, not only of those that fail.
 	Keep bool
 	Out  io.Writer
@@ -115,7 +117,7 @@
 	r.site = &site{
 		o: o, procs: newProcesses(dir), network: network,
 		client: &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}},
-		config: standin.SampleDocument(), key: "key-2",
+		config: standin.SampleDocument(), key: "key-2", pauseLocks: make([]sync.RWMutex, o.Engines),
 	}
 	r.rec.Daemons = o.Daemons
 	if o.smallMemory() {
@@ -141,6 +143,9 @@
 			return err
 		}
 	}
+	if r.o.Plant == plantEndSilent {
+		return r.endSilentAnswers()
+	}
 	return nil
 }
 
@@ -234,14 +239,14 @@
 			r.rec.Runs = append(r.rec.Runs, Run{Run: one, Engine: i})
 		}
 		var arrivals []standin.Arrival
-		if err := r.site.get(r.site.engineURL(i, "/arrivals"), &arrivals); err != nil {
+		if err := r.site.getEngine(i, "/arrivals", &arrivals); err != nil {
 			return err
 		}
 		for _, one := range arrivals {
 			r.rec.Arrivals = append(r.rec.Arrivals, Arrival{Arrival: one, Engine: i})
 		}
 		var preemptions []standin.Preemption
-		if err := r.site.get(r.site.engineURL(i, "/preemptions"), &preemptions); err != nil {
+		if err := r.site.getEngine(i, "/preemptions", &preemptions); err != nil {
 			return err
 		}
 		r.rec.Preemptions = append(r.rec.Preemptions, preemptions...)
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -62,6 +62,12 @@
 	network int
 	client  *http.Client
 
+	// pauseLocks are held while engines are paused, and for reading while they are
+	// asked or ordered something.
+	pauseLocks []sync.RWMutex
+	// engineProcesses holds the processes of the engines by number; they stay.
+	engineProcesses []*process
+
 	mu sync.Mutex
 	// engines holds the ids of the starts by number; an engine that has ended starts
 	// again under a new id, at the same number. With Options.SameIDs it registers under
@@ -104,10 +110,12 @@
 		s.engines, s.born = append(s.engines, id), append(s.born, 0)
 		s.versions, s.nextVersions = append(s.versions, 1), append(s.nextVersions, 1)
 		address := s.address(standinAddress, portEngines+i)
-		if _, err := s.procs.start(id, s.binary("beechhead-standin"), "gateway-engine", "--listen", address, "--id", id,
-			"--end", s.relayURL(fmt.Sprintf("engine%d", i), "end")); err != nil {
+		p, err := s.procs.start(id, s.binary("beechhead-standin"), "gateway-engine", "--listen", address, "--id", id,
+			"--end", s.relayURL(fmt.Sprintf("engine%d", i), "end"))
+		if err != nil {
 			return err
 		}
+		s.engineProcesses = append(s.engineProcesses, p)
 		args = append(args, "--relay", fmt.Sprintf("engine%d=%s=%s", i, s.address(standinAddress, portEngineWay+i), address))
 	}
 	for i := range s.o.Daemons {
@@ -154,7 +162,7 @@
 	var report struct {
 		Born int64 `json:"born"`
 	}
-	if err := s.get(s.engineURL(engine, platform.PathReport), &report); err != nil {
+	if err := s.getEngine(engine, platform.PathReport, &report); err != nil {
 		return err
 	}
 	s.mu.Lock()
@@ -334,10 +342,24 @@
 
 // runs returns what an engine has run.
 func (s *site) runs(i int) (runs []standin.Run, err error) {
-	err = s.get(s.engineURL(i, "/runs"), &runs)
+	err = s.getEngine(i, "/runs", &runs)
 	return runs, err
 }
 
+// postEngine orders an engine something, once it is not paused.
+func (s *site) postEngine(i int, path string, body any) error {
+	s.pauseLocks[i].RLock()
+	defer s.pauseLocks[i].RUnlock()
+	return s.post(s.engineURL(i, path), body)
+}
+
+// getEngine asks an engine for JSON, once it is not paused.
+func (s *site) getEngine(i int, path string, out any) error {
+	s.pauseLocks[i].RLock()
+	defer s.pauseLocks[i].RUnlock()
+	return s.get(s.engineURL(i, path), out)
+}
+
 // get reads JSON.
 func (s *site) get(url string, out any) error {
 	resp, err := s.client.Get(url)
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -87,7 +87,7 @@
 		r.site.mu.Lock()
 		r.site.nextVersions[i]++
 		r.site.mu.Unlock()
-		r.must(r.site.post(r.site.engineURL(i, "/terminate"), nil))
+		r.must(r.site.postEngine(i, "/terminate", nil))
 		for r.site.engine(i) == before && r.sleep(lookPause) {
 			continue
 		}
@@ -210,6 +210,6 @@
 // engineTroubled reports whether a fault has struck an engine in a time.
 func (rec *Record) engineTroubled(engine int, from, to time.Time) bool {
 	return slices.ContainsFunc(rec.Faults, func(f Struck) bool {
-		return !f.ofDaemon() && !f.ofStore() && f.Kind != KindConfig && f.Kind != KindRevoke && f.Target%2 == engine%2 && f.overlaps(from, to)
+		return !f.ofDaemon() && !f.ofStore() && !f.isEdit() && f.Target%2 == engine%2 && f.overlaps(from, to)
 	})
 }
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/url"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -34,6 +35,9 @@
 	CutFrom bool `json:"cutFrom"`
 	// Refuse closes new connections at once.
 	Refuse bool `json:"refuse"`
+	// EndSilentMs, if positive, resets a connection from whose target nothing has come
+	// for so long. It holds from the next bytes on.
+	EndSilentMs int `json:"endSilentMs"`
 }
 
 // SetFaults switches faults.
@@ -188,13 +192,27 @@
 			return f.CutTo
 		})
 	})
-	wg.Go(func() { p.copy(p.near, p.far, func() bool { return r.current().CutFrom }) })
+	wg.Go(func() {
+		p.bound(r.current().EndSilentMs)
+		p.copy(p.near, p.far, func() bool {
+			f := r.current()
+			p.bound(f.EndSilentMs)
+			return f.CutFrom
+		})
+	})
 	wg.Wait()
 	r.mu.Lock()
 	delete(r.pairs, p)
 	r.mu.Unlock()
 }
 
+// bound bounds the time until the next bytes from the target, if it is positive.
+func (p *relayed) bound(ms int) {
+	if ms > 0 {
+		_ = p.far.SetReadDeadline(time.Now().Add(time.Duration(ms) * time.Millisecond))
+	}
+}
+
 // copy passes bytes on, and the end of the connection or its reset, until it is silent;
 // then it swallows them.
 func (p *relayed) copy(to, from net.Conn, cut func() bool) {
@@ -208,7 +226,7 @@
 		}
 		return to.Write(b)
 	}), from)
-	if errors.Is(err, syscall.ECONNRESET) && !p.isSilent() {
+	if (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, os.ErrDeadlineExceeded)) && !p.isSilent() {
 		// A response that ends with its connection would look complete.
 		p.reset()
 		return
