--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -59,6 +59,9 @@
 	// bodyWritten is closed when the body has been written; nil if it was
 	// written before the response is read.
 	bodyWritten chan struct{}
+	// stopWatch ends the watch for the loss of the endpoint; nil if the kernel detects
+	// it.
+	stopWatch func()
 	// noReuse is set if the connection must not carry another exchange.
 	noReuse  bool
 	finished atomic.Bool
@@ -70,14 +73,17 @@
 // reported by the Exchange.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Exchange, error) {
 	head := writeHead(r)
+	fresh := r.NewConnection
 	for {
-		c, err := p.connection(ctx, address, r.NewConnection)
+		c, err := p.connection(ctx, address, fresh)
 		if err != nil {
 			return nil, err
 		}
-		if err := r.check(c); err != nil {
+		if err := r.check(ctx, c); err != nil {
 			_ = c.Close()
 			if errors.Is(err, errProbe) && c.reused {
+				// Only a new connection tells a silent endpoint from a silent connection.
+				fresh = fresh || errors.Is(err, ErrSilent)
 				continue
 			}
 			return nil, err
@@ -94,12 +100,15 @@
 }
 
 // check returns an error if the request must not be written to the connection.
-func (r *Request) check(c *conn) error {
+func (r *Request) check(ctx context.Context, c *conn) error {
 	if r.Probe != nil {
 		if err := r.Probe.play(c); err != nil {
 			return err
 		}
 	}
+	if err := ctx.Err(); err != nil {
+		return errors.Wrap(ErrNotSent, err.Error())
+	}
 	if r.BeforeWrite == nil {
 		return nil
 	}
@@ -130,6 +139,8 @@
 		x.noReuse = true
 		return n > 0
 	}
+	// An endpoint that is stopped does not take all of a long body.
+	x.stopWatch = WatchLoss(x.conn.Conn)
 	x.bodyWritten = make(chan struct{})
 	go func() {
 		defer close(x.bodyWritten)
@@ -172,15 +183,6 @@
 // a direct one.
 func (x *Exchange) Via() string { return x.conn.via() }
 
-// SetReadTimeout sets the timeout for reading from now on; zero means none.
-func (x *Exchange) SetReadTimeout(d time.Duration) {
-	var deadline time.Time
-	if d > 0 {
-		deadline = time.Now().Add(d)
-	}
-	_ = x.conn.SetReadDeadline(deadline)
-}
-
 // Response waits for the headers of the response. It skips informational
 // responses and responses that belong to other requests.
 func (x *Exchange) Response() (*http.Response, error) {
@@ -217,7 +219,10 @@
 	if !x.finished.CompareAndSwap(false, true) {
 		return
 	}
-	_ = x.conn.SetReadDeadline(time.Time{})
+	if x.stopWatch != nil {
+		x.stopWatch()
+		restoreUserTimeout(x.conn.Conn)
+	}
 	if x.isReusable() {
 		x.pool.put(x.address, x.conn, idleTimeout(x.resp.Header))
 		return
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -123,8 +123,11 @@
 	w.WriteHeader(status)
 }
 
-// carry copies data in both directions until either side has ended.
+// carry copies data in both directions until either side has ended. While one side
+// reads nothing, the other one is kept.
 func (s *Server) carry(local, remote net.Conn, address string) {
+	defer http1.WatchLoss(local)()
+	defer http1.WatchLoss(remote)()
 	var requested atomic.Bool
 	up := make(chan struct{})
 	go func() {
@@ -168,10 +171,11 @@
 
 // copyFrames copies data as frames. It returns nil if the data ended in order and
 // the end was sent.
-func copyFrames(to io.Writer, from io.Reader, onData func([]byte)) error {
+func copyFrames(to io.Writer, from net.Conn, onData func([]byte)) error {
 	buf := make([]byte, frameHeaderSize+maxFrame)
 	for {
 		n, err := from.Read(buf[frameHeaderSize:])
+		err = endpoint.EndError(from, err)
 		if n > 0 {
 			onData(buf[frameHeaderSize : frameHeaderSize+n])
 			if err := writeFrame(to, buf[:frameHeaderSize+n]); err != nil {
