Eject engines that crash together where requests are rare

Cause: since a failure that the others share starts the endpoint's count, and the time from which others are compared, anew. Engines that crash together are tried one after the other by the same request, or reported missing in one poll, so that the second one only ever met a failure of the first.

Change: others are compared from the first failure after a success on. Load reports that came are looked at before those that are missing.

--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -86,8 +87,18 @@
 	return reports
 }
 
-// observe passes load reports to the schedulers of the cells.
+// observe passes load reports to the schedulers of the cells. Missing ones come last,
+// because they count only against engines while others report.
 func (c *Coordinator) observe(reports []loadReport) {
+	slices.SortStableFunc(reports, func(a, b loadReport) int {
+		switch {
+		case a.err == nil && b.err != nil:
+			return -1
+		case a.err != nil && b.err == nil:
+			return 1
+		}
+		return 0
+	})
 	c.mu.Lock()
 	for _, r := range reports {
 		cell := c.cells[r.cell]
--- a/internal/cell/poll_test.go
+++ b/internal/cell/poll_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,3 +60,34 @@
 		}
 	})
 }
+
+// Guards against taking engines that crash together for a silence of all engines, because
+// their missing load reports are looked at before the reports of the others.
+func TestPollFindsEnginesThatCrashTogether(t *testing.T) {
+	tbl := &table.Table{Classes: []table.Class{{Name: "slots", Weight: 1, Pools: []table.Pool{"model"}}}}
+	names := []table.EndpointName{"crashed-1", "crashed-2", "crashed-3", "well-1", "well-2", "well-3"}
+	for _, name := range names {
+		tbl.Endpoints = append(tbl.Endpoints, table.Endpoint{Name: name, Kind: table.KindEngine, Pool: "model", Region: "r", Concurrency: 4})
+	}
+	c := newTakeover()
+	c.Configure(tbl)
+	c.run(time.Second)
+	id := c.plan.Cells("model")[0]
+	for range 3 {
+		var reports []loadReport
+		for _, name := range names {
+			r := loadReport{cell: id, endpoint: name}
+			if strings.HasPrefix(string(name), "crashed") {
+				r.err = errors.New("connection refused")
+			}
+			reports = append(reports, r)
+		}
+		c.observe(reports)
+		c.run(loadInterval)
+	}
+	for _, e := range c.Status().Cells[0].Endpoints {
+		if crashed := strings.HasPrefix(string(e.Endpoint), "crashed"); crashed != (e.Ejected == schedule.EjectedFailed) {
+			t.Errorf("engine %s: eject reason %q", e.Endpoint, e.Ejected)
+		}
+	}
+}
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -74,8 +74,7 @@
 	consecutiveFailures int
 	failureRate         float64
 	outcomes            int
-	// failingSince is when the first of consecutiveFailures was recorded, or of the last
-	// failures in a row.
+	// failingSince is when the endpoint failed first since it last succeeded.
 	failingSince time.Duration
 	// failedAt is when the endpoint last failed, succeededAt when it last served a request
 	// or reported its load, if hasSucceeded; isFailing reports whether it failed last.
@@ -164,7 +163,7 @@
 	if h.stale(began) || began < e.addedAt || c.isDisabled(FailedEjection) {
 		return
 	}
-	if h.consecutiveFailures == 0 {
+	if !h.isFailing {
 		h.failingSince = now
 	}
 	h.failedAt, h.isFailing = now, true
