Name what daemons hear from endpoints after what it is

`silences`, `heard` and `poolHeard` were hard to tell apart from the states of an attempt, and `lead` read like a question though it cancels others. They are `activityTracker`, `endpointActivity`, `poolActivity` and `takeLead`; an attempt is late and then silent. No decision changes; the package's tests pass.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -38,9 +38,9 @@
 	// begun reports whether the endpoint has begun to run the request.
 	begun bool
 
-	// heard is what this daemon has heard from the endpoint; nil until the request is
+	// activity is what this daemon has heard from the endpoint; nil until the request is
 	// sent.
-	heard *heard
+	activity *endpointActivity
 
 	// The fields below are guarded by run.mu.
 
@@ -53,12 +53,12 @@
 	// superseded reports whether another call has gone on in place of this one, which
 	// may then forward nothing any more.
 	superseded bool
-	// quietSince is when the endpoint has last sent something for this call, or when it
+	// lastSign is when the endpoint has last sent something for this call, or when it
 	// was sent the request.
-	quietSince time.Time
-	// quiet and silent report whether half of the time, or all of it, after which the
-	// endpoint counts as silent has passed since quietSince.
-	quiet, silent bool
+	lastSign time.Time
+	// late and silent report whether half of the time, or all of it, after which the
+	// endpoint counts as silent has passed since lastSign.
+	late, silent bool
 	// writing reports whether the call writes to the caller, which may be slow to read.
 	writing bool
 	// over reports whether the exchange has ended.
@@ -107,12 +107,12 @@
 	if c.superseded {
 		c.result = c.supersededResult()
 	}
-	c.endQuiet()
+	c.endLate()
 	c.over = true
 	report := placement.Report{Outcome: c.result.report, Duration: r.f.Clock.Since(began), Tokens: c.events}
 	r.mu.Unlock()
-	if c.heard != nil {
-		c.heard.end()
+	if c.activity != nil {
+		c.activity.end()
 	}
 	c.grant.Release(report)
 }
@@ -193,8 +193,8 @@
 	r := c.run
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c.quietSince = r.f.Clock.Now()
-	c.heard = r.f.silences.begin(&c.grant.Endpoint, c.quietSince)
+	c.lastSign = r.f.Clock.Now()
+	c.activity = r.f.activities.begin(&c.grant.Endpoint, c.lastSign)
 	r.reached, c.sent = true, true
 	if c.hedge {
 		r.f.Metrics.CountRetry(outcome.ReasonSilent)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -162,7 +162,7 @@
 		r.errorResponse = a
 		return errors.Errorf("status %d", a.status)
 	}
-	c.lead()
+	c.takeLead()
 	c.progress()
 	c.writing = true
 	r.headSent = true
@@ -171,7 +171,7 @@
 
 // forwardLong forwards a response that is too long to be buffered.
 func (c *call) forwardLong(x *http1.Exchange, resp *http.Response, a *response) attemptResult {
-	if !c.leadWith(a, resp.ContentLength) {
+	if !c.takeLeadWith(a, resp.ContentLength) {
 		return failedResult(outcome.ReasonSuperseded, errSuperseded)
 	}
 	buf := a.body
@@ -198,12 +198,12 @@
 	}
 }
 
-// leadWith forwards the head of a response and reports whether the call leads.
-func (c *call) leadWith(a *response, length int64) bool {
+// takeLeadWith forwards the head of a response and reports whether the call leads.
+func (c *call) takeLeadWith(a *response, length int64) bool {
 	r := c.run
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !c.lead() {
+	if !c.takeLead() {
 		return false
 	}
 	c.progress()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -174,7 +174,7 @@
 	// each endpoint if there are several.
 	OnBegun func(r *Request)
 
-	silences silences
+	activities activityTracker
 }
 
 // ErrTruncated reports that a response was truncated after its head was forwarded.
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -79,10 +79,10 @@
 	case limit == 0 || !c.sent || c.over || c.writing:
 		// Another check finds out what has changed, or when the request was sent.
 		return minSilence / 2
-	case !c.quiet:
-		return c.quietSince.Add(limit / 2).Sub(now)
+	case !c.late:
+		return c.lastSign.Add(limit / 2).Sub(now)
 	}
-	return max(c.quietSince.Add(limit).Sub(now), r.nextHedge.Sub(now))
+	return max(c.lastSign.Add(limit).Sub(now), r.nextHedge.Sub(now))
 }
 
 // checkSilence begins another attempt if the endpoint of the latest one is silent. That
@@ -96,11 +96,11 @@
 	}
 	limit := r.silenceLimit(c)
 	now := r.f.Clock.Now()
-	quiet := now.Sub(c.quietSince)
+	quiet := now.Sub(c.lastSign)
 	if limit == 0 || quiet < limit/2 {
 		return
 	}
-	c.beginQuiet()
+	c.beginLate()
 	if quiet < limit || now.Before(r.nextHedge) {
 		return
 	}
@@ -126,7 +126,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return obstacleEnded
-	case !long && r.f.silences.isShared(r.req.Pool, r.f.Clock.Now()):
+	case !long && r.f.activities.isShared(r.req.Pool, r.f.Clock.Now()):
 		return obstacleShared
 	case r.tried || r.checkQuarantine(false) != nil:
 		// A trial may end its endpoint, and no second one at the same time.
@@ -143,9 +143,9 @@
 	return ""
 }
 
-// lead supersedes all other attempts, since the endpoint of this one has gone on. It
+// takeLead supersedes all other attempts, since the endpoint of this one has gone on. It
 // returns false if the call was itself superseded. It requires run.mu.
-func (c *call) lead() bool {
+func (c *call) takeLead() bool {
 	if c.superseded {
 		return false
 	}
@@ -188,25 +188,25 @@
 func (c *call) progress() {
 	now := c.run.f.Clock.Now()
 	if c.silent {
-		c.run.recordWentOn(c, now.Sub(c.quietSince))
+		c.run.recordWentOn(c, now.Sub(c.lastSign))
 	}
-	c.quietSince = now
-	c.heard.record(now, c.silent)
+	c.lastSign = now
+	c.activity.record(now, c.silent)
 	c.silent = false
-	c.endQuiet()
+	c.endLate()
 }
 
-func (c *call) beginQuiet() {
-	if !c.quiet {
-		c.quiet = true
-		c.heard.addQuiet(1)
+func (c *call) beginLate() {
+	if !c.late {
+		c.late = true
+		c.activity.addLate(1)
 	}
 }
 
-func (c *call) endQuiet() {
-	if c.quiet {
-		c.quiet = false
-		c.heard.addQuiet(-1)
+func (c *call) endLate() {
+	if c.late {
+		c.late = false
+		c.activity.addLate(-1)
 	}
 }
 
@@ -220,7 +220,7 @@
 	}
 	if first || why == "" {
 		r.f.Logger.Info("endpoint silent", "request", r.req.ID, "class", r.req.Class, "endpoint", c.grant.Endpoint.Name, "events", r.events,
-			"silentMs", quiet.Milliseconds(), "asksAnother", why == "", "why", why, "silentEndpoints", len(r.f.silences.silent(r.req.Pool, r.f.Clock.Now())))
+			"silentMs", quiet.Milliseconds(), "asksAnother", why == "", "why", why, "silentEndpoints", len(r.f.activities.silent(r.req.Pool, r.f.Clock.Now())))
 	}
 }
 
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -322,9 +322,9 @@
 			Body: func([]byte) error {
 				if calls++; calls == 2 {
 					<-bubbleclock.After(5 * time.Second)
-					f.silences.mu.Lock()
-					defer f.silences.mu.Unlock()
-					_, open := f.silences.endpoints["b"]
+					f.activities.mu.Lock()
+					defer f.activities.mu.Unlock()
+					_, open := f.activities.endpoints["b"]
 					over = !open
 				}
 				return nil
@@ -340,13 +340,13 @@
 // Guards against using up the retry budget on endpoints that are silent as well.
 func TestSilentEndpointsAreNotAskedInPlaceOfEachOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var s silences
+		var s activityTracker
 		clock := bubbleclock.New()
 		endpoints := []*table.Endpoint{{Name: "a", Pool: "p"}, {Name: "b", Pool: "p"}, {Name: "c", Pool: "q"}, {Name: "d", Pool: "p"}}
-		var all []*heard
+		var all []*endpointActivity
 		for _, e := range endpoints {
 			h := s.begin(e, clock.Now())
-			h.addQuiet(1)
+			h.addLate(1)
 			all = append(all, h)
 		}
 		time.Sleep(minSilence)
@@ -367,7 +367,7 @@
 			t.Error("a silence is shared although an endpoint has sent something")
 		}
 		for _, h := range all {
-			h.addQuiet(-1)
+			h.addLate(-1)
 			h.end()
 		}
 		if len(s.endpoints) > 0 {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -69,7 +69,7 @@
 	}
 	c.run.mu.Lock()
 	defer c.run.mu.Unlock()
-	if !c.lead() {
+	if !c.takeLead() {
 		return failedResult(outcome.ReasonSuperseded, errSuperseded)
 	}
 	c.progress()
@@ -110,7 +110,7 @@
 	if count == 0 {
 		return nil, nil
 	}
-	if !c.lead() {
+	if !c.takeLead() {
 		return nil, errSuperseded
 	}
 	c.writing = true
@@ -133,7 +133,7 @@
 	c.run.mu.Lock()
 	defer c.run.mu.Unlock()
 	c.writing = false
-	c.quietSince = c.run.f.Clock.Now()
+	c.lastSign = c.run.f.Clock.Now()
 	return err
 }
 
