--- a/internal/standin/relay_test.go
+++ b/internal/standin/relay_test.go
@@ -153,3 +153,18 @@
 		t.Errorf("got %v, want a reset", err)
 	}
 }
+
+// Guards against a planted error that plants nothing: connections must end whose target
+// says nothing more.
+func TestRelayEndsSilentConnections(t *testing.T) {
+	r, dial := echoRelay(t)
+	r.SetFaults(RelayFaults{EndSilentMs: 50})
+	c := dial()
+	if err := echoes(c, long); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(long))
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("got %v, want a reset", err)
+	}
+}
