Hold broken answers to deadlines in whole milliseconds

Callers tell daemons their deadlines in whole milliseconds, so that a stream may end up to one earlier than the check demanded. The check compares with what was told; the new allowed case was found before, and one a millisecond before the deadline is still found.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -300,6 +300,10 @@
 			r.Stops = append(r.Stops, Stop{At: at(12.5), Ended: at(14), Clean: true})
 			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindStop}, From: at(12.5), To: at(14.2)})
 		}},
+		{"a stream is broken off a millisecond before its deadline", "answers kept", func(r *Record) {
+			breakOff(r)
+			r.Calls[1].Deadline = r.Calls[1].Ended.Sub(r.Calls[1].Sent) + time.Millisecond
+		}},
 		{"a stream is broken off beside a fault of another engine", "answers kept", func(r *Record) {
 			breakOff(r)
 			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindEngineReset, Target: 2}, From: at(13), To: at(13.1)})
@@ -406,6 +410,10 @@
 			breakOff(r)
 			r.Calls[1].Ended = r.Calls[1].Sent.Add(leastTimeout)
 		}},
+		{"a stream is broken off at its deadline, in whole milliseconds", func(r *Record) {
+			breakOff(r)
+			r.Calls[1].Deadline = r.Calls[1].Ended.Sub(r.Calls[1].Sent) + 900*time.Microsecond
+		}},
 		{"a stream that its caller leaves", func(r *Record) {
 			breakOff(r)
 			r.Calls[1].Left = true
--- a/internal/soak/silence.go
+++ b/internal/soak/silence.go
@@ -164,7 +164,9 @@
 	runs := rec.runsByID()
 	for i := range rec.Calls {
 		c := &rec.Calls[i]
-		lost := c.Cause != "" && !c.Left && c.Ended.Sub(c.Sent) < min(c.Deadline, leastTimeout)
+		// Callers tell daemons their deadlines in whole milliseconds.
+		allowed := min(c.Deadline.Truncate(time.Millisecond), leastTimeout)
+		lost := c.Cause != "" && !c.Left && c.Ended.Sub(c.Sent) < allowed
 		if !lost || len(runs[c.ID]) == 0 || rec.inTheWay(c, runs[c.ID]) {
 			continue
 		}
