Count answers whose engine the next request has ended as completed

Bad requests follow the sound ones to the engine that holds the common part. The look half a second after the sound answer then found no engine, and counted its end against the parts of the sound request instead of its completion for them.

An end that another quarantined part explains no longer does. The test had passed because its connections hid that idle ones were closed: a look at a connection kept to the ended engine said that it listens. They now tell, as the daemon's own do.

--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -117,25 +117,37 @@
 // recheck checks after recheckDelay whether an endpoint has terminated after a
 // request there was aborted, and records that for the quarantine.
 func (f *Forwarder) recheck(r *Request, endpoint table.Endpoint) {
-	f.checkLater(r, endpoint, func() {})
+	f.checkLater(endpoint, func(terminated bool) {
+		if terminated {
+			f.recordTermination(r, endpoint.Name)
+		}
+	})
 }
 
 // recheckUnframed checks after recheckDelay whether an endpoint has terminated after its
-// response ended with the connection, and records that or the completion.
+// response ended with the connection, and records that or the completion. A termination
+// that another quarantined part explains does not speak against the response, at whose
+// end the endpoint had not terminated.
 func (f *Forwarder) recheckUnframed(r *Request, endpoint table.Endpoint) {
-	f.checkLater(r, endpoint, func() { f.recordCompletion(r) })
+	f.checkLater(endpoint, func(terminated bool) {
+		if terminated && !f.Parts.IsExplained(r.partKeys(), endpoint.Name) {
+			f.recordTermination(r, endpoint.Name)
+			return
+		}
+		f.recordCompletion(r)
+	})
 }
 
-// checkLater waits for recheckDelay and calls alive if the endpoint still accepts
-// connections. If it has terminated, that is recorded.
-func (f *Forwarder) checkLater(r *Request, endpoint table.Endpoint, alive func()) {
+// checkLater waits for recheckDelay and then reports whether an endpoint has terminated,
+// unless neither is known.
+func (f *Forwarder) checkLater(endpoint table.Endpoint, report func(terminated bool)) {
 	<-f.Clock.After(recheckDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), recheckDelay)
 	defer cancel()
 	switch {
 	case f.Pool.IsListening(ctx, address(&endpoint)):
-		alive()
+		report(false)
 	case f.Pool.HasTerminated(ctx, address(&endpoint)):
-		f.recordTermination(r, endpoint.Name)
+		report(true)
 	}
 }
--- a/internal/gateway/enginepath_test.go
+++ b/internal/gateway/enginepath_test.go
@@ -189,3 +189,9 @@
 	})
 	return c.Conn.Close()
 }
+
+// SyscallConn lets daemons see whether an idle connection has been closed, as they do
+// with their own.
+func (c *pathConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(syscall.Conn).SyscallConn()
+}
