Don't count what is no failure against an endpoint that got no request

A caller that left while a connection was being opened, and a probe before a continuation that an endpoint was too silent to answer, were reported to coordinators as failures of the endpoint. They are neutral now; the attempt still counts among those that did not run.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -181,7 +181,8 @@
 	switch {
 	case errors.Is(err, errEndpointUnusable):
 		c.run.f.Metrics.Inc("places.unusable")
-	case errors.Is(err, errSuperseded), errors.Is(err, http1.ErrUnconfirmed):
+	case c.ctx.Err() != nil, errors.Is(err, http1.ErrUnconfirmed), errors.Is(err, http1.ErrSilent):
+		// Nothing is known of the endpoint, or only that it is silent.
 	default:
 		e.report = peerv1.ReleaseOutcome_RELEASE_OUTCOME_ENDPOINT_FAILED
 	}
