--- a/internal/load/soak.go
+++ b/internal/load/soak.go
@@ -35,8 +35,8 @@
 	Keep        bool          `long:"keep" description:"Keep the logs of runs that keep all promises, too"`
 	Plant       string        `long:"plant" choice:"runTwice" choice:"foreign" choice:"runRefused" choice:"unsigned" choice:"hideLimit" choice:"otherTarget" choice:"hideEra" choice:"hideBrittle" choice:"hideBackoff" choice:"hideLeaving" choice:"swallowPath" choice:"hideVersions" choice:"loseStreams" choice:"scatterParts" choice:"forgetKeys" choice:"ignorePriority" choice:"endSilent" description:"A fault of the stand-ins that breaks a promise; the run must fail"` //nolint:staticcheck // go-flags repeats the tag
 
-	// KnownRed holds the promises that seeds may break, by the seeds.
-	KnownRed map[uint64]string `long:"known-red" value-name:"SEED:PROMISE" description:"Do not fail if this seed breaks this promise and no other"`
+	// KnownRed holds the promises that seeds may break, as "SEED:PROMISE".
+	KnownRed []string `long:"known-red" value-name:"SEED:PROMISE" description:"Do not fail if this seed breaks this promise and no other"`
 }
 
 var errPromises = errors.New("promises were broken")
@@ -119,6 +119,7 @@
 
 // isKnownRed reports whether a seed may break all these promises.
 func (c *soakCommand) isKnownRed(seed uint64, broken []soak.Violation) bool {
-	promise, ok := c.KnownRed[seed]
-	return ok && !slices.ContainsFunc(broken, func(v soak.Violation) bool { return v.Promise != promise })
+	return !slices.ContainsFunc(broken, func(v soak.Violation) bool {
+		return !slices.Contains(c.KnownRed, fmt.Sprintf("%d:%s", seed, v.Promise))
+	})
 }
