Repeat broken promises at the end of a soak

Change: the command repeats seed, promise and what was seen below the output of all seeds. Result: the unit test fails without the change, since nothing is written then.

--- a/internal/load/soak.go
+++ b/internal/load/soak.go
@@ -4,10 +4,11 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"slices"
-	"sync/atomic"
+	"sync"
 	"syscall"
 	"time"
 
@@ -59,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	var broken atomic.Bool
+	var broken brokenSeeds
 	grp, ctx := errgroup.WithContext(ctx)
 	slots := make(chan int, c.Parallel)
 	for i := range c.Parallel {
@@ -69,20 +70,42 @@
 		slot := <-slots
 		grp.Go(func() error {
 			defer func() { slots <- slot }()
-			kept, err := c.play(ctx, one, slot)
-			if !kept {
-				broken.Store(true)
-			}
+			violations, err := c.play(ctx, one, slot)
+			broken.add(one.Seed, violations)
 			return err
 		})
 	}
 	if err := grp.Wait(); err != nil {
 		return err
 	}
-	if broken.Load() {
-		return errPromises
+	return broken.report(os.Stdout)
+}
+
+// brokenSeeds collects the promises that were broken.
+type brokenSeeds struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (b *brokenSeeds) add(seed uint64, violations []soak.Violation) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, v := range violations {
+		b.lines = append(b.lines, fmt.Sprintf("seed %d: %s: %s", seed, v.Promise, v.What))
+	}
+}
+
+// report repeats the broken promises below the output of all seeds, of which
+// little but the end may be kept.
+func (b *brokenSeeds) report(w io.Writer) error {
+	if len(b.lines) == 0 {
+		return nil
+	}
+	_, _ = fmt.Fprintln(w, "broken:")
+	for _, line := range b.lines {
+		_, _ = fmt.Fprintln(w, "  "+line)
 	}
-	return nil
+	return errPromises
 }
 
 // seeds returns what is to be played.
@@ -96,8 +119,8 @@
 	return seeds, nil
 }
 
-// play plays one seed and reports whether all promises were kept.
-func (c *soakCommand) play(ctx context.Context, one soak.Regression, slot int) (kept bool, err error) {
+// play plays one seed and returns the broken promises, none if they are known red.
+func (c *soakCommand) play(ctx context.Context, one soak.Regression, slot int) (broken []soak.Violation, err error) {
 	var out bytes.Buffer
 	defer func() { _, _ = os.Stdout.Write(out.Bytes()) }()
 	o := &soak.Options{
@@ -107,14 +130,14 @@
 	}
 	v, err := soak.Play(ctx, o)
 	if err != nil {
-		return false, err
+		return nil, err
 	}
 	v.Print(o)
 	if len(v.Violations) > 0 && c.isKnownRed(one.Seed, v.Violations) {
 		_, _ = fmt.Fprintf(&out, "seed %d: known red\n", one.Seed)
-		return true, nil
+		return nil, nil
 	}
-	return len(v.Violations) == 0, nil
+	return v.Violations, nil
 }
 
 // isKnownRed reports whether a seed may break all these promises.
--- a/internal/load/soak_test.go
+++ b/internal/load/soak_test.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/beechhead/beechhead/internal/soak"
@@ -26,3 +27,20 @@
 		}
 	}
 }
+
+// Guards against an output whose end does not say which promises were broken.
+func TestBrokenPromisesAreRepeatedAtTheEnd(t *testing.T) {
+	var b brokenSeeds
+	var out strings.Builder
+	b.add(3, nil)
+	if err := b.report(&out); err != nil || out.Len() > 0 {
+		t.Errorf("all kept: %v, %q", err, out.String())
+	}
+	b.add(7, []soak.Violation{{Promise: "drain", What: "reached"}})
+	if err := b.report(&out); err == nil {
+		t.Error("a broken promise is no error")
+	}
+	if want := "broken:\n  seed 7: drain: reached\n"; out.String() != want {
+		t.Errorf("%q, want %q", out.String(), want)
+	}
+}
