--- a/internal/load/soak.go
+++ b/internal/load/soak.go
@@ -29,6 +29,7 @@
 	SmallMemory bool          `long:"small-memory" description:"Have engines preempt streams because their memory runs out"`
 	Pauses      bool          `long:"pauses" description:"Pause engines beside planned work, and bring about no other faults"`
 	Regression  string        `long:"regression" description:"Play the seeds of this file instead, which failed once"`
+	Short       bool          `long:"short" description:"Of that file, play the seeds of the short run only"`
 	Daemons     int           `long:"daemons" default:"4" description:"Daemons"`
 	Engines     int           `long:"engines" default:"4" description:"Engines and instances of a plain service, half each"`
 	Callers     int           `long:"callers" default:"12" description:"Callers"`
@@ -111,7 +112,11 @@
 // seeds returns what is to be played.
 func (c *soakCommand) seeds() (seeds []soak.Regression, err error) {
 	if c.Regression != "" {
-		return soak.ReadRegression(c.Regression)
+		seeds, err = soak.ReadRegression(c.Regression)
+		if c.Short {
+			seeds = soak.ShortRun(seeds)
+		}
+		return seeds, err
 	}
 	for i := range c.Seeds {
 		seeds = append(seeds, soak.Regression{Seed: c.Seed + uint64(i), SameIDs: c.SameIDs, SmallMemory: c.SmallMemory, Pauses: c.Pauses})
--- a/internal/soak/regression.go
+++ b/internal/soak/regression.go
@@ -15,8 +15,11 @@
 	// SmallMemory is as in Options.
 	SmallMemory bool `json:"smallMemory,omitempty"`
 	// Pauses is as in Options.
-	Pauses bool   `json:"pauses,omitempty"`
-	Cause  string `json:"cause"`
+	Pauses bool `json:"pauses,omitempty"`
+	// Short reports whether the seed belongs to the short run: examples of the causes,
+	// and all seeds that have failed in CI.
+	Short bool   `json:"short,omitempty"`
+	Cause string `json:"cause"`
 }
 
 // ReadRegression reads the file of the seeds that failed once.
@@ -40,3 +43,13 @@
 	}
 	return cases, nil
 }
+
+// ShortRun returns the cases of the short run.
+func ShortRun(cases []Regression) (short []Regression) {
+	for _, c := range cases {
+		if c.Short {
+			short = append(short, c)
+		}
+	}
+	return short
+}
