Send each order of the soak over a connection of its own

The order was written to an idle connection to the stand-in, which closes connections that have brought no request for a second; a client opens such ones while another connection becomes free. The close itself was not logged, so this part is inferred from the times. Net/http does not repeat a POST. Change: the soak's own orders and questions use no idle connections.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -116,7 +116,11 @@
 	}
 	r.site = &site{
 		o: o, procs: newProcesses(dir), network: network,
-		client: &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}},
+		// Stand-ins close idle connections, also while an order is written, and orders
+		// are not sent twice.
+		client: &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{
+			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableKeepAlives: true,
+		}},
 		config: standin.SampleDocument(), key: "key-2", pauseLocks: make([]sync.RWMutex, o.Engines),
 	}
 	r.rec.Daemons = o.Daemons
