Break off an unframed answer if its endpoint may have refused connections

Where a new connection was refused and nobody could tell the endpoint from the path, it counted as complete, although such an answer may be short. ARCHITECTURE says that it is complete only if its endpoint still listens.

Change: the dialer says that a connection may have been refused (ErrMaybeRefused, an ErrUnconfirmed). That breaks the answer off, and a stream goes on elsewhere. It is no termination: nothing is held against the endpoint, the request or its parts.

Weighed: breaking off only if no other daemon is ready, so that daemons whose peers have no path either go on as before; the answer is no better known there. A complete answer that is broken off at a host without a path costs that answer, a short one that looks complete breaks a promise. A connection that is not answered still says nothing.

TestUnframedResponseBeforeUnconfirmedRefusalIsBrokenOff failed with the former check: "got <nil>", 1 of 2 cases.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -52,7 +52,7 @@
 }
 
 // endedWithEndpoint reports whether a response that is delimited by the end of its
-// connection has ended because its endpoint terminated.
+// connection may have ended because its endpoint terminated.
 func (c *call) endedWithEndpoint(resp *http.Response) bool {
 	f := c.run.f
 	if isFramed(resp) {
@@ -63,7 +63,7 @@
 		return false
 	case <-f.Clock.After(terminationTime):
 	}
-	return f.Pool.HasTerminated(c.ctx, address(&c.grant.Endpoint))
+	return f.Pool.MayHaveTerminated(c.ctx, address(&c.grant.Endpoint))
 }
 
 // readResponse reads the response and forwards it.
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -25,6 +25,9 @@
 	// ErrUnconfirmed means that the endpoint was not reached, and that no other
 	// daemon could say whether it is reachable.
 	ErrUnconfirmed = errors.New("not confirmed by another daemon")
+	// ErrMaybeRefused is an ErrUnconfirmed: either the endpoint's machine refuses the
+	// connection or the path does.
+	ErrMaybeRefused = errors.Wrap(ErrUnconfirmed, "refused")
 )
 
 // dialError is an ErrNotSent with the error of opening the connection.
--- a/internal/http1/probe.go
+++ b/internal/http1/probe.go
@@ -97,10 +97,22 @@
 // its machine refuses connections. If a connection can be opened, it is kept
 // for the next request.
 func (p *Pool) HasTerminated(ctx context.Context, address string) bool {
+	return endpoint.IsConnectionRefused(p.open(ctx, address))
+}
+
+// MayHaveTerminated reports whether connections to the address are refused, also if that
+// may be the path.
+func (p *Pool) MayHaveTerminated(ctx context.Context, address string) bool {
+	err := p.open(ctx, address)
+	return endpoint.IsConnectionRefused(err) || errors.Is(err, ErrMaybeRefused)
+}
+
+// open opens a connection to an address and keeps it for the next request.
+func (p *Pool) open(ctx context.Context, address string) error {
 	c, err := p.dial(ctx, address)
 	if err != nil {
-		return endpoint.IsConnectionRefused(err)
+		return err
 	}
 	p.put(address, p.newConn(c), defaultIdleTimeout)
-	return false
+	return nil
 }
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -308,10 +308,12 @@
 
 // err returns the error of an attempt that has failed in every way.
 func (a *attempt) err(ctx context.Context) error {
-	confirmed := a.refused + a.silent
 	isRefused := endpoint.IsConnectionRefused(a.direct)
+	unconfirmed := a.refused+a.silent == 0 && a.unable > 0
 	switch {
-	case confirmed == 0 && a.unable > 0 && (!isRefused || !a.dialer.ReachesOther(ctx, a.address)):
+	case unconfirmed && isRefused && !a.dialer.ReachesOther(ctx, a.address):
+		return errors.Wrapf(http1.ErrMaybeRefused, "dial %s: %v", a.address, a.direct)
+	case unconfirmed && !isRefused:
 		return errors.Wrapf(http1.ErrUnconfirmed, "dial %s: %v", a.address, a.direct)
 	case a.refused > 0 && !isRefused:
 		return errors.Wrapf(syscall.ECONNREFUSED, "dial %s by another daemon, here: %v", a.address, a.direct)
