Take no refusal for the end of an endpoint while no other daemon is ready

Hypotheses: (1) the hosts that keep the record were replaced at once; (2) beginning and taking up use different keys, since account or pool change with an edit; (3) no record is made, as the engine counts as one that has ended.

Cause, by the logs: all daemons but host-3 had lost their path, in the form that refuses new connections. host-0, host-1 and host-3 were stopped together, and host-2 had nobody to ask. Its connections to engine-0 and engine-2 were refused, by its own path, and the dialer took its word ("a daemon alone") where answers without a length had ended. Streams that begin at such an engine get no record unless its report shows the registered start time, and these engines register none. The ends were also held against the requests and their parts.

Change: a daemon takes its own word only if it knows of no other daemon, in any state or by its settings. Else a refusal that nobody was asked about is like one that nobody asked could confirm: it counts if one of up to three other endpoints accepts a connection.

Weighed: - Another endpoint must be reached also where the fleet has one daemon. It would be right for a lost path, but the ends of two engines within a second would no longer count there, and such a daemon has no way around a lost path anyway. - Remembering for 5 s that the path is lost: the trace would pass, a path that is lost for longer, or after the others have left, would not. - Having streams begin with a record at engines that may have been replaced: guesses. A connection that is not answered while no daemon is ready still counts as a failure of the endpoint, as before.

Nothing in existing scripts has changed.

--- a/internal/gateway/cutoff_test.go
+++ b/internal/gateway/cutoff_test.go
@@ -251,3 +251,36 @@
 		})
 	}
 }
+
+// Guards against a lost path that counts as the end of an endpoint while all other hosts
+// leave or are gone, and against the end of one that does not count then.
+func TestLostPathIsNoEndWhileNoOtherHostIsReady(t *testing.T) {
+	for _, tt := range []struct {
+		name             string
+		path             pathFault
+		ends, terminated bool
+	}{
+		{"path refuses", pathRefusesNew, false, false},
+		{"endpoint ends", pathWorks, true, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newTestSite(t, 2)
+			e, d, other := s.engines["app-1"], s.daemons[0], s.daemons[1]
+			other.cancel()
+			<-other.done
+			s.await("the other host is not ready", func() bool { return d.g.view.Ready().Len() == 1 })
+			if tt.ends {
+				e.server.CloseClientConnections()
+				e.server.Close()
+			}
+			d.path.Break(tt.path)
+			pool := d.g.forwarder.Pool
+			if got := pool.HasTerminated(t.Context(), e.address); got != tt.terminated {
+				t.Errorf("terminated: %v, want %v", got, tt.terminated)
+			}
+			if !pool.MayHaveTerminated(t.Context(), e.address) {
+				t.Error("the endpoint counts as one that listens")
+			}
+		})
+	}
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -82,6 +82,10 @@
 	return slices.ContainsFunc(g.conf().Peers, func(address string) bool { return address != self })
 }
 
+// knowsHosts reports whether this daemon knows of another host, even if that is leaving or
+// gone.
+func (g *Gateway) knowsHosts() bool { return g.view.Hosts().Len() > 1 || g.view.Gone().Len() > 0 }
+
 // startingHosts returns the number of other hosts that are not ready yet. A daemon that
 // has met no other host, though its settings contain one, assumes that one starts.
 func (g *Gateway) startingHosts() int {
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -31,6 +31,7 @@
 		ReachesOther: g.reachesOther,
 
 		Hosts:  func() []membership.Host { return tunnel.Candidates(g.view.Ready(), g.view.Self()) },
+		Alone:  func() bool { return !g.knowsHosts() && !g.expectsHosts() },
 		Region: g.conf().Region,
 		Zone:   g.conf().Zone,
 		OnLost: func(address, via string) {
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -53,6 +53,8 @@
 	ReachesOther func(ctx context.Context, address string) bool
 	// Hosts returns the other daemons that may be asked.
 	Hosts func() []membership.Host
+	// Alone reports whether the fleet has no other daemon, ready or not.
+	Alone func() bool
 	// Region and Zone are those of this daemon.
 	Region, Zone string
 	// OnLost is called when an address turns out to be reachable only through
@@ -88,7 +90,8 @@
 
 // Dial opens a connection to an endpoint, directly or through another daemon,
 // whichever succeeds first. The error is that of a refused connection only if
-// another daemon confirms it, another endpoint is reached, or no daemon can be asked.
+// another daemon confirms it, another endpoint is reached, or the fleet has no other
+// daemon.
 // If this process was paused meanwhile, the time that has passed says nothing about
 // the endpoint, and Dial tries once more.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
@@ -309,7 +312,8 @@
 // err returns the error of an attempt that has failed in every way.
 func (a *attempt) err(ctx context.Context) error {
 	isRefused := endpoint.IsConnectionRefused(a.direct)
-	unconfirmed := a.refused+a.silent == 0 && a.unable > 0
+	// If no daemon is ready, a refusal is as uncertain as if none asked could try.
+	unconfirmed := a.refused+a.silent == 0 && (a.unable > 0 || isRefused && !a.dialer.Alone())
 	switch {
 	case unconfirmed && isRefused && !a.dialer.ReachesOther(ctx, a.address):
 		return errors.Wrapf(http1.ErrMaybeRefused, "dial %s: %v", a.address, a.direct)
--- a/internal/tunnel/fleet_test.go
+++ b/internal/tunnel/fleet_test.go
@@ -59,6 +59,7 @@
 			OnCutOff: func(bool) {},
 			Count:    func(string) {},
 
+			Alone:        func() bool { return n < 2 },
 			ReachesOther: func(context.Context, string) bool { return !f.cut[h.ID] },
 		}
 	}
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -113,6 +113,7 @@
 		OnCutOff: func(bool) {},
 		Count:    func(string) {},
 
+		Alone:        func() bool { return len(hosts) == 0 },
 		ReachesOther: func(context.Context, string) bool { return false },
 	}
 }
@@ -128,6 +129,7 @@
 		Name, Direct, Want string
 		ReachesOther       bool
 		Hosts              []string
+		NoneReady          bool
 		Asked              *int
 	}
 	if err := json.Unmarshal(data, &scripts); err != nil {
@@ -144,6 +146,7 @@
 			}
 			d := newDialer(tt.Direct, hosts...)
 			d.ReachesOther = func(context.Context, string) bool { return tt.ReachesOther }
+			d.Alone = func() bool { return len(hosts) == 0 && !tt.NoneReady }
 			c, err := d.Dial(t.Context(), address)
 			if got := describe(c, err); got != tt.Want {
 				t.Errorf("got %s (%v), want %s", got, err, tt.Want)
