Count an end of a process once, however many requests end it

Cause: requests that have waited at one engine begin within milliseconds of each other. Each of those with a part that ends engines ended the stand-in, so that its id changed several times, and the check "ending parts" counted an end for each. Daemons see one process that has ended, and so does the rule, which counts crashes: five engines have ended after the fifth process. Ways: count ends that are close together once (a time that another run would exceed), or name the process that has run a request. Only the second one is exact. Change: a run names the start of the engine that it ran on (Instance). A start terminates once, and a request whose start has terminated while its body was read does not begin on the next one. The check counts the first request with the part on each start. Where each end is its own process, nothing changes: addPartEnds gives each request a process, and its two cases stand as they were.

Without the fix TestProcessTerminatesOnce fails in both cases with "terminated 3 times, now engine-start4", and TestAllowedCasesAreNotFound in both new cases: "requests with a part that ends engines were sent 4 times more, 11 in all" for three processes, "7 times more, 16 in all" where three late requests are allowed. A fourth late request is still found where several requests share a process (TestEachCheckFindsItsViolation).

--- a/internal/soak/part.go
+++ b/internal/soak/part.go
@@ -67,10 +67,13 @@
 	return runs
 }
 
-// partEnds returns those of them that ended their engines: not where a fault of the engine
-// answered in the place of the part, or kept it from answering.
+// partEnds returns the first of them on each process of an engine that they ended: not
+// where a fault of the engine answered in the place of the part, or kept it from answering.
 func (rec *Record) partEnds() (ends []Run) {
 	for _, r := range rec.partRuns() {
+		if slices.ContainsFunc(ends, func(e Run) bool { return e.Engine == r.Engine && e.Instance == r.Instance }) {
+			continue
+		}
 		answers := !slices.ContainsFunc(rec.Faults, func(f Struck) bool {
 			return (f.Kind == KindEngineFail || f.Kind == KindEngineHang) && f.Target == r.Engine && f.overlaps(r.Began, r.Began.Add(time.Nanosecond))
 		})
