Tell daemons that start which parts have completed

Cause: a completion clears a part for 10 minutes, but each daemon remembers what it has seen itself, and tells it only once the part is suspect. Hypotheses: no completion was recorded before (refuted: 38 streams had completed); it was recorded and lost with the daemons (held). Ways: (1) tell each daemon that starts the parts that have completed last; (2) keep them in the store, a write for each part; (3) put them into the digest, so that each completion is news. (1) costs 1 KB for each partner of a daemon that starts and nothing while none starts. Change: All has the 64 parts that completed last, and the first heartbeat to an incarnation carries it.

TestCompletionsOutlastRestarts failed with "part 1: quarantined true, want false", TestRestartedDaemonIsSentCompletions with "the part is quarantined".

--- a/internal/heartbeat/link.go
+++ b/internal/heartbeat/link.go
@@ -15,6 +15,9 @@
 	// sent is up to where in its list of changes this daemon has sent them, received
 	// up to where it has received those of the other one.
 	sent, received membership.Position
+	// toldParts is set if the other daemon has been sent all parts. Digests do not cover
+	// those that have completed.
+	toldParts bool
 }
 
 // exchangeWith exchanges a heartbeat with a known host. It carries the changes since
@@ -31,13 +34,15 @@
 	if compare {
 		req.Versions = toUint64s(x.View.Versions())
 	}
-	req.Suspects, req.Parts = x.suspects(compare), x.parts(compare)
+	allParts := compare || !l.toldParts
+	req.Suspects, req.Parts = x.suspects(compare), x.parts(allParts)
 	resp, err := x.exchange(ctx, h.PeerAddress, Timeout, req)
 	if err != nil {
 		return nil, err
 	}
 	if self := resp.GetSelf(); self.GetHost() == string(h.ID) {
-		l = link{incarnation: self.GetIncarnation(), sent: upTo, received: membership.Position(resp.GetPosition())}
+		told := allParts || l.incarnation == self.GetIncarnation()
+		l = link{incarnation: self.GetIncarnation(), sent: upTo, received: membership.Position(resp.GetPosition()), toldParts: told}
 		x.mu.Lock()
 		x.links[h.ID] = l
 		x.mu.Unlock()
--- a/internal/heartbeat/link_test.go
+++ b/internal/heartbeat/link_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/beechhead/beechhead/internal/heartbeat"
 	"github.com/beechhead/beechhead/internal/membership"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
+	"github.com/beechhead/beechhead/internal/quarantine"
+	"github.com/beechhead/beechhead/pkg/table"
 )
 
 // Guards against updates that are lost with the response that carried them.
@@ -106,3 +109,35 @@
 		t.Errorf("%d updates were sent, %d differed", sent, 2*missing)
 	}
 }
+
+// Guards against a restarted daemon that suspects parts which have completed before: no
+// digest covers completions.
+func TestRestartedDaemonIsSentCompletions(t *testing.T) {
+	n := newNetwork(t, 2)
+	n.introduce()
+	a, completed := n.nodes[0], []quarantine.PartKey{7}
+	a.x.Parts = quarantine.NewParts(n.clock)
+	a.x.Parts.RecordCompletion(completed)
+	n.beat(a)
+	n.nodes[1] = n.newNode(1)
+	b := n.nodes[1]
+	b.x.Parts = quarantine.NewParts(n.clock)
+	n.beat(a)
+	n.beat(a)
+	for i := range 3 {
+		b.x.Parts.RecordTermination(completed, table.EndpointName(fmt.Sprint("endpoint-", i)))
+	}
+	if n := b.x.Parts.QuarantinedCount(); n != 0 {
+		t.Error("the part is quarantined")
+	}
+	sent := 0
+	call := a.x.Call
+	a.x.Call = func(ctx context.Context, address string, req *peerv1.HeartbeatRequest) (*peerv1.HeartbeatResponse, error) {
+		sent += len(req.GetParts())
+		return call(ctx, address, req)
+	}
+	n.beat(a)
+	if sent != 0 {
+		t.Errorf("%d completions are sent again", sent)
+	}
+}
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -30,6 +30,9 @@
 	maxTerminations = 8
 	// maxCompletedParts limits the parts that are remembered as completed.
 	maxCompletedParts = 8192
+	// maxCompletedTold limits the completions that a daemon tells one that lacks updates.
+	// Parts that many requests have are among the last to have completed.
+	maxCompletedTold = 64
 )
 
 // PartKey identifies a part of prompts for the endpoints of a pool.
@@ -232,6 +235,8 @@
 	now := p.clock.Now()
 	if known := p.completed.values[n.Key]; known.After(n.CompletedAt) {
 		n.CompletedAt = known
+	} else if n.CompletedAt.After(known) && now.Sub(n.CompletedAt) < clearedBy {
+		p.completed.put(n.Key, n.CompletedAt)
 	}
 	s := p.suspects[n.Key]
 	if s == nil {
@@ -292,7 +297,9 @@
 	return p.updates(p.take(n))
 }
 
-// All returns an update about every tracked part.
+// All returns an update about every tracked part, and about the parts that have completed
+// last: a daemon that has started would suspect them, and nobody might know better once all
+// have started.
 func (p *Parts) All() []PartUpdate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -301,7 +308,22 @@
 	for k := range p.suspects {
 		keys = append(keys, k)
 	}
-	return p.updates(keys)
+	return append(p.updates(keys), p.lastCompleted(maxCompletedTold)...)
+}
+
+// lastCompleted returns updates about the n parts without terminations that have completed
+// last.
+func (p *Parts) lastCompleted(n int) (last []PartUpdate) {
+	now := p.clock.Now()
+	for k, at := range p.completed.values {
+		if p.suspects[k] == nil && now.Sub(at) < clearedBy {
+			last = append(last, PartUpdate{Key: k, CompletedAt: at})
+		}
+	}
+	slices.SortFunc(last, func(a, b PartUpdate) int {
+		return cmp.Or(b.CompletedAt.Compare(a.CompletedAt), cmp.Compare(a.Key, b.Key))
+	})
+	return last[:min(n, len(last))]
 }
 
 func (p *Parts) updates(keys []PartKey) []PartUpdate {
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -358,6 +358,40 @@
 	}
 }
 
+// Guards against forgetting that common parts have completed when all daemons start again
+// one after the other: the next terminations count against all parts.
+func TestCompletionsOutlastRestarts(t *testing.T) {
+	const common, rare, bad = PartKey(1), PartKey(2), PartKey(3)
+	clock := clockwork.NewFakeClock()
+	first := NewParts(clock)
+	first.RecordCompletion([]PartKey{rare})
+	clock.Advance(time.Second)
+	for i := range maxCompletedTold - 1 {
+		first.RecordCompletion([]PartKey{common, PartKey(100 + i)})
+	}
+	last := first
+	for range 3 {
+		next := NewParts(clock)
+		for _, n := range last.All() {
+			next.Apply(n)
+		}
+		last = next
+		clock.Advance(time.Second)
+	}
+	for i := range partThreshold {
+		last.RecordTermination([]PartKey{common, rare, bad}, endpointName(i))
+	}
+	for k, want := range map[PartKey]bool{common: false, rare: true, bad: true} {
+		if _, found, _ := last.Quarantined([]PartKey{k}, func() bool { return false }); found != want {
+			t.Errorf("part %v: quarantined %v, want %v", k, found, want)
+		}
+	}
+	clock.Advance(clearedBy)
+	if n := len(first.All()); n != 0 {
+		t.Errorf("%d completions are told after they have ceased to count", n)
+	}
+}
+
 // Guards against taking the termination of an endpoint for evidence against a request that
 // it had answered before: the next request terminated it.
 func TestTerminationByAnotherPartIsExplained(t *testing.T) {
