Try no common parts by a request that ends endpoints itself

Cause: an early trial may be any request whose suspect parts are common. A request that ends endpoints by itself has the parts that all streams share, and is kept back as a request only from the third endpoint on. As the trial it ends one more, and the common parts then wait for four times as many requests. Ways: (1) no early trial by a request under which an endpoint has ended and that has not completed; (2) a failed trial does not count for common parts. With (2) a common part that does end endpoints would have a trial for each 20 requests, whoever brings it, so that ends are not bounded. With (1) bystanders are passed over too; the next request is as good. A trial after a minute may still be any request, so that parts of which only such requests are left are tried as before. Change: List.IsSuspect; Parts.Quarantined tells mayTry whether the trial is early.

TestSuspectRequestIsNoEarlyTrial failed with "the suspect request was sent as a trial" and "the sound request was not sent as a trial".

--- a/internal/factsync/parts_test.go
+++ b/internal/factsync/parts_test.go
@@ -79,7 +79,7 @@
 	return true
 }
 
-func neverTry() bool { return false }
+func neverTry(bool) bool { return false }
 
 // callBytes returns the size of all heartbeats so far.
 func (s *simSite) callBytes() (n int64) {
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -67,12 +67,15 @@
 }
 
 // quarantinedPart returns a part that keeps the request back; false if there is none, or
-// if the request is a trial. If mayTry is set, it may become one.
+// if the request is a trial. If mayTry is set, it may become one, but no early one if
+// endpoints have terminated during the request itself.
 func (r *run) quarantinedPart(mayTry bool) (quarantine.PartKey, bool) {
 	if len(r.partKeys) == 0 || r.tried {
 		return 0, false
 	}
-	k, found, trial := r.f.Parts.Quarantined(r.partKeys, func() bool { return mayTry && r.f.MayTry(r.req.Pool) })
+	k, found, trial := r.f.Parts.Quarantined(r.partKeys, func(early bool) bool {
+		return mayTry && r.f.MayTry(r.req.Pool) && (!early || !r.f.Quarantine.IsSuspect(r.req.Fingerprint))
+	})
 	if trial {
 		r.tried = true
 		r.f.Metrics.Inc("quarantine.partTrials")
--- a/internal/forward/trial_test.go
+++ b/internal/forward/trial_test.go
@@ -56,8 +56,10 @@
 }
 
 // send sends a request and reports whether it was served.
-func (s *trialSite) send() bool {
-	err := s.f.Do(context.Background(), trialRequest(), Sink{
+func (s *trialSite) send() bool { return s.sendRequest(trialRequest()) }
+
+func (s *trialSite) sendRequest(r *Request) bool {
+	err := s.f.Do(context.Background(), r, Sink{
 		Head: func(int, http.Header, int64) {},
 		Body: func([]byte) error { return nil },
 	})
@@ -93,3 +95,26 @@
 		t.Errorf("%d requests have reached endpoints within half a minute, want 3 at most", s.sent)
 	}
 }
+
+// Guards against an early trial of common parts by a request that terminates endpoints
+// itself: it fails, and the next trial of these parts has to wait longer.
+func TestSuspectRequestIsNoEarlyTrial(t *testing.T) {
+	s := newTrialSite(t, completes)
+	suspect, sound := trialRequest(), trialRequest()
+	suspect.Fingerprint, sound.Fingerprint = 1, 2
+	s.f.Quarantine.RecordTermination(suspect.Fingerprint, "x")
+	s.f.Parts = quarantine.NewParts(s.clock)
+	for _, name := range []table.EndpointName{"x", "y", "z"} {
+		s.f.Parts.RecordTermination(append(sound.partKeys(), 7), name)
+	}
+	s.clock.Advance(betweenTrials)
+	for range 60 {
+		s.sendRequest(suspect)
+	}
+	if s.sent != 0 {
+		t.Error("the suspect request was sent as a trial")
+	}
+	if !s.sendRequest(sound) {
+		t.Error("the sound request was not sent as a trial")
+	}
+}
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -93,6 +93,15 @@
 	return s != nil && s.quarantined(l.clock.Now())
 }
 
+// IsSuspect reports whether endpoints have terminated during a request of late, and none
+// has completed it.
+func (l *List) IsSuspect(f Fingerprint) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.suspects[f]
+	return s != nil && len(s.endpoints) > 0 && !s.completed && l.clock.Since(s.lastTermination) < quarantineDuration
+}
+
 // QuarantinedCount returns the number of quarantined requests.
 func (l *List) QuarantinedCount() int {
 	l.mu.Lock()
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -172,3 +172,21 @@
 		}
 	}
 }
+
+// Guards against a request that is suspect for longer than it would be quarantined, or
+// although it has completed: it would be no trial of its parts.
+func TestSuspectRequest(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	l := NewList(clock)
+	l.RecordTermination(1, endpointName(1))
+	l.RecordTermination(2, endpointName(1))
+	l.RecordCompletion(2)
+	if !l.IsSuspect(1) || l.IsSuspect(2) || l.IsSuspect(3) {
+		t.Errorf("suspect: %v, %v, %v, want the first alone", l.IsSuspect(1), l.IsSuspect(2), l.IsSuspect(3))
+	}
+	l.RecordTermination(1, endpointName(2))
+	clock.Advance(quarantineDuration)
+	if l.IsSuspect(1) {
+		t.Error("still suspect after a quarantine would have ended")
+	}
+}
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -135,10 +135,10 @@
 	return stat.Mix(h)
 }
 
-// Quarantined returns the first of some parts that keeps a request back. If mayTry
-// reports true and the trial of all quarantined ones is due, there is none, and the
-// request is their trial. The function mayTry must not call the list.
-func (p *Parts) Quarantined(keys []PartKey, mayTry func() bool) (blocking PartKey, found, trial bool) {
+// Quarantined returns the first of some parts that keeps a request back. If the trial of
+// all quarantined ones is due and mayTry, called with whether it is early, reports true,
+// there is none, and the request is their trial. The function mayTry must not call the list.
+func (p *Parts) Quarantined(keys []PartKey, mayTry func(early bool) bool) (blocking PartKey, found, trial bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var quarantined, suspect []PartKey
@@ -154,7 +154,7 @@
 	if len(quarantined) == 0 {
 		return 0, false, false
 	}
-	if !p.trialDue(quarantined, suspect) || !mayTry() {
+	if due, early := p.trialDue(quarantined, suspect); !due || !mayTry(early) {
 		p.countKept(quarantined)
 		p.countKept(suspect)
 		return quarantined[0], true, false
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -76,7 +76,7 @@
 
 // send places a request on an endpoint that takes requests, unless it is quarantined.
 func (c *crashes) send(r *partRequest) {
-	if _, found, _ := c.parts.Quarantined(r.keys, func() bool { return false }); found {
+	if _, found, _ := c.parts.Quarantined(r.keys, func(bool) bool { return false }); found {
 		if !r.bad {
 			c.refused++
 		}
@@ -216,8 +216,8 @@
 	for i := range partThreshold {
 		p.RecordTermination(k, endpointName(i))
 	}
-	one, others := func() bool { return true }, func() bool { return false }
-	check := func(what string, mayTry func() bool, want bool) {
+	one, others := func(bool) bool { return true }, func(bool) bool { return false }
+	check := func(what string, mayTry func(bool) bool, want bool) {
 		t.Helper()
 		if _, got, _ := p.Quarantined(k, mayTry); got != want {
 			t.Errorf("%s: quarantined %v, want %v", what, got, want)
@@ -256,7 +256,7 @@
 	}
 	tried := map[string]int{}
 	try := func(what string, keys ...PartKey) {
-		_, found, trial := p.Quarantined(keys, func() bool { return true })
+		_, found, trial := p.Quarantined(keys, func(bool) bool { return true })
 		if trial {
 			tried[what]++
 		}
@@ -296,7 +296,7 @@
 				p.RecordTermination(keys, endpointName(i))
 			}
 			clock.Advance(minTrial)
-			mayTry := func() bool { return true }
+			mayTry := func(bool) bool { return true }
 			for i := range 2 * keptForTrial {
 				keys := []PartKey{common, other}
 				if i%5 == 0 {
@@ -325,7 +325,7 @@
 	}
 	clock.Advance(firstTrial - 1)
 	for range 2 * keptForTrial {
-		if _, found, _ := p.Quarantined(k, func() bool { return true }); !found {
+		if _, found, _ := p.Quarantined(k, func(bool) bool { return true }); !found {
 			t.Fatal("a request was sent before its time")
 		}
 	}
@@ -350,8 +350,8 @@
 			p.Apply(updates[i])
 			p.Apply(updates[i])
 		}
-		_, first, _ := p.Quarantined([]PartKey{1}, func() bool { return false })
-		_, second, _ := p.Quarantined([]PartKey{2}, func() bool { return false })
+		_, first, _ := p.Quarantined([]PartKey{1}, func(bool) bool { return false })
+		_, second, _ := p.Quarantined([]PartKey{2}, func(bool) bool { return false })
 		if !first || second {
 			t.Fatalf("quarantined %v and %v, want the first alone", first, second)
 		}
@@ -382,7 +382,7 @@
 		last.RecordTermination([]PartKey{common, rare, bad}, endpointName(i))
 	}
 	for k, want := range map[PartKey]bool{common: false, rare: true, bad: true} {
-		if _, found, _ := last.Quarantined([]PartKey{k}, func() bool { return false }); found != want {
+		if _, found, _ := last.Quarantined([]PartKey{k}, func(bool) bool { return false }); found != want {
 			t.Errorf("part %v: quarantined %v, want %v", k, found, want)
 		}
 	}
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -89,18 +89,22 @@
 }
 
 // trialDue reports whether a request with some quarantined parts, and others that are
-// suspect, may be sent as a trial. An early trial has suspect parts that are common too:
-// the rare one is more likely to be what terminates endpoints.
-func (p *Parts) trialDue(quarantined, suspect []PartKey) bool {
+// suspect, may be sent as a trial, and whether that is early. An early trial has suspect
+// parts that are common too: the rare one is more likely to be what terminates endpoints.
+func (p *Parts) trialDue(quarantined, suspect []PartKey) (due, early bool) {
 	now := p.clock.Now()
 	rare := slices.ContainsFunc(suspect, func(k PartKey) bool { return p.kept[k] < keptOfSuspect })
 	for _, k := range quarantined {
-		due, early := p.trials[k].due(now, p.suspects[k], p.kept[k])
-		if !due && (!early || rare || !p.trials[k].repeat && !p.isAmbiguous(k)) {
-			return false
+		partDue, partEarly := p.trials[k].due(now, p.suspects[k], p.kept[k])
+		if partDue {
+			continue
 		}
+		if !partEarly || rare || !p.trials[k].repeat && !p.isAmbiguous(k) {
+			return false, false
+		}
+		early = true
 	}
-	return true
+	return true, early
 }
 
 // isAmbiguous reports whether another quarantined part may be what has terminated the
