Wait out a silence that most endpoints share in dispatch too

A daemon with its own table had another endpoint asked for each silent answer once its deadline had passed, also if all endpoints were silent. The first of them used up the retry budget, and answers on engines that hang waited for it. Gateways don't ask in a silence that most endpoints share.

What tells a shared silence moves from internal/forward to internal/activity, unchanged, and dispatch uses it: an attempt is late from nine tenths of its deadline on, a shared silence is waited out until twice the deadline and asked about each 250 ms, and a second attempt for silence leaves out the endpoints that are silent, unless no others are left.

Weighed: a timer of its own that fires at half of the deadline, as in forward, against the first step of the timer that is there (taken: no timer more for each stream; the first answer of several that began apart may still ask); a copy of the tracker in dispatch against one package (taken).

TestSharedSilenceIsWaitedOut is a unit test of the same without clocks of the machine.

Tests: TestSilentEndpointsAreNotAskedInPlaceOfEachOther moves along with its code; TestSlowCallerKeepsNoSupersededSlot asks IsAwaited instead of reading the map under its lock.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/beechhead/beechhead/internal/activity"
 	"github.com/beechhead/beechhead/internal/engine"
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
@@ -106,11 +107,18 @@
 	// is when it handled the last one.
 	sent, hasData bool
 	lastSign      time.Time
+	// activity is what this daemon hears from the endpoint; nil until sent is set. late
+	// is set while the attempt counts as late there.
+	activity *activity.Endpoint
+	late     bool
 }
 
 // launch starts an attempt beside those that are open.
 func (r *run) launch(ctx context.Context, o occasion) {
 	open := r.openEndpoints()
+	if o == afterSilence {
+		open = append(open, r.d.activities.Silent(r.request.Pool, r.d.clock.Now())...)
+	}
 	a := &attempt{
 		run:      r,
 		index:    r.attempts,
@@ -181,6 +189,10 @@
 // end cancels the attempt and reports its outcome to the coordinator. It must be
 // called once for each attempt.
 func (a *attempt) end(cause error, o peerv1.ReleaseOutcome) {
+	if a.activity != nil {
+		a.endLate()
+		a.activity.End()
+	}
 	a.cancel(cause)
 	a.verdict <- o
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/beechhead/beechhead/internal/activity"
 	"github.com/beechhead/beechhead/internal/engine"
 	"github.com/beechhead/beechhead/internal/limit"
 	"github.com/beechhead/beechhead/internal/metric"
@@ -31,6 +32,8 @@
 	metrics  *metric.Registry
 	budgets  *budgets
 	suspects *quarantine.List
+	// activities knows which endpoints are silent.
+	activities activity.Tracker
 	// Logger receives a line for each answer that was waited for. It must be set
 	// before use, or nothing is logged.
 	Logger *slog.Logger
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/beechhead/beechhead/internal/activity"
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
 	"github.com/beechhead/beechhead/internal/placement"
@@ -194,6 +195,7 @@
 			}
 		case <-r.silence.timer.timer.Chan():
 			if !r.silence.timer.expired() {
+				r.markLate()
 				continue
 			}
 			if err := r.handleSilence(ctx); err != nil {
@@ -215,6 +217,7 @@
 		r.handleSending(a)
 	case eventBegun:
 		r.silence.timer.stop()
+		a.recordSign(r.d.clock.Now(), r.silence.overdue && r.isOverdue(a))
 	case eventData:
 		if err := r.handleData(a, e.data); err != nil {
 			return r.handleEnd(a, err)
@@ -229,6 +232,7 @@
 	now := r.d.clock.Now()
 	a.sent = true
 	a.lastSign = now
+	a.activity = r.d.activities.Begin(&a.grant.Endpoint, now)
 	r.silence.lastSign = now
 	limit := r.limits.first
 	switch a.occasion {
@@ -252,6 +256,7 @@
 			return err
 		}
 	}
+	wentOn := r.silence.overdue && r.isOverdue(a)
 	r.settle(a)
 	a.hasData = true
 	r.maybeExecuted = true
@@ -262,6 +267,7 @@
 	// silence.
 	now := r.d.clock.Now()
 	a.lastSign = now
+	a.recordSign(now, wentOn)
 	r.silence.since, r.silence.lastSign = now, now
 	r.silence.timer.start(now, r.limits.between)
 	return nil
@@ -355,22 +361,28 @@
 		r.maybeExecuted = true
 		return r.refusal(outcome.ReasonSilent, "no endpoint has sent anything within the deadline")
 	}
-	o, next := afterSilence, r.limits.first
+	o, limit, next := afterSilence, r.limits.first, r.limits.first
 	switch {
 	case len(r.open) == 1 && r.open[0].hasData:
-		next = r.limits.between
+		limit, next = r.limits.between, r.limits.between
 	case len(r.open) == 1 && lasted < r.limits.first:
-		o, next = asHedge, r.limits.first-r.limits.hedge
+		o, limit, next = asHedge, r.limits.hedge, r.limits.first-lasted
 	}
-	if o == afterSilence {
+	waitsOut := r.silence.overdue && r.silence.alone == aloneShared
+	if o == afterSilence && !waitsOut {
 		r.silence.overdue = true
 		r.closeIdle()
 	}
-	reason := r.reasonAlone()
-	if reason == "" {
+	reason := r.reasonAlone(lasted >= activity.SharedFactor*limit)
+	switch reason {
+	case "":
 		r.launch(ctx, o)
+	case aloneShared:
+		next = min(next, activity.AskInterval)
+	}
+	if !waitsOut || reason != aloneShared {
+		r.setAlone(reason)
 	}
-	r.setAlone(reason)
 	r.silence.timer.start(now, next)
 	return nil
 }
--- a/internal/dispatch/run_test.go
+++ b/internal/dispatch/run_test.go
@@ -6,9 +6,11 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/beechhead/beechhead/internal/activity"
 	"github.com/beechhead/beechhead/internal/metric"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
 	"github.com/beechhead/beechhead/internal/placement"
+	"github.com/beechhead/beechhead/internal/quarantine"
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
@@ -47,6 +49,60 @@
 	}
 }
 
+// Guards against using up the retry budget in a silence that most endpoints share, and
+// against waiting for a hung endpoint as long as for a shared silence.
+func TestSharedSilenceIsWaitedOut(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// silent is the number of the three endpoints that are silent.
+		silent int
+		lasted time.Duration
+		want   string
+	}{
+		{"all are silent", 3, 2 * time.Second, aloneShared},
+		{"all are silent for twice the time", 3, 4 * time.Second, ""},
+		{"one is silent", 1, 2 * time.Second, ""},
+	} {
+		clock := clockwork.NewFakeClock()
+		d := NewDispatcher(clock, nil, nil, nil, nil, quarantine.NewList(clock), metric.NewRegistry())
+		var runs []*run
+		for _, e := range []table.EndpointName{"a", "b", "c"} {
+			c := &chatRun{}
+			r := &c.run
+			*r = run{class: &table.Class{Idempotent: true}, request: placement.Request{Pool: "p"}, limits: silenceLimits{first: 2 * time.Second, between: 2 * time.Second}}
+			r.start(d, c)
+			a := &attempt{run: r, grant: &placement.Grant{Endpoint: table.Endpoint{Name: e, Pool: "p"}}, verdict: make(chan peerv1.ReleaseOutcome, 1), cancel: func(error) {}}
+			r.open = []*attempt{a}
+			r.handleSending(a)
+			runs = append(runs, r)
+		}
+		for range tt.lasted / (100 * time.Millisecond) {
+			clock.Advance(100 * time.Millisecond)
+			for i, r := range runs {
+				if i >= tt.silent {
+					r.open[0].recordSign(clock.Now(), false)
+				}
+				select {
+				case <-r.silence.timer.timer.Chan():
+					r.silence.timer.expired()
+					r.markLate()
+				default:
+				}
+			}
+		}
+		long := tt.lasted >= activity.SharedFactor*runs[0].limits.first
+		if got := runs[0].reasonAlone(long); got != tt.want {
+			t.Errorf("%s: no other attempt because of %q, want %q", tt.name, got, tt.want)
+		}
+		for _, r := range runs {
+			r.dropAll()
+		}
+		if d.activities.IsAwaited("a") {
+			t.Errorf("%s: the endpoint of an attempt that has ended is awaited", tt.name)
+		}
+	}
+}
+
 // Guards against engines that count as failed for a silence that they shared
 // with all others, and against hung ones that do not.
 func TestOutcomeOfSilentAttempts(t *testing.T) {
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -5,6 +5,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/beechhead/beechhead/internal/activity"
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/pkg/table"
 )
@@ -116,11 +117,13 @@
 	aloneNotResumable  = "notResumable"
 	aloneAttempts      = "attempts"
 	aloneNoSlot        = "noSlot"
+	aloneShared        = "sharedSilence"
 )
 
 // reasonAlone returns why no other attempt can be made, or nothing if one can.
-// It then has taken a retry from the budget.
-func (r *run) reasonAlone() string {
+// It then has taken a retry from the budget. A silence that most endpoints share is
+// waited out until it is long.
+func (r *run) reasonAlone(long bool) string {
 	switch {
 	case !r.class.Idempotent:
 		return aloneNotIdempotent
@@ -132,6 +135,8 @@
 		return aloneNoSlot
 	case r.d.suspects.IsQuarantined(r.fingerprint):
 		return string(outcome.ReasonQuarantined)
+	case !long && r.d.activities.IsShared(r.request.Pool, r.d.clock.Now()):
+		return aloneShared
 	case !r.budget.Take():
 		r.d.metrics.Inc("retryBudget.exhausted")
 		return string(outcome.ReasonRetryBudget)
@@ -149,6 +154,33 @@
 	return false
 }
 
+// markLate counts the silent attempts as late if the deadline is almost over.
+func (r *run) markLate() {
+	if !r.silence.timer.inGrace {
+		return
+	}
+	for _, a := range r.open {
+		if a.sent && !a.late && r.d.clock.Since(a.lastSign) >= activity.Recently {
+			a.late = true
+			a.activity.AddLate(1)
+		}
+	}
+}
+
+// recordSign records that the endpoint has sent something; wentOn reports whether it
+// was silent before.
+func (a *attempt) recordSign(now time.Time, wentOn bool) {
+	a.activity.Record(now, wentOn)
+	a.endLate()
+}
+
+func (a *attempt) endLate() {
+	if a.late {
+		a.late = false
+		a.activity.AddLate(-1)
+	}
+}
+
 // setAlone records why no other attempt was made.
 func (r *run) setAlone(reason string) {
 	r.silence.alone = reason
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -268,6 +268,20 @@
 	}
 }
 
+// Guards against second attempts that use up the retry budget while all engines
+// are silent, so that none is left for an engine that hangs.
+func TestSharedSilenceUsesNoRetries(t *testing.T) {
+	t.Parallel()
+	const streams = 24
+	s := startPausingSite(t, 3, 16)
+	wait := s.stream(t, "stream", streams, 60)
+	pauseAll(s.engines, 2600*time.Millisecond)
+	wait()
+	if n, _ := s.requests(); n != streams {
+		t.Errorf("engines received %d requests for %d answers", n, streams)
+	}
+}
+
 // Guards against answers of requests that must not run twice, which break off
 // though their engine goes on.
 func TestSilentEngineOfARequestThatMustNotRunTwiceIsWaitedFor(t *testing.T) {
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/beechhead/beechhead/internal/activity"
 	"github.com/beechhead/beechhead/internal/http1"
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
@@ -40,7 +41,7 @@
 
 	// activity is what this daemon has heard from the endpoint; nil until the request is
 	// sent.
-	activity *endpointActivity
+	activity *activity.Endpoint
 
 	// The fields below are guarded by run.mu.
 
@@ -112,7 +113,7 @@
 	report := placement.Report{Outcome: c.result.report, Duration: r.f.Clock.Since(began), Tokens: c.events}
 	r.mu.Unlock()
 	if c.activity != nil {
-		c.activity.end()
+		c.activity.End()
 	}
 	c.grant.Release(report)
 }
@@ -195,7 +196,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c.lastSign = r.f.Clock.Now()
-	c.activity = r.f.activities.begin(&c.grant.Endpoint, c.lastSign)
+	c.activity = r.f.activities.Begin(&c.grant.Endpoint, c.lastSign)
 	r.reached, c.sent = true, true
 	if c.hedge {
 		r.f.Metrics.CountRetry(outcome.ReasonSilent)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/beechhead/beechhead/internal/activity"
 	"github.com/beechhead/beechhead/internal/boottime"
 	"github.com/beechhead/beechhead/internal/catalog"
 	"github.com/beechhead/beechhead/internal/http1"
@@ -174,7 +175,7 @@
 	// each endpoint if there are several.
 	OnBegun func(r *Request)
 
-	activities activityTracker
+	activities activity.Tracker
 }
 
 // ErrTruncated reports that a response was truncated after its head was forwarded.
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -67,7 +67,7 @@
 		}
 	}
 	if c.hedge {
-		excluded = append(excluded, r.f.activities.silent(r.req.Pool, r.f.Clock.Now())...)
+		excluded = append(excluded, r.f.activities.Silent(r.req.Pool, r.f.Clock.Now())...)
 	}
 	request := placement.Request{
 		Pool:            r.req.Pool,
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/beechhead/beechhead/internal/activity"
 	"github.com/beechhead/beechhead/internal/catalog"
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
@@ -17,16 +18,13 @@
 	targetsUntilSilent = 4
 	// minSilence is the lower limit of that time: recovery from a lost packet takes
 	// that long.
-	minSilence = 1200 * time.Millisecond
+	minSilence = 2 * activity.Recently
 	// hedgeInterval is the time until the next attempt is tried when an endpoint
 	// is silent and no further attempt was possible, or it has failed.
-	hedgeInterval = 250 * time.Millisecond
+	hedgeInterval = activity.AskInterval
 	// pausedAfter is how late a timer expires if this process was paused. What
 	// endpoints sent meanwhile is then read first, which takes less than that.
 	pausedAfter = 100 * time.Millisecond
-	// sharedSilenceFactor is the multiple of the time after which an endpoint counts as
-	// silent for which a silence that others share is waited out.
-	sharedSilenceFactor = 2
 	// never is longer than any request.
 	never = 24 * time.Hour
 )
@@ -110,7 +108,7 @@
 		r.nextHedge = now.Add(pausedAfter)
 		return
 	}
-	why := r.hedgeObstacle(ctx, quiet >= sharedSilenceFactor*limit)
+	why := r.hedgeObstacle(ctx, quiet >= activity.SharedFactor*limit)
 	r.recordSilent(c, quiet, first, why)
 	if why != "" {
 		r.nextHedge = now.Add(hedgeInterval)
@@ -126,7 +124,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return obstacleEnded
-	case !long && r.f.activities.isShared(r.req.Pool, r.f.Clock.Now()):
+	case !long && r.f.activities.IsShared(r.req.Pool, r.f.Clock.Now()):
 		return obstacleShared
 	case r.tried || r.checkQuarantine(false) != nil:
 		// A trial may end its endpoint, and no second one at the same time.
@@ -191,7 +189,7 @@
 		c.run.recordWentOn(c, now.Sub(c.lastSign))
 	}
 	c.lastSign = now
-	c.activity.record(now, c.silent)
+	c.activity.Record(now, c.silent)
 	c.silent = false
 	c.endLate()
 }
@@ -199,14 +197,14 @@
 func (c *call) beginLate() {
 	if !c.late {
 		c.late = true
-		c.activity.addLate(1)
+		c.activity.AddLate(1)
 	}
 }
 
 func (c *call) endLate() {
 	if c.late {
 		c.late = false
-		c.activity.addLate(-1)
+		c.activity.AddLate(-1)
 	}
 }
 
@@ -220,7 +218,7 @@
 	}
 	if first || why == "" {
 		r.f.Logger.Info("endpoint silent", "request", r.req.ID, "class", r.req.Class, "endpoint", c.grant.Endpoint.Name, "events", r.events,
-			"silentMs", quiet.Milliseconds(), "asksAnother", why == "", "why", why, "silentEndpoints", len(r.f.activities.silent(r.req.Pool, r.f.Clock.Now())))
+			"silentMs", quiet.Milliseconds(), "asksAnother", why == "", "why", why, "silentEndpoints", len(r.f.activities.Silent(r.req.Pool, r.f.Clock.Now())))
 	}
 }
 
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -322,10 +322,7 @@
 			Body: func([]byte) error {
 				if calls++; calls == 2 {
 					<-bubbleclock.After(5 * time.Second)
-					f.activities.mu.Lock()
-					defer f.activities.mu.Unlock()
-					_, open := f.activities.endpoints["b"]
-					over = !open
+					over = !f.activities.IsAwaited("b")
 				}
 				return nil
 			},
@@ -336,42 +333,3 @@
 		}
 	})
 }
-
-// Guards against using up the retry budget on endpoints that are silent as well.
-func TestSilentEndpointsAreNotAskedInPlaceOfEachOther(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		var s activityTracker
-		clock := bubbleclock.New()
-		endpoints := []*table.Endpoint{{Name: "a", Pool: "p"}, {Name: "b", Pool: "p"}, {Name: "c", Pool: "q"}, {Name: "d", Pool: "p"}}
-		var all []*endpointActivity
-		for _, e := range endpoints {
-			h := s.begin(e, clock.Now())
-			h.addLate(1)
-			all = append(all, h)
-		}
-		time.Sleep(minSilence)
-		if !s.isShared("p", clock.Now()) || s.isShared("q", clock.Now()) {
-			t.Error("the silence of three endpoints is not shared, or that of one is")
-		}
-		all[1].record(clock.Now(), true)
-		got := s.silent("p", clock.Now())
-		slices.Sort(got)
-		if fmt.Sprint(got) != "[a d]" {
-			t.Errorf("silent endpoints: %s, want a and d, since b has sent something", got)
-		}
-		if !s.isShared("p", clock.Now()) {
-			t.Error("a silence that ends at one endpoint is not shared by the others any more")
-		}
-		time.Sleep(2 * hedgeInterval)
-		if s.isShared("p", clock.Now()) {
-			t.Error("a silence is shared although an endpoint has sent something")
-		}
-		for _, h := range all {
-			h.addLate(-1)
-			h.end()
-		}
-		if len(s.endpoints) > 0 {
-			t.Errorf("%d endpoints are kept without a response that is awaited", len(s.endpoints))
-		}
-	})
-}
