Record once a request that it is kept back

A quarantined request whose endpoint is silent was logged as "request kept back" each 250 ms, since every look for another endpoint asks whether the request is quarantined, and a quarantined part was counted in quarantine.partRefused as often.

Weighed: a check without a record for hedges only, which would leave out the reason of a request that is never hedged and never refused; and a record once a request (taken).

TestQuarantinedRequestIsLoggedOnce without the change: logged as kept back 32 times in both cases, counted 32 times for a part, want once. With it, once.

--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -20,15 +20,22 @@
 
 // checkQuarantine returns a refusal if the request or a part of its prompt is
 // quarantined. It has no Retry-After, because a retry would be refused as well. If mayTry
-// is set, the request may become the trial of a part.
+// is set, the request may become the trial of a part. It is logged and counted once a
+// request: while an endpoint is silent, the question is asked again and again.
 func (r *run) checkQuarantine(mayTry bool) *outcome.Refusal {
 	if r.f.Quarantine.IsQuarantined(r.req.Fingerprint) {
-		r.f.Logger.Info("request kept back", "request", r.req.ID, "fingerprint", r.req.Fingerprint.String(), "class", r.req.Class)
+		if !r.keptBack {
+			r.f.Logger.Info("request kept back", "request", r.req.ID, "fingerprint", r.req.Fingerprint.String(), "class", r.req.Class)
+		}
+		r.keptBack = true
 		return outcome.NotRunError(outcome.ReasonQuarantined, quarantine.Message)
 	}
 	if part, ok := r.quarantinedPart(mayTry); ok {
-		r.f.Metrics.Inc("quarantine.partRefused")
-		r.f.Logger.Info("request kept back", "request", r.req.ID, "part", part.String(), "parts", sharedParts(r.req.Parts), "class", r.req.Class)
+		if !r.keptBack {
+			r.f.Metrics.Inc("quarantine.partRefused")
+			r.f.Logger.Info("request kept back", "request", r.req.ID, "part", part.String(), "parts", sharedParts(r.req.Parts), "class", r.req.Class)
+		}
+		r.keptBack = true
 		return outcome.NotRunError(outcome.ReasonQuarantined, quarantine.PartMessage)
 	}
 	return nil
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -48,6 +48,8 @@
 	failed       []table.EndpointName
 	// tried reports whether the request is the trial of a quarantined part.
 	tried bool
+	// keptBack reports whether it was recorded that the request is kept back.
+	keptBack bool
 	// reached reports whether an endpoint has received the request, terminatedEndpoint
 	// whether one has terminated while it ran it, completed whether one has completed it.
 	reached, terminatedEndpoint, completed bool
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -333,3 +334,45 @@
 		}
 	})
 }
+
+// Guards against logging that a quarantined request is kept back each time that another
+// endpoint is looked for while its own one is silent.
+func TestQuarantinedRequestIsLoggedOnce(t *testing.T) {
+	for name, quarantined := range map[string]func(f *Forwarder, r *Request, endpoint table.EndpointName){
+		"request": func(f *Forwarder, r *Request, endpoint table.EndpointName) {
+			f.Quarantine.RecordTermination(r.Fingerprint, endpoint)
+		},
+		"part": func(f *Forwarder, r *Request, endpoint table.EndpointName) {
+			f.Parts.RecordTermination(r.partKeys(), endpoint)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tt := &silenceScript{Kind: "stream", Attempts: 2}
+				f, _, end := silentSite([]string{"head, event 1, wait 9s, event 2, end", "head, event 2, end"})
+				var log strings.Builder
+				f.Logger = slog.New(slog.NewTextHandler(&log, nil))
+				f.Budget = func(table.Pool) Budget { return &fixedBudget{left: 9} }
+				f.MayTry = func(table.Pool) bool { return false }
+				r := tt.request(f)
+				r.Parts = []placement.Part{{ID: 1}, {ID: 2}}
+				err := f.Do(context.Background(), r, Sink{
+					Head: func(int, http.Header, int64) {},
+					Body: func([]byte) error {
+						for _, endpoint := range []table.EndpointName{"x", "y", "z"} {
+							quarantined(f, r, endpoint)
+						}
+						return nil
+					},
+				})
+				end()
+				if n := strings.Count(log.String(), "request kept back"); err != nil || n != 1 {
+					t.Errorf("%v; the request was logged as kept back %d times, want once", err, n)
+				}
+				if n := f.Metrics.Count("quarantine.partRefused"); n > 1 {
+					t.Errorf("the request was counted as kept back %d times", n)
+				}
+			})
+		})
+	}
+}
