Measure what silent endpoints cost a request

A silent request asks whether most endpoints are silent, and scans for that. Hypothesis: the scan pays for the number of endpoints. It does not: endpoints are tracked only while a response is awaited from them, so that the scan is of at most as many as there are open requests.

Nothing is changed therefore.

--- a/internal/activity/activity_test.go
+++ b/internal/activity/activity_test.go
@@ -49,3 +49,46 @@
 		}
 	})
 }
+
+// BenchmarkTracker measures what a request costs with 500 open requests, and a silent one
+// each time that another endpoint is looked for, by the number of endpoints.
+func BenchmarkTracker(b *testing.B) {
+	const open = 500
+	clock := bubbleclock.New()
+	for _, total := range []int{open, 20_000} {
+		endpoints := make([]table.Endpoint, total)
+		for i := range endpoints {
+			endpoints[i] = table.Endpoint{Name: table.EndpointName(fmt.Sprintf("endpoint-%d", i)), Pool: "p"}
+		}
+		prepare := func() *Tracker {
+			s := new(Tracker)
+			now := clock.Now()
+			for i := range endpoints {
+				h := s.Begin(&endpoints[i], now)
+				h.Record(now.Add(-2*Recently), false)
+				h.AddLate(1)
+				if i >= open {
+					h.AddLate(-1)
+					h.End()
+				}
+			}
+			return s
+		}
+		for name, do := range map[string]func(s *Tracker, i int){
+			"request": func(s *Tracker, i int) {
+				h := s.Begin(&endpoints[i%total], clock.Now())
+				h.Record(clock.Now(), false)
+				h.End()
+			},
+			"shared": func(s *Tracker, _ int) { s.IsShared("p", clock.Now()) },
+			"silent": func(s *Tracker, _ int) { s.Silent("p", clock.Now()) },
+		} {
+			b.Run(fmt.Sprintf("%s/endpoints=%d", name, total), func(b *testing.B) {
+				s := prepare()
+				for i := range b.N {
+					do(s, i)
+				}
+			})
+		}
+	}
+}
