Remove a switch that nothing sets, and say why counts go before the departure

Gateway.refusing was never set: the listener is closed once a leaving daemon accepts no more requests. The check and the field are removed.

The order of Flush and Depart is right and now says why: the reporter of usage expects counts of the hosts that are known. One that has departed is not among them, so that a window may count as complete without what it has begun.

Weighed: flushing once more after the departure, for requests that begin in the last 200 ms of a grace period that was exceeded; left out, since it has not been seen and departed hosts are not waited for.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -101,11 +101,6 @@
 // admit determines a request's route and account and reads its body. It returns
 // either the request to forward or a refusal.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, call *wire.CallerRequest, began time.Duration) (*forward.Request, *outcome.Refusal) {
-	if g.refusing.Load() {
-		refusal := outcome.NotRunError(outcome.ReasonLeaving, "this host is leaving")
-		refusal.RetryAfter = staleRetryAfter
-		return nil, refusal
-	}
 	if c, ok := r.Context().Value(connKey{}).(*framing.Conn); ok && c.Conflict() {
 		return nil, outcome.NotRunError(outcome.ReasonBadRequest, "the lengths of a request conflict")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,8 +112,6 @@
 
 	sampler    *logline.Sampler
 	inProgress atomic.Int64
-	// refusing is set when the graceful shutdown accepts no more requests.
-	refusing   atomic.Bool
 	callerHTTP *http.Server
 	peerHTTP   *http.Server
 	peerServer *peer.Server
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -57,6 +57,8 @@
 		g.wait(ctx, leavePollInterval)
 	}
 	if g.duties != nil {
+		// Before the departure: daemons that know of it expect no counts of this one any
+		// more, and may fix a window without them.
 		g.duties.exchange.Flush()
 	}
 	g.view.Depart()
