Ask endpoints again that were paused when a stream is to be continued

Before a stream is continued, its endpoint is probed. Cause: an endpoint that did not answer within 300 ms counted as a failed attempt and was excluded for the request. While all endpoints were paused, the request ended after four of them (1.2 s), or as soon as all of a smaller pool were excluded, though each would have answered a moment later. That holds for a caller who takes a stream up, whose request was refused, and for a stream whose endpoint has ended at that moment, which broke off (read in the code, not played). Everywhere else silence ends no attempt.

Hypotheses before the change: the limit of attempts that were not sent ends the request (pools of four and more), or the exclusion does (smaller ones).

An unanswered probe is no failed attempt now. Its endpoint is left for another one, and asked again once no other is left, until the caller leaves or the deadline.

Weighed: a longer wait for the probe, which keeps a request at a hung endpoint while others would go on, and only moves the limit; a probe that counts as a sent request, so that another endpoint is asked beside it, which is the larger change (left).

--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -5,6 +5,9 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+
+	"github.com/beechhead/beechhead/internal/http1"
 	"github.com/beechhead/beechhead/internal/placement"
 	"github.com/beechhead/beechhead/pkg/table"
 )
@@ -105,9 +108,12 @@
 		r.failed = append(r.failed, grant.Endpoint.Name)
 	}
 	r.terminatedEndpoint = r.terminatedEndpoint || e.terminated
-	if e.mayHaveRun {
+	switch {
+	case e.mayHaveRun:
 		r.mayHaveRun++
-	} else {
+	case errors.Is(e.err, http1.ErrSilent):
+		r.unanswered = append(r.unanswered, grant.Endpoint.Name)
+	default:
 		r.notRun++
 	}
 	r.f.Metrics.Inc("attempts." + string(e.reason))
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -38,7 +38,7 @@
 		backingOff, _ := r.f.Notices.BackingOff(r.req.Pool)
 		grant, err := r.f.Reserve(c.ctx, c.placementRequest(backingOff))
 		if err != nil {
-			if c.hedge || !r.awaitBackoff(c.ctx, err) && !r.awaitTable(c.ctx, err) {
+			if c.hedge || !c.awaitPaused(err) && !r.awaitBackoff(c.ctx, err) && !r.awaitTable(c.ctx, err) {
 				return err
 			}
 			continue
@@ -131,6 +131,14 @@
 	return until
 }
 
+// awaitPaused reports whether a reservation that was refused should be repeated, since
+// endpoints that have not answered a probe may only be paused. A probe has its own time to
+// wait, so that they are not asked again at once.
+func (c *call) awaitPaused(err error) bool {
+	refusal, ok := errors.Into[*outcome.Refusal](err)
+	return ok && refusal.Reason == outcome.ReasonNoEndpoint && c.ctx.Err() == nil && c.run.readmitUnanswered()
+}
+
 // awaitBackoff reports whether a reservation that was refused while endpoints have
 // asked for back-off should be repeated. It waits until the first of them may be used
 // again. If that takes too long, the refusal tells the caller when to return. It must be
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -46,6 +46,9 @@
 	// that may be due to different table versions.
 	staleRetries int
 	failed       []table.EndpointName
+	// unanswered lists those of the failed endpoints that have only not answered a probe.
+	// They may be paused, and are asked again if no others are left.
+	unanswered []table.EndpointName
 	// tried reports whether the request is the trial of a quarantined part.
 	tried bool
 	// keptBack reports whether it was recorded that the request is kept back.
@@ -161,6 +164,19 @@
 	}
 }
 
+// readmitUnanswered allows to ask the endpoints again that have not answered a probe, and
+// reports whether there are any. It must be called without mu.
+func (r *run) readmitUnanswered() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.unanswered) == 0 {
+		return false
+	}
+	r.failed = slices.DeleteFunc(r.failed, func(e table.EndpointName) bool { return slices.Contains(r.unanswered, e) })
+	r.unanswered = nil
+	return true
+}
+
 // retry makes another attempt after the last call in progress has ended, or ends the
 // request. A hedge that was not sent decides nothing: its slot was asked for under other
 // conditions than that of a retry.
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -376,3 +376,79 @@
 		})
 	}
 }
+
+// Guards against refusing to continue a stream since no endpoint has answered a probe while
+// all of them are paused, though each would answer a moment later.
+func TestStreamIsContinuedAfterAPauseOfAllEndpoints(t *testing.T) {
+	for name, endpoints := range map[string]int{"fewer than failed attempts allowed": 1, "some": 3, "more": 6} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const pause = 2600 * time.Millisecond
+				f, end := pausedSite(endpoints, pause)
+				r := (&silenceScript{Kind: "stream", Attempts: 2}).request(f)
+				r.LastEvent, r.Resumes = "1", "q"
+				if got, err := receive(f, r); err != nil || summary(got) != "2" {
+					t.Errorf("received %q, %v, want event 2", summary(got), err)
+				}
+				end()
+			})
+		})
+	}
+}
+
+// pausedSite returns a forwarder to endpoints that read nothing for a while, and then
+// answer probes and streams that go on at event 2. The function end waits until all have
+// ended.
+func pausedSite(endpoints int, pause time.Duration) (f *Forwarder, end func()) {
+	s := &site{}
+	for i := range endpoints {
+		s.urls = append(s.urls, "http://"+string(endpointName(i)))
+	}
+	f = newTestForwarder(s)
+	f.Clock = bubbleclock.New()
+	f.BootClock = boottime.FromClock(f.Clock)
+	f.Budget = func(table.Pool) Budget { return &fixedBudget{} }
+	f.LookupVersion = func(context.Context, *Request) (table.SoftwareVersion, *outcome.Refusal) { return "v1", nil }
+	f.Protocol.ReportTarget = "/report"
+	f.Protocol.ReadReport = func(*table.Endpoint, int, http.Header, []byte) (same, known bool) { return true, true }
+	goesOn := f.Clock.Now().Add(pause)
+	var wg sync.WaitGroup
+	f.Pool = http1.NewPool(f.Clock, func(context.Context, string) (net.Conn, error) {
+		here, there := net.Pipe()
+		wg.Go(func() {
+			defer func() { _ = there.Close() }()
+			<-bubbleclock.After(goesOn.Sub(f.Clock.Now()))
+			buf := make([]byte, 4096)
+			for {
+				n, err := there.Read(buf)
+				switch {
+				case err != nil:
+					return
+				case strings.HasPrefix(string(buf[:n]), "GET /report "):
+					_, _ = io.WriteString(there, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				default:
+					_, _ = io.WriteString(there, streamHead+"f\r\nid: 2\ndata: x\n\n\r\n0\r\n\r\n")
+				}
+			}
+		})
+		return here, nil
+	})
+	reserve := f.Reserve
+	f.Reserve = func(ctx context.Context, r placement.Request) (*placement.Grant, error) {
+		for i := range endpoints {
+			if !slices.Contains(r.Excluded, endpointName(i)) {
+				s.next = i
+				return reserve(ctx, r)
+			}
+		}
+		return nil, outcome.NotRunError(outcome.ReasonNoEndpoint, "all are excluded")
+	}
+	return f, func() {
+		<-bubbleclock.After(pause + 2*recheckDelay)
+		f.Pool.CloseIdleIf(func(string) bool { return true })
+		wg.Wait()
+		s.linkClosed = true
+		s.closeLink()
+		synctest.Wait()
+	}
+}
