Fetch no parts of prompts from excluded engines

A second attempt leaves out the engine that is silent, but might be told to fetch the shared parts of its prompt from just that one, which has them cached from the first attempt. Hypothesis by reading, confirmed by the test at the cell; that the second engine then waits for the first one was not played.

Weighed: dropping the source after the engine was chosen, which leaves the cost of the choice wrong; leaving the engine out where sources are looked for (taken).

TestNothingIsFetchedFromAnExcludedEngine without the change: "the second attempt was given e01 and fetches from e00, want nothing from e00".

--- a/internal/batching/choice.go
+++ b/internal/batching/choice.go
@@ -71,14 +71,15 @@
 	headroom       headroom
 }
 
-// Candidate evaluates a request for the choice of an engine.
-func (p *Pool) Candidate(g *RequestState, now time.Duration) Candidate {
+// Candidate evaluates a request for the choice of an engine. Nothing is fetched from
+// engines that excludes names; it is nil if there are none.
+func (p *Pool) Candidate(g *RequestState, excludes func(name string) bool, now time.Duration) Candidate {
 	r := &g.Prompt
 	c := Candidate{Prompt: r, headroom: p.headroomFor(g.Class, now), longRunning: p.isLongRunningBelow(g.Class, r)}
 	c.sensitivity = g.Class.sensitivity(r)
 	c.memory = unsharedMemory(r)
 	for _, e := range p.engines {
-		if e.Memory == 0 || e.Ejected(now) || p.isDisabled(Fetch) {
+		if e.Memory == 0 || e.Ejected(now) || p.isDisabled(Fetch) || excludes != nil && excludes(e.Name) {
 			continue
 		}
 		n := e.parts.Cached(r.Parts)
--- a/internal/schedule/batch_test.go
+++ b/internal/schedule/batch_test.go
@@ -225,6 +225,34 @@
 	}
 }
 
+// Guards against a second attempt that fetches parts of its prompt from the engine that
+// was silent to the first one, and waits for that engine as well.
+func TestNothingIsFetchedFromAnExcludedEngine(t *testing.T) {
+	clock := newFakeClock()
+	c := NewCell(clock)
+	cfg := Config{Classes: []ClassPolicy{{Name: "long", Weight: 1, FirstTokenTarget: 2 * time.Second}}, Endpoints: endpoints(3, 16)}
+	for i := range cfg.Endpoints {
+		cfg.Endpoints[i].CacheTokens = 600_000
+	}
+	c.Configure(cfg)
+	parts := []Part{{ID: 1, Tokens: 5000}, {ID: 2, Tokens: 200}}
+	ask := func(n int, excluded ...Endpoint) Decision {
+		c.Reserve(Request{ID: id(n), Class: "long", Account: "a", PromptTokens: 5200, EstimatedTokens: 100, Parts: parts, Excluded: excluded})
+		d := c.Step()
+		if len(d) != 1 || d[0].Endpoint == "" {
+			t.Fatalf("request %d: got %+v, want a slot", n, d)
+		}
+		return d[0]
+	}
+	silent := ask(1).Endpoint
+	clock.advance(500 * time.Millisecond)
+	c.Progress(id(1), Progress{FirstToken: 300 * time.Millisecond, Tokens: 1, Elapsed: 400 * time.Millisecond})
+	clock.advance(2 * time.Second)
+	if d := ask(2, silent); d.Endpoint == silent || d.FetchFrom == silent {
+		t.Errorf("the second attempt was given %s and fetches from %q, want nothing from %s", d.Endpoint, d.FetchFrom, silent)
+	}
+}
+
 // One engine hangs: it accepts requests, never sends a token and reports no
 // error. The missing first tokens alone must soon divert requests elsewhere.
 func TestHungEngineIsAvoided(t *testing.T) {
--- a/internal/schedule/endpoint.go
+++ b/internal/schedule/endpoint.go
@@ -125,7 +125,7 @@
 	}
 	p := batching.Candidate{Prompt: &g.Prompt}
 	if c.pool.Batches() {
-		p = c.pool.Candidate(&g.RequestState, now)
+		p = c.pool.Candidate(&g.RequestState, r.excludes(), now)
 	}
 	if preferred := c.prefixes.get(r.Prefix); preferred != nil && c.withinAffinityBound(preferred) && c.usable(preferred, r, &p, now) {
 		return preferred, nil
@@ -155,6 +155,14 @@
 	return len(r.Excluded) == 0 || !slices.Contains(r.Excluded, e.policy.Name)
 }
 
+// excludes returns a function that reports whether an endpoint is excluded; nil if none is.
+func (r *Request) excludes() func(name string) bool {
+	if len(r.Excluded) == 0 {
+		return nil
+	}
+	return func(name string) bool { return slices.Contains(r.Excluded, Endpoint(name)) }
+}
+
 // placementCost returns the cost of running a request on an endpoint; the lowest
 // is best. For a batching engine it also returns the engine to fetch parts of the
 // prompt from.
