Ask whether the fleet starts until a cell grants

Cause: TestStartingCoordinatorsShareEndpoints failed in 6 of 200 plays beside other work (47 of 20,000 requests refused). Traces of cells, grants and arrivals at endpoints show two causes in eight failed plays. In seven, a batch made the cell before the daemon's first tick, when it knew no ready host and none as starting; that it was not made in a start held for the rest of its wait, and it granted after 100 ms without a report, though half of the fleet started by then or another host ranked first. In one, the host that ranked first of four handed the cell to the fifth: grants that moved freed their slots at the old coordinator while they ran, and it granted them to a host that had not heard of the move, ten at once. That these two are all is inferred. Change: for 500 ms after its first table a daemon asks again, until the cell grants, whether the fleet starts or another reachable host ranks first, and waits, in a fleet of up to 32, until another host has reported, all within the 500 ms of before. In the same time it grants nothing in a cell that another reachable host coordinates. Withholding after any move would make requests of a serving fleet wait for news. No cost by hosts: the reports of at most 32 hosts are looked at, and only in those 500 ms. TestJoiningCoordinatorGrantsAtOnce, a daemon that joins 19 others, and TestStartingDaemonServesInPlaceOfASuspect pass before and after. No test or check is changed.

--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -20,6 +20,10 @@
 	// reportQuietPeriod ends the wait early when no report has arrived for this
 	// long. In a large fleet, hosts that hold no grants do not report.
 	reportQuietPeriod = 100 * time.Millisecond
+	// ReportAllMaxHosts is the number of hosts up to which each host reports to
+	// each new coordinator, even if it holds no grants there, so that the
+	// coordinator need not wait for it.
+	ReportAllMaxHosts = 32
 )
 
 // Coordinator schedules the requests of the cells that this daemon coordinates.
@@ -53,6 +57,9 @@
 	ranking *Ranking
 	// starting is the number of other hosts that are not ready yet.
 	starting int
+	// startEnds is when the start of this daemon ends: until then it may not know all
+	// hosts that are ready. It is zero before the first plan.
+	startEnds time.Time
 	// suspects holds the hosts that this daemon can't reach.
 	suspects map[membership.HostID]bool
 	// sessions holds the newest session of each entry daemon incarnation.
@@ -79,7 +86,7 @@
 	// lastReport is when the last report of grants arrived, or when the cell
 	// was created.
 	lastReport time.Time
-	// inStart is set if the cell was created while the fleet started.
+	// inStart is set if the cell was created while this daemon or the fleet started.
 	inStart bool
 	// reported holds the hosts that have reported their grants.
 	reported map[schedule.Host]bool
@@ -118,6 +125,9 @@
 func (c *Coordinator) Apply(t *table.Table, plan *Plan) {
 	c.mu.Lock()
 	before := c.plan
+	if before == nil {
+		c.startEnds = c.clock.Now().Add(recoveryTimeout)
+	}
 	same := before != nil && c.table == t && before.SameCells(plan)
 	c.table, c.plan = t, plan
 	c.planChanged = c.planChanged || !same
@@ -273,7 +283,7 @@
 		Cell:             schedule.NewCell(c.clock),
 		recoveryDeadline: c.clock.Now().Add(recoveryTimeout),
 		lastReport:       c.clock.Now(),
-		inStart:          c.fleetStarts(),
+		inStart:          c.starts() || c.fleetStarts(),
 		reported:         map[schedule.Host]bool{},
 	}
 	if c.discipline != schedule.ByTier {
@@ -288,13 +298,14 @@
 // have arrived, the cell does not know which slots are in use, and a grant
 // could assign a slot twice. While the fleet starts, other hosts may coordinate the
 // same cell before this daemon hears that they are ready; the requests here move
-// if one of them ranks first.
+// if one of them ranks first. How much of the fleet has started is asked until the cell
+// grants: when the cell is created, this daemon may have met one host or none.
 func (c *Coordinator) recovering(id ID, cell *cellState) bool {
 	if cell.recoveryDeadline.IsZero() {
 		return false
 	}
 	now := c.clock.Now()
-	inStart := cell.inStart && (c.fleetStarts() || !c.coordinates(id))
+	inStart := cell.inStart && (c.fleetStarts() || !c.firstReachable(id) || c.unknownToOthers(cell))
 	awaitsReports := now.Sub(cell.lastReport) < reportQuietPeriod && !c.allReported(cell)
 	if now.Before(cell.recoveryDeadline) && (inStart || awaitsReports) {
 		return true
@@ -303,6 +314,43 @@
 	return false
 }
 
+// handsOver reports whether requests and grants of a cell move to another host because
+// this daemon has just learned that it ranks first. A grant that moves frees its slot
+// here while it is still in use, and a host that has not heard yet must not get it.
+// After its start a daemon gets requests of a cell that another host coordinates if
+// that host can't be reached from there, so they must be served then.
+func (c *Coordinator) handsOver(id ID) bool {
+	return c.discipline == schedule.ByTier && c.starts() && !c.firstReachable(id)
+}
+
+// starts reports whether this daemon may not know all hosts that are ready.
+func (c *Coordinator) starts() bool { return c.clock.Now().Before(c.startEnds) }
+
+// firstReachable reports whether this daemon ranks first for a cell among the hosts that
+// it can reach.
+func (c *Coordinator) firstReachable(id ID) bool {
+	if len(c.suspects) == 0 {
+		return c.coordinates(id)
+	}
+	first, ok := c.ranking.FirstOf(id, c.plan.Region(id), func(h membership.HostID) bool { return !c.suspects[h] })
+	return ok && first.ID == c.self
+}
+
+// unknownToOthers reports whether no other host has reported to a cell, though in a fleet
+// of this size each one does as soon as it hears that this daemon is ready. Until then
+// another host may coordinate the cell.
+func (c *Coordinator) unknownToOthers(cell *cellState) bool {
+	if c.ranking.Hosts().Len() > ReportAllMaxHosts || c.allReported(cell) {
+		return false
+	}
+	for host := range cell.reported {
+		if host != schedule.Host(c.self) {
+			return false
+		}
+	}
+	return true
+}
+
 // fleetStarts reports whether at least half of the hosts that this daemon knows are not
 // ready yet.
 func (c *Coordinator) fleetStarts() bool {
@@ -343,7 +391,7 @@
 	out := outbox{}
 	for id := range c.dirty {
 		cell := c.cells[id]
-		if c.recovering(id, cell) {
+		if c.handsOver(id) || c.recovering(id, cell) {
 			continue
 		}
 		delete(c.dirty, id)
--- a/internal/placement/reassign.go
+++ b/internal/placement/reassign.go
@@ -12,13 +12,6 @@
 	"github.com/beechhead/beechhead/internal/settings"
 )
 
-const (
-	// reportAllMaxHosts is the number of hosts up to which each host reports to
-	// each new coordinator, even if it holds no grants there, so that the
-	// coordinator need not wait for it.
-	reportAllMaxHosts = 32
-)
-
 // Tick handles changes of the hosts and detects silent links. It must be called
 // several times per second.
 func (p *Placer) Tick() {
@@ -172,7 +165,7 @@
 // point of view of this daemon. In a large fleet, daemons that have nothing to
 // report do not open links for this.
 func (p *Placer) cellsWithNewCoordinator() []cell.ID {
-	if p.decidesLocally() || p.ranking.Hosts().Len() > reportAllMaxHosts {
+	if p.decidesLocally() || p.ranking.Hosts().Len() > cell.ReportAllMaxHosts {
 		return nil
 	}
 	var ids []cell.ID
