Keep the limits of batches that are merged

Cause: the outbox of a stream merges what is queued, and dropped the limits of all batches but the first. The first one is the greeting, so that a new coordinator was not told which endpoints are limited, brittle or leaving. A trace of a daemon that went on after a pause shows it: reports without limits from hosts that knew them, and grants to a brittle engine as if it were sound.

Change: limits are merged as the other lists are. proto.Merge for the whole batch was weighed: it keeps all lists, and takes the last instead of the highest batch number.

TestMergedBatchesKeepTheirLists looks at all lists of the protocol. Without the change: ReservationsRequest: 1 of 2 limits were kept. (The tests of placement merge with proto.Merge, and did not show it.)

--- a/internal/peer/outbox.go
+++ b/internal/peer/outbox.go
@@ -94,6 +94,7 @@
 		first.Holdings = append(first.Holdings, m.GetHoldings()...)
 		first.Progress = append(first.Progress, m.GetProgress()...)
 		first.Reported = append(first.Reported, m.GetReported()...)
+		first.Limits = append(first.Limits, m.GetLimits()...)
 		first.HoldingsComplete = first.GetHoldingsComplete() || m.GetHoldingsComplete()
 		first.Batch = max(first.GetBatch(), m.GetBatch())
 	}
