Recover cells that another daemon has coordinated meanwhile

Cause: a cell that its daemon had before grants at once when requests come back to it, by what it knew before: it waits for reports only when it is made. A traced daemon went on after a pause and granted four requests in the batch in which the first of the others reported, 15 ms before the last did. It had not noticed its pause.

Change: a cell recovers again when its daemon notices that it was paused, when it ranks first again, and when a host reports a second time that the coordinator is new to it. The first two alone miss a pause within a tick; the last alone misses fleets of more than 32 hosts, where hosts without grants do not report. Making the cells anew was weighed: it drops requests that wait and the grants of hosts that noticed nothing.

TestCoordinatorRecoversWhatItHadLost fails in each of its three cases when its part is taken out: granted at 1 s, 2 s and 2.025 s, although all slots are in use.

--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -81,8 +81,11 @@
 	lastReport time.Time
 	// inStart is set if the cell was created while the fleet started.
 	inStart bool
-	// reported holds the hosts that have reported their grants.
-	reported map[schedule.Host]bool
+	// reported holds the incarnations of hosts that have reported their grants.
+	reported map[sessionKey]bool
+	// ranksFirst is set if this daemon ranked first for the cell when it last looked,
+	// isLost if it did before and another daemon may have granted since.
+	ranksFirst, isLost bool
 }
 
 // disciplines maps policies to queue disciplines. PolicyCells and the empty
@@ -239,7 +242,8 @@
 // their recovery has ended before the first reservation arrives.
 func (c *Coordinator) updateCells(changed bool) {
 	for id, cell := range c.cells {
-		if !c.coordinates(id) && cell.Idle() {
+		c.updateRank(cell, c.coordinates(id))
+		if !cell.ranksFirst && cell.Idle() {
 			delete(c.cells, id)
 			delete(c.dirty, id)
 			delete(c.published, id)
@@ -256,6 +260,38 @@
 	}
 }
 
+// updateRank records whether this daemon ranks first for a cell. A cell that it has had
+// before recovers anew, since another daemon may have coordinated it meanwhile.
+func (c *Coordinator) updateRank(cell *cellState, ranksFirst bool) {
+	if ranksFirst && cell.isLost {
+		c.beginRecovery(cell)
+	}
+	cell.isLost = !ranksFirst && (cell.isLost || cell.ranksFirst)
+	cell.ranksFirst = ranksFirst
+}
+
+// RestartRecovery makes all cells wait for reports before they grant. It must be called
+// when this daemon has been paused: other daemons may have coordinated the cells
+// meanwhile, and what this one knows of their endpoints is from before.
+func (c *Coordinator) RestartRecovery() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, cell := range c.cells {
+		c.beginRecovery(cell)
+	}
+}
+
+// beginRecovery makes a cell wait for reports before it grants.
+func (c *Coordinator) beginRecovery(cell *cellState) {
+	if c.discipline != schedule.ByTier {
+		return
+	}
+	now := c.clock.Now()
+	cell.recoveryDeadline, cell.lastReport = now.Add(recoveryTimeout), now
+	cell.inStart = c.fleetStarts()
+	cell.reported = map[sessionKey]bool{}
+}
+
 // coordinates reports whether this daemon ranks first for a cell.
 func (c *Coordinator) coordinates(id ID) bool {
 	first, ok := c.ranking.First(id, c.plan.Region(id))
@@ -269,16 +305,8 @@
 	if cell := c.cells[id]; cell != nil {
 		return cell
 	}
-	cell := &cellState{
-		Cell:             schedule.NewCell(c.clock),
-		recoveryDeadline: c.clock.Now().Add(recoveryTimeout),
-		lastReport:       c.clock.Now(),
-		inStart:          c.fleetStarts(),
-		reported:         map[schedule.Host]bool{},
-	}
-	if c.discipline != schedule.ByTier {
-		cell.recoveryDeadline = time.Time{}
-	}
+	cell := &cellState{Cell: schedule.NewCell(c.clock)}
+	c.beginRecovery(cell)
 	cell.Configure(c.config(id))
 	c.cells[id] = cell
 	return cell
@@ -311,7 +339,7 @@
 
 func (c *Coordinator) allReported(cell *cellState) bool {
 	for _, h := range c.ranking.Hosts().All() {
-		if !cell.reported[schedule.Host(h.ID)] && !c.suspects[h.ID] {
+		if !cell.reported[sessionKey{schedule.Host(h.ID), h.Incarnation}] && !c.suspects[h.ID] {
 			return false
 		}
 	}
--- a/internal/cell/recovery_test.go
+++ b/internal/cell/recovery_test.go
@@ -171,3 +171,47 @@
 		})
 	}
 }
+
+// Guards against a coordinator that grants the slots of its cells as it knew them, when
+// another daemon has coordinated them meanwhile: while it was paused, or passed over.
+func TestCoordinatorRecoversWhatItHadLost(t *testing.T) {
+	const lost = time.Second
+	becomeNew := func(c *takeover) {
+		c.attach("host-08").Handle(&peerv1.ReservationsRequest{Batch: 1, Reported: []string{"late@r/0"}})
+	}
+	for _, tt := range []struct {
+		name string
+		lose func(*takeover)
+	}{
+		{"paused", func(c *takeover) {
+			c.clock.Advance(lost)
+			c.RestartRecovery()
+		}},
+		{"not noticed", becomeNew},
+		{"passed over", func(c *takeover) {
+			all := c.hosts
+			c.hosts = membership.NewSnapshot(all.All()[1:])
+			c.run(lost)
+			c.hosts = all
+			c.run(takeoverTick)
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newTakeover()
+			c.Configure(takeoverTable("late"))
+			c.run(time.Second)
+			becomeNew(c)
+			c.report("host-03", 3, "late")
+			tt.lose(c)
+			c.reserve("host-08", 7, "late")
+			c.run(3 * takeoverTick)
+			for i := range uint64(4) {
+				c.report(fmt.Sprintf("host-%02d", 10+i), 10+i, "late")
+			}
+			c.run(time.Second)
+			if at, ok := c.granted[7]; ok {
+				t.Errorf("granted at %v, although all slots are in use", at)
+			}
+		})
+	}
+}
