Tell a new coordinator what brittle endpoints may still refuse

Cause: a new coordinator did not know the refusals of the last 1.25 s, took grants that it adopted for accepted, and forgot with the last endpoint that had said so that a pool is brittle. On changes of coordinator it granted N requests on top of refusals that the last one had just had.

Change: hosts keep their refusals for 1.25 s, by sequence number, and send them with the limits; each counts once. Adopted grants without a first token are undecided, and so are those from before the first statement. The newest brittle statement in a cell outlasts its endpoint. Limits go with requests that move, and again after a change of ranking.

Weighed: a new coordinator that grants nothing for 1.25 s needs no message, and costs each change that time of the pool's service. Handing over the learned room as well: it is not needed for the bound, since refusals and undecided grants stay below N together.

--- a/internal/cell/session.go
+++ b/internal/cell/session.go
@@ -151,6 +151,9 @@
 		cell, name := c.cell(ID(l.GetCell())), schedule.Endpoint(l.GetEndpoint())
 		cell.SetRateLimit(name, l.GetPerSecond(), age)
 		cell.SetBrittle(name, int(l.GetRefusalsPerSecond()), age)
+		for _, t := range l.GetTurnedAway() {
+			cell.RecordRefusal(name, s.id(t.GetSequence()), time.Duration(t.GetAgeMs())*time.Millisecond)
+		}
 		if l.GetLeaving() {
 			cell.SetLeaving(name)
 		}
--- a/internal/placement/announcements.go
+++ b/internal/placement/announcements.go
@@ -18,6 +18,10 @@
 // coordinator again, to show that the endpoint still advertises it.
 const limitRefreshInterval = 100 * time.Millisecond
 
+// refusalLifetime is how long a coordinator that is new is told of a refusal: the second
+// that endpoints state, and the transit that schedule allows for.
+const refusalLifetime = 1250 * time.Millisecond
+
 // Limit is the number of requests that an endpoint accepts from all hosts
 // together, as advertised in a response.
 type Limit struct {
@@ -65,7 +69,16 @@
 	refusalsPerSecond int
 	// leaving stays set: no later request is sent to the endpoint.
 	leaving bool
-	at      time.Time
+	// turnedAway holds the requests of this daemon that the endpoint, which is brittle,
+	// has turned away within refusalLifetime.
+	turnedAway []turnedAway
+	at         time.Time
+}
+
+// turnedAway is a request that an endpoint has turned away.
+type turnedAway struct {
+	sequence uint64
+	at       time.Time
 }
 
 // sameAs reports whether two limits are equal, whenever they were advertised.
@@ -92,6 +105,7 @@
 	if a.Brittleness.Known {
 		seen.refusalsPerSecond = a.Brittleness.RefusalsPerSecond
 		g.notBrittle = a.Brittleness.RefusalsPerSecond == 0
+		p.forgetOthers(name, seen)
 	}
 	seen.leaving = seen.leaving || a.Leaving
 	if seen.sameAs(observedLimit{}) {
@@ -105,6 +119,38 @@
 	}
 }
 
+// forgetOthers removes what endpoints of a cell have stated that are no longer in the
+// table, if an endpoint states now that it is not brittle. The caller holds the lock.
+func (p *Placer) forgetOthers(name table.EndpointName, seen observedLimit) {
+	if seen.refusalsPerSecond > 0 {
+		return
+	}
+	for other, o := range p.limits {
+		if other != name && o.cell == seen.cell && p.plan.Endpoint(o.cell, other) == nil {
+			delete(p.limits, other)
+		}
+	}
+}
+
+// recordRefusal records that a brittle endpoint has turned a request away, so that the
+// next coordinator knows. The caller holds the lock.
+func (p *Placer) recordRefusal(name table.EndpointName, sequence uint64) {
+	seen, ok := p.limits[name]
+	if !ok || seen.refusalsPerSecond == 0 {
+		return
+	}
+	now := p.clock.Now()
+	var recent []turnedAway
+	for _, t := range seen.turnedAway {
+		if now.Sub(t.at) < refusalLifetime {
+			recent = append(recent, t)
+		}
+	}
+	recent = append(recent, turnedAway{sequence: sequence, at: now})
+	seen.turnedAway = recent
+	p.limits[name] = seen
+}
+
 // sendLimit sends an endpoint's limit to a coordinator, at once if it has changed.
 // The caller holds the lock.
 func (p *Placer) sendLimit(host membership.HostID, name table.EndpointName, seen observedLimit, changed bool) {
@@ -128,6 +174,14 @@
 	return limits
 }
 
+// forgetSentLimits has the limits sent again with the next reservations: a host that
+// coordinates a cell again may have forgotten them. The caller holds the lock.
+func (p *Placer) forgetSentLimits() {
+	for _, l := range p.links {
+		clear(l.limits)
+	}
+}
+
 // limitsForHost returns the limits in the cells that a host coordinates. The
 // caller holds the lock.
 func (p *Placer) limitsForHost(host membership.HostID) (limits []*peerv1.EndpointLimit) {
@@ -140,22 +194,42 @@
 }
 
 func (p *Placer) limitMessage(name table.EndpointName, seen observedLimit) *peerv1.EndpointLimit {
-	return &peerv1.EndpointLimit{
+	l := &peerv1.EndpointLimit{
 		Cell:      string(seen.cell),
 		Endpoint:  string(name),
 		PerSecond: seen.perSecond,
 
 		RefusalsPerSecond: uint32(seen.refusalsPerSecond),
 		Leaving:           seen.leaving,
-		AgeMs:             uint32(min(p.clock.Since(seen.at)/time.Millisecond, math.MaxUint32)),
+		AgeMs:             p.ageMs(seen.at),
+	}
+	for _, t := range seen.turnedAway {
+		if p.clock.Since(t.at) < refusalLifetime {
+			l.TurnedAway = append(l.TurnedAway, &peerv1.TurnedAway{Sequence: t.sequence, AgeMs: p.ageMs(t.at)})
+		}
 	}
+	return l
+}
+
+func (p *Placer) ageMs(at time.Time) uint32 {
+	return uint32(min(p.clock.Since(at)/time.Millisecond, math.MaxUint32))
 }
 
-// pruneLimits removes the limits of endpoints that are no longer in the table. The
+// pruneLimits removes the limits of endpoints that are no longer in the table. The newest
+// statement in a cell that its endpoint is brittle is kept: the endpoints of a pool are
+// brittle together, and the ones that have replaced it may not have responded yet. The
 // caller holds the lock.
 func (p *Placer) pruneLimits() {
+	newest := map[cell.ID]table.EndpointName{}
+	for name, seen := range p.limits {
+		last, ok := newest[seen.cell]
+		if seen.refusalsPerSecond > 0 && (!ok || seen.at.After(p.limits[last].at)) {
+			newest[seen.cell] = name
+		}
+	}
 	for name, seen := range p.limits {
-		if p.plan.Endpoint(seen.cell, name) == nil {
+		isKept := newest[seen.cell] == name && len(p.plan.Members(seen.cell)) > 0
+		if !isKept && p.plan.Endpoint(seen.cell, name) == nil {
 			delete(p.limits, name)
 		}
 	}
--- a/internal/placement/cluster_test.go
+++ b/internal/placement/cluster_test.go
@@ -37,6 +37,8 @@
 	dead        bool
 	// cutOff hosts receive no heartbeats and exchange no messages with others.
 	cutOff bool
+	// A paused host is cut off and does nothing.
+	paused bool
 
 	mu    sync.Mutex
 	links []*fakeLink
@@ -145,7 +147,7 @@
 	w.mu.Lock()
 	requests, responses := w.requests, w.responses
 	w.requests, w.responses = nil, nil
-	lost := w.silent || w.closed || w.from.dead || w.to.dead || w.from.cutOff != w.to.cutOff || (w.from.cutOff && w.from != w.to)
+	lost := w.silent || w.from.paused || w.to.paused || w.closed || w.from.dead || w.to.dead || w.from.cutOff != w.to.cutOff || (w.from.cutOff && w.from != w.to)
 	w.mu.Unlock()
 	if lost {
 		return false
@@ -207,7 +209,7 @@
 			s.exchangeHeartbeats(n)
 		}
 		for _, n := range s.nodes {
-			if n.dead {
+			if n.dead || n.paused {
 				continue
 			}
 			n.view.Sweep()
@@ -276,6 +278,26 @@
 	s.awaitBrokenLinks()
 }
 
+// setState lets a host announce a state.
+func (s *cluster) setState(n *node, state membership.State) {
+	n.info.State = state
+	n.info.Sequence++
+	n.view.UpdateSelf(func(h *membership.Host) { h.State, h.Sequence = state, n.info.Sequence })
+}
+
+func (s *cluster) pause(n *node) { n.paused, n.cutOff = true, true }
+
+// resume lets a paused host go on. As a daemon does, it refreshes its view of the
+// others before it handles any batch.
+func (s *cluster) resume(n *node) {
+	n.paused, n.cutOff = false, false
+	n.view.RestartSuspicion()
+	for _, other := range s.nodes {
+		s.exchangeHeartbeats(other)
+	}
+	n.coordinator.RestartRecovery()
+}
+
 // eventually delivers messages while the placers' goroutines run, until a condition
 // holds.
 func (s *cluster) eventually(ok func() bool) {
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -143,6 +143,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.pending, w.sequence)
+	if r.Outcome == peerv1.ReleaseOutcome_RELEASE_OUTCOME_REFUSED_BY_ENDPOINT {
+		p.recordRefusal(g.Endpoint.Name, w.sequence)
+	}
 	l := p.links[w.host.ID]
 	if l == nil || l.host.Incarnation != w.host.Incarnation {
 		p.unsettled[w.host.ID] = true
--- a/internal/placement/reassign.go
+++ b/internal/placement/reassign.go
@@ -109,6 +109,7 @@
 		return
 	}
 	p.rankingChanged = false
+	p.forgetSentLimits()
 	moves := map[membership.HostID]*reassignment{}
 	to := func(h membership.Host) *reassignment {
 		if moves[h.ID] == nil {
@@ -161,7 +162,7 @@
 		// The report that starts the new link includes the moved requests.
 		l = p.open(m.host)
 	} else {
-		p.sendPending(l, m.moved)
+		p.sendPending(l, m)
 	}
 	if len(m.reported) > 0 {
 		p.sendOn(l, &peerv1.ReservationsRequest{Reported: m.reported, Limits: p.limitsForHost(m.host.ID)})
@@ -186,12 +187,14 @@
 	return ids
 }
 
-func (p *Placer) sendPending(l *hostLink, moved []*pending) {
-	if len(moved) == 0 {
+// sendPending sends the requests that move to a host, with the limits in its cells: it
+// may grant at once.
+func (p *Placer) sendPending(l *hostLink, m *reassignment) {
+	if len(m.moved) == 0 {
 		return
 	}
-	req := &peerv1.ReservationsRequest{}
-	for _, w := range moved {
+	req := &peerv1.ReservationsRequest{Limits: p.limitsForHost(m.host.ID)}
+	for _, w := range m.moved {
 		p.appendPending(req, w)
 	}
 	p.sendOn(l, req)
--- a/internal/schedule/brittle.go
+++ b/internal/schedule/brittle.go
@@ -32,13 +32,14 @@
 	// roomAt when it was last changed.
 	room   int
 	roomAt time.Duration
-	// refusedAt holds the times of the refusals within refusalWindow.
-	refusedAt []time.Duration
+	// refusals holds the requests that were turned away within refusalWindow.
+	refusals []requestAt
 	// undecided holds the grants that the endpoint may still refuse.
-	undecided []undecidedGrant
+	undecided []requestAt
 }
 
-type undecidedGrant struct {
+// requestAt is a request that was granted, or turned away, at a time.
+type requestAt struct {
 	id RequestID
 	at time.Duration
 }
@@ -52,36 +53,40 @@
 		return true
 	}
 	b.expire(now)
-	return running < b.room && len(b.refusedAt)+len(b.undecided) < b.perSecond
+	return running < b.room && len(b.refusals)+len(b.undecided) < b.perSecond
 }
 
 func (b *brittleness) expire(now time.Duration) {
-	for len(b.refusedAt) > 0 && now-b.refusedAt[0] >= refusalWindow {
-		b.refusedAt = b.refusedAt[1:]
-	}
-	for len(b.undecided) > 0 && now-b.undecided[0].at >= acceptTime {
-		b.undecided = b.undecided[1:]
-	}
+	b.refusals = slices.DeleteFunc(b.refusals, func(r requestAt) bool { return now-r.at >= refusalWindow })
+	b.undecided = slices.DeleteFunc(b.undecided, func(g requestAt) bool { return now-g.at >= acceptTime })
 }
 
 // granted records a grant.
 func (b *brittleness) granted(id RequestID, now time.Duration) {
 	if b.isActive() {
-		b.undecided = append(b.undecided, undecidedGrant{id: id, at: now})
+		b.undecided = append(b.undecided, requestAt{id: id, at: now})
 	}
 }
 
 func (b *brittleness) decided(id RequestID) {
-	b.undecided = slices.DeleteFunc(b.undecided, func(g undecidedGrant) bool { return g.id == id })
+	b.undecided = slices.DeleteFunc(b.undecided, func(g requestAt) bool { return g.id == id })
 }
 
 // refused records that the endpoint has turned a request away while it ran others.
 func (b *brittleness) refused(id RequestID, running int, now time.Duration) {
 	b.decided(id)
-	b.refusedAt = append(b.refusedAt, now)
+	b.countRefusal(id, now)
 	b.room, b.roomAt = max(1, min(b.room, running)), now
 }
 
+// countRefusal records when a request was turned away, once: the host of the request
+// may also tell of it when the coordinator changes.
+func (b *brittleness) countRefusal(id RequestID, at time.Duration) {
+	if !slices.ContainsFunc(b.refusals, func(r requestAt) bool { return r.id == id }) {
+		b.refusals = append(b.refusals, requestAt{id: id, at: at})
+	}
+}
+
 // accepted records that the endpoint runs a request, or has run it, as one of a
 // number of requests. A full endpoint gets more room after a while, since it may
 // have more.
@@ -95,21 +100,30 @@
 	}
 }
 
+// RecordRefusal records that an endpoint turned away a request of another coordinator
+// the given time ago.
+func (c *Cell) RecordRefusal(name Endpoint, id RequestID, age time.Duration) {
+	if e := c.endpoints[name]; e != nil && age < refusalWindow {
+		e.brittle.countRefusal(id, c.now()-age)
+	}
+}
+
 // SetBrittle records how many requests an endpoint can turn away within a second,
-// according to a response received the given time ago.
+// according to a response received the given time ago. The endpoint may be gone; the
+// others of its pool are brittle like it.
 func (c *Cell) SetBrittle(name Endpoint, perSecond int, age time.Duration) {
-	e := c.endpoints[name]
-	if e == nil || perSecond <= 0 {
-		return
-	}
-	b, now := &e.brittle, c.now()
-	at := now - age
-	if b.isReported && at < b.reportedAt {
+	if perSecond <= 0 {
 		return
 	}
+	at := c.now() - age
 	perSecond = max(1, perSecond/max(1, c.share))
-	b.begin(perSecond, e.policy.Concurrency, now)
-	b.isReported, b.reportedAt = true, at
+	if e := c.endpoints[name]; e != nil {
+		if e.brittle.isReported && at < e.brittle.reportedAt {
+			return
+		}
+		c.beginBrittle(e, perSecond)
+		e.brittle.isReported, e.brittle.reportedAt = true, at
+	}
 	if c.poolBrittle.isReported && at < c.poolBrittle.at {
 		return
 	}
@@ -131,15 +145,23 @@
 // assumeBrittle treats an endpoint that has not responded yet like the others.
 func (c *Cell) assumeBrittle(e *endpointState) {
 	if !e.brittle.isReported && c.poolBrittle.perSecond > 0 {
-		e.brittle.begin(c.poolBrittle.perSecond, e.policy.Concurrency, c.now())
+		c.beginBrittle(e, c.poolBrittle.perSecond)
 	}
 }
 
-// begin sets the number of requests that the endpoint can turn away, and its room if it
-// was not brittle before.
-func (b *brittleness) begin(perSecond, concurrency int, now time.Duration) {
+// beginBrittle sets the number of requests that an endpoint can turn away. If it was not
+// brittle before, its room is what it registered, and it may still refuse what it was
+// granted last.
+func (c *Cell) beginBrittle(e *endpointState, perSecond int) {
+	b := &e.brittle
 	if !b.isActive() {
-		b.room, b.roomAt = concurrency, now
+		now := c.now()
+		b.room, b.roomAt = e.policy.Concurrency, now
+		for id, g := range c.entries {
+			if g.endpoint == e && !g.accepted && now-g.Granted < acceptTime {
+				b.undecided = append(b.undecided, requestAt{id: id, at: g.Granted})
+			}
+		}
 	}
 	b.perSecond = perSecond
 }
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -26,6 +26,8 @@
 	endpoint *endpointState
 	// adopted reports whether another coordinator issued the grant.
 	adopted bool
+	// accepted reports whether the endpoint has sent the first token.
+	accepted bool
 	// aged reports whether the grant was given by ageing; such grants are never
 	// preempted.
 	aged bool
--- a/internal/schedule/request.go
+++ b/internal/schedule/request.go
@@ -154,7 +154,10 @@
 	c.startGrant(e, to, now)
 	e.adopted = true
 	if h.FirstTokenReceived {
+		e.accepted = true
 		to.EndPrefill(&e.RequestState)
+	} else {
+		to.brittle.granted(e.request.ID, now)
 	}
 }
 
@@ -212,6 +215,7 @@
 	}
 	now := c.now()
 	c.recordSuccess(e.endpoint, e.Granted, now)
+	e.accepted = true
 	e.endpoint.brittle.accepted(id, e.endpoint.Running, e.endpoint.policy.Concurrency, now)
 	c.recordSpeed(e, p, now)
 	c.pool.RecordFirstToken(&e.endpoint.Engine, &e.RequestState, now)
--- a/internal/schedule/script_test.go
+++ b/internal/schedule/script_test.go
@@ -126,6 +126,8 @@
 		s.cell.SetLeaving(Endpoint(args[0]))
 	case "brittle":
 		s.cell.SetBrittle(Endpoint(args[0]), s.number(args, "perSecond"), s.duration(args, "age"))
+	case "refusal":
+		s.cell.RecordRefusal(Endpoint(args[1]), s.id(args[0]), s.duration(args, "age"))
 	case "load":
 		s.cell.ObserveLoad(Endpoint(args[0]), Load{Running: s.number(args, "running"), Waiting: s.number(args, "waiting")})
 	case "loadFailed":
