Take the time of a process from its start, not from the request for it

The starts of all programs go through one goroutine, and forking waits for it; that this took the time is inferred, since the record had no time of the fork. Change: the 500 ms count from the return of the start. The bound is the same.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -54,11 +54,15 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open log")
 	}
-	pr = &process{name: name, cmd: exec.Command(path, args...), done: make(chan struct{}), started: time.Now()}
+	pr = &process{name: name, cmd: exec.Command(path, args...), done: make(chan struct{})}
 	pr.cmd.Stdout, pr.cmd.Stderr = out, out
 	pr.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	started := make(chan error)
-	p.starts <- func() { started <- pr.cmd.Start() }
+	p.starts <- func() {
+		err := pr.cmd.Start()
+		pr.started = time.Now()
+		started <- err
+	}
 	if err := <-started; err != nil {
 		_ = out.Close()
 		return nil, errors.Wrapf(err, "start %s", name)
