--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -197,7 +197,10 @@
 	}
 	r.lookForEnds()
 	r.askAll()
-	return r.collect()
+	if err := r.collect(); err != nil {
+		return errors.Wrapf(err, "collect what was run, noted before: %v", r.rec.Noted)
+	}
+	return nil
 }
 
 // sleep waits; false means that the run is to end.
