--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -88,11 +88,8 @@
 	lastReport time.Time
 	// inStart is set if the cell was created while this daemon or the fleet started.
 	inStart bool
-	// reported holds the incarnations of hosts that have reported their grants.
-	reported map[sessionKey]bool
-	// ranksFirst is set if this daemon ranked first for the cell when it last looked,
-	// isLost if it did before and another daemon may have granted since.
-	ranksFirst, isLost bool
+	// reported holds the hosts that have reported their grants.
+	reported map[schedule.Host]bool
 }
 
 // disciplines maps policies to queue disciplines. PolicyCells and the empty
@@ -252,8 +249,7 @@
 // their recovery has ended before the first reservation arrives.
 func (c *Coordinator) updateCells(changed bool) {
 	for id, cell := range c.cells {
-		c.updateRank(cell, c.coordinates(id))
-		if !cell.ranksFirst && cell.Idle() {
+		if !c.coordinates(id) && cell.Idle() {
 			delete(c.cells, id)
 			delete(c.dirty, id)
 			delete(c.published, id)
@@ -270,38 +266,6 @@
 	}
 }
 
-// updateRank records whether this daemon ranks first for a cell. A cell that it has had
-// before recovers anew, since another daemon may have coordinated it meanwhile.
-func (c *Coordinator) updateRank(cell *cellState, ranksFirst bool) {
-	if ranksFirst && cell.isLost {
-		c.beginRecovery(cell)
-	}
-	cell.isLost = !ranksFirst && (cell.isLost || cell.ranksFirst)
-	cell.ranksFirst = ranksFirst
-}
-
-// RestartRecovery makes all cells wait for reports before they grant. It must be called
-// when this daemon has been paused: other daemons may have coordinated the cells
-// meanwhile, and what this one knows of their endpoints is from before.
-func (c *Coordinator) RestartRecovery() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, cell := range c.cells {
-		c.beginRecovery(cell)
-	}
-}
-
-// beginRecovery makes a cell wait for reports before it grants.
-func (c *Coordinator) beginRecovery(cell *cellState) {
-	if c.discipline != schedule.ByTier {
-		return
-	}
-	now := c.clock.Now()
-	cell.recoveryDeadline, cell.lastReport = now.Add(recoveryTimeout), now
-	cell.inStart = c.starts() || c.fleetStarts()
-	cell.reported = map[sessionKey]bool{}
-}
-
 // coordinates reports whether this daemon ranks first for a cell.
 func (c *Coordinator) coordinates(id ID) bool {
 	first, ok := c.ranking.First(id, c.plan.Region(id))
@@ -315,8 +279,16 @@
 	if cell := c.cells[id]; cell != nil {
 		return cell
 	}
-	cell := &cellState{Cell: schedule.NewCell(c.clock)}
-	c.beginRecovery(cell)
+	cell := &cellState{
+		Cell:             schedule.NewCell(c.clock),
+		recoveryDeadline: c.clock.Now().Add(recoveryTimeout),
+		lastReport:       c.clock.Now(),
+		inStart:          c.starts() || c.fleetStarts(),
+		reported:         map[schedule.Host]bool{},
+	}
+	if c.discipline != schedule.ByTier {
+		cell.recoveryDeadline = time.Time{}
+	}
 	cell.Configure(c.config(id))
 	c.cells[id] = cell
 	return cell
@@ -342,8 +314,8 @@
 	return false
 }
 
-// handsOver reports whether requests and grants of a cell move to another host because
-// this daemon has just learned that it ranks first. A grant that moves frees its slot
+// handsOver reports whether requests and grants of a cell move to another host, of which
+// this daemon has just learned that it is the first in the ranking. A grant that moves frees its slot
 // here while it is still in use, and a host that has not heard yet must not get it.
 // After its start a daemon gets requests of a cell that another host coordinates if
 // that host can't be reached from there, so they must be served then.
@@ -371,8 +343,8 @@
 	if c.ranking.Hosts().Len() > ReportAllMaxHosts || c.allReported(cell) {
 		return false
 	}
-	for s := range cell.reported {
-		if s.host != schedule.Host(c.self) {
+	for host := range cell.reported {
+		if host != schedule.Host(c.self) {
 			return false
 		}
 	}
@@ -387,7 +359,7 @@
 
 func (c *Coordinator) allReported(cell *cellState) bool {
 	for _, h := range c.ranking.Hosts().All() {
-		if !cell.reported[sessionKey{schedule.Host(h.ID), h.Incarnation}] && !c.suspects[h.ID] {
+		if !cell.reported[schedule.Host(h.ID)] && !c.suspects[h.ID] {
 			return false
 		}
 	}
--- a/internal/cell/session.go
+++ b/internal/cell/session.go
@@ -168,24 +168,15 @@
 		s.release(r)
 	}
 	for _, id := range req.GetReported() {
-		s.recordReport(c.cell(ID(id)))
+		cell := c.cell(ID(id))
+		cell.lastReport = s.lastBatch
+		cell.reported[s.key.host] = true
 	}
 	if req.GetHoldingsComplete() {
 		s.reconcile(req)
 	}
 }
 
-// recordReport records that the daemon has reported what it has in a cell. It reports
-// whenever its coordinator of the cell has changed. If it had reported before, another
-// daemon has coordinated the cell meanwhile, and the cell recovers anew.
-func (s *Session) recordReport(cell *cellState) {
-	if cell.reported[s.key] && cell.recoveryDeadline.IsZero() {
-		s.c.beginRecovery(cell)
-	}
-	cell.lastReport = s.lastBatch
-	cell.reported[s.key] = true
-}
-
 // reconcile treats a batch as the complete state of the daemon at this
 // coordinator and drops everything that the batch does not contain: the
 // releases and cancels for it may have been lost with an earlier connection.
--- a/internal/cellhost/cellhost.go
+++ b/internal/cellhost/cellhost.go
@@ -106,9 +106,8 @@
 	h.pauses.lastTick = h.Clock.Now()
 }
 
-// RefreshAfterPause updates the membership view if the daemon was paused, and has the
-// local coordinator wait for reports before it grants anything. It reports whether the
-// daemon was paused.
+// RefreshAfterPause updates the membership view if the daemon was paused. It
+// reports whether it was.
 func (h *Host) RefreshAfterPause(ctx context.Context) bool {
 	if !h.pauses.suspected(h.Clock) {
 		return false
@@ -116,7 +115,6 @@
 	h.Metrics.Inc("hosts.paused")
 	h.View.RestartSuspicion()
 	h.RefreshView(ctx)
-	h.Coordinator.RestartRecovery()
 	return true
 }
 
