Look for statements of removed endpoints only if one is kept

Every signed response says whether its endpoint is brittle, and for each all limits that a daemon knows were looked through under the placer's lock. Now only while the statement of an endpoint is kept that is no longer in the table. Found by reading; not measured.

--- a/internal/placement/announcements.go
+++ b/internal/placement/announcements.go
@@ -105,7 +105,9 @@
 	if a.Brittleness.Known {
 		seen.refusalsPerSecond = a.Brittleness.RefusalsPerSecond
 		g.notBrittle = a.Brittleness.RefusalsPerSecond == 0
-		p.forgetOthers(name, seen)
+		if p.keepsGone {
+			p.forgetOthers(name, seen)
+		}
 	}
 	seen.leaving = seen.leaving || a.Leaving
 	if seen.sameAs(observedLimit{}) {
@@ -227,9 +229,13 @@
 			newest[seen.cell] = name
 		}
 	}
+	p.keepsGone = false
 	for name, seen := range p.limits {
-		isKept := newest[seen.cell] == name && len(p.plan.Members(seen.cell)) > 0
-		if !isKept && p.plan.Endpoint(seen.cell, name) == nil {
+		switch {
+		case p.plan.Endpoint(seen.cell, name) != nil:
+		case newest[seen.cell] == name && len(p.plan.Members(seen.cell)) > 0:
+			p.keepsGone = true
+		default:
 			delete(p.limits, name)
 		}
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -96,6 +96,8 @@
 	unsettled map[membership.HostID]bool
 	pressures map[cell.ID]pressure
 	limits    map[table.EndpointName]observedLimit
+	// keepsGone reports whether limits has endpoints that are no longer in the table.
+	keepsGone bool
 	// share is the number of hosts among which the endpoints are divided while
 	// this daemon decides alone, or 1.
 	share int
