Log the failed probes of paused endpoints once a request

A stream that is to be continued while all endpoints of its version are paused asks each of them again until its deadline, some three times a second, and each time logged a failed attempt. Only those before the endpoints were asked again are logged now; attempts.silent and the like go on counting. Found by reading; not measured.

--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -108,10 +108,11 @@
 		r.failed = append(r.failed, grant.Endpoint.Name)
 	}
 	r.terminatedEndpoint = r.terminatedEndpoint || e.terminated
+	isUnanswered := !e.mayHaveRun && errors.Is(e.err, http1.ErrSilent)
 	switch {
 	case e.mayHaveRun:
 		r.mayHaveRun++
-	case errors.Is(e.err, http1.ErrSilent):
+	case isUnanswered:
 		r.unanswered = append(r.unanswered, grant.Endpoint.Name)
 	default:
 		r.notRun++
@@ -120,6 +121,9 @@
 	if e.terminated {
 		r.f.recordTermination(r.req, grant.Endpoint.Name)
 	}
+	if isUnanswered && r.readmitted {
+		return
+	}
 	r.f.Logger.Info("attempt failed", "request", r.req.ID, "class", r.req.Class, "endpoint", grant.Endpoint.Name, "version", grant.Endpoint.SoftwareVersion, "via", c.via,
 		"fingerprint", r.req.Fingerprint.String(), "parts", sharedParts(r.req.Parts), "coordinator", grant.Coordinator(),
 		"reason", e.reason, "mayHaveRun", e.mayHaveRun, "endpointEnded", e.terminated, "events", r.events,
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -49,6 +49,9 @@
 	// unanswered lists those of the failed endpoints that have only not answered a probe.
 	// They may be paused, and are asked again if no others are left.
 	unanswered []table.EndpointName
+	// readmitted reports whether such endpoints were asked again. Their failures are then
+	// no longer logged, since each may come three times a second.
+	readmitted bool
 	// tried reports whether the request is the trial of a quarantined part.
 	tried bool
 	// keptBack reports whether it was recorded that the request is kept back.
@@ -173,7 +176,7 @@
 		return false
 	}
 	r.failed = slices.DeleteFunc(r.failed, func(e table.EndpointName) bool { return slices.Contains(r.unanswered, e) })
-	r.unanswered = nil
+	r.unanswered, r.readmitted = nil, true
 	return true
 }
 
