Hold no response against an endpoint that may have terminated

A response that is delimited by the end of its connection is broken off if connections are refused after it, by the endpoint's machine or by the path. It was reported to the coordinator as a failure of the endpoint all the same, so that a host that has lost its own path while no other host is ready would eject sound endpoints; the path counts as lost only after a tunnel has worked. Found by reading. The report to the coordinator is not covered by a test.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -144,7 +144,7 @@
 		r.f.Pool.CloseIdle(address(endpoint))
 	}
 	e.terminated = c.terminated(e, endpoint)
-	if e.mayHaveRun && !e.terminated && r.f.PathLost(address(endpoint)) {
+	if e.mayHaveRun && !e.terminated && (errors.Is(e.err, errMayHaveTerminated) || r.f.PathLost(address(endpoint))) {
 		e.report = peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE
 	}
 	return e
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -24,7 +24,12 @@
 	terminationTime = 20 * time.Millisecond
 )
 
-var errEndpointTerminated = errors.New("the response ended with its endpoint")
+var (
+	errEndpointTerminated = errors.New("the response ended with its endpoint")
+	// errMayHaveTerminated reports that connections are refused after the response, by the
+	// endpoint's machine or by the path. It counts against neither.
+	errMayHaveTerminated = errors.New("the response may have ended with its endpoint")
+)
 
 var errUnsigned = errors.New("a success without the endpoint's signature")
 
@@ -51,19 +56,26 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
-// endedWithEndpoint reports whether a response that is delimited by the end of its
-// connection may have ended because its endpoint terminated.
-func (c *call) endedWithEndpoint(resp *http.Response) bool {
+// checkEnd returns an error if a response that is delimited by the end of its connection
+// may have ended because its endpoint terminated.
+func (c *call) checkEnd(resp *http.Response) error {
 	f := c.run.f
 	if isFramed(resp) {
-		return false
+		return nil
 	}
 	select {
 	case <-c.ctx.Done():
-		return false
+		return nil
 	case <-f.Clock.After(terminationTime):
 	}
-	return f.Pool.MayHaveTerminated(c.ctx, address(&c.grant.Endpoint))
+	refused, isCertain := f.Pool.MayHaveTerminated(c.ctx, address(&c.grant.Endpoint))
+	switch {
+	case isCertain:
+		return errEndpointTerminated
+	case refused:
+		return errMayHaveTerminated
+	}
+	return nil
 }
 
 // readResponse reads the response and forwards it.
@@ -135,8 +147,8 @@
 		return c.forwardLong(x, resp, a)
 	}
 	x.Finish()
-	if c.endedWithEndpoint(resp) {
-		return failedResult(outcome.ReasonTruncated, errEndpointTerminated)
+	if err := c.checkEnd(resp); err != nil {
+		return failedResult(outcome.ReasonTruncated, err)
 	}
 	if err := c.takeWhole(a); err != nil {
 		return failedResult(outcome.ReasonEndpointFailed, err)
@@ -188,8 +200,8 @@
 				return failedResult(outcome.ReasonCallerGone, err)
 			}
 			x.Finish()
-			if c.endedWithEndpoint(resp) {
-				return failedResult(outcome.ReasonTruncated, errEndpointTerminated)
+			if err := c.checkEnd(resp); err != nil {
+				return failedResult(outcome.ReasonTruncated, err)
 			}
 			return forwardedResult(resp)
 		default:
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -64,8 +64,8 @@
 	if len(pending) > 0 {
 		return failedResult(outcome.ReasonTruncated, errPartialEvent)
 	}
-	if c.endedWithEndpoint(resp) {
-		return failedResult(outcome.ReasonTruncated, errEndpointTerminated)
+	if err := c.checkEnd(resp); err != nil {
+		return failedResult(outcome.ReasonTruncated, err)
 	}
 	c.run.mu.Lock()
 	defer c.run.mu.Unlock()
--- a/internal/gateway/cutoff_test.go
+++ b/internal/gateway/cutoff_test.go
@@ -278,8 +278,8 @@
 			if got := pool.HasTerminated(t.Context(), e.address); got != tt.terminated {
 				t.Errorf("terminated: %v, want %v", got, tt.terminated)
 			}
-			if !pool.MayHaveTerminated(t.Context(), e.address) {
-				t.Error("the endpoint counts as one that listens")
+			if refused, isCertain := pool.MayHaveTerminated(t.Context(), e.address); !refused || isCertain != tt.terminated {
+				t.Errorf("refused: %v, by the endpoint: %v", refused, isCertain)
 			}
 		})
 	}
--- a/internal/http1/probe.go
+++ b/internal/http1/probe.go
@@ -101,10 +101,11 @@
 }
 
 // MayHaveTerminated reports whether connections to the address are refused, also if that
-// may be the path.
-func (p *Pool) MayHaveTerminated(ctx context.Context, address string) bool {
+// may be the path, and whether it is certainly the endpoint's machine.
+func (p *Pool) MayHaveTerminated(ctx context.Context, address string) (refused, isCertain bool) {
 	err := p.open(ctx, address)
-	return endpoint.IsConnectionRefused(err) || errors.Is(err, ErrMaybeRefused)
+	isCertain = endpoint.IsConnectionRefused(err)
+	return isCertain || errors.Is(err, ErrMaybeRefused), isCertain
 }
 
 // open opens a connection to an address and keeps it for the next request.
