--- a/internal/activity/activity.go
+++ b/internal/activity/activity.go
@@ -1,4 +1,4 @@
-// Package activity knows which endpoints are silent at the moment, and whether most of a
+// Package activity tracks which endpoints are silent at the moment, and whether most of a
 // pool are. Silence that most endpoints share says nothing about one of them, and another
 // one would be silent to a second attempt as well.
 package activity
@@ -12,7 +12,7 @@
 )
 
 const (
-	// Recently is the age up to which a sign of an endpoint shows that it is not silent.
+	// Recently is the age up to which data from an endpoint shows that it is not silent.
 	Recently = 600 * time.Millisecond
 	// AskInterval is the time after which it is asked again whether a silence is shared. An
 	// endpoint that has gone on within it shows that the others may do so as well.
@@ -26,7 +26,7 @@
 	sharedRatio = 2
 )
 
-// Tracker knows which endpoints are silent at the moment. Its zero value is ready for
+// Tracker tracks which endpoints are silent at the moment. Its zero value is ready for
 // use. It is safe for concurrent use.
 type Tracker struct {
 	mu        sync.Mutex
@@ -40,7 +40,7 @@
 // longAgo is longer than any time that is compared.
 const longAgo = time.Hour
 
-// poolActivity is what was heard from the endpoints of a pool, in nanoseconds since
+// poolActivity holds when the endpoints of a pool last sent data, in nanoseconds since
 // Tracker.base.
 type poolActivity struct {
 	// at is when one of them has last sent something, wentOn when one has last done so after
@@ -48,7 +48,7 @@
 	at, wentOn atomic.Int64
 }
 
-// Endpoint is what was heard from an endpoint of which responses are awaited.
+// Endpoint records the activity of an endpoint whose responses are awaited.
 type Endpoint struct {
 	tracker *Tracker
 	name    table.EndpointName
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -74,7 +74,7 @@
 	// version is that of the response which the endpoint is to continue; nil if
 	// the response begins with this attempt.
 	version *table.SoftwareVersion
-	// body is what the attempt sends, unless preparing it failed.
+	// body is the request body, unless preparing it failed.
 	body       []byte
 	prepareErr error
 	excluded   []table.EndpointName
@@ -107,8 +107,8 @@
 	// is when it handled the last one.
 	sent, hasData bool
 	lastSign      time.Time
-	// activity is what this daemon hears from the endpoint; nil until sent is set. late
-	// is set while the attempt counts as late there.
+	// activity records the activity of the endpoint; nil until sent is set. late is set
+	// while the attempt counts as late there.
 	activity *activity.Endpoint
 	late     bool
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -60,7 +60,7 @@
 	id          string
 	fingerprint quarantine.Fingerprint
 	class       *table.Class
-	// request is what is asked of the coordinator for each attempt.
+	// request is the reservation of each attempt.
 	request placement.Request
 	budget  *retrybudget.Budget
 	limits  silenceLimits
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -10,8 +10,8 @@
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
-// silenceLimits are the times after which endpoints that send nothing are
-// doubted. Only total ends anything; the others have another endpoint asked.
+// silenceLimits are the times after which endpoints that send nothing count as
+// silent. Only total ends an attempt; after the others another endpoint is asked.
 type silenceLimits struct {
 	// hedge is the time after which a second endpoint is asked before the
 	// response has begun; zero if never.
@@ -97,7 +97,7 @@
 	return false
 }
 
-// silence is what a run knows about the silence of its open attempts.
+// silence is the state of a run whose open attempts are silent.
 type silence struct {
 	timer silenceTimer
 	// since is the time of the last event, or of the first sending.
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -39,8 +39,7 @@
 	// begun reports whether the endpoint has begun to run the request.
 	begun bool
 
-	// activity is what this daemon has heard from the endpoint; nil until the request is
-	// sent.
+	// activity records the activity of the endpoint; nil until the request is sent.
 	activity *activity.Endpoint
 
 	// The fields below are guarded by run.mu.
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// targetsUntilSilent is the number of targets without a sign after which an endpoint
+	// targetsUntilSilent is the number of targets without data after which an endpoint
 	// counts as silent. It is above 1 because a busy endpoint responds late, and
 	// further attempts would then add to the load.
 	targetsUntilSilent = 4
@@ -29,7 +29,7 @@
 	never = 24 * time.Hour
 )
 
-// silenceLimit returns the time without a sign after which the endpoint of a call counts
+// silenceLimit returns the time without data after which the endpoint of a call counts
 // as silent; 0 means that no other endpoint can be asked instead.
 func (r *run) silenceLimit(c *call) time.Duration {
 	target := r.req.StartTarget
