--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,14 +129,9 @@
 
 // New returns a daemon; Run starts it.
 func New(s *settings.Settings, logger *slog.Logger) *Gateway {
-	return newWithBoot(s, logger, boottime.System{})
-}
-
-// newWithBoot returns a daemon that measures the age of its facts by a clock.
-func newWithBoot(s *settings.Settings, logger *slog.Logger, boot boottime.Clock) *Gateway {
 	g := &Gateway{
 		clock:    clockwork.NewRealClock(),
-		boot:     boot,
+		boot:     boottime.System{},
 		metrics:  metric.NewRegistry(),
 		budgets:  map[table.Pool]*retrybudget.Budget{},
 		started:  make(chan struct{}),
