Give the replay engines of several speeds and availability zones

Cause: the replay had engines of one speed in one zone, so that nothing could be tried there for a pool whose engines differ, or for bodies that cross zones.

Change: engines have slowdowns and zones in turn, classes the zones that their requests come from and the size of a body. The result has the bytes that cross zones and how busy the busiest engine was.

--- a/internal/cell/convert.go
+++ b/internal/cell/convert.go
@@ -68,6 +68,9 @@
 		Zone:            r.GetZone(),
 		Waited:          time.Duration(r.GetWaitedMs()) * time.Millisecond,
 		StartTimeout:    time.Duration(r.GetUsefulMs()) * time.Millisecond,
+		EndTimeout:      time.Duration(r.GetDeadlineMs()) * time.Millisecond,
+		Fingerprint:     r.GetFingerprint(),
+		BodyBytes:       int(r.GetBodyBytes()),
 	}
 	if r.Version != nil {
 		version := schedule.Version(r.GetVersion())
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -78,6 +78,9 @@
 		Parts:           r.req.Parts,
 		Waited:          r.f.BootClock.Now() - r.req.ReceivedAt,
 		StartTimeout:    r.startLimit(),
+		EndTimeout:      r.req.Deadline - r.req.ReceivedAt,
+		Fingerprint:     uint64(r.req.Fingerprint),
+		BodyBytes:       len(r.req.Body),
 		Excluded:        excluded,
 		Attempt:         r.mayHaveRun + r.notRun + len(r.calls) - 1,
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -35,6 +35,14 @@
 	// StartTimeout is the time from the arrival of the request within which a
 	// response must begin to be of use to the caller; zero means unknown.
 	StartTimeout time.Duration
+	// EndTimeout is the time from the arrival of the request at which the whole
+	// response must have reached the caller; zero means unknown.
+	EndTimeout time.Duration
+	// Fingerprint is the same for all attempts of a caller to send the request; zero
+	// means unknown.
+	Fingerprint uint64
+	// BodyBytes is the length of the request's body.
+	BodyBytes int
 	// Excluded lists endpoints that have failed this request.
 	Excluded []table.EndpointName
 	// Version is the software version of the endpoints that may continue the
@@ -261,6 +269,9 @@
 		Prefix:          r.Prefix,
 		WaitedMs:        uint32(r.Waited / time.Millisecond),
 		UsefulMs:        uint32(r.StartTimeout / time.Millisecond),
+		DeadlineMs:      uint32(r.EndTimeout / time.Millisecond),
+		Fingerprint:     r.Fingerprint,
+		BodyBytes:       uint32(r.BodyBytes),
 		Attempt:         uint32(r.Attempt),
 		Zone:            p.view.Self().Zone,
 	}
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -13,6 +13,11 @@
 type engine struct {
 	spec *Engines
 	name schedule.Endpoint
+	zone string
+	// slowdown multiplies the time of each step.
+	slowdown float64
+	// busy is the sum of the times of all steps.
+	busy time.Duration
 	down bool
 	// stepping reports whether the end of a step is to come.
 	stepping bool
@@ -44,7 +49,7 @@
 }
 
 func newEngine(spec *Engines, name schedule.Endpoint) *engine {
-	return &engine{spec: spec, name: name, kept: map[uint64]*keptPart{}}
+	return &engine{spec: spec, name: name, slowdown: 1, kept: map[uint64]*keptPart{}}
 }
 
 // keeps returns how many tokens from the start of a prompt the engine keeps.
@@ -157,5 +162,7 @@
 			produced = append(produced, j)
 		}
 	}
-	return time.Duration(ms * float64(time.Millisecond)), produced
+	took = time.Duration(ms * e.slowdown * float64(time.Millisecond))
+	e.busy += took
+	return took, produced
 }
--- a/internal/replay/player.go
+++ b/internal/replay/player.go
@@ -107,14 +107,28 @@
 		p.now = e.at
 		e.f()
 	}
+	p.result.Busiest = p.busiest()
 	return p.result
 }
 
+// busiest returns the time that the busiest engine was busy, relative to the mean.
+func (p *player) busiest() float64 {
+	var total, most time.Duration
+	for _, e := range p.engines {
+		total += e.busy
+		most = max(most, e.busy)
+	}
+	if total == 0 {
+		return 1
+	}
+	return most.Seconds() * float64(len(p.engines)) / total.Seconds()
+}
+
 func (p *player) configure(discipline schedule.Discipline) {
 	cfg := schedule.Config{Discipline: discipline, Disabled: p.s.Disabled}
 	for _, name := range p.names {
 		cfg.Endpoints = append(cfg.Endpoints, schedule.EndpointPolicy{
-			Name: name, Concurrency: p.s.Engines.Slots, CacheTokens: p.s.Engines.MemoryTokens,
+			Name: name, Concurrency: p.s.Engines.Slots, CacheTokens: p.s.Engines.MemoryTokens, Zone: p.engines[name].zone,
 		})
 	}
 	for _, c := range p.s.Classes {
@@ -168,6 +182,9 @@
 			{ID: ids, Tokens: c.CommonTokens}, {ID: subject, Tokens: c.SubjectTokens}, {ID: 1<<62 | p.nextID, Tokens: own},
 		},
 	}
+	r.Zone, r.BodyBytes = p.zone(c), c.BodyBytes
+	r.EndTimeout = c.Deadline.Std()
+	r.Fingerprint = p.nextID
 	res.Asked++
 	res.window(p.now).Asked++
 	p.pending[r.ID] = r
@@ -180,6 +197,24 @@
 	p.reserve(r)
 }
 
+// zone draws the zone of a request. It draws nothing if all are in one zone.
+func (p *player) zone(c *Class) string {
+	zones := max(1, p.s.Engines.Zones)
+	if zones == 1 {
+		return zoneName(0)
+	}
+	if len(c.ZoneShares) == 0 {
+		return zoneName(p.random.IntN(zones))
+	}
+	at := p.random.Float64()
+	for i, share := range c.ZoneShares {
+		if at -= share; at < 0 {
+			return zoneName(i)
+		}
+	}
+	return zoneName(zones - 1)
+}
+
 // leaves makes a caller leave that has seen no event by then.
 func (p *player) leaves(r *request) {
 	id := r.ID
@@ -256,6 +291,10 @@
 		p.end(r)
 		return
 	}
+	if r.Zone != r.engine.zone {
+		p.result.CrossZoneBytes += r.BodyBytes
+	}
+	p.result.BodyBytes += r.BodyBytes
 	r.job = &job{request: r}
 	r.engine.waiting = append(r.engine.waiting, r.job)
 	p.work(r.engine)
@@ -296,8 +335,9 @@
 // start lists an engine that knows nothing of before.
 func (p *player) start(i, incarnation int) {
 	name := schedule.Endpoint(fmt.Sprintf("e%03d.%d", i, incarnation))
-	p.engines[name] = newEngine(&p.s.Engines, name)
-	p.names[i] = name
+	e := newEngine(&p.s.Engines, name)
+	e.zone, e.slowdown = p.s.Engines.zone(i), p.s.Engines.slowdown(i)
+	p.engines[name], p.names[i] = e, name
 }
 
 // handOver has another coordinator take over, with the reports of what waits
--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -15,6 +15,12 @@
 	Read      int `json:"readTokens"`
 	ReadAgain int `json:"readAgainTokens"`
 	Fetched   int `json:"fetchedTokens"`
+	// BodyBytes counts the bytes of bodies sent to engines, CrossZoneBytes those that
+	// were sent to another availability zone.
+	BodyBytes      int `json:"bodyBytes"`
+	CrossZoneBytes int `json:"crossZoneBytes"`
+	// Busiest is how long the busiest engine was busy, relative to the mean.
+	Busiest float64 `json:"busiest"`
 }
 
 // ClassResult is the outcome of one class.
@@ -145,5 +151,6 @@
 		}
 		fmt.Fprintln(w)
 	}
-	fmt.Fprintf(w, "share of all %.3f; %d tokens read, %d of them again, %d fetched\n", r.Share(), r.Read, r.ReadAgain, r.Fetched)
+	fmt.Fprintf(w, "share of all %.3f; %d tokens read, %d of them again, %d fetched; %.2f of the bytes of bodies to other zones; busiest engine %.2f\n",
+		r.Share(), r.Read, r.ReadAgain, r.Fetched, float64(r.CrossZoneBytes)/float64(max(1, r.BodyBytes)), r.Busiest)
 }
--- a/internal/replay/scenario.go
+++ b/internal/replay/scenario.go
@@ -37,9 +37,14 @@
 	Disabled []schedule.Mechanism `json:"disabled,omitempty"`
 }
 
-// Engines are engines of one speed.
+// Engines are engines that differ in speed and availability zone only.
 type Engines struct {
 	Count int `json:"count"`
+	// Slowdowns multiply the time of each step. The engines of a zone have them in
+	// turn; all are 1 if it is empty.
+	Slowdowns []float64 `json:"slowdowns,omitempty"`
+	// Zones is the number of availability zones, to which the engines belong in turn.
+	Zones int `json:"zones,omitempty"`
 	// Slots bounds the requests that run at once.
 	Slots int `json:"slots"`
 	// MemoryTokens is the memory that running requests and kept parts share.
@@ -80,11 +85,15 @@
 	LateWorth float64 `json:"lateWorth"`
 	// CommonTokens begin every prompt of the class; one of Subjects parts with
 	// SubjectTokens follows.
-	CommonTokens  int  `json:"commonTokens"`
-	Subjects      int  `json:"subjects"`
-	SubjectTokens int  `json:"subjectTokens"`
-	Prompt        Size `json:"prompt"`
-	Answer        Size `json:"answer"`
+	CommonTokens  int `json:"commonTokens"`
+	Subjects      int `json:"subjects"`
+	SubjectTokens int `json:"subjectTokens"`
+	// ZoneShares is the share of the class's requests that comes from each zone; all
+	// have the same if it is empty. BodyBytes is the size of a request's body.
+	ZoneShares []float64 `json:"zoneShares,omitempty"`
+	BodyBytes  int       `json:"bodyBytes,omitempty"`
+	Prompt     Size      `json:"prompt"`
+	Answer     Size      `json:"answer"`
 }
 
 // Size is a log-normal number of tokens.
@@ -144,6 +153,9 @@
 	need(s.Duration > 0, "duration must be positive")
 	need(e.Count > 0 && e.Slots > 0 && e.MemoryTokens > 0, "engines need a count, slots and memory")
 	need(e.StepMs > 0 && e.ReadPerMs > 0 && e.ChunkTokens > 0 && e.TokensPerEvent > 0, "engines need times, a chunk and tokens per event")
+	for _, slowdown := range e.Slowdowns {
+		need(slowdown > 0, "slowdowns must be positive")
+	}
 	need(len(s.Classes) > 0, "there must be a class")
 	for _, m := range s.Disabled {
 		need(slices.Contains(schedule.Mechanisms(), m), fmt.Sprintf("unknown mechanism %q", m))
@@ -151,6 +163,7 @@
 	names := map[string]bool{"": true}
 	for _, c := range s.Classes {
 		need(c.Name != "" && !names[c.Name], fmt.Sprintf("class %q needs a name of its own", c.Name))
+		need(len(c.ZoneShares) == 0 || len(c.ZoneShares) == max(1, e.Zones), fmt.Sprintf("class %q needs a share for each zone", c.Name))
 		need(c.Rate > 0 && c.Deadline > 0 && c.Prompt.Max > 0 && c.Answer.Max > 0, fmt.Sprintf("class %q needs a rate, a deadline and sizes", c.Name))
 		names[c.Name] = true
 	}
@@ -160,6 +173,19 @@
 	return faults
 }
 
+// zone returns the availability zone of an engine, slowdown the factor of its times.
+func (e *Engines) zone(i int) string { return zoneName(i % max(1, e.Zones)) }
+
+func (e *Engines) slowdown(i int) float64 {
+	if len(e.Slowdowns) == 0 {
+		return 1
+	}
+	return e.Slowdowns[i/max(1, e.Zones)%len(e.Slowdowns)]
+}
+
+// zoneName returns the name of a zone by its index.
+func zoneName(i int) string { return fmt.Sprintf("zone-%d", i) }
+
 // factor returns by how much a class's arrivals are multiplied.
 func (s *Scenario) factor(class string, at time.Duration) float64 {
 	factor := 1.0
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -130,6 +130,14 @@
 	// StartTimeout is how long after the arrival of the request its response may
 	// begin and still reach a caller who waits; zero means unknown.
 	StartTimeout time.Duration
+	// EndTimeout is how long after the arrival of the request its response must have
+	// ended; zero means unknown.
+	EndTimeout time.Duration
+	// Fingerprint is the same for all attempts of a caller to send the request; zero
+	// means unknown.
+	Fingerprint uint64
+	// BodyBytes is the length of the request's body.
+	BodyBytes int
 	// Excluded lists the endpoints that have failed this request.
 	Excluded []Endpoint
 	// Version is the software version of the endpoints that may continue the
