Let engines of the replay stall from time to time

Cause: on the replay's engines steps took the same time whatever the hour, so that a stream beside a long prefill was late on all of them or on none.

Change: stalls multiply the times of an engine in a share of all periods, drawn from the seed for each engine and period, so that both sides of a comparison meet the same.

--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -14,7 +14,9 @@
 	spec *Engines
 	name schedule.Endpoint
 	zone string
-	// slowdown multiplies the time of each step.
+	// index is the engine's place in the scenario, slowdown multiplies the time of each
+	// step.
+	index    int
 	slowdown float64
 	// busy is the sum of the times of all steps.
 	busy time.Duration
@@ -142,7 +144,7 @@
 
 // step reads a chunk and returns how long the step takes and which jobs have a
 // token at its end.
-func (e *engine) step() (took time.Duration, produced []*job) {
+func (e *engine) step(slowdown float64) (took time.Duration, produced []*job) {
 	ms := e.spec.StepMs
 	left := e.spec.ChunkTokens
 	for _, j := range e.running {
@@ -162,7 +164,7 @@
 			produced = append(produced, j)
 		}
 	}
-	took = time.Duration(ms * e.slowdown * float64(time.Millisecond))
+	took = time.Duration(ms * slowdown * float64(time.Millisecond))
 	e.busy += took
 	return took, produced
 }
--- a/internal/replay/player.go
+++ b/internal/replay/player.go
@@ -309,7 +309,7 @@
 	if len(e.running) == 0 {
 		return
 	}
-	took, produced := e.step()
+	took, produced := e.step(e.slowdown * p.s.Engines.Stalls.factor(p.s.Seed, e.index, p.now))
 	e.stepping = true
 	epoch := e.epoch
 	p.after(took, func() {
@@ -336,7 +336,7 @@
 func (p *player) start(i, incarnation int) {
 	name := schedule.Endpoint(fmt.Sprintf("e%03d.%d", i, incarnation))
 	e := newEngine(&p.s.Engines, name)
-	e.zone, e.slowdown = p.s.Engines.zone(i), p.s.Engines.slowdown(i)
+	e.index, e.zone, e.slowdown = i, p.s.Engines.zone(i), p.s.Engines.slowdown(i)
 	p.engines[name], p.names[i] = e, name
 }
 
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -66,7 +66,7 @@
 	e.waiting = append(e.waiting, &job{request: r})
 	e.admit(func(*job) int { return 0 })
 	for i, want := range []time.Duration{13 * time.Millisecond, 8 * time.Millisecond, 3500 * time.Microsecond} {
-		took, produced := e.step()
+		took, produced := e.step(1)
 		if took != want || (len(produced) > 0) != (i > 0) {
 			t.Errorf("step %d takes %v with %d tokens, want %v", i, took, len(produced), want)
 		}
--- a/internal/replay/scenario.go
+++ b/internal/replay/scenario.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/beechhead/beechhead/internal/schedule"
+	"github.com/beechhead/beechhead/internal/stat"
 	"github.com/beechhead/beechhead/internal/strictjson"
 	"github.com/beechhead/beechhead/pkg/table"
 )
@@ -49,6 +50,8 @@
 	Slots int `json:"slots"`
 	// MemoryTokens is the memory that running requests and kept parts share.
 	MemoryTokens int `json:"memoryTokens"`
+	// Stalls make an engine slower from time to time; none if it is absent.
+	Stalls *Stalls `json:"stalls,omitempty"`
 	// StepMs is the time of a step without work, to which each running
 	// request adds StepMsPerRun and each thousand tokens of running requests
 	// StepMsPerThousand.
@@ -69,6 +72,28 @@
 	FetchMs float64 `json:"fetchMs"`
 }
 
+// Stalls multiply the time of an engine's steps by Factor in a Share of all periods,
+// which are Every long and drawn for each engine by itself.
+type Stalls struct {
+	Share  float64        `json:"share"`
+	Factor float64        `json:"factor"`
+	Every  table.Duration `json:"every"`
+}
+
+// factor returns the factor of an engine's times in a period. It is the same in each
+// play of a seed, whatever the decisions are.
+func (s *Stalls) factor(seed uint64, engine int, at time.Duration) float64 {
+	if s == nil {
+		return 1
+	}
+	period := uint64(at / s.Every.Std())
+	draw := float64(stat.Mix(stat.Mix(seed)^uint64(engine)<<32^period)>>11) / (1 << 53)
+	if draw >= s.Share {
+		return 1
+	}
+	return s.Factor
+}
+
 // Class is the requests of one class.
 type Class struct {
 	Name     string         `json:"name"`
@@ -156,6 +181,7 @@
 	for _, slowdown := range e.Slowdowns {
 		need(slowdown > 0, "slowdowns must be positive")
 	}
+	need(e.Stalls == nil || e.Stalls.Every > 0 && e.Stalls.Factor > 0, "stalls need a length and a factor")
 	need(len(s.Classes) > 0, "there must be a class")
 	for _, m := range s.Disabled {
 		need(slices.Contains(schedule.Mechanisms(), m), fmt.Sprintf("unknown mechanism %q", m))
