Order no engines for peaks that are shorter than their boot

Cause: the number of engines followed the greatest need of any half second in the last 30 s. Engines take 4 s to boot, so that such a peak is over before they serve.

Change: the greatest mean need over a span of the boot time counts, beside 1.5 times the mean of 30 s as before.

Existing scripts are unchanged.

--- a/internal/autoscale/demand.go
+++ b/internal/autoscale/demand.go
@@ -53,18 +53,34 @@
 	}
 }
 
-// Engines returns how many engines to have ready; false if the history is too
-// short to tell.
-func (h *History) Engines() (int, bool) {
-	if len(h.needs) == 0 || h.needs[len(h.needs)-1].at-h.needs[0].at < minHistory {
+// Engines returns how many engines to have ready that take the given time to boot;
+// false if the history is too short to tell. A peak that is shorter than the boot is
+// averaged over it: engines ordered for it, or for the next one like it, serve only
+// after it has passed.
+func (h *History) Engines(boot time.Duration) (int, bool) {
+	if len(h.needs) == 0 || h.needs[len(h.needs)-1].at-h.needs[0].at < max(minHistory, boot) {
 		return 0, false
 	}
-	peak, mean := 0.0, 0.0
+	sum := 0.0
 	for _, one := range h.needs {
-		peak = max(peak, one.need)
-		mean += one.need / float64(len(h.needs))
+		sum += one.need
 	}
-	return int(math.Ceil(max(peak, burst*mean))), true
+	return int(math.Ceil(max(h.peak(boot), burst*sum/float64(len(h.needs))))), true
+}
+
+// peak returns the greatest mean need over any span of the given length.
+func (h *History) peak(span time.Duration) float64 {
+	peak, sum, first := 0.0, 0.0, 0
+	for i, one := range h.needs {
+		sum += one.need
+		for ; first < i && one.at-h.needs[first].at >= span; first++ {
+			sum -= h.needs[first].need
+		}
+		if span == 0 || one.at-h.needs[0].at >= span {
+			peak = max(peak, sum/float64(i-first+1))
+		}
+	}
+	return peak
 }
 
 // minHistory is the time of observation after which engines may be ordered down.
--- a/internal/autoscale/demand_test.go
+++ b/internal/autoscale/demand_test.go
@@ -10,15 +10,17 @@
 )
 
 // Guards against engines that are ordered too late in a burst, ordered down right
-// after it, or ordered without having observed the load.
+// after it, ordered without having observed the load, or ordered for a peak that is
+// over before they have booted.
 func TestHistoryOfLoads(t *testing.T) {
 	data, err := os.ReadFile("testdata/loads.json")
 	if err != nil {
 		t.Fatal(err)
 	}
 	var scripts []struct {
-		Name  string `json:"name"`
-		Slots int    `json:"slots"`
+		Name  string         `json:"name"`
+		Slots int            `json:"slots"`
+		Boot  table.Duration `json:"boot"`
 		Steps []struct {
 			Seconds int     `json:"seconds"`
 			Prefill float64 `json:"prefill"`
@@ -38,7 +40,7 @@
 				now += time.Second / 2
 				h.Add(now, Load{step.Prefill, step.Running, step.Waiting}.Need(s.Slots))
 			}
-			if got, ok := h.Engines(); got != step.Want || ok != (step.Want > 0) {
+			if got, ok := h.Engines(s.Boot.Std()); got != step.Want || ok != (step.Want > 0) {
 				t.Errorf("%s, step %d: %d engines, want %d", s.Name, i+1, got, step.Want)
 			}
 		}
--- a/internal/duty/scale.go
+++ b/internal/duty/scale.go
@@ -191,7 +191,7 @@
 func (s *Scaler) needed(p *ScalablePool) (int, autoscale.Load) {
 	h := s.pools[p.Name]
 	load, _ := s.Load(p.Name)
-	needed, ok := h.load.Engines()
+	needed, ok := h.load.Engines(p.Spec.Boot)
 	if !ok {
 		needed = h.initial
 	}
@@ -206,7 +206,7 @@
 // leaves them out would end them.
 func (s *Scaler) mayOrder(p *ScalablePool, t autoscale.Target) bool {
 	h := s.pools[p.Name]
-	if _, ok := h.load.Engines(); ok {
+	if _, ok := h.load.Engines(p.Spec.Boot); ok {
 		return true
 	}
 	if t.Kind == autoscale.Spot {
