Order spot engines before giving up on-demand ones

Cause: orders were sent by zone and kind, on-demand engines first. Each 3 s, when a reclaimed zone is asked again for spot engines, the plan takes them as available; so the on-demand engines that boot in their place were ordered to zero, the spot engines were refused, and the on-demand engines were ordered anew.

Change: spot engines are ordered first, and the plan is made again with what was refused before on-demand engines are ordered.

Result: the test fails without the change (on-demand 5, 0, 5, 0 each 3 s) and passes with it; tests of duty and autoscale pass.

--- a/internal/duty/scale.go
+++ b/internal/duty/scale.go
@@ -139,25 +139,39 @@
 		if needed == 0 {
 			continue
 		}
-		for i := range p.Zones {
-			for kind := range p.Zones[i].Blocked {
-				key := subject{p.Name, p.Zones[i].Name, autoscale.Kind(kind)}
-				p.Zones[i].Blocked[kind] = s.Boot.Now() < s.blocked[key]
-			}
+		if sent += s.order(ctx, &p, load, needed, s.MaxOrders-sent); sent >= s.MaxOrders {
+			return
 		}
+	}
+}
+
+// order sends the orders for a pool that are due, and returns their number. Spot
+// engines are ordered first: where there are none, the plan is another one, and the
+// on-demand engines that were ordered in their place go on booting.
+func (s *Scaler) order(ctx context.Context, p *ScalablePool, load autoscale.Load, needed, most int) (sent int) {
+	for _, kind := range []autoscale.Kind{autoscale.Spot, autoscale.OnDemand} {
+		s.markBlocked(p)
 		for _, target := range autoscale.Plan(p.Spec, p.Zones, needed) {
-			if sent >= s.MaxOrders || s.Boot.Now() < s.throttledUntil {
-				return
+			if sent >= most || s.Boot.Now() < s.throttledUntil {
+				return sent
 			}
-			if !s.mayOrder(&p, target) {
-				continue
-			}
-			if s.due(&p, target) {
+			if target.Kind == kind && s.mayOrder(p, target) && s.due(p, target) {
 				sent++
-				s.send(ctx, &p, target, load, needed)
+				s.send(ctx, p, target, load, needed)
 			}
 		}
 	}
+	return sent
+}
+
+// markBlocked records in the zones of a pool which kinds were not available lately.
+func (s *Scaler) markBlocked(p *ScalablePool) {
+	for i := range p.Zones {
+		for kind := range p.Zones[i].Blocked {
+			key := subject{p.Name, p.Zones[i].Name, autoscale.Kind(kind)}
+			p.Zones[i].Blocked[kind] = s.Boot.Now() < s.blocked[key]
+		}
+	}
 }
 
 // observe records the load of a pool, and how many engines were there before the
--- a/internal/duty/scale_test.go
+++ b/internal/duty/scale_test.go
@@ -33,6 +33,8 @@
 	zones  []autoscale.Zone
 	load   autoscale.Load
 	err    error
+	// refuse, if set, reports whether there are no engines for an order.
+	refuse func(o duty.EngineOrder) bool
 	orders []string
 }
 
@@ -58,22 +60,30 @@
 		Renewer:   lease.NewRenewer(holder, duty.LeaseName),
 		WhileHeld: func(context.Context) {},
 	}
-	spec := &autoscale.Spec{Max: 20, Boot: 4 * time.Second, SpotPrice: 0.2, ZonePrices: map[string]float64{"a": 1, "b": 2}}
 	s.scaler = &duty.Scaler{
 		Clock: clock, Boot: s.boot, Logger: logger, Metrics: metrics, Tenure: s.tenure, MaxOrders: 10,
 		Candidate: s.tenure.Eligible,
-		Pools: func() []duty.ScalablePool {
-			return []duty.ScalablePool{{Name: "p", Slots: 64, Spec: spec, Zones: slices.Clone(s.zones)}}
-		},
-		Load: func(table.Pool) (autoscale.Load, int) { return s.load, 1 },
+		Pools:     s.pools(20),
+		Load:      func(table.Pool) (autoscale.Load, int) { return s.load, 1 },
 		Order: func(_ context.Context, _ duty.Authority, o duty.EngineOrder) error {
 			s.orders = append(s.orders, fmt.Sprintf("%s %s %d", o.Zone, o.Kind, o.Engines))
+			if s.refuse != nil && s.refuse(o) {
+				return duty.ErrConflict
+			}
 			return s.err
 		},
 	}
 	return s
 }
 
+// pools returns the site's pool, of which a zone may have so many engines.
+func (s *scalingSite) pools(most int) func() []duty.ScalablePool {
+	spec := &autoscale.Spec{Max: most, Boot: 4 * time.Second, SpotPrice: 0.2, ZonePrices: map[string]float64{"a": 1, "b": 2}}
+	return func() []duty.ScalablePool {
+		return []duty.ScalablePool{{Name: "p", Slots: 64, Spec: spec, Zones: slices.Clone(s.zones)}}
+	}
+}
+
 // run makes decisions for some time and returns the orders.
 func (s *scalingSite) run(t time.Duration) string {
 	s.orders = nil
@@ -130,3 +140,18 @@
 	s.err = duty.ErrThrottled
 	s.want("too many calls", s.run(time.Second), "a spot 4")
 }
+
+// Guards against on-demand engines that are given up while they boot, each time that
+// spot engines of a reclaimed zone are asked for again.
+func TestReclaimedZoneKeepsItsOnDemandEngines(t *testing.T) {
+	s := newScalingSite(t, 0, 10)
+	s.load = autoscale.Load{Prefill: 8, Running: 100}
+	s.run(6 * time.Second)
+	s.zones[0].Ready[autoscale.Spot], s.zones[0].Ready[autoscale.OnDemand] = 0, 0
+	s.refuse = func(o duty.EngineOrder) bool { return o.Zone == "a" && o.Kind == autoscale.Spot }
+	s.scaler.Pools = s.pools(15)
+	orders := s.run(20 * time.Second)
+	if strings.Contains(orders, "a onDemand 0") || !strings.Contains(orders, "a onDemand") {
+		t.Errorf("orders %q; on-demand engines of the reclaimed zone are wanted all the time", orders)
+	}
+}
