Count no streams that were lost before they could begin

Cause: a response that is lost with its connection counts as begun, since the endpoint has probably run the request.

--- a/internal/forward/begun_test.go
+++ b/internal/forward/begun_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
 
+	"github.com/beechhead/beechhead/internal/catalog"
 	"github.com/beechhead/beechhead/internal/outcome"
 )
 
@@ -33,3 +36,28 @@
 		}
 	}
 }
+
+// Guards against usage that counts streams whose endpoint went down before it could
+// have sent a first event.
+func TestStreamsLostTooSoonAreNotBegun(t *testing.T) {
+	const firstEvent = 50 * time.Millisecond
+	clock := clockwork.NewFakeClock()
+	f := &Forwarder{Clock: clock}
+	for range 10 {
+		f.firstEvents.Observe("p", clock.Now(), firstEvent)
+	}
+	for _, tt := range []struct {
+		kind  catalog.Kind
+		after time.Duration
+		want  bool
+	}{
+		{catalog.Stream, firstEvent - 1, true},
+		{catalog.Stream, firstEvent, false},
+		{catalog.Unsafe, firstEvent - 1, false},
+	} {
+		c := &call{run: &run{f: f, req: &Request{Pool: "p", Kind: tt.kind}}, sentAt: clock.Now().Add(-tt.after)}
+		if got := c.lostTooSoon(); got != tt.want {
+			t.Errorf("kind %v, lost after %v: too soon is %v, want %v", tt.kind, tt.after, got, tt.want)
+		}
+	}
+}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/beechhead/beechhead/internal/activity"
+	"github.com/beechhead/beechhead/internal/catalog"
 	"github.com/beechhead/beechhead/internal/http1"
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
@@ -56,6 +57,8 @@
 	// lastSign is when the endpoint has last sent something for this call, or when it
 	// was sent the request.
 	lastSign time.Time
+	// sentAt is when the endpoint was sent the request.
+	sentAt time.Time
 	// late and silent report whether half of the time, or all of it, after which the
 	// endpoint counts as silent has passed since lastSign.
 	late, silent bool
@@ -134,7 +137,7 @@
 		return e
 	}
 	x.Abort()
-	if e.responseLost(c.ctx) {
+	if e.responseLost(c.ctx) && !c.lostTooSoon() {
 		c.markBegun()
 	}
 	if c.ctx.Err() != nil && e.mayHaveRun {
@@ -194,7 +197,8 @@
 	r := c.run
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c.lastSign = r.f.Clock.Now()
+	c.sentAt = r.f.Clock.Now()
+	c.lastSign = c.sentAt
 	c.activity = r.f.activities.Begin(&c.grant.Endpoint, c.lastSign)
 	r.reached, c.sent = true, true
 	if c.hedge {
@@ -202,6 +206,13 @@
 	}
 }
 
+// lostTooSoon reports whether the connection of a stream was lost before any endpoint of
+// the pool has lately sent a first event. A stream begins to run with its first token.
+func (c *call) lostTooSoon() bool {
+	r := c.run
+	return r.req.Kind == catalog.Stream && r.f.firstEvents.IsTooSoon(r.req.Pool, r.f.Clock.Since(c.sentAt))
+}
+
 // markBegun records that the endpoint has begun to run the request.
 func (c *call) markBegun() {
 	if c.begun {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -20,6 +20,7 @@
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/placement"
 	"github.com/beechhead/beechhead/internal/quarantine"
+	"github.com/beechhead/beechhead/internal/responsetime"
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
@@ -176,6 +177,8 @@
 	OnBegun func(r *Request)
 
 	activities activity.Tracker
+	// firstEvents has how soon the first events of streams come.
+	firstEvents responsetime.Floor
 }
 
 // ErrTruncated reports that a response was truncated after its head was forwarded.
