Judge lost streams by half of the shortest time, and only without a response

Change: the time expires by the clock, half of it counts, and a stream whose response has begun always counts. Tests play endpoints that reset a stream.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -37,8 +37,9 @@
 	// confirmed reports whether a probe has shown that the connection leads to the
 	// process that has registered as the endpoint.
 	confirmed bool
-	// begun reports whether the endpoint has begun to run the request.
-	begun bool
+	// responded reports whether the head of a response was received, begun whether the
+	// endpoint has begun to run the request.
+	responded, begun bool
 
 	// activity records the activity of the endpoint; nil until the request is sent.
 	activity *activity.Endpoint
@@ -206,11 +207,25 @@
 	}
 }
 
-// lostTooSoon reports whether the connection of a stream was lost before any endpoint of
-// the pool has lately sent a first event. A stream begins to run with its first token.
+// recordFirstEvent records how soon the first event came.
+func (c *call) recordFirstEvent() {
+	if c.begun {
+		return
+	}
+	now := c.run.f.Clock.Now()
+	c.run.f.firstEvents.Observe(c.run.req.Pool, now, now.Sub(c.sentAt))
+}
+
+// lostTooSoon reports whether the connection of a stream was lost before a response, sooner
+// than endpoints of the pool have lately sent a first event. A stream begins to run with
+// its first token.
 func (c *call) lostTooSoon() bool {
 	r := c.run
-	return r.req.Kind == catalog.Stream && r.f.firstEvents.IsTooSoon(r.req.Pool, r.f.Clock.Since(c.sentAt))
+	if r.req.Kind != catalog.Stream || c.responded {
+		return false
+	}
+	now := r.f.Clock.Now()
+	return r.f.firstEvents.IsTooSoon(r.req.Pool, now, now.Sub(c.sentAt))
 }
 
 // markBegun records that the endpoint has begun to run the request.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -85,6 +85,7 @@
 	if err != nil {
 		return failedResult(readFailureReason(c.ctx, err), err)
 	}
+	c.responded = true
 	verdict := r.f.Protocol.ReadHead(resp.StatusCode, resp.Header)
 	c.grant.RecordAnnouncement(verdict.Announcement)
 	r.f.Notices.Record(&c.grant.Endpoint, verdict.Announcement)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -91,10 +91,7 @@
 // forwardEvents forwards complete events, except those that the caller has
 // already received. The error is errSuperseded if another call has gone on.
 func (c *call) forwardEvents(events []byte, resp *http.Response) error {
-	if !c.begun {
-		now := c.run.f.Clock.Now()
-		c.run.f.firstEvents.Observe(c.run.req.Pool, now, now.Sub(c.sentAt))
-	}
+	c.recordFirstEvent()
 	c.markBegun()
 	out, err := c.takeEvents(events, resp)
 	if err != nil || len(out) == 0 {
--- a/internal/responsetime/floor.go
+++ b/internal/responsetime/floor.go
@@ -10,11 +10,12 @@
 )
 
 const (
-	// span is the time after which a response is no longer taken into account, at
-	// twice of which it surely is not.
+	// span is how long a response is taken into account at least; at most twice as long.
 	span = 30 * time.Second
 	// minSamples is the number of responses from which on the earliest one counts.
 	minSamples = 5
+	// margin divides the shortest time: a request may be shorter than those before.
+	margin = 2
 )
 
 // Floor holds the shortest time to a response of each pool. The zero value is empty.
@@ -54,23 +55,35 @@
 		s = &shortest{began: now}
 		f.pools[pool] = s
 	}
-	if now.Sub(s.began) >= span {
+	s.rotate(now)
+	s.current.add(took)
+}
+
+// rotate begins a new span if the present one has passed.
+func (s *shortest) rotate(now time.Time) {
+	switch passed := now.Sub(s.began); {
+	case passed >= 2*span:
+		*s = shortest{began: now}
+	case passed >= span:
 		s.began, s.before, s.current = now, s.current, minimum{}
 	}
-	s.current.add(took)
 }
 
-// IsTooSoon reports whether no endpoint of a pool has lately responded as soon as this.
-// It is false while too few responses are known.
-func (f *Floor) IsTooSoon(pool table.Pool, after time.Duration) bool {
+// IsTooSoon reports whether no endpoint of a pool has lately responded within twice the
+// time. It is false while too few responses are known.
+func (f *Floor) IsTooSoon(pool table.Pool, now time.Time, after time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.pools[pool]
-	if s == nil || s.current.samples+s.before.samples < minSamples {
+	if s == nil {
+		return false
+	}
+	s.rotate(now)
+	if s.current.samples+s.before.samples < minSamples {
 		return false
 	}
 	for _, m := range []minimum{s.current, s.before} {
-		if m.samples > 0 && m.took <= after {
+		if m.samples > 0 && m.took <= margin*after {
 			return false
 		}
 	}
