--- a/internal/autoscale/demand.go
+++ b/internal/autoscale/demand.go
@@ -58,14 +58,18 @@
 // averaged over it: engines ordered for it, or for the next one like it, serve only
 // after it has passed.
 func (h *History) Engines(boot time.Duration) (int, bool) {
-	if len(h.needs) == 0 || h.needs[len(h.needs)-1].at-h.needs[0].at < max(minHistory, boot) {
+	if len(h.needs) == 0 {
+		return 0, false
+	}
+	observed := h.needs[len(h.needs)-1].at - h.needs[0].at
+	if observed < minHistory {
 		return 0, false
 	}
 	sum := 0.0
 	for _, one := range h.needs {
 		sum += one.need
 	}
-	return int(math.Ceil(max(h.peak(boot), burst*sum/float64(len(h.needs))))), true
+	return int(math.Ceil(max(h.peak(min(boot, observed)), burst*sum/float64(len(h.needs))))), true
 }
 
 // peak returns the greatest mean need over any span of the given length.
