Take reports of several datagrams for complete when all have arrived

Windows that are fixed early would lack the rest. A candidate that started within a window might fix it before the counts of ended daemons had come, and these were sent in bursts beside the final reports.

Change: each datagram names the time and its place in the report. Sources are forgotten by the latest time that they refer to. A window without known hosts is not fixed.

--- a/internal/duty/exchange.go
+++ b/internal/duty/exchange.go
@@ -68,6 +68,8 @@
 	sent       map[usage.Window]usage.Counts
 	lastChange time.Duration
 	relay      relay
+	// parts holds the datagrams of incomplete reports.
+	parts assembly
 }
 
 // Run reports until ctx is cancelled.
@@ -100,6 +102,10 @@
 		x.lastChange = now
 		x.reportChanges()
 	}
+	if now-x.relay.last >= relayInterval {
+		x.relay.last = now
+		x.relayEnded()
+	}
 	if fence, ok := x.Tenure.Held(); ok && now-x.lastHolding >= announceInterval {
 		x.lastHolding = now
 		x.Send(x.others(), &peerv1.DutyReport{Host: string(x.Self().ID), Fence: fence})
@@ -133,7 +139,6 @@
 	if slices.Contains(to, self.ID) {
 		x.Ledger.Merge(r)
 		x.Totals.Record(r.Host, r.Incarnation, x.Boot.Now(), demand)
-		x.relayEnded(hosts)
 	}
 	for _, datagram := range encodeReport(r, demand) {
 		x.Send(x.others(), datagram)
@@ -184,6 +189,9 @@
 		return
 	}
 	r, demand := decodeReport(m)
+	if !x.parts.complete(m) {
+		r.Until = 0
+	}
 	x.Ledger.Merge(r)
 	if len(demand) > 0 {
 		x.Totals.Record(r.Host, r.Incarnation, x.Boot.Now(), demand)
@@ -194,8 +202,7 @@
 // ledgerTime is how long the counts of a daemon that has ended are kept.
 const ledgerTime = time.Minute
 
-// encodeReport encodes a report in datagrams. Only the last one states the time
-// up to which the counts are complete.
+// encodeReport encodes a report in datagrams.
 func encodeReport(r usage.Report, demand map[table.Pool]autoscale.Demand) (all []*peerv1.DutyReport) {
 	head := func() *peerv1.DutyReport {
 		return &peerv1.DutyReport{Host: r.Host, Incarnation: r.Incarnation, SinceMs: r.Since.Milliseconds()}
@@ -224,8 +231,11 @@
 			Pool: string(pool), PrefillMs: d.PrefillMs, Placed: d.Placed, Running: d.Running, Waiting: d.Waiting,
 		})
 	}
-	m.UntilMs = r.Until.Milliseconds()
-	return append(all, m)
+	all = append(all, m)
+	for i, m := range all {
+		m.UntilMs, m.Part, m.Parts = r.Until.Milliseconds(), uint32(i), uint32(len(all))
+	}
+	return all
 }
 
 // countSize and demandSize are the sizes of a count and of a pool's demand in a
--- a/internal/duty/exchange_test.go
+++ b/internal/duty/exchange_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/beechhead/beechhead/internal/autoscale"
+	"github.com/beechhead/beechhead/internal/boottime"
 	"github.com/beechhead/beechhead/internal/duty"
+	"github.com/beechhead/beechhead/internal/truetime"
 	"github.com/beechhead/beechhead/internal/usage"
 	"github.com/beechhead/beechhead/pkg/table"
 )
@@ -30,7 +33,8 @@
 			r.Windows[357915048][table.AccountName(fmt.Sprintf("account-%d", n))] = 1 << 20
 		}
 		counts, complete := 0, 0
-		for _, m := range duty.EncodeReport(r, demand) {
+		datagrams := duty.EncodeReport(r, demand)
+		for _, m := range datagrams {
 			if size := proto.Size(m); size > maxSize {
 				t.Errorf("%d accounts: a datagram has %d bytes, allowed %d", accounts, size, maxSize)
 			}
@@ -41,8 +45,47 @@
 				complete++
 			}
 		}
-		if counts != accounts || complete != 1 {
-			t.Errorf("%d accounts: %d counts, %d datagrams state the time of the report", accounts, counts, complete)
+		if counts != accounts || complete != len(datagrams) {
+			t.Errorf("%d accounts: %d counts, %d of %d datagrams state the time of the report", accounts, counts, complete, len(datagrams))
+		}
+	}
+}
+
+// Guards against counts that are forgotten or taken for complete while datagrams of
+// their report are missing.
+func TestReportsOfSeveralDatagrams(t *testing.T) {
+	const accounts = 300
+	now := 100 * time.Second
+	number := usage.WindowOf(now, simLength)
+	source := usage.Source{Host: "a", Incarnation: 1}
+	r := usage.Report{Source: source, Since: time.Second, Until: now, Windows: map[usage.Window]usage.Counts{number - 1: {}}}
+	for n := range accounts {
+		r.Windows[number-1][table.AccountName(fmt.Sprintf("account-%d", n))] = 1
+	}
+	datagrams := duty.EncodeReport(r, nil)
+	if len(datagrams) < 3 {
+		t.Fatalf("%d datagrams", len(datagrams))
+	}
+	for missing := range datagrams {
+		ledger := usage.NewLedger(simLength)
+		boot := &boottime.Fake{}
+		boot.Advance(now)
+		x := &duty.Exchange{
+			Boot: boot, Time: truetime.NewClock(boot, func() time.Time { return time.Unix(0, int64(now)) }),
+			Ledger: ledger, Totals: autoscale.NewTotals(), Length: simLength,
+		}
+		complete := func() int { return ledger.Coverage(number-1, []usage.Source{source}).Complete }
+		for i := len(datagrams) - 1; i >= 0; i-- {
+			if i != missing {
+				x.Receive(datagrams[i])
+			}
+		}
+		if complete() != 0 {
+			t.Errorf("complete without datagram %d", missing)
+		}
+		x.Receive(datagrams[missing])
+		if n := len(ledger.Sum(number - 1).Counts); n != accounts || complete() != 1 {
+			t.Errorf("%d of %d accounts are known, complete %d", n, accounts, complete())
 		}
 	}
 }
--- a/internal/duty/report.go
+++ b/internal/duty/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -115,14 +116,26 @@
 		return false
 	}
 	c := r.Ledger.Coverage(w, r.Sources())
-	return 2*c.Since >= c.Total
+	return c.Total > 0 && 2*c.Since >= c.Total
 }
 
 // settled reports whether the counts of a window are complete, or are not going to
 // become so in time.
 func (r *Reporter) settled(w usage.Window, now time.Duration) bool {
-	c := r.Ledger.Coverage(w, r.Sources())
-	return c.Complete == c.Total || now-w.End(r.Length) >= time.Duration(patience*float64(r.Due))
+	if now-w.End(r.Length) >= time.Duration(patience*float64(r.Due)) {
+		return true
+	}
+	sources := r.Sources()
+	c := r.Ledger.Coverage(w, sources)
+	return c.Complete == c.Total && !r.startedWithin(w, sources)
+}
+
+// startedWithin reports whether this daemon has started after a window began. Other
+// candidates then send it the counts of daemons that have ended.
+func (r *Reporter) startedWithin(w usage.Window, sources []usage.Source) bool {
+	self := string(r.Tenure.Self())
+	own := slices.DeleteFunc(slices.Clone(sources), func(s usage.Source) bool { return s.Host != self })
+	return r.Ledger.Coverage(w, own).Since == 0
 }
 
 // BeginEra records that the store was restored from a copy, or may have been
--- a/internal/duty/rules_test.go
+++ b/internal/duty/rules_test.go
@@ -143,6 +143,9 @@
 		}
 		w.run(3 * simLength)
 		reported := w.api.Windows()[int64(n)][table.AccountName("account")]
+		if float64(reported) < 0.95*float64(w.truth[n]) {
+			t.Errorf("seed %d: %d of %d requests are reported", seed, reported, w.truth[n])
+		}
 		missing += float64(w.truth[n]) - float64(reported)
 		total += float64(w.truth[n])
 	}
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -18,7 +18,9 @@
 // source is the state of one source.
 type source struct {
 	since, until time.Duration
-	windows      map[Window]Counts
+	// heard is the latest time that the reports of the source refer to.
+	heard   time.Duration
+	windows map[Window]Counts
 }
 
 // NewLedger returns a ledger for windows of the given length.
@@ -36,6 +38,7 @@
 		l.sources[r.Source] = s
 	}
 	s.until = max(s.until, r.Until)
+	s.heard = max(s.heard, r.latest(l.length))
 	oldest := WindowOf(s.until, l.length) - keptWindows
 	for number, counts := range r.Windows {
 		if number <= oldest {
@@ -80,12 +83,22 @@
 	return all
 }
 
+// latest returns the latest time that a report refers to. Some state no time up to which
+// they are complete.
+func (r *Report) latest(length time.Duration) time.Duration {
+	latest := max(r.Since, r.Until)
+	for number := range r.Windows {
+		latest = max(latest, number.End(length))
+	}
+	return latest
+}
+
 // Forget drops the sources that have not reported since the given time.
 func (l *Ledger) Forget(before time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, s := range l.sources {
-		if s.until < before {
+		if s.heard < before {
 			delete(l.sources, id)
 		}
 	}
