--- a/internal/duty/exchange.go
+++ b/internal/duty/exchange.go
@@ -19,8 +19,13 @@
 
 const (
 	// reportInterval is the interval at which a daemon reports. In between it
-	// reports once, finalDelay after the end of a window.
+	// reports once, finalDelay after the end of a window, and what has changed each
+	// changeInterval: a daemon that is killed takes with it what it has not sent.
 	reportInterval = time.Second
+	changeInterval = 300 * time.Millisecond
+	// maxChangeHosts is the number of hosts up to which changes are sent in between.
+	// In a larger fleet they would take the candidates too much of a processor.
+	maxChangeHosts = 400
 	finalDelay     = 100 * time.Millisecond
 	// announceInterval is the interval at which the holder makes itself known.
 	announceInterval = 400 * time.Millisecond
@@ -58,6 +63,13 @@
 	lastHolding time.Duration
 	// sentTo are the candidates that the last report was sent to.
 	sentTo []membership.HostID
+	// sent holds the counts of the last report and the changes since, lastChange is
+	// when changes were last sent.
+	sent       map[usage.Window]usage.Counts
+	lastChange time.Duration
+	relay      relay
+	// parts holds the datagrams of incomplete reports.
+	parts assembly
 }
 
 // Run reports until ctx is cancelled.
@@ -84,8 +96,15 @@
 	}
 	window := usage.WindowOf(x.Time.Now()-finalDelay, x.Length)
 	if now-x.lastReport >= reportInterval || window != x.lastWindow {
-		x.lastReport, x.lastWindow = now, window
+		x.lastReport, x.lastChange, x.lastWindow = now, now, window
 		x.report()
+	} else if now-x.lastChange >= changeInterval && x.Hosts().Len() <= maxChangeHosts {
+		x.lastChange = now
+		x.reportChanges()
+	}
+	if now-x.relay.last >= relayInterval {
+		x.relay.last = now
+		x.relayEnded()
 	}
 	if fence, ok := x.Tenure.Held(); ok && now-x.lastHolding >= announceInterval {
 		x.lastHolding = now
@@ -116,6 +135,7 @@
 	r := x.Counter.Report(windows)
 	r.Source = usage.Source{Host: string(self.ID), Incarnation: self.Incarnation}
 	demand := x.Demand.Snapshot()
+	x.sent = r.Windows
 	if slices.Contains(to, self.ID) {
 		x.Ledger.Merge(r)
 		x.Totals.Record(r.Host, r.Incarnation, x.Boot.Now(), demand)
@@ -125,6 +145,32 @@
 	}
 }
 
+// reportChanges sends the counts that have changed since they were last sent. The
+// report does not state up to when it is complete, since the last one may be lost.
+func (x *Exchange) reportChanges() {
+	self := x.Self()
+	r := x.Counter.Report(recentWindows)
+	changes := usage.Report{
+		Source: usage.Source{Host: string(self.ID), Incarnation: self.Incarnation},
+		Since:  r.Since, Windows: map[usage.Window]usage.Counts{},
+	}
+	for number, counts := range r.Windows {
+		if changed := counts.Changed(x.sent[number]); len(changed) > 0 {
+			changes.Windows[number] = changed
+		}
+	}
+	if len(changes.Windows) == 0 {
+		return
+	}
+	x.sent = r.Windows
+	if slices.Contains(x.sentTo, self.ID) {
+		x.Ledger.Merge(changes)
+	}
+	for _, datagram := range encodeReport(changes, nil) {
+		x.Send(x.others(), datagram)
+	}
+}
+
 // others returns the peer addresses of the candidates, without this host.
 func (x *Exchange) others() (addresses []string) {
 	self := x.Self().ID
@@ -143,6 +189,9 @@
 		return
 	}
 	r, demand := decodeReport(m)
+	if !x.parts.complete(m) {
+		r.Until = 0
+	}
 	x.Ledger.Merge(r)
 	if len(demand) > 0 {
 		x.Totals.Record(r.Host, r.Incarnation, x.Boot.Now(), demand)
@@ -153,8 +202,7 @@
 // ledgerTime is how long the counts of a daemon that has ended are kept.
 const ledgerTime = time.Minute
 
-// encodeReport encodes a report in datagrams. Only the last one states the time
-// up to which the counts are complete.
+// encodeReport encodes a report in datagrams.
 func encodeReport(r usage.Report, demand map[table.Pool]autoscale.Demand) (all []*peerv1.DutyReport) {
 	head := func() *peerv1.DutyReport {
 		return &peerv1.DutyReport{Host: r.Host, Incarnation: r.Incarnation, SinceMs: r.Since.Milliseconds()}
@@ -183,8 +231,11 @@
 			Pool: string(pool), PrefillMs: d.PrefillMs, Placed: d.Placed, Running: d.Running, Waiting: d.Waiting,
 		})
 	}
-	m.UntilMs = r.Until.Milliseconds()
-	return append(all, m)
+	all = append(all, m)
+	for i, m := range all {
+		m.UntilMs, m.Part, m.Parts = r.Until.Milliseconds(), uint32(i), uint32(len(all))
+	}
+	return all
 }
 
 // countSize and demandSize are the sizes of a count and of a pool's demand in a
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -91,6 +91,7 @@
 // forwardEvents forwards complete events, except those that the caller has
 // already received. The error is errSuperseded if another call has gone on.
 func (c *call) forwardEvents(events []byte, resp *http.Response) error {
+	c.recordFirstEvent()
 	c.markBegun()
 	out, err := c.takeEvents(events, resp)
 	if err != nil || len(out) == 0 {
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -17,7 +18,9 @@
 // source is the state of one source.
 type source struct {
 	since, until time.Duration
-	windows      map[Window]Counts
+	// heard is the latest time that the reports of the source refer to.
+	heard   time.Duration
+	windows map[Window]Counts
 }
 
 // NewLedger returns a ledger for windows of the given length.
@@ -35,6 +38,7 @@
 		l.sources[r.Source] = s
 	}
 	s.until = max(s.until, r.Until)
+	s.heard = max(s.heard, r.latest(l.length))
 	oldest := WindowOf(s.until, l.length) - keptWindows
 	for number, counts := range r.Windows {
 		if number <= oldest {
@@ -56,12 +60,45 @@
 	}
 }
 
+// Ended returns what sources have counted that no longer report, in the last n windows
+// before a time. The function reports tells whether a source may still report.
+func (l *Ledger) Ended(reports func(Source) bool, now time.Duration, n int) (all []Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	oldest := WindowOf(now, l.length) - Window(n)
+	for id, s := range l.sources {
+		if reports(id) {
+			continue
+		}
+		r := Report{Source: id, Since: s.since, Until: s.until, Windows: map[Window]Counts{}}
+		for number, counts := range s.windows {
+			if number > oldest && len(counts) > 0 {
+				r.Windows[number] = maps.Clone(counts)
+			}
+		}
+		if len(r.Windows) > 0 {
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+// latest returns the latest time that a report refers to. Some state no time up to which
+// they are complete.
+func (r *Report) latest(length time.Duration) time.Duration {
+	latest := max(r.Since, r.Until)
+	for number := range r.Windows {
+		latest = max(latest, number.End(length))
+	}
+	return latest
+}
+
 // Forget drops the sources that have not reported since the given time.
 func (l *Ledger) Forget(before time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, s := range l.sources {
-		if s.until < before {
+		if s.heard < before {
 			delete(l.sources, id)
 		}
 	}
