Begin no stream that would outlast its caller

An engine that reads prompts without a break decodes at a fraction of its pace. Admission knew when a stream would begin, not when it would end: streams with long prompts ran until their callers left, and slowed down all beside them in vain.

Package completion learns the pace of streams at rest and beside prefill, predicts their ends, and tells how much prefill an engine bears until then. An engine is given no request that would make one of its streams, or the request, end too late; a request that can't end in time any more is refused as not run. It applies to requests with deadlines on engines that batch. The replay tells returning callers' real deadlines.

--- a/internal/batching/batching.go
+++ b/internal/batching/batching.go
@@ -11,6 +11,8 @@
 
 import (
 	"time"
+
+	"github.com/beechhead/beechhead/internal/completion"
 )
 
 // Mechanism is a part of the decisions that can be disabled, to measure its
@@ -41,6 +43,9 @@
 	WaitPatience Mechanism = "waitPatience"
 	// DecodeSlowdown expects slower prefill on engines that run many requests.
 	DecodeSlowdown Mechanism = "decodeSlowdown"
+	// Completion begins no stream that would end after its caller has left, or make
+	// another one do so.
+	Completion Mechanism = "completion"
 )
 
 // Part is a part of a prompt. Engines cache parts by ID, and skip the prefill
@@ -67,6 +72,10 @@
 	Class  *Class
 	// WaitingSince is when it began to wait, Granted when it was given a slot.
 	WaitingSince, Granted time.Duration
+	// Deadline is when the whole response must have reached the caller; zero means
+	// unknown. MustRun means that the request can't be refused any more.
+	Deadline time.Duration
+	MustRun  bool
 	// Late means that its first token is expected after the target.
 	Late bool
 	// FetchedTokens is the number of prompt tokens that the engine fetches from the
@@ -93,4 +102,6 @@
 	// firstTokenDue is when the first token was expected at the grant,
 	// correctionAtGrant the correction of the engine at that time.
 	firstTokenDue, correctionAtGrant time.Duration
+	// stream is its progress, if its deadline is known.
+	stream completion.Stream
 }
--- a/internal/batching/choice.go
+++ b/internal/batching/choice.go
@@ -69,13 +69,14 @@
 	affinityEngine *Engine
 	affinityTokens int
 	headroom       headroom
+	state          *RequestState
 }
 
 // Candidate evaluates a request for the choice of an engine. Nothing is fetched from
 // engines that excludes names; it is nil if there are none.
 func (p *Pool) Candidate(g *RequestState, excludes func(name string) bool, now time.Duration) Candidate {
 	r := &g.Prompt
-	c := Candidate{Prompt: r, headroom: p.headroomFor(g.Class, now), longRunning: p.isLongRunningBelow(g.Class, r)}
+	c := Candidate{Prompt: r, headroom: p.headroomFor(g.Class, now), longRunning: p.isLongRunningBelow(g.Class, r), state: g}
 	c.sensitivity = g.Class.sensitivity(r)
 	c.memory = unsharedMemory(r)
 	for _, e := range p.engines {
@@ -136,7 +137,10 @@
 	if backlog > c.backlogLimit {
 		return false
 	}
-	return c.headroom.spare > 0 || !c.headroom.exceededBy(backlog, c.prefillTime)
+	if c.headroom.spare <= 0 && c.headroom.exceededBy(backlog, c.prefillTime) {
+		return false
+	}
+	return p.endsInTime(e, c, backlog, now)
 }
 
 // backlogLimit returns the longest acceptable backlog of an engine for a
--- a/internal/batching/class.go
+++ b/internal/batching/class.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/beechhead/beechhead/internal/completion"
 	"github.com/beechhead/beechhead/internal/stat"
 )
 
@@ -36,6 +37,8 @@
 	// streams, violationsPeak its recent peak.
 	violations     decayingRate
 	violationsPeak float64
+	// lengths relates the lengths of its responses to the expected ones.
+	lengths completion.LengthRatio
 }
 
 // RecordRunTime records how long a request of the class has run.
--- /dev/null
+++ b/internal/batching/completion.go
@@ -0,0 +1,104 @@
+package batching
+
+import (
+	"time"
+
+	"github.com/beechhead/beechhead/internal/completion"
+)
+
+// Engines that process prompts without a break decode at a fraction of their pace. The
+// first token of a stream is then in time, and the stream still runs when its caller
+// leaves. Package completion predicts the ends of the streams of an engine; an engine is
+// not given a request that would make one of them, or the request itself, end too late.
+
+// streamReviewInterval is the time between two estimates of the streams' progress.
+const streamReviewInterval = 50 * time.Millisecond
+
+// reviewStreams periodically estimates the progress of the streams.
+func (p *Pool) reviewStreams(now time.Duration) {
+	if now-p.lastStreamReview < streamReviewInterval {
+		return
+	}
+	p.lastStreamReview = now
+	pace := p.pace.Pace()
+	p.hasIdleEngine = false
+	for _, e := range p.engines {
+		if e.Memory == 0 {
+			continue
+		}
+		if e.Running == 0 && e.canDecode(now) {
+			p.hasIdleEngine = true
+		}
+		e.streams.Advance(pace.Slowed(e.Slowdown()), e.prefillShare(e.streams.AdvancedAt(), now), e.Backlog(now), now)
+	}
+}
+
+// recordStream records that an engine runs a request whose prefill takes the given time.
+func (p *Pool) recordStream(e *Engine, g *RequestState, prefill, now time.Duration) {
+	if p.isDisabled(Completion) {
+		return
+	}
+	if g.Deadline == 0 {
+		e.streams.AddPrefill(prefill)
+		return
+	}
+	g.stream = p.newStream(g, g.firstTokenDue)
+	e.streams.AddPrefill(prefill)
+	e.streams.Add(&g.stream, p.pace.Pace().Slowed(e.Slowdown()), now)
+}
+
+func (p *Pool) newStream(g *RequestState, begins time.Duration) completion.Stream {
+	length := completion.Length{Tokens: g.Prompt.ResponseTokens, Class: &g.Class.lengths, Pool: &p.lengths}
+	return completion.NewStream(g.Class.Tier, g.WaitingSince, g.Deadline, begins, length)
+}
+
+// RecordProgress records that a number of events has been received.
+func (g *RequestState) RecordProgress(events int, now time.Duration) { g.stream.Seen(events, now) }
+
+// RecordLength records the number of events of a complete response.
+func (p *Pool) RecordLength(g *RequestState, events int) {
+	p.lengths.Observe(events, g.Prompt.ResponseTokens)
+	g.Class.lengths.Observe(events, g.Prompt.ResponseTokens)
+}
+
+// endsInTime reports whether an engine can take a request so that the request and the
+// streams that run there end in time. An idle engine always can: it shows its pace.
+func (p *Pool) endsInTime(e *Engine, c *Candidate, backlog, now time.Duration) bool {
+	if e.Running == 0 || p.isDisabled(Completion) {
+		return true
+	}
+	prefill := p.engineTime(e, c.prefillTime.Seconds()*p.prefillRate)
+	if !e.streams.Bears(prefill, c.state.Class.Tier) {
+		return false
+	}
+	return p.endsBeforeCallerLeaves(c.state, now+backlog+prefill+p.overhead, e.Slowdown())
+}
+
+// endsBeforeCallerLeaves reports whether a request whose first token is generated at a
+// given time ends in time on an engine of the given slowdown. It does if its deadline is
+// unknown or it must run in any case.
+func (p *Pool) endsBeforeCallerLeaves(g *RequestState, begins time.Duration, slowdown float64) bool {
+	if g.Deadline == 0 || g.MustRun {
+		return true
+	}
+	s := p.newStream(g, begins)
+	return s.EndsInTime(p.pace.Pace().Slowed(slowdown))
+}
+
+// Outlasts reports whether the response to a waiting request would end too late even if
+// an engine of average speed began with it now. While an engine is idle, none does.
+func (p *Pool) Outlasts(g *RequestState, now time.Duration) bool {
+	if !p.hasBatching || p.hasIdleEngine || p.isDisabled(Completion) {
+		return false
+	}
+	return !p.endsBeforeCallerLeaves(g, now+p.FirstToken(g), 1)
+}
+
+// EndingLate returns the number of streams that are expected to end after their callers
+// have left.
+func (e *Engine) EndingLate() int { return e.streams.EndingLate() }
+
+// prefillShare returns the share of its time that an engine has spent on prefill.
+func (e *Engine) prefillShare(from, to time.Duration) float64 {
+	return min(1, e.prefillTimeBetween(from, to).Seconds()/max(to-from, 1).Seconds())
+}
--- a/internal/batching/engine.go
+++ b/internal/batching/engine.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/beechhead/beechhead/internal/completion"
 	"github.com/beechhead/beechhead/internal/interference"
 )
 
@@ -72,6 +73,8 @@
 	// prefilling lists the requests without a first token, in the order of their
 	// grants.
 	prefilling []*RequestState
+	// streams are the running requests whose deadlines are known.
+	streams completion.Streams
 }
 
 // prefillRecord is the prefill of one prompt.
@@ -127,6 +130,7 @@
 // RecordRelease records the end of a grant.
 func (e *Engine) RecordRelease(g *RequestState) {
 	e.EndPrefill(g)
+	e.streams.Remove(&g.stream)
 	if g.reservedMemory > 0 {
 		e.parts.Release(g.Prompt.Parts)
 	}
--- a/internal/batching/pool.go
+++ b/internal/batching/pool.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/beechhead/beechhead/internal/completion"
 	"github.com/beechhead/beechhead/internal/interference"
 	"github.com/beechhead/beechhead/internal/stat"
 )
@@ -53,6 +54,13 @@
 	longPrefills     decayingRate
 	firstLongPrefill time.Duration
 	longPrefillPeak  float64
+	// pace is how fast engines generate events, lengths relates the lengths of all
+	// responses to the expected ones. hasIdleEngine means that an engine ran nothing at
+	// the last review of the streams.
+	pace             completion.PaceEstimate
+	lengths          completion.LengthRatio
+	hasIdleEngine    bool
+	lastStreamReview time.Duration
 }
 
 // NewPool returns a pool without engines and classes.
@@ -74,6 +82,7 @@
 func (p *Pool) Review(now time.Duration) {
 	p.pruneLastUse(now)
 	p.reviewDecode(now)
+	p.reviewStreams(now)
 }
 
 // FirstToken returns the expected time from the grant of a request to its first
@@ -142,6 +151,7 @@
 	if e.Memory == 0 {
 		return perToken
 	}
+	p.pace.Observe(e.Slowdown()*(to-from).Seconds()/perToken, to-from, e.prefillShare(from, to))
 	step := e.timeWithoutPrefill(perToken, from, to)
 	p.model.ObserveEvent(e.Running, stat.Seconds(step))
 	return step / (1 + p.model.SlowdownPerRequest()*float64(e.Running))
--- a/internal/batching/prefill.go
+++ b/internal/batching/prefill.go
@@ -98,6 +98,7 @@
 	}
 	g.firstTokenDue = e.prefillDoneAt + p.overhead
 	g.correctionAtGrant = e.correction
+	p.recordStream(e, g, p.engineTime(e, g.prefillCost), now)
 	e.prefilling = append(e.prefilling, g)
 	e.parts.Acquire(r.Parts, e.Memory-e.reservedMemory)
 	for _, part := range r.Parts {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -51,6 +51,7 @@
 	g.metrics.Set("cells.coordinated", int64(len(cells)))
 	g.metrics.Set("endpoints.limited", limitedEndpoints(cells))
 	g.setHealthGauges(cells)
+	g.setCompletionGauges(cells)
 	g.metrics.Set("quarantine.requests", int64(g.suspects.QuarantinedCount()))
 	g.metrics.Set("quarantine.parts", int64(g.parts.QuarantinedCount()))
 	g.metrics.Set("tunnels.open", int64(g.tunnels.Open()))
@@ -63,6 +64,22 @@
 	}
 }
 
+// setCompletionGauges sets the gauges of requests that were refused because they would
+// have ended too late, and of streams that are expected to do so.
+func (g *Gateway) setCompletionGauges(cells []cell.StatusEntry) {
+	outlasting, late := int64(0), int64(0)
+	for _, one := range cells {
+		for _, q := range one.Classes {
+			outlasting += q.Outlasting
+		}
+		for _, e := range one.Endpoints {
+			late += int64(e.EndingLate)
+		}
+	}
+	g.metrics.Set("requests.outlasting", outlasting)
+	g.metrics.Set("streams.endingLate", late)
+}
+
 // setHealthGauges sets the gauges of ejected endpoints and of failures that nearly all
 // endpoints of a cell shared.
 func (g *Gateway) setHealthGauges(cells []cell.StatusEntry) {
--- a/internal/replay/player.go
+++ b/internal/replay/player.go
@@ -183,7 +183,7 @@
 		},
 	}
 	r.Zone, r.BodyBytes = p.zone(c), c.BodyBytes
-	r.EndTimeout = c.Deadline.Std()
+	r.EndTimeout = p.s.endTimeout(c.Deadline.Std())
 	r.Fingerprint = p.nextID
 	res.Asked++
 	res.window(p.now).Asked++
@@ -248,7 +248,7 @@
 		if r.ended {
 			return
 		}
-		r.StartTimeout = min(r.StartTimeout, left-after)
+		r.StartTimeout, r.EndTimeout = min(r.StartTimeout, left-after), p.s.endTimeout(left-after)
 		p.leaves(r)
 		p.reserve(r)
 	})
@@ -356,6 +356,7 @@
 		p.cell.AdoptGrant(schedule.Holding{
 			ID: id, Class: r.Class, Endpoint: r.engine.name, EstimatedTokens: r.EstimatedTokens,
 			PromptTokens: r.PromptTokens, Parts: r.Parts, FirstTokenReceived: r.events > 0,
+			Elapsed: p.now - r.granted, Left: p.s.endTimeout(r.arrived + r.class.Deadline.Std() - p.now), Tokens: r.events,
 		})
 	}
 	p.step()
--- a/internal/replay/scenario.go
+++ b/internal/replay/scenario.go
@@ -36,6 +36,17 @@
 	Handovers []table.Duration `json:"handovers,omitempty"`
 	// Disabled mechanisms take no part in the decisions.
 	Disabled []schedule.Mechanism `json:"disabled,omitempty"`
+
+	// unstated means that callers do not state their deadlines.
+	unstated bool
+}
+
+// endTimeout returns the time for a response that callers state when that much is left.
+func (s *Scenario) endTimeout(left time.Duration) time.Duration {
+	if s.unstated {
+		return 0
+	}
+	return left
 }
 
 // Engines are engines that differ in speed and availability zone only.
--- a/internal/schedule/mechanism.go
+++ b/internal/schedule/mechanism.go
@@ -22,6 +22,7 @@
 	ZoneWeight     = batching.ZoneWeight
 	WaitPatience   = batching.WaitPatience
 	DecodeSlowdown = batching.DecodeSlowdown
+	Completion     = batching.Completion
 )
 
 // The mechanisms of the queue and of endpoint health.
@@ -44,7 +45,7 @@
 // Mechanisms returns all mechanisms.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		DecodeEngines, Spacing, Disturbance, Headroom, Fetch, ReadAgain, Home, ZoneWeight, WaitPatience, DecodeSlowdown,
+		DecodeEngines, Spacing, Disturbance, Headroom, Fetch, ReadAgain, Home, ZoneWeight, WaitPatience, DecodeSlowdown, Completion,
 		SlowEjection, FailedEjection, Ageing, Shedding, TooLate,
 	}
 }
--- a/internal/schedule/request.go
+++ b/internal/schedule/request.go
@@ -46,6 +46,15 @@
 	return batching.Prompt{Tokens: r.PromptTokens, ResponseTokens: r.EstimatedTokens, Parts: r.Parts, Zone: r.Zone}
 }
 
+// state returns the state of the request in the engine pool.
+func (r *Request) state(now time.Duration) batching.RequestState {
+	s := batching.RequestState{Prompt: r.prompt(), WaitingSince: now - r.Waited, MustRun: r.StartTimeout == 0}
+	if r.EndTimeout > 0 {
+		s.Deadline = s.WaitingSince + r.EndTimeout
+	}
+	return s
+}
+
 // setClass sets the class of an entry that is neither queued nor running yet.
 func (e *entry) setClass(q *classQueue) {
 	e.class, e.Class = q, &q.Class
@@ -90,7 +99,7 @@
 	}
 	c.arrivals++
 	*e = entry{
-		RequestState: batching.RequestState{Prompt: r.prompt(), WaitingSince: now - r.Waited},
+		RequestState: r.state(now),
 		request:      r,
 		arrival:      c.arrivals,
 		work:         estimateWork(r.PromptTokens, r.EstimatedTokens),
@@ -148,6 +157,8 @@
 		EstimatedTokens: h.EstimatedTokens,
 		PromptTokens:    h.PromptTokens,
 		Parts:           h.Parts,
+		Waited:          h.Elapsed,
+		EndTimeout:      h.endTimeout(),
 	}, now)
 	e.setClass(q)
 	e.account = q.account(h.Account)
@@ -156,6 +167,7 @@
 	if h.FirstTokenReceived {
 		e.accepted = true
 		to.EndPrefill(&e.RequestState)
+		e.RecordProgress(max(1, h.Tokens), now)
 	} else {
 		to.brittle.granted(e.request.ID, now)
 	}
@@ -199,6 +211,7 @@
 	}
 	if r.Done && r.Tokens > 0 {
 		e.class.RecordRunTime(r.Duration)
+		c.pool.RecordLength(&e.RequestState, r.Tokens)
 		c.estimates.Observe(e.request.Class, e.request.Account, e.request.EstimatedTokens, r.Tokens)
 		c.meanWork.Add(estimateWork(e.request.PromptTokens, r.Tokens))
 	}
@@ -219,6 +232,7 @@
 	e.endpoint.brittle.accepted(id, e.endpoint.Running, e.endpoint.policy.Concurrency, now)
 	c.recordSpeed(e, p, now)
 	c.pool.RecordFirstToken(&e.endpoint.Engine, &e.RequestState, now)
+	e.RecordProgress(p.Tokens, now)
 }
 
 func (c *Cell) refuseArrival(q *classQueue, id RequestID, why Refusal, now time.Duration) {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -161,6 +161,20 @@
 	Parts           []Part
 	// FirstTokenReceived reports whether the first token has been received.
 	FirstTokenReceived bool
+	// Elapsed is the time since the grant, Left the time until the whole response must
+	// have reached the caller; zero means unknown. Tokens is the number of events
+	// received so far.
+	Elapsed, Left time.Duration
+	Tokens        int
+}
+
+// endTimeout returns the time from the grant within which the response must have ended;
+// zero means unknown.
+func (h *Holding) endTimeout() time.Duration {
+	if h.Left == 0 {
+		return 0
+	}
+	return h.Elapsed + h.Left
 }
 
 // Report is the outcome of a grant.
--- a/internal/schedule/status.go
+++ b/internal/schedule/status.go
@@ -9,7 +9,10 @@
 type classCounters struct {
 	granted, aged, preempted, cancelled int64
 	refused                             map[Refusal]int64
-	longestWait                         time.Duration
+	// outlasting counts those refused as too late because their responses would end, not
+	// begin, too late.
+	outlasting  int64
+	longestWait time.Duration
 }
 
 // cellCounters counts events of a cell.
@@ -46,6 +49,9 @@
 	Preempted int64             `json:"preempted"`
 	Cancelled int64             `json:"cancelled"`
 	Refused   map[Refusal]int64 `json:"refused"`
+	// Outlasting counts those refused as too late whose responses could have begun in
+	// time, but not ended.
+	Outlasting int64 `json:"outlasting"`
 	// LongestWaitMS is the longest wait of all granted requests, OldestWaitMS
 	// that of the requests that still wait.
 	LongestWaitMS int64 `json:"longestWaitMs"`
@@ -61,9 +67,12 @@
 	// its last load report.
 	Foreign int `json:"foreign"`
 	// OutstandingTokens is the estimated work of the running grants.
-	OutstandingTokens int         `json:"outstandingTokens"`
-	Draining          bool        `json:"draining"`
-	Ejected           EjectReason `json:"ejected,omitempty"`
+	OutstandingTokens int `json:"outstandingTokens"`
+	// EndingLate counts the running streams that are expected to end after their callers
+	// have left.
+	EndingLate int         `json:"endingLate,omitempty"`
+	Draining   bool        `json:"draining"`
+	Ejected    EjectReason `json:"ejected,omitempty"`
 	// LimitPerSecond is the rate limit that the endpoint reports; zero means none.
 	LimitPerSecond float64 `json:"limitPerSecond,omitempty"`
 	// BetweenTokensMS is the measured time per token; zero means unknown.
@@ -91,6 +100,7 @@
 			Running:           e.Running,
 			Foreign:           e.foreign(now),
 			OutstandingTokens: int(e.outstanding),
+			EndingLate:        e.EndingLate(),
 			Draining:          e.policy.Draining,
 			Ejected:           e.health.reason,
 			LimitPerSecond:    e.limit.perSecond,
@@ -111,6 +121,7 @@
 		Preempted:     q.counters.preempted,
 		Cancelled:     q.counters.cancelled,
 		Refused:       maps.Clone(q.counters.refused),
+		Outlasting:    q.counters.outlasting,
 		LongestWaitMS: q.counters.longestWait.Milliseconds(),
 	}
 	if e := q.oldest.first(); e != nil {
--- a/internal/schedule/toolate.go
+++ b/internal/schedule/toolate.go
@@ -45,7 +45,7 @@
 	return begins > startTimeout
 }
 
-// shedTooLate refuses the waiting requests whose responses would begin too late.
+// shedTooLate refuses the waiting requests whose responses would begin or end too late.
 // It scans the whole queue, and therefore runs only every tooLateInterval.
 func (c *Cell) shedTooLate(now time.Duration) {
 	if c.discipline != ByTier || c.isDisabled(TooLate) || now-c.lastTooLateCheck < tooLateInterval {
@@ -55,7 +55,7 @@
 	for _, q := range c.classOrder {
 		c.deferred = c.deferred[:0]
 		for _, e := range q.oldest.items {
-			if c.tooLate(e, now) {
+			if c.tooLate(e, now) || c.pool.Outlasts(&e.RequestState, now) {
 				c.deferred = append(c.deferred, e)
 			}
 		}
@@ -70,6 +70,9 @@
 	retry := c.tooLateRetryAfter(e, now)
 	c.dequeue(e)
 	e.class.counters.refused[RefusedTooLate]++
+	if !c.tooLate(e, now) {
+		e.class.counters.outlasting++
+	}
 	c.decide(Decision{ID: e.request.ID, Refusal: RefusedTooLate, RetryAfter: retry})
 	c.recycle(e)
 }
