Tell a new coordinator what still has to end

A coordinator that takes a cell over learnt which grants are in use, but not when their responses must have ended. The report of a grant now has the time since the grant, the time that the caller has left and the events received.

--- a/internal/cell/convert.go
+++ b/internal/cell/convert.go
@@ -93,6 +93,9 @@
 		PromptTokens:       int(h.GetPromptTokens()),
 		Parts:              parts(h.GetParts()),
 		FirstTokenReceived: h.GetBegun(),
+		Elapsed:            time.Duration(h.GetElapsedMs()) * time.Millisecond,
+		Left:               time.Duration(h.GetLeftMs()) * time.Millisecond,
+		Tokens:             int(h.GetTokens()),
 	}
 }
 
--- a/internal/placement/cluster_test.go
+++ b/internal/placement/cluster_test.go
@@ -321,13 +321,19 @@
 
 // reserve starts a reservation and waits until it has been sent.
 func (s *cluster) reserve(n *node) *call {
+	s.t.Helper()
+	return s.reserveUntil(n, 0)
+}
+
+// reserveUntil reserves a slot for a caller who leaves after the given time.
+func (s *cluster) reserveUntil(n *node, timeout time.Duration) *call {
 	s.t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &call{done: make(chan struct{}), cancel: cancel}
 	before := n.pendingCount()
 	go func() {
 		defer close(c.done)
-		c.grant, c.err = n.placer.Reserve(ctx, Request{Pool: testPool, Class: testClass, Account: "a"})
+		c.grant, c.err = n.placer.Reserve(ctx, Request{Pool: testPool, Class: testClass, Account: "a", EndTimeout: timeout})
 	}()
 	s.eventually(func() bool { return n.pendingCount() > before || c.isDone() })
 	return c
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -90,6 +90,7 @@
 // RecordToken records the arrival of a token.
 func (g *Grant) RecordToken() {
 	g.tokens++
+	g.pending.tokens.Store(uint32(g.tokens))
 	now := g.placer.clock.Now()
 	if gap := now.Sub(g.lastTokenAt); g.tokens > 1 && gap > g.longestGap {
 		g.longestGap, g.longestGapToken = gap, g.tokens
--- a/internal/placement/link.go
+++ b/internal/placement/link.go
@@ -106,9 +106,23 @@
 		PromptTokens:    w.reserve.GetPromptTokens(),
 		Parts:           w.reserve.GetParts(),
 		Begun:           w.firstTokenReceived,
+		ElapsedMs:       uint32(p.clock.Since(w.grantedAt) / time.Millisecond),
+		LeftMs:          p.leftMs(w),
+		Tokens:          w.tokens.Load(),
 	})
 }
 
+// leftMs returns the milliseconds until the whole response must have reached the caller,
+// at least 1, or 0 if that time is unknown.
+func (p *Placer) leftMs(w *pending) uint32 {
+	timeout := time.Duration(w.reserve.GetDeadlineMs()) * time.Millisecond
+	if timeout == 0 {
+		return 0
+	}
+	left := timeout - w.waited - p.clock.Since(w.sentAt)
+	return uint32(max(left/time.Millisecond, 1))
+}
+
 func (p *Placer) sendOn(l *hostLink, req *peerv1.ReservationsRequest) {
 	now := p.clock.Now()
 	if l.batch == l.acked {
@@ -247,7 +261,7 @@
 	if w.endpoint != "" {
 		return
 	}
-	w.endpoint = name
+	w.endpoint, w.grantedAt = name, p.clock.Now()
 	w.answer <- answer{endpoint: name, fetchFrom: table.EndpointName(g.GetFetchFrom()), choice: Choice{
 		Backlog:     time.Duration(g.GetBacklogMs()) * time.Millisecond,
 		PrefillTime: time.Duration(g.GetUnreadMs()) * time.Millisecond,
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -130,6 +131,10 @@
 	endpoint table.EndpointName
 	// answer holds a buffer for the single answer.
 	answer chan answer
+	// grantedAt is when the grant was received. tokens counts the events received from
+	// the endpoint.
+	grantedAt time.Time
+	tokens    atomic.Uint32
 	// firstTokenReceived means that the endpoint has sent the first token.
 	firstTokenReceived bool
 	// preempted is set when the coordinator revokes the grant; onPreempted is
