Refuse what outlasts its caller by the fastest pace that engines may have

Change: the refusal goes by the highest recent pace of a stream until the two paces can be told apart; where a request is placed still goes by the mean one.

--- a/internal/batching/completion.go
+++ b/internal/batching/completion.go
@@ -71,27 +71,28 @@
 	if !e.streams.Bears(prefill, c.state.Class.Tier) {
 		return false
 	}
-	return p.endsBeforeCallerLeaves(c.state, now+backlog+prefill+p.overhead, e.Slowdown())
+	return p.endsBeforeCallerLeaves(c.state, now+backlog+prefill+p.overhead, p.pace.Pace().Slowed(e.Slowdown()))
 }
 
 // endsBeforeCallerLeaves reports whether a request whose first token is generated at a
-// given time ends in time on an engine of the given slowdown. It does if its deadline is
-// unknown or it must run in any case.
-func (p *Pool) endsBeforeCallerLeaves(g *RequestState, begins time.Duration, slowdown float64) bool {
+// given time ends in time at a pace. It does if its deadline is unknown or it must run in
+// any case.
+func (p *Pool) endsBeforeCallerLeaves(g *RequestState, begins time.Duration, pace completion.Pace) bool {
 	if g.Deadline == 0 || g.MustRun {
 		return true
 	}
 	s := p.newStream(g, begins)
-	return s.EndsInTime(p.pace.Pace().Slowed(slowdown))
+	return s.EndsInTime(pace)
 }
 
 // Outlasts reports whether the response to a waiting request would end too late even if
-// an engine of average speed began with it now. While an engine is idle, none does.
+// an engine of average speed began with it now and had no prefill. While an engine is
+// idle, none does.
 func (p *Pool) Outlasts(g *RequestState, now time.Duration) bool {
 	if !p.hasBatching || p.hasIdleEngine || p.isDisabled(Completion) {
 		return false
 	}
-	return !p.endsBeforeCallerLeaves(g, now+p.FirstToken(g), 1)
+	return !p.endsBeforeCallerLeaves(g, now+p.FirstToken(g), p.pace.Fastest())
 }
 
 // EndingLate returns the number of streams that are expected to end after their callers
--- a/internal/completion/completion_test.go
+++ b/internal/completion/completion_test.go
@@ -129,6 +129,9 @@
 	if p := e.Pace(); p.Rest != p.Prefilling || p.Rest < 4.5 || p.Rest > 5.5 {
 		t.Errorf("the pace is %+v if all streams ran beside prefill", p)
 	}
+	if mean, fastest := e.Pace().Rest, e.Fastest().Rest; fastest < mean || fastest > 1.2*pace.Prefilling {
+		t.Errorf("the fastest pace is %.1f, the mean one %.1f", fastest, mean)
+	}
 	for range 200 {
 		observe(random.Float64())
 	}
--- a/internal/completion/pace.go
+++ b/internal/completion/pace.go
@@ -36,6 +36,8 @@
 	// during prefill. These are the sums of a least-squares fit, weighted by the inverse
 	// of the stream's time.
 	rr, rp, pp, re, pe float64
+	// fastest is the highest recent pace of a stream.
+	fastest float64
 }
 
 // Observe records the number of events that a stream had in a time, of which the engine
@@ -46,6 +48,7 @@
 	}
 	e.n++
 	t := took.Seconds()
+	e.fastest = max(e.fastest*paceDecay, events/t)
 	rest := 1 - share
 	e.rr = e.rr*paceDecay + rest*rest*t
 	e.rp = e.rp*paceDecay + rest*share*t
@@ -54,6 +57,17 @@
 	e.pe = e.pe*paceDecay + share*events
 }
 
+// Fastest returns the highest pace that engines may have: that at rest, or the highest
+// of a stream while all samples have about the same share of prefill. A request that
+// would end too late at the mean pace of loaded engines may still end in time.
+func (e *PaceEstimate) Fastest() Pace {
+	p := e.Pace()
+	if p.Rest == p.Prefilling && p.Rest > 0 {
+		p.Rest = max(p.Rest, e.fastest)
+	}
+	return p
+}
+
 // Pace returns the pace, or zero if it is unknown. If all samples have about the same
 // share of prefill, both paces are the mean one.
 func (e *PaceEstimate) Pace() Pace {
