Weigh a crossing of availability zones by its bytes

The cost follows from the bytes of the body and the expected response and is bounded by a tenth of the class's target, so that a crowded zone is left. Parts that are requested often in a zone have a home there; fetches between zones cost more, and more still for parts that are rare there. The coordinator counts what crosses by reason.

--- a/internal/batching/batching.go
+++ b/internal/batching/batching.go
@@ -37,6 +37,11 @@
 	Home Mechanism = "home"
 	// ZoneWeight prefers engines in the caller's availability zone.
 	ZoneWeight Mechanism = "zoneWeight"
+	// TransferCost weighs a transfer between availability zones by its bytes.
+	TransferCost Mechanism = "transferCost"
+	// ZoneHome gives parts that are requested often in a zone an engine for prefill
+	// in that zone.
+	ZoneHome Mechanism = "zoneHome"
 	// WaitPatience lowers the backlog limit of a request by the time it has waited.
 	WaitPatience Mechanism = "waitPatience"
 	// DecodeSlowdown expects slower prefill on engines that run many requests.
@@ -59,6 +64,8 @@
 	Parts []Part
 	// Zone is the availability zone of the host that sends the request.
 	Zone string
+	// BodyBytes is the length of the request's body.
+	BodyBytes int
 }
 
 // RequestState is the state of a request that waits for an engine or runs on one.
--- a/internal/batching/choice.go
+++ b/internal/batching/choice.go
@@ -68,14 +68,18 @@
 	// have affinity, affinityTokens their size; nil if there are none.
 	affinityEngine *Engine
 	affinityTokens int
-	headroom       headroom
+	// frequent means that the parts were requested in the caller's zone lately.
+	frequent bool
+	// transferWait is how much longer it may wait to avoid a transfer between zones.
+	transferWait time.Duration
+	headroom     headroom
 }
 
 // Candidate evaluates a request for the choice of an engine. Nothing is fetched from
 // engines that excludes names; it is nil if there are none.
 func (p *Pool) Candidate(g *RequestState, excludes func(name string) bool, now time.Duration) Candidate {
 	r := &g.Prompt
-	c := Candidate{Prompt: r, headroom: p.headroomFor(g.Class, now), longRunning: p.isLongRunningBelow(g.Class, r)}
+	c := Candidate{Prompt: r, headroom: p.headroomFor(g.Class, now), longRunning: p.isLongRunningBelow(g.Class, r), transferWait: g.Class.transferWait()}
 	c.sensitivity = g.Class.sensitivity(r)
 	c.memory = unsharedMemory(r)
 	for _, e := range p.engines {
@@ -170,13 +174,11 @@
 	if c.headroom.exceededBy(backlog, c.prefillTime) {
 		cost += headroomPenalty.Seconds() * p.prefillRate
 	}
-	cost += prefillCost(c.Tokens, cached) + fetchWeight*float64(cached-local) + runningWeight*float64(e.Running)
+	cost += prefillCost(c.Tokens, cached) + p.fetchCost(source, e, cached-local, c) + runningWeight*float64(e.Running)
 	if !p.isDisabled(ReadAgain) {
 		cost += redundantPrefillWeight * float64(p.recentlyPrefilled(c.Prompt, cached, now))
 	}
-	if e.Zone != c.Zone && !p.isDisabled(ZoneWeight) {
-		cost += crossZoneWeight
-	}
+	cost += p.transferCost(e, c)
 	if !e.Decode && c.longPrefill {
 		cost += violationPenalty.Seconds() * p.prefillRate * float64(e.protected)
 	}
--- a/internal/batching/pool.go
+++ b/internal/batching/pool.go
@@ -17,6 +17,10 @@
 	disabled []Mechanism
 	// hasBatching means that some engine batches its requests.
 	hasBatching bool
+	// zoned means that engines of several availability zones accept requests.
+	zoned bool
+	// crossings counts the requests that were sent to other zones.
+	crossings map[CrossingReason]Crossings
 
 	// prefillRate is the number of tokens that an engine processes per second
 	// in prefill, overhead the time from the end of prefill to the first token.
@@ -28,6 +32,8 @@
 	// entries were last removed.
 	lastUse   map[uint64]time.Duration
 	lastSweep time.Duration
+	// lastZoneUse is when each chain of shared parts was last requested in a zone.
+	lastZoneUse map[zonedChain]time.Duration
 	// currentStreams is the number of latency-sensitive streams that run, wait
 	// or are expected, decodeDemand its recent peak, from which the number of
 	// decode engines follows, and decodeTier the least urgent tier that has such
@@ -57,7 +63,7 @@
 
 // NewPool returns a pool without engines and classes.
 func NewPool() *Pool {
-	return &Pool{prefillRate: initialPrefillRate, overhead: initialOverhead, lastUse: map[uint64]time.Duration{}}
+	return &Pool{prefillRate: initialPrefillRate, overhead: initialOverhead, lastUse: map[uint64]time.Duration{}, lastZoneUse: map[zonedChain]time.Duration{}, crossings: map[CrossingReason]Crossings{}}
 }
 
 // Configure replaces the engines, which are sorted by name, the classes, which
@@ -65,6 +71,7 @@
 func (p *Pool) Configure(engines []*Engine, classes []*Class, disabled []Mechanism) {
 	p.engines, p.classes, p.disabled = engines, classes, disabled
 	p.hasBatching = slices.ContainsFunc(engines, func(e *Engine) bool { return e.Memory > 0 })
+	p.zoned = hasZones(engines)
 }
 
 // Batches reports whether some engine batches its requests.
@@ -158,9 +165,14 @@
 		return
 	}
 	p.lastSweep = now
-	for id, used := range p.lastUse {
+	removeOld(p.lastUse, now)
+	removeOld(p.lastZoneUse, now)
+}
+
+func removeOld[K comparable](lastUse map[K]time.Duration, now time.Duration) {
+	for k, used := range lastUse {
 		if now-used >= recentUse {
-			delete(p.lastUse, id)
+			delete(lastUse, k)
 		}
 	}
 }
--- a/internal/batching/prefill.go
+++ b/internal/batching/prefill.go
@@ -103,6 +103,7 @@
 	for _, part := range r.Parts {
 		p.lastUse[part.ID] = now
 	}
+	p.recordZoneUse(r, now)
 }
 
 // unsharedMemory returns the KV cache that a request needs in addition to the parts
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/beechhead/beechhead/internal/batching"
 	"github.com/beechhead/beechhead/internal/cell"
 )
 
@@ -51,6 +52,7 @@
 	g.metrics.Set("cells.coordinated", int64(len(cells)))
 	g.metrics.Set("endpoints.limited", limitedEndpoints(cells))
 	g.setHealthGauges(cells)
+	g.setCrossingGauges(cells)
 	g.metrics.Set("quarantine.requests", int64(g.suspects.QuarantinedCount()))
 	g.metrics.Set("quarantine.parts", int64(g.parts.QuarantinedCount()))
 	g.metrics.Set("tunnels.open", int64(g.tunnels.Open()))
@@ -79,6 +81,20 @@
 	g.metrics.Set("endpoints.sharedFailures", shared)
 }
 
+// setCrossingGauges sets the gauges of requests that the cells sent to another
+// availability zone.
+func (g *Gateway) setCrossingGauges(cells []cell.StatusEntry) {
+	for _, why := range batching.CrossingReasons() {
+		sum := batching.Crossings{}
+		for _, one := range cells {
+			sum.Requests += one.Crossings[why].Requests
+			sum.Bytes += one.Crossings[why].Bytes
+		}
+		g.metrics.Set("crossings."+string(why)+".requests", sum.Requests)
+		g.metrics.Set("crossings."+string(why)+".bytes", sum.Bytes)
+	}
+}
+
 // limitedEndpoints returns how many endpoints of the cells have a rate limit.
 func limitedEndpoints(cells []cell.StatusEntry) (n int64) {
 	for _, one := range cells {
--- a/internal/schedule/mechanism.go
+++ b/internal/schedule/mechanism.go
@@ -20,6 +20,8 @@
 	ReadAgain      = batching.ReadAgain
 	Home           = batching.Home
 	ZoneWeight     = batching.ZoneWeight
+	TransferCost   = batching.TransferCost
+	ZoneHome       = batching.ZoneHome
 	WaitPatience   = batching.WaitPatience
 	DecodeSlowdown = batching.DecodeSlowdown
 )
@@ -44,7 +46,7 @@
 // Mechanisms returns all mechanisms.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		DecodeEngines, Spacing, Disturbance, Headroom, Fetch, ReadAgain, Home, ZoneWeight, WaitPatience, DecodeSlowdown,
+		DecodeEngines, Spacing, Disturbance, Headroom, Fetch, ReadAgain, Home, ZoneWeight, TransferCost, ZoneHome, WaitPatience, DecodeSlowdown,
 		SlowEjection, FailedEjection, Ageing, Shedding, TooLate,
 	}
 }
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -204,6 +204,7 @@
 		e.FetchedTokens = source.CachedTokens(e.request.Parts)
 		d.FetchFrom = Endpoint(source.Name)
 	}
+	c.pool.CountCrossing(&to.Engine, &e.Prompt, now)
 	c.startGrant(e, to, now)
 	c.consume(&to.limit, now)
 	to.brittle.granted(e.request.ID, now)
--- a/internal/schedule/request.go
+++ b/internal/schedule/request.go
@@ -43,7 +43,7 @@
 
 // prompt returns the parts of the request that matter to the engine pool.
 func (r *Request) prompt() batching.Prompt {
-	return batching.Prompt{Tokens: r.PromptTokens, ResponseTokens: r.EstimatedTokens, Parts: r.Parts, Zone: r.Zone}
+	return batching.Prompt{Tokens: r.PromptTokens, ResponseTokens: r.EstimatedTokens, Parts: r.Parts, Zone: r.Zone, BodyBytes: r.BodyBytes}
 }
 
 // setClass sets the class of an entry that is neither queued nor running yet.
--- a/internal/schedule/status.go
+++ b/internal/schedule/status.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/beechhead/beechhead/internal/batching"
 )
 
 // classCounters counts the requests of a class by outcome.
@@ -32,6 +34,8 @@
 	Classes        []ClassStatus    `json:"classes"`
 	Endpoints      []EndpointStatus `json:"endpoints"`
 	Estimates      EstimateError    `json:"estimates"`
+	// Crossings counts the requests that were sent to another availability zone.
+	Crossings map[batching.CrossingReason]batching.Crossings `json:"crossings,omitempty"`
 }
 
 // ClassStatus is the state of a class in a cell as shown to operators. Counters
@@ -80,6 +84,7 @@
 		Ejections:      c.counters.ejections,
 		SharedFailures: c.counters.sharedFailures,
 		Estimates:      c.estimates.Error(),
+		Crossings:      maps.Clone(c.pool.Crossings()),
 	}
 	for _, q := range c.classOrder {
 		s.Classes = append(s.Classes, q.status(now))
