--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -147,3 +147,26 @@
 		t.Errorf("%.3f is earned, %.3f where parts belong to no engine", with.Share(), without.Share())
 	}
 }
+
+// Guards against bodies that cross availability zones for parts of prompts, though each
+// zone has engines that could serve them.
+func TestFewBytesCrossZones(t *testing.T) {
+	s := scenario(t, "uneven-engines")
+	const seeds = 4
+	crossed, before, with, without := 0, 0, 0.0, 0.0
+	for range seeds {
+		s.Disabled = nil
+		r := Play(s, schedule.ByTier)
+		crossed, with = crossed+r.CrossZoneBytes, with+r.Share()/seeds
+		s.Disabled = []schedule.Mechanism{schedule.TransferCost, schedule.ZoneHome}
+		r = Play(s, schedule.ByTier)
+		before, without = before+r.CrossZoneBytes, without+r.Share()/seeds
+		s.Seed++
+	}
+	if crossed > before/2 {
+		t.Errorf("%d bytes cross, %d where their number does not count", crossed, before)
+	}
+	if with < without-0.01 {
+		t.Errorf("%.3f is earned, %.3f where bytes do not count", with, without)
+	}
+}
