Replay zones that lose engines, callers that move and a hot subject

The replay has crashes within one zone, callers that move to the next zone and a subject with a share of the requests.

--- a/internal/replay/player.go
+++ b/internal/replay/player.go
@@ -171,7 +171,10 @@
 func (p *player) arrive(c *Class, res *ClassResult, ids uint64) {
 	p.nextID++
 	own := c.Prompt.draw(p.random)
-	subject := ids | 1<<16 | uint64(p.random.IntN(max(1, c.Subjects)))
+	subject := ids | 1<<16
+	if c.HotShare == 0 || p.random.Float64() >= c.HotShare {
+		subject |= uint64(p.random.IntN(max(1, c.Subjects)))
+	}
 	r := &request{player: p, class: c, result: res, answer: c.Answer.draw(p.random), arrived: p.now}
 	r.Request = schedule.Request{
 		ID:              schedule.RequestID{Host: "host", Sequence: p.nextID},
@@ -206,13 +209,17 @@
 	if len(c.ZoneShares) == 0 {
 		return zoneName(p.random.IntN(zones))
 	}
+	moved := 0
+	if move := p.s.Move.Std(); move > 0 && p.now >= move {
+		moved = 1
+	}
 	at := p.random.Float64()
 	for i, share := range c.ZoneShares {
 		if at -= share; at < 0 {
-			return zoneName(i)
+			return zoneName((i + moved) % zones)
 		}
 	}
-	return zoneName(zones - 1)
+	return zoneName((zones - 1 + moved) % zones)
 }
 
 // leaves makes a caller leave that has seen no event by then.
@@ -363,6 +370,13 @@
 
 // crashed returns which engines a crash takes, spread over all.
 func (p *player) crashed(c Crash) []int {
+	if c.Zone > 0 {
+		var all []int
+		for i := c.Zone - 1; i < len(p.names) && len(all) < c.Count; i += p.s.Engines.Zones {
+			all = append(all, i)
+		}
+		return all
+	}
 	n := min(c.Count, len(p.names))
 	all := make([]int, n)
 	for i := range all {
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -170,3 +170,41 @@
 		t.Errorf("%.3f is earned, %.3f where bytes do not count", with, without)
 	}
 }
+
+// Guards against requests that are held in a zone with few engines, or drawn to the home
+// of a part with much of the load, for the sake of bytes: each load must earn about as
+// much as where bytes do not count.
+func TestUnevenZones(t *testing.T) {
+	for name, change := range map[string]func(*Scenario){
+		"a zone loses half of its engines": func(s *Scenario) { s.Crashes = []Crash{{At: s.Duration / 3, For: s.Duration, Count: 10, Zone: 1}} },
+		"callers move to another zone": func(s *Scenario) {
+			s.Move = s.Duration / 2
+			for i := range s.Classes {
+				s.Classes[i].ZoneShares = []float64{0.6, 0.3, 0.1}
+			}
+		},
+		"a subject has a quarter of the requests": func(s *Scenario) { s.Classes[0].HotShare = 0.25 },
+	} {
+		s := scenario(t, "uneven-engines")
+		s.Duration /= 2
+		change(s)
+		const seeds = 3
+		crossed, before, with, without, busiest := 0, 0, 0.0, 0.0, 0.0
+		for range seeds {
+			s.Disabled = nil
+			r := Play(s, schedule.ByTier)
+			crossed, with, busiest = crossed+r.CrossZoneBytes, with+r.Share()/seeds, busiest+r.Busiest/seeds
+			s.Disabled = []schedule.Mechanism{schedule.TransferCost, schedule.ZoneHome}
+			r = Play(s, schedule.ByTier)
+			before, without = before+r.CrossZoneBytes, without+r.Share()/seeds
+			s.Seed++
+		}
+		t.Logf("%s: %.3f and %.3f of all, %d and %d bytes, busiest %.2f", name, with, without, crossed, before, busiest)
+		if crossed >= before {
+			t.Errorf("%s: %d bytes cross, %d where their number does not count", name, crossed, before)
+		}
+		if with < without-0.01 {
+			t.Errorf("%s: %.3f is earned, %.3f where bytes do not count", name, with, without)
+		}
+	}
+}
--- a/internal/replay/scenario.go
+++ b/internal/replay/scenario.go
@@ -31,6 +31,8 @@
 	Classes  []Class        `json:"classes"`
 	Bursts   []Burst        `json:"bursts,omitempty"`
 	Crashes  []Crash        `json:"crashes,omitempty"`
+	// Move is when all callers move to the next zone; zero is never.
+	Move table.Duration `json:"move,omitempty"`
 	// Handovers are when another coordinator takes over, which knows of the
 	// requests that wait and run and nothing else.
 	Handovers []table.Duration `json:"handovers,omitempty"`
@@ -117,8 +119,10 @@
 	// have the same if it is empty. BodyBytes is the size of a request's body.
 	ZoneShares []float64 `json:"zoneShares,omitempty"`
 	BodyBytes  int       `json:"bodyBytes,omitempty"`
-	Prompt     Size      `json:"prompt"`
-	Answer     Size      `json:"answer"`
+	// HotShare is the share of the requests that have the first subject.
+	HotShare float64 `json:"hotShare,omitempty"`
+	Prompt   Size    `json:"prompt"`
+	Answer   Size    `json:"answer"`
 }
 
 // Size is a log-normal number of tokens.
@@ -141,6 +145,9 @@
 	At    table.Duration `json:"at"`
 	For   table.Duration `json:"for"`
 	Count int            `json:"count"`
+	// Zone restricts the crash to the engines of a zone, counted from one; zero is
+	// all zones.
+	Zone int `json:"zone,omitempty"`
 }
 
 // Read reads a scenario and checks it.
