Tell refused callers the latest time of the cells that were asked

A request that one cell refuses is offered to others, and its caller was told the time of the last one. By then it could be early at the first. The latest of the times is told now.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -207,12 +207,15 @@
 	cells, refusal := p.chooseCells(&r)
 	for _, id := range cells {
 		r.Waited = waited + p.clock.Since(began)
-		var g *Grant
-		var err error
-		g, refusal, err = p.reserveIn(ctx, id, &r)
-		if refusal == nil {
+		g, next, err := p.reserveIn(ctx, id, &r)
+		if next == nil {
 			return g, err
 		}
+		if refusal != nil {
+			// The caller is early at no cell if it returns by the latest time.
+			next.RetryAfter = max(next.RetryAfter, refusal.RetryAfter)
+		}
+		refusal = next
 		if !mayTryOtherCell(refusal.Reason) {
 			break
 		}
