Refuse early what an overloaded cell will not serve, and know who returns

In a steady overload a class serves the requests that can still meet their targets, and the others waited until their callers were about to leave; callers who repeated at once stood among the first arrivals again.

Package admission learns the pace of a class while it is backlogged and refuses what will not be granted while its caller waits: on arrival where requests wait for slots, and once late where engines batch. Package returns remembers who was refused and until when: who returns by then keeps the place of its first arrival, who returns earlier is refused again while others wait. Accounts are charged for grants that a coordinator adopts. The mechanisms earlyRefusal, returnOrder and accountWork switch this off.

--- a/internal/batching/class.go
+++ b/internal/batching/class.go
@@ -49,6 +49,9 @@
 	return q.arrivals.valueSince(now, q.firstArrival) * q.meanRunTime()
 }
 
+// RunTime returns how long the class's requests run.
+func (q *Class) RunTime() time.Duration { return stat.Seconds(q.meanRunTime()) }
+
 // meanRunTime returns how long the class's requests run, in seconds.
 func (q *Class) meanRunTime() float64 {
 	if q.runTime.N == 0 {
--- a/internal/replay/player.go
+++ b/internal/replay/player.go
@@ -248,7 +248,7 @@
 		if r.ended {
 			return
 		}
-		r.StartTimeout = min(r.StartTimeout, left-after)
+		r.StartTimeout, r.EndTimeout = min(r.StartTimeout, left-after), left-after
 		p.leaves(r)
 		p.reserve(r)
 	})
--- a/internal/schedule/cell.go
+++ b/internal/schedule/cell.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/beechhead/beechhead/internal/batching"
+	"github.com/beechhead/beechhead/internal/returns"
 	"github.com/beechhead/beechhead/internal/stat"
 )
 
@@ -60,6 +61,8 @@
 	lastStragglerCheck time.Duration
 	// lastTooLateCheck is when shedTooLate last examined the queue.
 	lastTooLateCheck time.Duration
+	// refused holds the callers that were refused and may return.
+	refused returns.Ledger
 	// hasNewSamples reports whether an endpoint was measured since the last
 	// straggler check.
 	hasNewSamples bool
@@ -107,6 +110,7 @@
 	c.pool.Review(now)
 	c.shedTooLate(now)
 	c.grantAll(now)
+	c.recordPace(now)
 	c.shedExpired(now)
 	c.shedOverflow(now)
 	c.preemptAll(now)
--- a/internal/schedule/mechanism.go
+++ b/internal/schedule/mechanism.go
@@ -39,6 +39,14 @@
 	// TooLate refuses requests whose callers will give up before the response can
 	// begin.
 	TooLate Mechanism = "tooLate"
+	// EarlyRefusal refuses requests on their arrival, or once they are late, that the
+	// queue will not serve while their callers wait.
+	EarlyRefusal Mechanism = "earlyRefusal"
+	// ReturnOrder gives callers that return when they were told the place of their
+	// first arrival, and refuses those that return earlier.
+	ReturnOrder Mechanism = "returnOrder"
+	// AccountWork charges accounts for the grants that the cell has adopted.
+	AccountWork Mechanism = "accountWork"
 )
 
 // Mechanisms returns all mechanisms.
@@ -46,6 +54,7 @@
 	return []Mechanism{
 		DecodeEngines, Spacing, Disturbance, Headroom, Fetch, ReadAgain, Home, ZoneWeight, WaitPatience, DecodeSlowdown,
 		SlowEjection, FailedEjection, Ageing, Shedding, TooLate,
+		EarlyRefusal, ReturnOrder, AccountWork,
 	}
 }
 
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -192,6 +192,7 @@
 	c.waiting--
 	q.charge(e.account, e.work)
 	q.tier.grantRate.add(now)
+	q.stepGrants++
 	q.unserved = false
 	q.counters.granted++
 	q.counters.longestWait = max(q.counters.longestWait, now-e.WaitingSince)
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/beechhead/beechhead/internal/admission"
 	"github.com/beechhead/beechhead/internal/batching"
 )
 
@@ -33,6 +34,8 @@
 	aged bool
 	// preempting reports whether the grant is being preempted.
 	preempting bool
+	// returned reports whether the caller was refused and has returned when it was told.
+	returned bool
 	// prev and next link the preemptible grants of a tier.
 	prev, next *entry
 }
@@ -80,7 +83,12 @@
 	tried, skipped     int
 	longPrefillBlocked bool
 	blockedUntil       time.Duration
-	counters           classCounters
+	// arrivals is the rate of callers that were not refused before, pace that of grants
+	// while the class is backlogged. stepGrants counts the grants of the current step.
+	arrivals   rateMeter
+	pace       admission.Pace
+	stepGrants int
+	counters   classCounters
 }
 
 // accountQueue holds the waiting requests of one account in one class.
--- a/internal/schedule/request.go
+++ b/internal/schedule/request.go
@@ -30,6 +30,9 @@
 	}
 	e := c.newEntry(r, now)
 	e.setClass(q)
+	if c.refuseOnArrival(e, now) {
+		return
+	}
 	if c.pool.Batches() {
 		c.pool.RecordPrefillDemand(&e.RequestState, now)
 	}
@@ -151,6 +154,9 @@
 	}, now)
 	e.setClass(q)
 	e.account = q.account(h.Account)
+	if !c.isDisabled(AccountWork) {
+		q.charge(e.account, e.work)
+	}
 	c.startGrant(e, to, now)
 	e.adopted = true
 	if h.FirstTokenReceived {
--- a/internal/schedule/status.go
+++ b/internal/schedule/status.go
@@ -9,7 +9,10 @@
 type classCounters struct {
 	granted, aged, preempted, cancelled int64
 	refused                             map[Refusal]int64
-	longestWait                         time.Duration
+	// refusedEarly counts the requests that were refused before their callers gave up,
+	// returnedOnTime and returnedEarly the arrivals of callers that were refused before.
+	refusedEarly, returnedOnTime, returnedEarly int64
+	longestWait                                 time.Duration
 }
 
 // cellCounters counts events of a cell.
@@ -46,6 +49,13 @@
 	Preempted int64             `json:"preempted"`
 	Cancelled int64             `json:"cancelled"`
 	Refused   map[Refusal]int64 `json:"refused"`
+	// RefusedEarly counts the requests that were refused, on their arrival or once they
+	// were late, because the queue would not serve them while their callers wait.
+	RefusedEarly int64 `json:"refusedEarly"`
+	// ReturnedOnTime and ReturnedEarly count the arrivals of refused callers after and
+	// before the time that they were told.
+	ReturnedOnTime int64 `json:"returnedOnTime"`
+	ReturnedEarly  int64 `json:"returnedEarly"`
 	// LongestWaitMS is the longest wait of all granted requests, OldestWaitMS
 	// that of the requests that still wait.
 	LongestWaitMS int64 `json:"longestWaitMs"`
@@ -102,16 +112,19 @@
 
 func (q *classQueue) status(now time.Duration) ClassStatus {
 	s := ClassStatus{
-		Class:         q.policy.Name,
-		Tier:          q.policy.Tier,
-		Waiting:       q.waiting(),
-		Running:       q.Running,
-		Granted:       q.counters.granted,
-		Aged:          q.counters.aged,
-		Preempted:     q.counters.preempted,
-		Cancelled:     q.counters.cancelled,
-		Refused:       maps.Clone(q.counters.refused),
-		LongestWaitMS: q.counters.longestWait.Milliseconds(),
+		Class:          q.policy.Name,
+		Tier:           q.policy.Tier,
+		Waiting:        q.waiting(),
+		Running:        q.Running,
+		Granted:        q.counters.granted,
+		Aged:           q.counters.aged,
+		Preempted:      q.counters.preempted,
+		Cancelled:      q.counters.cancelled,
+		Refused:        maps.Clone(q.counters.refused),
+		RefusedEarly:   q.counters.refusedEarly,
+		ReturnedOnTime: q.counters.returnedOnTime,
+		ReturnedEarly:  q.counters.returnedEarly,
+		LongestWaitMS:  q.counters.longestWait.Milliseconds(),
 	}
 	if e := q.oldest.first(); e != nil {
 		s.OldestWaitMS = (now - e.WaitingSince).Milliseconds()
--- a/internal/schedule/toolate.go
+++ b/internal/schedule/toolate.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/beechhead/beechhead/internal/admission"
 	"github.com/beechhead/beechhead/internal/stat"
 )
 
@@ -14,18 +15,8 @@
 // when to retry.
 
 const (
-	// transitTime is an allowance for the network transit of the refusal and of
-	// the response.
-	transitTime = 100 * time.Millisecond
 	// tooLateInterval is the minimum time between two scans of the queue.
 	tooLateInterval = 50 * time.Millisecond
-	// minTooLateRetry and maxTooLateRetry bound the time after which callers are
-	// told to retry, before it is spread.
-	minTooLateRetry = 200 * time.Millisecond
-	maxTooLateRetry = 3 * time.Second
-	// retrySpread is the part of that time over which the retries of callers that
-	// are refused together are spread.
-	retrySpread = 0.5
 	// goldenRatio is the fractional part of the golden ratio; the fractional parts
 	// of its multiples are evenly distributed.
 	goldenRatio = 0.6180339887
@@ -38,7 +29,7 @@
 	if startTimeout == 0 {
 		return false
 	}
-	begins := now - e.WaitingSince + transitTime
+	begins := now - e.WaitingSince + admission.TransitTime
 	if c.pool.Batches() {
 		begins += c.pool.FirstToken(&e.RequestState)
 	}
@@ -55,7 +46,11 @@
 	for _, q := range c.classOrder {
 		c.deferred = c.deferred[:0]
 		for _, e := range q.oldest.items {
-			if c.tooLate(e, now) {
+			switch {
+			case c.tooLate(e, now):
+				c.deferred = append(c.deferred, e)
+			case c.leftBehind(e, now):
+				q.counters.refusedEarly++
 				c.deferred = append(c.deferred, e)
 			}
 		}
@@ -68,6 +63,7 @@
 
 func (c *Cell) refuseTooLate(e *entry, now time.Duration) {
 	retry := c.tooLateRetryAfter(e, now)
+	c.recordRefusal(e, retry, now)
 	c.dequeue(e)
 	e.class.counters.refused[RefusedTooLate]++
 	c.decide(Decision{ID: e.request.ID, Refusal: RefusedTooLate, RetryAfter: retry})
@@ -78,11 +74,19 @@
 // which the waiting requests of its tier will have been served, spread so that
 // callers do not retry at the same moment.
 func (c *Cell) tooLateRetryAfter(e *entry, now time.Duration) time.Duration {
-	wait := minTooLateRetry
+	if queue, ok := c.queueOf(e.class, now); ok {
+		return queue.ReturnAfter(c.admissionRequest(e, now), returnPart(e.arrival))
+	}
+	wait := time.Duration(0)
 	if rate, ok := e.class.tier.grantRate.rate(now); ok && rate > 0 {
 		wait = stat.Seconds(float64(e.class.tier.waiting) / rate)
 	}
-	_, part := math.Modf(float64(e.arrival) * goldenRatio)
-	spread := 1 + retrySpread*(part-0.5)
-	return time.Duration(float64(min(max(wait, minTooLateRetry), maxTooLateRetry)) * spread)
+	return admission.Spread(wait, &admission.Request{}, returnPart(e.arrival))
+}
+
+// returnPart returns the part of the spread at which the caller of the nth arrival
+// returns.
+func returnPart(n uint64) float64 {
+	_, part := math.Modf(float64(n) * goldenRatio)
+	return part
 }
