Show early refusals and returns to operators, and describe them

The cell's status and the gauges cells.refusedEarly, cells.returnedOnTime and cells.returnedEarly count what packages admission and returns decide. The ledger expects callers after at most a third of their time, as they honour no longer one; a time that is not bounded by the queue made them early.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -129,4 +129,12 @@
 	return after
 }
 
+// Heeded returns after which time a caller returns that heeds the time that it was told.
+func (r *Request) Heeded(after time.Duration) time.Duration {
+	if r.EndTimeout == 0 {
+		return after
+	}
+	return min(after, (r.EndTimeout-r.Waited)/returnDivisor)
+}
+
 func scale(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -51,6 +51,7 @@
 	g.metrics.Set("cells.coordinated", int64(len(cells)))
 	g.metrics.Set("endpoints.limited", limitedEndpoints(cells))
 	g.setHealthGauges(cells)
+	g.setReturnGauges(cells)
 	g.metrics.Set("quarantine.requests", int64(g.suspects.QuarantinedCount()))
 	g.metrics.Set("quarantine.parts", int64(g.parts.QuarantinedCount()))
 	g.metrics.Set("tunnels.open", int64(g.tunnels.Open()))
@@ -79,6 +80,22 @@
 	g.metrics.Set("endpoints.sharedFailures", shared)
 }
 
+// setReturnGauges sets the gauges of requests that were refused early and of callers that
+// returned, in the cells that this host coordinates.
+func (g *Gateway) setReturnGauges(cells []cell.StatusEntry) {
+	var refused, onTime, early int64
+	for _, one := range cells {
+		for _, c := range one.Classes {
+			refused += c.RefusedEarly
+			onTime += c.ReturnedOnTime
+			early += c.ReturnedEarly
+		}
+	}
+	g.metrics.Set("cells.refusedEarly", refused)
+	g.metrics.Set("cells.returnedOnTime", onTime)
+	g.metrics.Set("cells.returnedEarly", early)
+}
+
 // limitedEndpoints returns how many endpoints of the cells have a rate limit.
 func limitedEndpoints(cells []cell.StatusEntry) (n int64) {
 	for _, one := range cells {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -211,7 +211,7 @@
 		if next == nil {
 			return g, err
 		}
-		if refusal != nil {
+		if refusal != nil && refusal.Reason == outcome.ReasonShed {
 			// The caller is early at no cell if it returns by the latest time.
 			next.RetryAfter = max(next.RetryAfter, refusal.RetryAfter)
 		}
--- a/internal/schedule/mechanism.go
+++ b/internal/schedule/mechanism.go
@@ -45,8 +45,6 @@
 	// ReturnOrder gives callers that return when they were told the place of their
 	// first arrival, and refuses those that return earlier.
 	ReturnOrder Mechanism = "returnOrder"
-	// AccountWork charges accounts for the grants that the cell has adopted.
-	AccountWork Mechanism = "accountWork"
 )
 
 // Mechanisms returns all mechanisms.
@@ -54,7 +52,7 @@
 	return []Mechanism{
 		DecodeEngines, Spacing, Disturbance, Headroom, Fetch, ReadAgain, Home, ZoneWeight, WaitPatience, DecodeSlowdown,
 		SlowEjection, FailedEjection, Ageing, Shedding, TooLate,
-		EarlyRefusal, ReturnOrder, AccountWork,
+		EarlyRefusal, ReturnOrder,
 	}
 }
 
--- a/internal/schedule/request.go
+++ b/internal/schedule/request.go
@@ -154,9 +154,6 @@
 	}, now)
 	e.setClass(q)
 	e.account = q.account(h.Account)
-	if !c.isDisabled(AccountWork) {
-		q.charge(e.account, e.work)
-	}
 	c.startGrant(e, to, now)
 	e.adopted = true
 	if h.FirstTokenReceived {
--- a/internal/schedule/returning.go
+++ b/internal/schedule/returning.go
@@ -81,9 +81,11 @@
 
 // recordRefusal records that the caller of an entry is told to return.
 func (c *Cell) recordRefusal(e *entry, retry, now time.Duration) {
-	if !c.isDisabled(ReturnOrder) && retry > 0 {
-		c.refused.Refuse(returns.Fingerprint(e.request.Fingerprint), e.WaitingSince, now+retry, now)
+	if c.isDisabled(ReturnOrder) || retry <= 0 {
+		return
 	}
+	due := now + c.admissionRequest(e, now).Heeded(retry)
+	c.refused.Refuse(returns.Fingerprint(e.request.Fingerprint), e.WaitingSince, due, now)
 }
 
 // mayRefuseEarly reports whether an entry may be refused while its caller could still be
