--- a/internal/admission/pace.go
+++ b/internal/admission/pace.go
@@ -28,8 +28,7 @@
 // Pace measures the rate of grants while a queue is backlogged. The rate of all grants
 // would be that of the arrivals while nothing waits.
 type Pace struct {
-	// RunTime is how long a slot is taken by a request; zero if requests do not wait
-	// for slots.
+	// RunTime is how long a slot is taken by a request.
 	RunTime time.Duration
 
 	// grants and backlogged are the decayed number of grants and the time in which they
--- a/internal/schedule/returning.go
+++ b/internal/schedule/returning.go
@@ -31,9 +31,7 @@
 	}
 	q.arrivals.add(now)
 	queue, ok := c.queueOf(q, now)
-	// What engines that batch take depends on the prompts, so that the wait of a single
-	// request does not follow from the queue.
-	if !ok || c.pool.Batches() || !c.mayRefuseEarly(e) {
+	if !ok || !c.mayRefuseEarly(e) {
 		return false
 	}
 	queue.Ahead, queue.Heavy = q.ahead(q.accounts[r.Account])
@@ -106,9 +104,10 @@
 }
 
 // queueOf returns what an entry of a class meets in the queue. ok is false if nothing is
-// known about the pace of the class.
+// known about the pace of the class. What engines that batch take depends on the prompts,
+// so that no wait follows from their queue.
 func (c *Cell) queueOf(q *classQueue, now time.Duration) (queue admission.Queue, ok bool) {
-	if c.discipline != ByTier || c.isDisabled(EarlyRefusal) {
+	if c.discipline != ByTier || c.pool.Batches() || c.isDisabled(EarlyRefusal) {
 		return queue, false
 	}
 	queue.Pace, ok = q.pace.PerSecond(now)
@@ -177,10 +176,7 @@
 // recordPace records a step for the pace of each class.
 func (c *Cell) recordPace(now time.Duration) {
 	for _, q := range c.classOrder {
-		q.pace.RunTime = 0
-		if !c.pool.Batches() {
-			q.pace.RunTime = q.RunTime()
-		}
+		q.pace.RunTime = q.RunTime()
 		q.pace.Step(now, q.stepGrants, q.waiting() > 0)
 		q.stepGrants = 0
 	}
