--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -54,6 +54,7 @@
 	g.setHealthGauges(cells)
 	g.setCompletionGauges(cells)
 	g.setCrossingGauges(cells)
+	g.setReturnGauges(cells)
 	g.metrics.Set("quarantine.requests", int64(g.suspects.QuarantinedCount()))
 	g.metrics.Set("quarantine.parts", int64(g.parts.QuarantinedCount()))
 	g.metrics.Set("tunnels.open", int64(g.tunnels.Open()))
@@ -112,6 +113,22 @@
 	}
 }
 
+// setReturnGauges sets the gauges of requests that were refused early and of callers that
+// returned, in the cells that this host coordinates.
+func (g *Gateway) setReturnGauges(cells []cell.StatusEntry) {
+	var refused, onTime, early int64
+	for _, one := range cells {
+		for _, c := range one.Classes {
+			refused += c.RefusedEarly
+			onTime += c.ReturnedOnTime
+			early += c.ReturnedEarly
+		}
+	}
+	g.metrics.Set("cells.refusedEarly", refused)
+	g.metrics.Set("cells.returnedOnTime", onTime)
+	g.metrics.Set("cells.returnedEarly", early)
+}
+
 // limitedEndpoints returns how many endpoints of the cells have a rate limit.
 func limitedEndpoints(cells []cell.StatusEntry) (n int64) {
 	for _, one := range cells {
--- a/internal/schedule/mechanism.go
+++ b/internal/schedule/mechanism.go
@@ -42,6 +42,12 @@
 	// TooLate refuses requests whose callers will give up before the response can
 	// begin.
 	TooLate Mechanism = "tooLate"
+	// EarlyRefusal refuses requests on their arrival, or once they are late, that the
+	// queue will not serve while their callers wait.
+	EarlyRefusal Mechanism = "earlyRefusal"
+	// ReturnOrder gives callers that return when they were told the place of their
+	// first arrival, and refuses those that return earlier.
+	ReturnOrder Mechanism = "returnOrder"
 )
 
 // Mechanisms returns all mechanisms.
@@ -50,6 +56,7 @@
 		DecodeEngines, Spacing, Disturbance, Headroom, Fetch, ReadAgain, Home, ZoneWeight, TransferCost, ZoneHome, WaitPatience, DecodeSlowdown,
 		Completion,
 		SlowEjection, FailedEjection, Ageing, Shedding, TooLate,
+		EarlyRefusal, ReturnOrder,
 	}
 }
 
--- a/internal/schedule/request.go
+++ b/internal/schedule/request.go
@@ -30,6 +30,9 @@
 	}
 	e := c.newEntry(r, now)
 	e.setClass(q)
+	if c.refuseOnArrival(e, now) {
+		return
+	}
 	if c.pool.Batches() {
 		c.pool.RecordPrefillDemand(&e.RequestState, now)
 	}
--- a/internal/schedule/status.go
+++ b/internal/schedule/status.go
@@ -13,8 +13,11 @@
 	refused                             map[Refusal]int64
 	// outlasting counts those refused as too late because their responses would end, not
 	// begin, too late.
-	outlasting  int64
-	longestWait time.Duration
+	outlasting int64
+	// refusedEarly counts the requests that were refused before their callers gave up,
+	// returnedOnTime and returnedEarly the arrivals of callers that were refused before.
+	refusedEarly, returnedOnTime, returnedEarly int64
+	longestWait                                 time.Duration
 }
 
 // cellCounters counts events of a cell.
@@ -56,6 +59,13 @@
 	// Outlasting counts those refused as too late whose responses could have begun in
 	// time, but not ended.
 	Outlasting int64 `json:"outlasting"`
+	// RefusedEarly counts the requests that were refused, on their arrival or once they
+	// were late, because the queue would not serve them while their callers wait.
+	RefusedEarly int64 `json:"refusedEarly"`
+	// ReturnedOnTime and ReturnedEarly count the arrivals of refused callers after and
+	// before the time that they were told.
+	ReturnedOnTime int64 `json:"returnedOnTime"`
+	ReturnedEarly  int64 `json:"returnedEarly"`
 	// LongestWaitMS is the longest wait of all granted requests, OldestWaitMS
 	// that of the requests that still wait.
 	LongestWaitMS int64 `json:"longestWaitMs"`
@@ -117,17 +127,20 @@
 
 func (q *classQueue) status(now time.Duration) ClassStatus {
 	s := ClassStatus{
-		Class:         q.policy.Name,
-		Tier:          q.policy.Tier,
-		Waiting:       q.waiting(),
-		Running:       q.Running,
-		Granted:       q.counters.granted,
-		Aged:          q.counters.aged,
-		Preempted:     q.counters.preempted,
-		Cancelled:     q.counters.cancelled,
-		Refused:       maps.Clone(q.counters.refused),
-		Outlasting:    q.counters.outlasting,
-		LongestWaitMS: q.counters.longestWait.Milliseconds(),
+		Class:          q.policy.Name,
+		Tier:           q.policy.Tier,
+		Waiting:        q.waiting(),
+		Running:        q.Running,
+		Granted:        q.counters.granted,
+		Aged:           q.counters.aged,
+		Preempted:      q.counters.preempted,
+		Cancelled:      q.counters.cancelled,
+		Refused:        maps.Clone(q.counters.refused),
+		RefusedEarly:   q.counters.refusedEarly,
+		ReturnedOnTime: q.counters.returnedOnTime,
+		ReturnedEarly:  q.counters.returnedEarly,
+		Outlasting:     q.counters.outlasting,
+		LongestWaitMS:  q.counters.longestWait.Milliseconds(),
 	}
 	if e := q.oldest.first(); e != nil {
 		s.OldestWaitMS = (now - e.WaitingSince).Milliseconds()
