Bound what endpoints may send in place of a response

Heads were read with http.ReadResponse from a plain reader, which has no limit, and so were the bodies of responses that are skipped. A refusal whose body did not end within 1 MiB was even given back to the pool, and one that did not come held its request until the deadline.

Connections now have an allowance of bytes while heads and skipped bodies are read. Skip ends a refusal after 250 ms at the latest. A head of more than 8 KiB that the endpoint does not read ends with the request.

--- /dev/null
+++ b/internal/backlog/queue.go
@@ -0,0 +1,235 @@
+package backlog
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// blockSize is the size in bytes of the blocks in which data is held.
+	blockSize = 16 << 10
+	// directSize is how many bytes of a response are written by its reader. The buffers
+	// of a connection take them, so that the write does not wait for the caller.
+	directSize = blockSize
+	// stallTime is how long a caller may take nothing of a response that is complete
+	// after its deadline. The kernel takes more only once a third of its buffer is free.
+	stallTime = 10 * time.Second
+)
+
+// errStalled reports that a caller has stopped reading a late response.
+var errStalled = errors.New("the caller has stopped reading")
+
+// blocks recycles the memory of what callers have read.
+var blocks = sync.Pool{New: func() any { return new([blockSize]byte) }}
+
+// Queue holds the parts of one response that its caller has not read yet. Write and Finish
+// must not be called concurrently.
+type Queue struct {
+	budget *Budget
+	// Deliver writes a part of the response to the caller, and waits for it.
+	Deliver func(p []byte) error
+	// Interrupt makes a call of Deliver that waits return. It may be called concurrently,
+	// and more than once.
+	Interrupt func()
+	// OnGiveWay is called when the caller gives way. The response must be ended then.
+	OnGiveWay func(Slowness)
+
+	// direct is the number of bytes that were written without being held; -1 once
+	// something is held.
+	direct int
+	// account is nil until something is held.
+	account *Account
+
+	mu sync.Mutex
+	// held are the blocks that were not handed to Deliver yet, oldest first.
+	held []*block
+	// idle is closed when the goroutine that delivers has ended; nil if there was none.
+	// It has ended when nothing is held or after an error.
+	idle   chan struct{}
+	active bool
+	// delivered counts the blocks that were handed to Deliver.
+	delivered int
+	// err is the first error of the response.
+	err error
+}
+
+type block struct {
+	data *[blockSize]byte
+	size int
+}
+
+// NewQueue returns an empty queue. Its functions must be set before use.
+func NewQueue(b *Budget) *Queue { return &Queue{budget: b} }
+
+// Write takes over a part of the response. It waits for the caller only if no room is left
+// and it is not known yet which callers are slow.
+func (q *Queue) Write(p []byte) error {
+	if q.direct >= 0 && q.direct+len(p) <= directSize {
+		q.direct += len(p)
+		return q.Deliver(p)
+	}
+	q.direct = -1
+	if q.account == nil {
+		q.account = q.budget.Open(q.giveWay)
+	}
+	for len(p) > 0 {
+		n, err := q.append(p)
+		if err != nil {
+			return err
+		}
+		if p = p[n:]; len(p) == 0 {
+			break
+		}
+		if err := q.addBlock(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// append adds to the last block and returns how much it took.
+func (q *Queue) append(p []byte) (n int, err error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.err != nil {
+		return 0, q.err
+	}
+	if len(q.held) == 0 {
+		return 0, nil
+	}
+	last := q.held[len(q.held)-1]
+	n = copy(last.data[last.size:], p)
+	last.size += n
+	if last.size > 0 && !q.active {
+		q.active, q.idle = true, make(chan struct{})
+		go q.deliver(q.idle)
+	}
+	return n, nil
+}
+
+// addBlock adds an empty block as soon as there is room for it.
+func (q *Queue) addBlock() error {
+	for {
+		wait, freed, err := q.account.Reserve(blockSize)
+		if err != nil {
+			return err
+		}
+		if wait == 0 {
+			break
+		}
+		select {
+		case <-freed:
+		case <-q.budget.clock.After(wait):
+		}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.err != nil {
+		q.account.Release(blockSize, 0)
+		return q.err
+	}
+	data, ok := blocks.Get().(*[blockSize]byte)
+	if !ok {
+		data = new([blockSize]byte)
+	}
+	q.held = append(q.held, &block{data: data})
+	return nil
+}
+
+// deliver delivers what is held until that is nothing.
+func (q *Queue) deliver(idle chan struct{}) {
+	defer close(idle)
+	for b := q.next(); b != nil; b = q.next() {
+		err := q.Deliver(b.data[:b.size])
+		q.account.Release(blockSize, Bytes(b.size))
+		blocks.Put(b.data)
+		if err != nil {
+			q.fail(err)
+		}
+	}
+}
+
+// next returns the block that is delivered next. It returns nil if there is none, and the
+// goroutine must then end.
+func (q *Queue) next() *block {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.err != nil || len(q.held) == 0 || q.held[0].size == 0 {
+		q.active = false
+		return nil
+	}
+	b := q.held[0]
+	q.held[0] = nil
+	q.held = q.held[1:]
+	q.delivered++
+	return b
+}
+
+// fail ends the response: what is held is dropped.
+func (q *Queue) fail(err error) {
+	q.mu.Lock()
+	if q.err != nil {
+		q.mu.Unlock()
+		return
+	}
+	q.err = err
+	dropped := q.held
+	q.held = nil
+	q.mu.Unlock()
+	for _, b := range dropped {
+		blocks.Put(b.data)
+		q.account.Release(blockSize, 0)
+	}
+	q.Interrupt()
+}
+
+func (q *Queue) giveWay(s Slowness) {
+	q.fail(ErrGaveWay)
+	q.OnGiveWay(s)
+}
+
+// state returns the channel that is closed once nothing is held, nil if that is so, the
+// number of delivered blocks, and the first error.
+func (q *Queue) state() (idle chan struct{}, delivered int, err error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.active {
+		idle = q.idle
+	}
+	return idle, q.delivered, q.err
+}
+
+// Finish waits until the caller has taken everything that is held. It returns an error if
+// it has not: since ctx was cancelled, because the caller has left; or since the caller has
+// taken nothing for some time after the deadline, which is due after some time.
+// Nothing is delivered any more when it returns.
+func (q *Queue) Finish(ctx context.Context, due time.Duration) error {
+	if q.account == nil {
+		return nil
+	}
+	defer q.account.Close()
+	patience := max(due, stallTime)
+	for {
+		idle, before, err := q.state()
+		if idle == nil {
+			return err
+		}
+		timer := q.budget.clock.NewTimer(patience)
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			q.fail(ctx.Err())
+			<-idle
+		case <-timer.Chan():
+			if _, after, _ := q.state(); after == before {
+				q.fail(errStalled)
+				<-idle
+			}
+			patience = stallTime
+		}
+		timer.Stop()
+	}
+}
--- /dev/null
+++ b/internal/backlog/queue_test.go
@@ -0,0 +1,128 @@
+package backlog
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/beechhead/beechhead/internal/bubbleclock"
+)
+
+// testCaller reads a response at a speed.
+type testCaller struct {
+	mu       sync.Mutex
+	received []byte
+	// pause is the time for each part; parts are not taken while it is negative.
+	pause time.Duration
+	cut   chan struct{}
+	once  sync.Once
+}
+
+func (c *testCaller) queue(b *Budget) *Queue {
+	c.cut = make(chan struct{})
+	q := NewQueue(b)
+	q.Deliver = func(p []byte) error {
+		var wait <-chan struct{}
+		if c.pause >= 0 {
+			done := make(chan struct{})
+			time.AfterFunc(c.pause, func() { close(done) })
+			wait = done
+		}
+		select {
+		case <-wait:
+		case <-c.cut:
+			return errors.New("cut")
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.received = append(c.received, p...)
+		return nil
+	}
+	q.Interrupt = func() { c.once.Do(func() { close(c.cut) }) }
+	q.OnGiveWay = func(Slowness) {}
+	return q
+}
+
+func pattern(n int) []byte {
+	p := make([]byte, n)
+	for i := range p {
+		p[i] = byte(i / 7)
+	}
+	return p
+}
+
+// Guards against lost or reordered parts, and against a reader of an endpoint that waits
+// for a slow caller.
+func TestQueueDeliversAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := bubbleclock.New()
+		b := NewBudget(clock, 1<<20)
+		c := &testCaller{}
+		q := c.queue(b)
+		data := pattern(20*blockSize + 5)
+		c.pause = time.Second
+		_ = q.Write(data[:10])
+		began := clock.Now()
+		for at := 10; at < len(data); at += 3000 {
+			if err := q.Write(data[at:min(at+3000, len(data))]); err != nil {
+				t.Fatal(err)
+			}
+		}
+		// What fits into a connection's buffers is written by the reader itself.
+		if took := clock.Since(began); took > directSize/3000*time.Second {
+			t.Errorf("the endpoint waited for %v", took)
+		}
+		if err := q.Finish(t.Context(), time.Millisecond); err != nil || !bytes.Equal(c.received, data) {
+			t.Errorf("received %d of %d bytes, %v", len(c.received), len(data), err)
+		}
+		if f := b.Figures(); f.Held != 0 || f.Behind == 0 {
+			t.Errorf("figures %+v", f)
+		}
+	})
+}
+
+// Guards against memory and goroutines that stay after a caller has left, stopped reading or
+// given way, and against such a response that ends without error.
+func TestQueueEndsWithItsCaller(t *testing.T) {
+	for name, tt := range map[string]struct {
+		end  func(q *Queue, cancel context.CancelFunc)
+		want error
+	}{
+		"left":          {func(_ *Queue, cancel context.CancelFunc) { cancel() }, context.Canceled},
+		"stops reading": {func(*Queue, context.CancelFunc) {}, errStalled},
+		"gives way": {func(q *Queue, _ context.CancelFunc) {
+			time.Sleep(settleTime)
+			other := q.budget.Open(func(Slowness) {})
+			defer other.Close()
+			_, _, _ = other.Reserve(3 * blockSize)
+		}, ErrGaveWay},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := NewBudget(bubbleclock.New(), 8*blockSize)
+				c := &testCaller{pause: -1}
+				q := c.queue(b)
+				if err := q.Write(pattern(5 * blockSize)); err != nil {
+					t.Fatal(err)
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				tt.end(q, cancel)
+				if err := q.Finish(ctx, time.Second); !errors.Is(err, tt.want) {
+					t.Errorf("error %v, want %v", err, tt.want)
+				}
+				if err := q.Write([]byte("more")); err == nil {
+					t.Error("a response goes on that has ended")
+				}
+				if f := b.Figures(); f.Held != 0 || f.Responses != 0 {
+					t.Errorf("figures %+v", f)
+				}
+			})
+		})
+	}
+}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -38,6 +38,12 @@
 	confirmed bool
 	// begun reports whether the endpoint has begun to run the request.
 	begun bool
+	// repeated and comments are the bytes of repeated events, and of events that consist
+	// of comments, since the last event that was neither.
+	repeated, comments int
+	// longestHoldUp is the longest time during which nothing was read from the endpoint,
+	// since the caller was slow.
+	longestHoldUp time.Duration
 
 	// activity records the activity of the endpoint; nil until the request is sent.
 	activity *activity.Endpoint
@@ -143,12 +149,22 @@
 		r.f.Pool.CloseIdle(address(endpoint))
 	}
 	e.terminated = c.terminated(e, endpoint)
-	if e.mayHaveRun && !e.terminated && (errors.Is(e.err, errMayHaveTerminated) || r.f.PathLost(address(endpoint))) {
+	if e.mayHaveRun && !e.terminated && (errors.Is(e.err, errMayHaveTerminated) || c.isCutForSlowness(e) || r.f.PathLost(address(endpoint))) {
 		e.report = peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE
 	}
 	return e
 }
 
+// minCutAfter is the shortest time after which endpoints cut off a response that is not
+// read.
+const minCutAfter = time.Second
+
+// isCutForSlowness reports whether the endpoint may have cut off the response since this
+// daemon did not read it.
+func (c *call) isCutForSlowness(e attemptResult) bool {
+	return c.longestHoldUp >= minCutAfter && (e.reason == outcome.ReasonConnectionLost || e.reason == outcome.ReasonTruncated)
+}
+
 // request returns the request as it is sent to the endpoint.
 func (c *call) request() *http1.Request {
 	r := c.run
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -22,6 +22,9 @@
 	// terminationTime is how long a process that terminates may take to close its
 	// connections and its listener, in any order.
 	terminationTime = 20 * time.Millisecond
+	// longPart is the size in bytes of the parts in which the rest of a long response is
+	// forwarded.
+	longPart = 64 << 10
 )
 
 var (
@@ -31,7 +34,10 @@
 	errMayHaveTerminated = errors.New("the response may have ended with its endpoint")
 )
 
-var errUnsigned = errors.New("a success without the endpoint's signature")
+var (
+	errUnsigned = errors.New("a success without the endpoint's signature")
+	errNoEnd    = errors.New("an error response without length does not end")
+)
 
 // failedResult returns the result of an attempt that failed after the endpoint
 // may have run the request.
@@ -89,7 +95,7 @@
 	c.grant.RecordAnnouncement(verdict.Announcement)
 	r.f.Notices.Record(&c.grant.Endpoint, verdict.Announcement)
 	if verdict.NotRun {
-		discard(x, resp)
+		x.Skip()
 		return attemptResult{
 			err:    errors.Errorf("refused with status %d", resp.StatusCode),
 			reason: outcome.ReasonEndpointRefused,
@@ -109,16 +115,6 @@
 	return c.forwardWhole(x, resp)
 }
 
-// discard reads the rest of a short response, so that its connection can be
-// reused.
-func discard(x *http1.Exchange, resp *http.Response) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBuffered)); err != nil {
-		x.Abort()
-		return
-	}
-	x.Finish()
-}
-
 // progressReader records the progress of a call with each part that is read.
 type progressReader struct {
 	io.Reader
@@ -143,7 +139,11 @@
 		return failedResult(readFailureReason(c.ctx, err), err)
 	}
 	a := &response{status: resp.StatusCode, header: resp.Header, body: body}
-	if len(body) == maxBuffered {
+	switch {
+	case len(body) < maxBuffered:
+	case resp.StatusCode/100 != 2 && resp.ContentLength < 0:
+		return failedResult(outcome.ReasonWrongAnswer, errNoEnd)
+	default:
 		return c.forwardLong(x, resp, a)
 	}
 	x.Finish()
@@ -186,18 +186,18 @@
 	if !c.takeLeadWith(a, resp.ContentLength) {
 		return failedResult(outcome.ReasonSuperseded, errSuperseded)
 	}
-	buf := a.body
+	buf, part := a.body, make([]byte, longPart)
 	for {
-		if err := c.run.sink.Body(buf); err != nil {
+		if err := c.deliver(buf); err != nil {
 			return callerGoneResult(err)
 		}
-		n, err := resp.Body.Read(a.body[:cap(a.body)])
-		buf = a.body[:n]
+		n, err := resp.Body.Read(part)
+		buf = part[:n]
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
-			if err := c.run.sink.Body(buf); err != nil {
-				return failedResult(outcome.ReasonCallerGone, err)
+			if err := c.deliver(buf); err != nil {
+				return callerGoneResult(err)
 			}
 			x.Finish()
 			if err := c.checkEnd(resp); err != nil {
@@ -240,7 +240,7 @@
 		return outcome.ReasonCallerGone
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		return outcome.ReasonTruncated
-	case errors.Is(err, http1.ErrForeignResponse):
+	case errors.Is(err, http1.ErrForeignResponse), errors.Is(err, http1.ErrTooLong):
 		return outcome.ReasonWrongAnswer
 	}
 	return outcome.ReasonConnectionLost
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -17,11 +17,15 @@
 	readSize = 2 << 10
 	// maxEvent is the maximum size of an event in bytes.
 	maxEvent = 1 << 20
+	// maxRepeated is the maximum size in bytes of events that an endpoint repeats until it
+	// sends a new one.
+	maxRepeated = 16 << 20
 )
 
 var (
 	errPartialEvent = errors.New("the stream ends within an event")
 	errNoEvent      = errors.New("the stream ends with its connection before any event")
+	errEventless    = errors.New("the stream goes on without a new event")
 )
 
 // forwardStream forwards a stream of events, each as soon as it is complete. A
@@ -40,6 +44,8 @@
 			switch err := c.forwardEvents(pending[:whole], resp); {
 			case errors.Is(err, errSuperseded):
 				return failedResult(outcome.ReasonSuperseded, err)
+			case errors.Is(err, errEventless):
+				return failedResult(outcome.ReasonWrongAnswer, err)
 			case err != nil:
 				return callerGoneResult(err)
 			}
@@ -89,16 +95,46 @@
 }
 
 // forwardEvents forwards complete events, except those that the caller has
-// already received. The error is errSuperseded if another call has gone on.
+// already received. The error is errSuperseded if another call has gone on, errEventless
+// if the endpoint has sent nothing new for too long.
 func (c *call) forwardEvents(events []byte, resp *http.Response) error {
 	c.markBegun()
 	out, err := c.takeEvents(events, resp)
-	if err != nil || len(out) == 0 {
+	if err != nil {
 		return err
 	}
+	if !c.checkNews(events, out) {
+		return errEventless
+	}
+	if len(out) == 0 {
+		return nil
+	}
 	return c.write(out)
 }
 
+// checkNews reports whether a stream may go on after events of which out are new.
+func (c *call) checkNews(events, out []byte) bool {
+	switch {
+	case len(out) == 0:
+		c.repeated += len(events)
+	case !hasField(out):
+		c.comments += len(out)
+	default:
+		c.repeated, c.comments = 0, 0
+	}
+	return c.repeated <= maxRepeated && c.comments <= maxEvent
+}
+
+// hasField reports whether events have a line other than comments.
+func hasField(events []byte) bool {
+	for line := range bytes.Lines(events) {
+		if line[0] != ':' && line[0] != '\r' && line[0] != '\n' {
+			return true
+		}
+	}
+	return false
+}
+
 // takeEvents returns the events that the caller has not received yet. The call leads then,
 // and may write them to the caller.
 func (c *call) takeEvents(events []byte, resp *http.Response) ([]byte, error) {
@@ -129,11 +165,27 @@
 // write writes a part of the body to the caller. A caller that reads slowly is no silence
 // of the endpoint, and keeps no superseded call from ending.
 func (c *call) write(p []byte) error {
-	err := c.run.sink.Body(p)
+	err := c.deliver(p)
 	c.run.mu.Lock()
 	defer c.run.mu.Unlock()
 	c.writing = false
-	c.lastSign = c.run.f.Clock.Now()
+	return err
+}
+
+// deliver writes a part of the body to the caller. While the caller reads slowly, nothing
+// is read from the endpoint, which counts neither as a gap between its events nor, if it
+// cuts off what is not read, as its failure.
+func (c *call) deliver(p []byte) error {
+	r := c.run
+	began := r.f.Clock.Now()
+	err := r.sink.Body(p)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.f.Clock.Now()
+	heldUp := now.Sub(began)
+	c.longestHoldUp = max(c.longestHoldUp, heldUp)
+	c.grant.RecordHoldUp(heldUp)
+	c.lastSign = now
 	return err
 }
 
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -67,7 +67,7 @@
 		g.refuse(w, r, &call, refusal)
 		return
 	}
-	err := g.forwarder.Do(r.Context(), req, forward.Sink{
+	err := g.forward(w, r, req, forward.Sink{
 		Head: func(status int, h http.Header, length int64) { writeHead(w, status, h, length) },
 		Body: func(p []byte) error { return writeBody(w, p) },
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/beechhead/beechhead/internal/backlog"
 	"github.com/beechhead/beechhead/internal/beacon"
 	"github.com/beechhead/beechhead/internal/boottime"
 	"github.com/beechhead/beechhead/internal/cell"
@@ -110,6 +111,8 @@
 	budgetMu sync.Mutex
 	budgets  map[table.Pool]*retrybudget.Budget
 
+	// backlog holds what callers have not read; nil if nothing is held.
+	backlog    *backlog.Budget
 	sampler    *logline.Sampler
 	inProgress atomic.Int64
 	callerHTTP *http.Server
@@ -145,6 +148,9 @@
 	g.current.Store(s)
 	g.sampler = logline.NewSampler(g.clock)
 	g.logger = slog.New(logline.NewLimiter(g.clock, logger.Handler())).With("host", s.Host)
+	if m := s.Gateway.Machine; m != nil && m.MemoryMB > 0 {
+		g.backlog = backlog.NewBudget(g.clock, backlog.Limit(backlog.Bytes(m.MemoryMB*(1<<20))))
+	}
 	g.view = membership.NewView(g.clock, membership.Host{
 		ID:            membership.HostID(s.Host),
 		Incarnation:   membership.NewIncarnation(g.clock.Now().UnixMilli(), rand.Uint64()),
--- /dev/null
+++ b/internal/gateway/slowcallers.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/beechhead/beechhead/internal/backlog"
+	"github.com/beechhead/beechhead/internal/forward"
+	"github.com/beechhead/beechhead/internal/framing"
+)
+
+// forward forwards a request. If the memory of this host is known, what the caller has not
+// read is held for it, and its endpoint is free as soon as it has sent the response.
+func (g *Gateway) forward(w http.ResponseWriter, r *http.Request, req *forward.Request, sink forward.Sink) error {
+	if g.backlog == nil {
+		return g.forwarder.Do(r.Context(), req, sink)
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	q := backlog.NewQueue(g.backlog)
+	q.Deliver = sink.Body
+	q.Interrupt = func() { interrupt(w, r) }
+	q.OnGiveWay = func(s backlog.Slowness) {
+		cancel()
+		g.logger.Warn("slow caller gave way", "request", req.ID, "class", req.Class, "account", req.Account,
+			"heldBytes", int64(s.Held), "takenBytes", int64(s.Taken), "behindMs", s.Behind.Milliseconds())
+	}
+	sink.Body = q.Write
+	err := g.forwarder.Do(ctx, req, sink)
+	due := req.Deadline - g.boot.Now()
+	if err != nil && due <= 0 {
+		// What is held is no complete response, and no longer wanted.
+		cancel()
+	}
+	if finishErr := q.Finish(ctx, due); finishErr != nil && !errors.Is(err, forward.ErrTruncated) {
+		return errors.Wrap(forward.ErrTruncated, finishErr.Error())
+	}
+	return err
+}
+
+// interrupt ends writes to a caller. Its connection will be reset, so that a truncated
+// response does not look complete and the kernel drops the rest.
+func interrupt(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*framing.Conn); ok {
+		if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+			_ = l.SetLinger(0)
+		}
+	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Unix(1, 0))
+}
+
+// setBacklogGauges sets the gauges of what is held for callers.
+func (g *Gateway) setBacklogGauges() {
+	if g.backlog == nil {
+		return
+	}
+	f := g.backlog.Figures()
+	g.metrics.Set("backlog.bytes", int64(f.Held))
+	g.metrics.Set("backlog.responses", int64(f.Responses))
+	g.metrics.Set("backlog.gaveWay", f.GaveWay)
+	g.metrics.Set("backlog.behindMs", f.Behind.Milliseconds())
+}
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -44,8 +44,18 @@
 	// maxForeignResponses bounds the responses to other requests that are
 	// skipped on one connection.
 	maxForeignResponses = 3
+	// maxHead bounds the heads that are read until that of the response, in bytes: its
+	// own and those of informational responses and of other requests' responses.
+	maxHead = 64 << 10
+	// maxSkipped bounds the body of a response that is skipped, in bytes, and
+	// skipTimeout the time for it if nothing else does.
+	maxSkipped  = 1 << 20
+	skipTimeout = 250 * time.Millisecond
 )
 
+// ErrTooLong is returned if an endpoint sends more than a response may have at its place.
+var ErrTooLong = errors.New("too many bytes that are no response")
+
 // ErrForeignResponse is returned if only responses to other requests were
 // received.
 var ErrForeignResponse = errors.New("answers of other requests")
@@ -91,7 +101,7 @@
 			return nil, err
 		}
 		x := &Exchange{pool: p, address: address, conn: c, request: r}
-		if x.write(head) {
+		if x.write(ctx, head) {
 			return x, nil
 		}
 		_ = c.Close()
@@ -127,8 +137,13 @@
 }
 
 // write sends the request. It returns false if no byte of it was written.
-func (x *Exchange) write(head []byte) bool {
+func (x *Exchange) write(ctx context.Context, head []byte) bool {
 	body := x.request.Body
+	if len(head) > maxInlineBody {
+		// The endpoint's buffer may not take so much.
+		stop := context.AfterFunc(ctx, func() { _ = x.conn.Close() })
+		defer stop()
+	}
 	if len(body) <= maxInlineBody {
 		n, err := x.conn.Write(append(head, body...))
 		if err != nil {
@@ -189,6 +204,8 @@
 // responses and responses that belong to other requests.
 func (x *Exchange) Response() (*http.Response, error) {
 	request := &http.Request{Method: x.request.Method}
+	x.conn.allowance = maxHead
+	defer func() { x.conn.allowance = -1 }()
 	for range maxForeignResponses + 1 {
 		resp, err := http.ReadResponse(x.conn.reader, request)
 		if err != nil {
@@ -205,13 +222,30 @@
 		// This is a late response to an earlier request. The next one belongs
 		// to this request, but the connection must not be reused.
 		x.noReuse = true
+		heads := x.conn.allowance
+		x.conn.allowance = maxSkipped
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, errors.Wrap(err, "pass over an answer")
 		}
+		x.conn.allowance = heads
 	}
 	return nil, ErrForeignResponse
 }
 
+// Skip ends the exchange without its body. The connection is kept if the body is short and
+// comes at once.
+func (x *Exchange) Skip() {
+	x.conn.allowance = maxSkipped
+	_ = x.conn.SetReadDeadline(time.Now().Add(skipTimeout))
+	if _, err := io.Copy(io.Discard, x.resp.Body); err != nil {
+		x.Abort()
+		return
+	}
+	_ = x.conn.SetReadDeadline(time.Time{})
+	x.conn.allowance = -1
+	x.Finish()
+}
+
 // Buffered returns the number of bytes that can be read without waiting.
 func (x *Exchange) Buffered() int { return x.conn.reader.Buffered() }
 
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -84,11 +84,22 @@
 	expiresAt time.Time
 	// probesConfigured is set once probes were configured; they may be off.
 	probesConfigured bool
+	// allowance is how many more bytes may be read; negative means any number.
+	allowance int64
 }
 
 // Read reads from the connection. A reset is never an io.EOF.
 func (c *conn) Read(p []byte) (n int, err error) {
+	switch {
+	case c.allowance == 0:
+		return 0, ErrTooLong
+	case c.allowance > 0:
+		p = p[:min(int64(len(p)), c.allowance)]
+	}
 	n, err = c.Conn.Read(p)
+	if c.allowance > 0 {
+		c.allowance -= int64(n)
+	}
 	return n, endpoint.EndError(c.Conn, err)
 }
 
@@ -236,7 +247,7 @@
 // newConn counts a new connection and adds its reader.
 func (p *Pool) newConn(c net.Conn) *conn {
 	p.Opened.Add(1)
-	conn := &conn{Conn: c}
+	conn := &conn{Conn: c, allowance: -1}
 	conn.reader = bufio.NewReaderSize(conn, bufferSize)
 	return conn
 }
--- a/internal/http1/probe.go
+++ b/internal/http1/probe.go
@@ -46,6 +46,7 @@
 // play sends the probe and reads its response.
 func (p *Probe) play(c *conn) error {
 	_ = c.SetDeadline(time.Now().Add(probeTimeout))
+	c.allowance = maxHead + maxProbeResponse
 	request := &Request{Method: http.MethodGet, Target: p.Target, Host: p.Host}
 	if _, err := c.Write(writeHead(request)); err != nil {
 		return probeError(err)
@@ -63,6 +64,7 @@
 		return errProbe
 	}
 	_ = c.SetDeadline(time.Time{})
+	c.allowance = -1
 	return p.Accept(resp.StatusCode, resp.Header, body)
 }
 
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -107,6 +107,14 @@
 	}
 }
 
+// RecordHoldUp records that nothing was read from the endpoint for some time until now.
+// This is no part of the gap between two tokens.
+func (g *Grant) RecordHoldUp(d time.Duration) {
+	if g.tokens > 0 {
+		g.lastTokenAt = g.lastTokenAt.Add(d)
+	}
+}
+
 // LongestPause returns the longest gap between two tokens and the number of the
 // token that ended it; both are zero if there was none.
 func (g *Grant) LongestPause() (pause time.Duration, token int) {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -89,6 +89,9 @@
 	ProcessorSpeed float64 `json:"processorSpeed"`
 	// LinkMbps is the bandwidth of its link in Mbit/s.
 	LinkMbps float64 `json:"linkMbps"`
+	// MemoryMB is the memory that the daemon may use, in MiB; zero is unknown. If it is
+	// known, the daemon holds what callers have not read yet.
+	MemoryMB float64 `json:"memoryMb,omitempty"`
 }
 
 const (
@@ -116,6 +119,7 @@
 	c.require(m.ProcessorShare > 0, "gateway.machine.processorShare", "%g is not positive", m.ProcessorShare)
 	c.require(m.ProcessorSpeed > 0, "gateway.machine.processorSpeed", "%g is not positive", m.ProcessorSpeed)
 	c.require(m.LinkMbps > 0, "gateway.machine.linkMbps", "%g is not positive", m.LinkMbps)
+	c.require(m.MemoryMB >= 0, "gateway.machine.memoryMb", "%g is negative", m.MemoryMB)
 }
 
 // Retry bounds, for each pool, what is sent beyond the first time in each
