--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -37,8 +37,12 @@
 	chunk := make([]byte, readSize)
 	for {
 		n, err := resp.Body.Read(chunk)
+		before := len(pending)
 		pending = append(pending, chunk[:n]...)
-		whole := completeEvents(pending)
+		whole := 0
+		if mayEndEvent(pending, before) {
+			whole = completeEvents(pending)
+		}
 		if whole > 0 {
 			received = true
 			switch err := c.forwardEvents(pending[:whole], resp); {
@@ -221,6 +225,17 @@
 	return err != nil || n > before
 }
 
+// mayEndEvent reports whether data may have a complete event although the first part of it
+// has none, so that a long event is not searched again with each part.
+func mayEndEvent(data []byte, before int) bool {
+	const end = len("\n\r\n") - 1
+	if before < end {
+		return true
+	}
+	tail := data[before-end:]
+	return bytes.Contains(tail, []byte("\n\n")) || bytes.Contains(tail, []byte("\n\r\n"))
+}
+
 // completeEvents returns the length of the complete events at the start of data.
 func completeEvents(data []byte) int {
 	whole := 0
