--- a/internal/backlog/queue.go
+++ b/internal/backlog/queue.go
@@ -15,7 +15,8 @@
 	// of a connection take them, so that the write does not wait for the caller.
 	directSize = blockSize
 	// stallTime is how long a caller may take nothing of a response that is complete
-	// after its deadline. The kernel takes more only once a third of its buffer is free.
+	// after its deadline. The kernel takes more only once a third of its buffer is free,
+	// so that this corresponds to a speed of 17 KB/s.
 	stallTime = 10 * time.Second
 )
 
@@ -34,6 +35,8 @@
 	// Interrupt makes a call of Deliver that waits return. It may be called concurrently,
 	// and more than once.
 	Interrupt func()
+	// OnBehind is called before something is held for the first time.
+	OnBehind func()
 	// OnGiveWay is called when the caller gives way. The response must be ended then.
 	OnGiveWay func(Slowness)
 
@@ -74,6 +77,7 @@
 	q.direct = -1
 	if q.account == nil {
 		q.account = q.budget.Open(q.giveWay)
+		q.OnBehind()
 	}
 	for len(p) > 0 {
 		n, err := q.append(p)
--- a/internal/backlog/queue_test.go
+++ b/internal/backlog/queue_test.go
@@ -44,7 +44,7 @@
 		return nil
 	}
 	q.Interrupt = func() { c.once.Do(func() { close(c.cut) }) }
-	q.OnGiveWay = func(Slowness) {}
+	q.OnBehind, q.OnGiveWay = func() {}, func(Slowness) {}
 	return q
 }
 
--- a/internal/gateway/slowcallers.go
+++ b/internal/gateway/slowcallers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -23,6 +24,7 @@
 	q := backlog.NewQueue(g.backlog)
 	q.Deliver = sink.Body
 	q.Interrupt = func() { interrupt(w, r) }
+	q.OnBehind = func() { limitBuffer(r) }
 	q.OnGiveWay = func(s backlog.Slowness) {
 		cancel()
 		g.logger.Warn("slow caller gave way", "request", req.ID, "class", req.Class, "account", req.Account,
@@ -41,13 +43,33 @@
 	return err
 }
 
+// callerBuffer is the size in bytes of the kernel's buffer for a caller for whom something
+// is held. By itself it grows to some MB, which no budget covers, and takes more only in
+// steps of a third of its size, which hide how fast the caller reads.
+const callerBuffer = 256 << 10
+
+// limitBuffer limits the kernel's buffer for a caller.
+func limitBuffer(r *http.Request) {
+	if c := callerConn(r); c != nil {
+		_ = c.SetWriteBuffer(callerBuffer)
+	}
+}
+
+// callerConn returns the connection of a request; nil if it is not TCP.
+func callerConn(r *http.Request) *net.TCPConn {
+	c, ok := r.Context().Value(connKey{}).(*framing.Conn)
+	if !ok {
+		return nil
+	}
+	tcp, _ := c.Conn.(*net.TCPConn)
+	return tcp
+}
+
 // interrupt ends writes to a caller. Its connection will be reset, so that a truncated
 // response does not look complete and the kernel drops the rest.
 func interrupt(w http.ResponseWriter, r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(*framing.Conn); ok {
-		if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
-			_ = l.SetLinger(0)
-		}
+	if c := callerConn(r); c != nil {
+		_ = c.SetLinger(0)
 	}
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Unix(1, 0))
 }
