--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -56,6 +56,7 @@
 	{"urgent streams", preemptedForOthers},
 	{"answers kept", answersKept},
 	{"served again", servedAgain},
+	{"slow readers", slowReaders},
 	{"duties", func(rec *Record) []string { return rec.Duties.Broken }},
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -55,6 +55,19 @@
 	}
 }
 
+// addSlowReaders adds slow callers and requests beside them, of which some are not served.
+func addSlowReaders(rec *Record, refused int) {
+	rec.Faults = append(rec.Faults, Struck{Fault: Fault{Kind: KindSlowReaders}, From: at(14), To: at(29)})
+	for i := range minBeside {
+		c := Call{Call: standin.Call{ID: fmt.Sprint("beside-", i), Route: "look", Deadline: callDeadline}, Sent: at(16.5), Ended: at(17)}
+		c.Answer = standin.CallResponse{Status: http.StatusOK, Signed: true, Body: standin.ResponseBody(c.ID)}
+		if i < refused {
+			c.Answer = standin.CallResponse{Status: http.StatusServiceUnavailable}
+		}
+		rec.Calls = append(rec.Calls, c)
+	}
+}
+
 // addLimited adds requests to an engine with a limit within two seconds.
 func addLimited(rec *Record, n int) {
 	rec.Faults = append(rec.Faults, Struck{Fault: Fault{Kind: KindEngineLimit, Target: 1}, From: at(15), To: at(25)})
@@ -333,6 +346,8 @@
 			r.Faults = append(r.Faults, Struck{Fault: Fault{Kind: KindEngineReset, Target: 2}, From: at(13), To: at(13.1)})
 		}},
 		{"a pool that was paused is not served again", "served again", func(r *Record) { addPoolPause(r, 3.1, 28) }},
+		{"an engine waits for a slow caller", "slow readers", func(r *Record) { r.Runs[1].Cut = true; addSlowReaders(r, 0) }},
+		{"others are not served beside slow callers", "slow readers", func(r *Record) { addSlowReaders(r, 2) }},
 		{"a window has two contents", "duties", func(r *Record) { r.Duties.Broken = []string{"window 3 has two contents"} }},
 		{"too many repeats", "retry budget", func(r *Record) {
 			for range retrySlack + 2 {
--- a/internal/soak/ending.go
+++ b/internal/soak/ending.go
@@ -65,6 +65,8 @@
 	plantIgnorePriority = "ignorePriority"
 	// plantEndSilent has relays end the connections of silent answers.
 	plantEndSilent = "endSilent"
+	// plantHideMemory starts the daemons without the memory of their hosts.
+	plantHideMemory = "hideMemory"
 )
 
 // plantedFaults holds the fault that the plan of a planted variant consists of.
@@ -80,6 +82,8 @@
 	plantHideVersions: {Kind: KindVersionRoll},
 	plantLoseStreams:  {Kind: KindConfig},
 
+	plantHideMemory: {Kind: KindSlowReaders},
+
 	plantIgnorePriority: {Kind: KindConfig},
 	plantEndSilent:      {Kind: KindEnginePause, For: maxPause, Spread: SpreadPool},
 	plantSwallow:        {Kind: KindPathLost, For: maxPathFault, Spread: SpreadZone, Path: paths.PathSwallows},
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -27,6 +27,8 @@
 		r.losePath(f)
 	case f.Kind == KindEndingPart:
 		r.sendEndingPart(f)
+	case f.Kind == KindSlowReaders:
+		r.readSlowly(f)
 	case f.Kind == KindVersionRoll:
 		r.rollVersions()
 	case f.Kind == KindEnginePause:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -61,6 +61,9 @@
 	// response, in requests of which no two are alike.
 	KindEndingPart Kind = "endingPart"
 
+	// KindSlowReaders is callers that read a few KB a second.
+	KindSlowReaders Kind = "slowReaders"
+
 	// KindEnginePause stops the processes of engines for a time.
 	KindEnginePause Kind = "enginePause"
 
@@ -106,7 +109,7 @@
 // as work that an operator plans.
 func (f Fault) planned() bool {
 	switch f.Kind {
-	case KindStop, KindReload, KindConfig, KindRevoke, KindTimes, KindEngineDrain, KindEngineLimit, KindEngineBackoff:
+	case KindStop, KindReload, KindConfig, KindRevoke, KindTimes, KindEngineDrain, KindEngineLimit, KindEngineBackoff, KindSlowReaders:
 		return true
 	}
 	return false
@@ -183,7 +186,7 @@
 
 // lastingKinds holds the kinds that go on for a while after the others: what
 // daemons do about them is looked at when nothing else troubles them.
-var lastingKinds = []Kind{KindEngineLimit, KindEndingRequest, KindEndingPart}
+var lastingKinds = []Kind{KindEngineLimit, KindEndingRequest, KindEndingPart, KindSlowReaders}
 
 func (f Fault) lasts() bool {
 	return slices.Contains(lastingKinds, f.Kind) || slices.Contains(announcedKinds, f.Kind)
--- a/internal/soak/silence.go
+++ b/internal/soak/silence.go
@@ -166,7 +166,7 @@
 		c := &rec.Calls[i]
 		// Callers tell daemons their deadlines in whole milliseconds.
 		allowed := min(c.Deadline.Truncate(time.Millisecond), leastTimeout)
-		lost := c.Cause != "" && !c.Left && c.Ended.Sub(c.Sent) < allowed
+		lost := c.Cause != "" && !c.Left && c.ReadSpeed == 0 && c.Ended.Sub(c.Sent) < allowed
 		if !lost || len(runs[c.ID]) == 0 || rec.inTheWay(c, runs[c.ID]) {
 			continue
 		}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -239,6 +239,10 @@
 	if slices.ContainsFunc(s.o.plan(), func(f Fault) bool { return f.Kind == KindPathLost }) {
 		endpointProxy = s.path(i)
 	}
+	machine := &settings.Machine{ProcessorShare: 1, ProcessorSpeed: 1, LinkMbps: 1000, MemoryMB: daemonMemoryMB}
+	if s.o.Plant == plantHideMemory {
+		machine.MemoryMB = 0
+	}
 	data, err := json.MarshalIndent(&settings.Settings{
 		Host: name, Region: "r", Zone: zoneOf(i),
 		CallerAddress: s.address(host, portCallers), PeerAddress: s.address(host, portPeers), OperatorAddress: s.address(host, portFigures),
@@ -247,6 +251,7 @@
 		Gateway: &settings.Gateway{
 			ReadyAddress: s.address(host, portReady), DirectoryAddress: s.address(host, portDirectory), BeaconPort: portBeacons,
 			EndpointProxy:   endpointProxy,
+			Machine:         machine,
 			AddressLifetime: table.Duration(2 * time.Second), RevokeAfter: table.Duration(revokeAfter), Grace: table.Duration(grace),
 			Retry: settings.Retry{Share: retryShare, Slack: retrySlack, Window: table.Duration(retryWindow)},
 			Duties: &settings.Duties{
--- a/internal/standin/main.go
+++ b/internal/standin/main.go
@@ -87,7 +87,11 @@
 		return err
 	}
 	fmt.Println(l.Addr())
-	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second, ConnState: func(c net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			limitBuffers(c)
+		}
+	}}
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
@@ -156,12 +160,13 @@
 	Slots  int           `long:"slots" default:"8" description:"Requests run at once"`
 	Events int           `long:"events" default:"20" description:"Events of a stream"`
 	Pause  time.Duration `long:"pause" default:"40ms" description:"Time before each event and before other answers"`
+	Cut    time.Duration `long:"cut-unread" default:"2s" description:"Time after which a response is cut off that is not read"`
 	End    string        `long:"end" description:"URL that is posted to when a request ends the engine"`
 }
 
 // Execute runs the stand-in of an endpoint of the users' platform.
 func (c *endpointCommand) Execute([]string) error {
-	return c.serve(&gatewayform.Engine{ID: c.ID, Slots: c.Slots, Events: c.Events, Delay: c.Pause, Terminate: c.end})
+	return c.serve(&gatewayform.Engine{ID: c.ID, Slots: c.Slots, Events: c.Events, Delay: c.Pause, CutUnread: c.Cut, Terminate: c.end})
 }
 
 // end has the way to the engine closed.
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -70,6 +70,19 @@
 	silent    bool
 }
 
+// smallBuffer is the size in bytes of the kernel's buffers for the connections of stand-ins.
+// A peer that does not read then holds up the other one early, also through a relay.
+const smallBuffer = 64 << 10
+
+func limitBuffers(conns ...net.Conn) {
+	for _, c := range conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(smallBuffer)
+			_ = tcp.SetWriteBuffer(smallBuffer)
+		}
+	}
+}
+
 // reset resets both ends.
 func (p *relayed) reset() {
 	for _, c := range []net.Conn{p.near, p.far} {
@@ -174,6 +187,7 @@
 			_ = near.Close()
 			continue
 		}
+		limitBuffers(near, far)
 		p := &relayed{near: near, far: far}
 		r.mu.Lock()
 		r.pairs[p] = true
