Bound heads and streams without events of the product's own endpoints

A stream of comments or blank lines went on until its caller left, and a head could take 10 MiB. Both end at 1 MiB and 64 KiB (TestStreamWithoutEventsIsMalformed).

--- a/internal/endpoint/transport.go
+++ b/internal/endpoint/transport.go
@@ -36,6 +36,9 @@
 // NewTransport returns a transport whose connections count their writes.
 func NewTransport() *http.Transport { return newTransport(userTimeout) }
 
+// maxHead bounds the head of a response, in bytes.
+const maxHead = 64 << 10
+
 // newTransport returns a transport with a given user timeout.
 func newTransport(userTimeout time.Duration) *http.Transport {
 	dialer := &net.Dialer{
@@ -58,6 +61,8 @@
 		DisableCompression:  true,
 		ReadBufferSize:      bufferSize,
 		WriteBufferSize:     bufferSize,
+
+		MaxResponseHeaderBytes: maxHead,
 	}
 }
 
--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -25,6 +25,9 @@
 	started bool
 }
 
+// maxWithoutData bounds the lines without data between two events, in bytes.
+const maxWithoutData = maxEventSize
+
 func newEventReader(r io.Reader) *eventReader {
 	s := bufio.NewScanner(r)
 	s.Buffer(make([]byte, 0, 4096), maxEventSize)
@@ -53,8 +56,12 @@
 // It returns io.EOF if the stream ends between events.
 func (r *eventReader) next() ([]byte, error) {
 	r.data = r.data[:0]
+	read := 0
 	for r.scanner.Scan() {
 		line := r.scanner.Bytes()
+		if read += len(line) + 1; read-len(r.data) > maxWithoutData {
+			return nil, errors.Wrap(ErrMalformed, "no event within the bound")
+		}
 		if !r.started {
 			r.started = true
 			line = bytes.TrimPrefix(line, byteOrderMark)
--- a/internal/engine/sse_test.go
+++ b/internal/engine/sse_test.go
@@ -55,6 +55,33 @@
 	}
 }
 
+// endless repeats a text.
+type endless struct {
+	text string
+	// read is the number of bytes that were read.
+	read int
+}
+
+func (e *endless) Read(p []byte) (n int, err error) {
+	for n < len(p) {
+		m := copy(p[n:], e.text[e.read%len(e.text):])
+		n += m
+		e.read += m
+	}
+	return n, nil
+}
+
+// Guards against an engine that sends lines without end that are no event.
+func TestStreamWithoutEventsIsMalformed(t *testing.T) {
+	for _, line := range []string{": x\n", "\n", "id: 1\n\n", "retry: 1\r\n"} {
+		e := &endless{text: line}
+		events, err := readAll(e)
+		if len(events) > 0 || !errors.Is(err, ErrMalformed) || e.read > 2*maxWithoutData {
+			t.Errorf("%q: %d events of %d bytes, end %v", line, len(events), e.read, err)
+		}
+	}
+}
+
 func readAll(r io.Reader) (events []string, end error) {
 	reader := newEventReader(r)
 	for {
--- a/internal/gateway/slowcallers_test.go
+++ b/internal/gateway/slowcallers_test.go
@@ -23,7 +23,7 @@
 }
 
 // startSlowCall sends a request for a stream whose events have padding.
-func (s *testSite) startSlowCall(d *testDaemon, padding int) *slowCall {
+func (s *testSite) startSlowCall(d *testDaemon) *slowCall {
 	s.t.Helper()
 	c, err := net.Dial("tcp", net.JoinHostPort(d.ip, strconv.Itoa(testCallerPort)))
 	if err != nil {
@@ -32,7 +32,7 @@
 	s.t.Cleanup(func() { _ = c.Close() })
 	call := &slowCall{id: nextID(), conn: c}
 	_, err = fmt.Fprintf(c, "POST /draft/x%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: 20000\r\n%s: 10,10\r\n%s: aa:8,bb:2\r\nContent-Length: 0\r\n\r\n",
-		standin.PaddingQuery(padding), standin.SampleHost, platform.HeaderRequestID, call.id, platform.HeaderAPIKey, standin.SampleKey,
+		standin.PaddingQuery(slowPadding), standin.SampleHost, platform.HeaderRequestID, call.id, platform.HeaderAPIKey, standin.SampleKey,
 		platform.HeaderDeadline, platform.HeaderTokens, platform.HeaderParts)
 	if err != nil {
 		s.t.Fatal(err)
@@ -83,7 +83,7 @@
 // Guards against engines that wait for slow callers, and cut off their responses.
 func TestEnginesDoNotWaitForSlowCallers(t *testing.T) {
 	s := newSlowSite(t, 256)
-	call := s.startSlowCall(s.daemons[0], slowPadding)
+	call := s.startSlowCall(s.daemons[0])
 	s.await("the end of the engine's work", func() bool { return s.run(call.id).Done })
 	if f := s.daemons[0].g.backlog.Figures(); f.Held == 0 || f.Responses != 1 {
 		t.Errorf("figures %+v", f)
@@ -98,7 +98,7 @@
 // the engine waits.
 func TestNothingIsHeldWithoutTheSetting(t *testing.T) {
 	s := newSlowSite(t, 0)
-	call := s.startSlowCall(s.daemons[0], slowPadding)
+	call := s.startSlowCall(s.daemons[0])
 	s.await("the engine's cut", func() bool { return s.run(call.id).Cut })
 	if s.daemons[0].g.backlog != nil {
 		t.Error("there is a budget")
@@ -113,7 +113,7 @@
 func TestSlowCallersGiveWay(t *testing.T) {
 	s := newSlowSite(t, 64)
 	d := s.daemons[0]
-	slow := []*slowCall{s.startSlowCall(d, slowPadding), s.startSlowCall(d, slowPadding)}
+	slow := []*slowCall{s.startSlowCall(d), s.startSlowCall(d)}
 	s.await("a caller that gives way", func() bool { return d.g.backlog.Figures().GaveWay > 0 })
 	if a := s.call(d, http.MethodPost, "/pay/x"+standin.PaddingQuery(1<<20), nil, "money"); a.status != http.StatusOK || !strings.HasSuffix(a.body, standin.Padding(standin.PaddingQuery(1<<20))) {
 		t.Errorf("status %d, %d bytes, %v", a.status, len(a.body), a.err)
@@ -146,7 +146,7 @@
 		e.Delay = time.Millisecond
 	}
 	d := s.daemons[0]
-	call := s.startSlowCall(d, slowPadding)
+	call := s.startSlowCall(d)
 	s.await("something held", func() bool { return d.g.backlog.Figures().Held > 0 })
 	_ = call.conn.Close()
 	s.await("the end", func() bool { return d.g.inProgress.Load() == 0 && d.g.backlog.Figures().Held == 0 })
--- a/internal/soak/slow.go
+++ b/internal/soak/slow.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -36,7 +37,7 @@
 	for i := range slowCallers {
 		callers.Go(func() {
 			random := rand.New(rand.NewPCG(r.o.Seed, uint64(i+2000))) //nolint:gosec // a load
-			client := &http.Client{Transport: &http.Transport{Dial: dialSmall, DisableKeepAlives: true}}
+			client := &http.Client{Transport: &http.Transport{DialContext: dialSmall, DisableKeepAlives: true}}
 			for n := 0; r.sleep(callerPause) && r.lasting.Err() == nil; n++ {
 				r.call(client, r.site.address(firstDaemon+random.IntN(r.o.Daemons), portCallers), standin.Call{
 					ID: fmt.Sprintf("slow%d-%d-%d", i, f.At, n), Route: "draft", Key: standin.SampleKey,
@@ -48,8 +49,8 @@
 }
 
 // dialSmall opens a connection with a small buffer.
-func dialSmall(network, address string) (net.Conn, error) {
-	c, err := net.DialTimeout(network, address, time.Second)
+func dialSmall(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, network, address)
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetReadBuffer(slowBuffer)
 	}
