Measure the speed of engines by the work of their streams

Streams with short gap targets were late beside long prompts where engines differ in speed: gaps were predicted as if all engines were alike, decode engines were chosen whatever their speed, and at the start of load nothing protected the streams.

Package enginespeed compares the time of each stream with the time that an engine of median speed needs for the same work. The interference model holds estimates of median speed, and predictions are scaled to the engine. Decode engines are the fast ones, and a slow one is replaced once that is known. Until streams have shown what a prefill does to them, the gap targets of the classes decide which are protected.

--- a/internal/batching/batching.go
+++ b/internal/batching/batching.go
@@ -41,6 +41,12 @@
 	WaitPatience Mechanism = "waitPatience"
 	// DecodeSlowdown expects slower prefill on engines that run many requests.
 	DecodeSlowdown Mechanism = "decodeSlowdown"
+	// EngineSpeed measures the speed of each engine by the work of its streams, and
+	// uses it for the gaps that prefill causes and for the choice of decode engines.
+	EngineSpeed Mechanism = "engineSpeed"
+	// InitialDecode reserves decode engines by the gap targets of the classes until
+	// streams have shown what prefills do to them.
+	InitialDecode Mechanism = "initialDecode"
 )
 
 // Part is a part of a prompt. Engines cache parts by ID, and skip the prefill
@@ -93,4 +99,6 @@
 	// firstTokenDue is when the first token was expected at the grant,
 	// correctionAtGrant the correction of the engine at that time.
 	firstTokenDue, correctionAtGrant time.Duration
+	// mark is where the period of the stream that is measured next begins.
+	mark streamMark
 }
--- a/internal/batching/class.go
+++ b/internal/batching/class.go
@@ -45,21 +45,24 @@
 // they keep arriving at the present rate. At the start and in a burst, this is
 // known seconds before they run, so that long requests can be kept off the engines
 // until then.
-func (q *Class) expectedStreams(now time.Duration) float64 {
-	return q.arrivals.valueSince(now, q.firstArrival) * q.meanRunTime()
+func (p *Pool) expectedStreams(q *Class, now time.Duration) float64 {
+	return q.arrivals.valueSince(now, q.firstArrival) * p.meanRunTime(q)
 }
 
 // meanRunTime returns how long the class's requests run, in seconds.
-func (q *Class) meanRunTime() float64 {
-	if q.runTime.N == 0 {
+func (p *Pool) meanRunTime(q *Class) float64 {
+	switch {
+	case q.runTime.N == 0:
 		return initialRunTime.Seconds()
+	case q.runTime.N < minRunTimes && !p.isDisabled(InitialDecode):
+		return max(initialRunTime.Seconds(), q.runTime.Value)
 	}
 	return q.runTime.Value
 }
 
 // hasStreams reports whether requests of the class run, wait or are expected.
-func (q *Class) hasStreams(now time.Duration) bool {
-	return q.Running+q.Waiting() > 0 || q.expectedStreams(now) >= 1
+func (p *Pool) hasStreams(q *Class, now time.Duration) bool {
+	return q.Running+q.Waiting() > 0 || p.expectedStreams(q, now) >= 1
 }
 
 // gapLimit returns the longest gap of a stream that prefill may cause; zero
@@ -70,9 +73,13 @@
 
 // protectionThreshold returns the share of delayed streams above which the
 // class's streams are protected. It is lower for a class that is protected
-// already, so that the state does not oscillate.
-func (q *Class) protectionThreshold() float64 {
-	if q.protected {
+// already, so that the state does not oscillate, and zero while no stream has shown
+// yet what prefills do to it.
+func (p *Pool) protectionThreshold(q *Class) float64 {
+	switch {
+	case p.isInitial():
+		return 0
+	case q.protected:
 		return unprotectThreshold
 	}
 	return protectThreshold
--- a/internal/batching/decode.go
+++ b/internal/batching/decode.go
@@ -31,9 +31,13 @@
 	// falls after a peak. Streams return sooner than an engine finishes its long
 	// responses.
 	peakDecayTime = 4 * time.Second
-	// initialRunTime is the assumed run time of a latency-sensitive stream until
-	// one has completed.
+	// initialRunTime is the least run time that is assumed of a latency-sensitive
+	// stream until minRunTimes have completed: the first to complete are the shortest.
 	initialRunTime = 2 * time.Second
+	minRunTimes    = 20
+	// minStreams is the number of streams below which none are expected: a rate of
+	// arrivals decays and never becomes zero.
+	minStreams = 0.01
 	// longPrefillUtilization is the share of time that an engine for long
 	// prefills is planned to spend on them.
 	longPrefillUtilization = 0.6
@@ -50,6 +54,7 @@
 	since := now - p.lastDecodeReview
 	p.lastDecodeReview = now
 	p.peakDecay = math.Exp(-since.Seconds() / peakDecayTime.Seconds())
+	p.reviewSpeeds()
 	p.reviewProtected(now)
 	p.currentStreams = p.sensitiveStreams(now)
 	p.decodeDemand = max(p.currentStreams, p.decodeDemand*p.peakDecay)
@@ -76,6 +81,7 @@
 		}
 		e.Decode, e.releasing = true, false
 	}
+	p.replaceSlowDecodeEngine(now)
 	if p.decodeEngines <= wanted+decodeHysteresis {
 		return
 	}
@@ -84,6 +90,24 @@
 	}
 }
 
+// replaceSlowDecodeEngine releases the slowest decode engine if a much faster one can
+// be reserved instead, one engine in each review. At first the speeds are unknown.
+func (p *Pool) replaceSlowDecodeEngine(now time.Duration) {
+	if p.minGapLimit == 0 {
+		return
+	}
+	var slowest *Engine
+	for _, e := range p.engines {
+		if e.Decode && !e.releasing && (slowest == nil || e.slowdown > slowest.slowdown) {
+			slowest = e
+		}
+	}
+	if faster := p.bestForDecode(now); slowest != nil && faster != nil && faster.muchFasterThan(slowest) {
+		slowest.releasing = true
+		faster.Decode, faster.releasing = true, false
+	}
+}
+
 // sensitiveStreams returns how many latency-sensitive streams run and wait, or
 // are expected at their present rate of arrival. It also sets decodeTier.
 func (p *Pool) sensitiveStreams(now time.Duration) float64 {
@@ -97,10 +121,11 @@
 		if !q.protected && !p.starvedByLongResponses(q) {
 			continue
 		}
-		n := max(float64(q.Running+q.Waiting()), q.expectedStreams(now)) * share
-		if n > 0 {
-			p.decodeTier = max(p.decodeTier, q.Tier)
+		n := max(float64(q.Running+q.Waiting()), p.expectedStreams(q, now)) * share
+		if n < minStreams {
+			continue
 		}
+		p.decodeTier = max(p.decodeTier, q.Tier)
 		streams += n
 	}
 	return streams
--- a/internal/batching/engine.go
+++ b/internal/batching/engine.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/beechhead/beechhead/internal/enginespeed"
 	"github.com/beechhead/beechhead/internal/interference"
 )
 
@@ -72,6 +73,13 @@
 	// prefilling lists the requests without a first token, in the order of their
 	// grants.
 	prefilling []*RequestState
+	// prefilled is the prefill that the engine has completed, in tokens at the start
+	// of a prompt.
+	prefilled float64
+	// slowdown is the processing time relative to an engine of median speed, as of
+	// the last review; speed has the observations.
+	slowdown float64
+	speed    enginespeed.Speed
 }
 
 // prefillRecord is the prefill of one prompt.
@@ -202,6 +210,10 @@
 
 func (e *Engine) betterForDecode(other *Engine) bool {
 	switch {
+	case e.muchFasterThan(other):
+		return true
+	case other.muchFasterThan(e):
+		return false
 	case e.releasing != other.releasing:
 		return e.releasing
 	case e.longRequests != other.longRequests:
--- a/internal/batching/pool.go
+++ b/internal/batching/pool.go
@@ -17,6 +17,8 @@
 	disabled []Mechanism
 	// hasBatching means that some engine batches its requests.
 	hasBatching bool
+	// hasGapTargets means that some class promises a longest gap.
+	hasGapTargets bool
 
 	// prefillRate is the number of tokens that an engine processes per second
 	// in prefill, overhead the time from the end of prefill to the first token.
@@ -53,6 +55,7 @@
 	longPrefills     decayingRate
 	firstLongPrefill time.Duration
 	longPrefillPeak  float64
+	speed            speedEstimates
 }
 
 // NewPool returns a pool without engines and classes.
@@ -65,6 +68,8 @@
 func (p *Pool) Configure(engines []*Engine, classes []*Class, disabled []Mechanism) {
 	p.engines, p.classes, p.disabled = engines, classes, disabled
 	p.hasBatching = slices.ContainsFunc(engines, func(e *Engine) bool { return e.Memory > 0 })
+	p.hasGapTargets = slices.ContainsFunc(classes, func(q *Class) bool { return q.Pause > 0 })
+	p.reviewSpeeds()
 }
 
 // Batches reports whether some engine batches its requests.
@@ -105,7 +110,7 @@
 	prefill := p.uncachedPrefillTime(r, p.mostCached(r))
 	g.PrefillTime = prefill
 	g.Class.meanPrefill.Add(prefill.Seconds())
-	p.countViolations(prefill, r.Tokens, now)
+	p.countViolations(g.Class, prefill, r.Tokens, now)
 	if !p.exceedsGapLimit(p.typicalRunning(), prefill, r.Tokens) {
 		return
 	}
@@ -128,11 +133,13 @@
 	if e.Memory == 0 || s.LongestGap == 0 {
 		return
 	}
+	prefill := e.longestPrefillSince(g.Granted + s.FirstToken)
+	prefill.Time = p.atMedianSpeed(e, prefill.Time)
 	p.model.Observe(interference.Stream{
 		Events:            s.Events,
-		LongestGap:        s.LongestGap,
+		LongestGap:        p.atMedianSpeed(e, s.LongestGap),
 		Running:           e.Running,
-		ConcurrentPrefill: e.longestPrefillSince(g.Granted + s.FirstToken),
+		ConcurrentPrefill: prefill,
 	})
 }
 
@@ -143,7 +150,7 @@
 		return perToken
 	}
 	step := e.timeWithoutPrefill(perToken, from, to)
-	p.model.ObserveEvent(e.Running, stat.Seconds(step))
+	p.model.ObserveEvent(e.Running, p.atMedianSpeed(e, stat.Seconds(step)))
 	return step / (1 + p.model.SlowdownPerRequest()*float64(e.Running))
 }
 
--- a/internal/batching/prefill.go
+++ b/internal/batching/prefill.go
@@ -98,6 +98,7 @@
 	}
 	g.firstTokenDue = e.prefillDoneAt + p.overhead
 	g.correctionAtGrant = e.correction
+	g.mark = streamMark{}
 	e.prefilling = append(e.prefilling, g)
 	e.parts.Acquire(r.Parts, e.Memory-e.reservedMemory)
 	for _, part := range r.Parts {
@@ -124,6 +125,8 @@
 	e.correction += late
 	e.prefillDoneAt += late
 	p.learnPrefill(e, g, now)
+	e.prefilled += g.prefillCost
+	e.mark(g, 1, 0)
 }
 
 // learnPrefill takes a sample of the overhead or the prefill rate from a request
@@ -141,7 +144,11 @@
 		deviation := min(max(took-p.overhead, -most), most)
 		p.overhead += time.Duration(sampleWeight(p.overheadSamples) * float64(deviation))
 	case g.prefillCost >= minRatePrompt && took > p.overhead:
-		rate := g.prefillCost / (took - p.overhead).Seconds() * p.decodeSlowdown(e)
+		if p.MeasuresSpeed() {
+			expected := stat.Seconds(g.prefillCost / p.prefillRate * p.decodeSlowdown(e))
+			e.speed.Observe(took-p.overhead, expected, now)
+		}
+		rate := g.prefillCost / (took - p.overhead).Seconds() * p.decodeSlowdown(e) * p.slowdownOf(e)
 		// A first token right after the overhead, or a very late one, has other
 		// causes than the speed of the prefill, so samples are clamped.
 		rate = min(max(rate, p.prefillRate/maxRateDeviation), p.prefillRate*maxRateDeviation)
--- a/internal/batching/protection.go
+++ b/internal/batching/protection.go
@@ -35,8 +35,8 @@
 			q.protected = false
 			continue
 		}
-		q.protected = p.violatedShare(q, now) > q.protectionThreshold()
-		if q.protected && q.hasStreams(now) && (p.minGapLimit == 0 || limit < p.minGapLimit) {
+		q.protected = p.violatedShare(q, now) > p.protectionThreshold(q)
+		if q.protected && p.hasStreams(q, now) && (p.minGapLimit == 0 || limit < p.minGapLimit) {
 			p.minGapLimit = limit
 		}
 	}
@@ -46,18 +46,36 @@
 // that exceeds their gap limit if all engines accepted all prefills.
 func (p *Pool) violatedShare(q *Class, now time.Duration) float64 {
 	q.violationsPeak = max(q.violations.valueSince(now, q.firstArrival), q.violationsPeak*p.peakDecay)
-	return q.violationsPeak * q.meanRunTime() / float64(max(1, len(p.engines)))
+	return q.violationsPeak * p.meanRunTime(q) / float64(max(1, len(p.engines)))
 }
 
 // countViolations records, for each class, whether a prefill exceeds the gap
 // limit of its streams.
-func (p *Pool) countViolations(prefill time.Duration, prompt int, now time.Duration) {
+func (p *Pool) countViolations(from *Class, prefill time.Duration, prompt int, now time.Duration) {
 	gap := p.gapDuring(p.typicalRunning(), prefill, prompt)
 	for _, q := range p.classes {
-		if limit := q.gapLimit(); limit > 0 && gap > limit && p.mayProtect(q) {
-			q.violations.add(now, time.Second)
+		limit := q.gapLimit()
+		if limit == 0 || gap == 0 || !p.mayProtect(q) {
+			continue
 		}
+		if share := p.shareExceeding(gap, limit, from.Tier > q.Tier); share > 0 {
+			q.violations.add(now, stat.Seconds(share))
+		}
+	}
+}
+
+// shareExceeding returns the share of the engines on which a gap that is expected at
+// median speed exceeds a limit. A gap that exceeds it on slow engines only matters if
+// the prefill is of a less urgent class, which then leaves the other engines to the
+// streams.
+func (p *Pool) shareExceeding(gap, limit time.Duration, lessUrgent bool) float64 {
+	switch {
+	case gap > limit:
+		return 1
+	case lessUrgent && p.MeasuresSpeed():
+		return p.speed.slowerShare(limit.Seconds() / gap.Seconds())
 	}
+	return 0
 }
 
 // mayProtect reports whether a class may be protected. While it is unknown how
@@ -72,8 +90,8 @@
 func (p *Pool) shortestAllowedGap(now time.Duration) time.Duration {
 	least := time.Duration(0)
 	for _, q := range p.classes {
-		if p := q.Pause; p > 0 && q.hasStreams(now) && (least == 0 || p < least) {
-			least = p
+		if gap := q.Pause; gap > 0 && p.hasStreams(q, now) && (least == 0 || gap < least) {
+			least = gap
 		}
 	}
 	return least
@@ -97,14 +115,19 @@
 // ExceedsGapLimit reports whether a prefill makes gaps between events of protected
 // classes on an engine too long.
 func (p *Pool) ExceedsGapLimit(e *Engine, prefill time.Duration, prompt int) bool {
-	return p.exceedsGapLimit(e.Running, prefill, prompt)
+	if p.minGapLimit == 0 {
+		return false
+	}
+	slowdown := p.slowdownOf(e)
+	gap := p.gapDuring(e.Running, time.Duration(float64(prefill)/slowdown), prompt)
+	return time.Duration(float64(gap)*slowdown) > p.minGapLimit
 }
 
 // overloadsEvent reports whether a prefill, together with the engine's recent and
 // queued ones, makes gaps in protected streams too long: several short prefills
 // within the time of an event delay it as one long prefill does.
 func (p *Pool) overloadsEvent(e *Engine, prefill time.Duration, prompt int, now time.Duration) bool {
-	ahead := e.Backlog(now) + prefill
+	ahead := e.Backlog(now) + time.Duration(float64(prefill)*p.slowdownOf(e))
 	recent := e.prefillTimeBetween(now-max(0, p.minGapLimit-ahead), now)
-	return p.exceedsGapLimit(e.Running, ahead+recent, prompt)
+	return p.ExceedsGapLimit(e, ahead+recent, prompt)
 }
--- /dev/null
+++ b/internal/batching/speed_test.go
@@ -0,0 +1,114 @@
+package batching
+
+import (
+	"testing"
+	"time"
+
+	"github.com/beechhead/beechhead/internal/interference"
+)
+
+// newSpeedPool returns a pool of which every third engine is 2.4 times slower, after
+// streams have shown it. An event takes 30 ms at median speed and holds up to 110 ms of
+// prefill.
+func newSpeedPool(engines int, disabled ...Mechanism) (*Pool, *Class) {
+	urgent := &Class{Target: 250 * time.Millisecond, Pause: 200 * time.Millisecond, Waiting: func() int { return 0 }}
+	patient := &Class{Tier: 2, Target: 1500 * time.Millisecond, Pause: 800 * time.Millisecond, Waiting: func() int { return 0 }}
+	all := make([]*Engine, engines)
+	for i := range all {
+		e := &Engine{Memory: 100_000, Concurrency: 32, Ejected: func(time.Duration) bool { return false }}
+		e.Slowdown = e.MeasuredSlowdown
+		if all[i] = e; i%3 == 2 {
+			e.speed.Observe(2400*time.Millisecond, time.Second, time.Second)
+		} else {
+			e.speed.Observe(time.Second, time.Second, time.Second)
+		}
+	}
+	p := NewPool()
+	p.Configure(all, []*Class{urgent, patient}, disabled)
+	for range 100 {
+		p.model.ObserveEvent(10, 30*time.Millisecond)
+		p.model.Observe(interference.Stream{
+			Events: 20, Running: 10, LongestGap: 140 * time.Millisecond,
+			ConcurrentPrefill: interference.Prefill{Time: 500 * time.Millisecond, Slowdown: 1},
+		})
+	}
+	return p, urgent
+}
+
+// Guards against judging a prefill by the mean of engines that differ in speed: it is
+// harmless on a fast engine and makes gaps too long on a slow one.
+func TestGapDependsOnSpeed(t *testing.T) {
+	p, _ := newSpeedPool(6)
+	p.minGapLimit = 176 * time.Millisecond
+	prefill := 300 * time.Millisecond
+	if fast := p.engines[0]; p.ExceedsGapLimit(fast, prefill, 2000) {
+		t.Error("a prefill exceeds the gap limit on a fast engine")
+	}
+	if slow := p.engines[2]; !p.ExceedsGapLimit(slow, prefill, 2000) {
+		t.Error("a prefill does not exceed the gap limit on a slow engine")
+	}
+}
+
+// Guards against decode engines that are slow although fast ones could be reserved,
+// whatever either runs.
+func TestDecodeEnginesAreFast(t *testing.T) {
+	p, urgent := newSpeedPool(9)
+	for _, e := range p.engines {
+		if e.slowdown == 1 {
+			e.longRequests = 5
+		}
+	}
+	urgent.Running, urgent.protected = 60, true
+	for now := time.Second; now < 3*time.Second; now += decodeReviewInterval {
+		p.RecordPrefillDemand(&RequestState{Class: p.classes[1], Prompt: Prompt{Tokens: 30_000, ResponseTokens: 300}}, now)
+		p.Review(now)
+	}
+	if p.decodeEngines == 0 {
+		t.Fatal("no engine is reserved for decoding")
+	}
+	for i, e := range p.engines {
+		if e.Decode && e.slowdown > 1 {
+			t.Errorf("engine %d is reserved for decoding with a slowdown of %.1f", i, e.slowdown)
+		}
+	}
+}
+
+// Decode engines are chosen before their speeds are known. Guards against keeping the
+// slow ones.
+func TestSlowDecodeEnginesAreReplaced(t *testing.T) {
+	p, urgent := newSpeedPool(9)
+	slow := p.engines[2]
+	slow.Decode, slow.protected = true, 3
+	urgent.Running, urgent.protected = 20, true
+	for now := time.Second; now < 2*time.Second; now += decodeReviewInterval {
+		p.RecordPrefillDemand(&RequestState{Class: p.classes[1], Prompt: Prompt{Tokens: 30_000, ResponseTokens: 300}}, now)
+		p.Review(now)
+	}
+	if !slow.releasing {
+		t.Error("a slow engine stays reserved for decoding although fast ones are free")
+	}
+}
+
+// Guards against admitting everything as if gaps were unknown at the start of load:
+// before any stream has ended, the first long prompt shows that the class with the
+// shortest gap has to be protected.
+func TestConfigurationProtectsAtTheStart(t *testing.T) {
+	for _, c := range []struct {
+		disabled []Mechanism
+		want     bool
+	}{{nil, true}, {[]Mechanism{InitialDecode}, false}} {
+		p, urgent := newSpeedPool(300, c.disabled...)
+		p.model = interference.Model{}
+		prompt := Prompt{Tokens: 600, ResponseTokens: 300}
+		for i := range 10 {
+			p.RecordArrival(urgent, &prompt, time.Duration(i)*20*time.Millisecond)
+		}
+		urgent.Running = 10
+		p.Review(200 * time.Millisecond)
+		p.RecordPrefillDemand(&RequestState{Class: p.classes[1], Prompt: Prompt{Tokens: 30_000, ResponseTokens: 300}}, 210*time.Millisecond)
+		p.Review(300 * time.Millisecond)
+		if urgent.protected != c.want {
+			t.Errorf("disabled %v: protected %v, want %v", c.disabled, urgent.protected, c.want)
+		}
+	}
+}
--- a/internal/schedule/endpoint.go
+++ b/internal/schedule/endpoint.go
@@ -38,7 +38,7 @@
 	e.Free = e.hasFreeSlot
 	e.Ejected = e.health.ejected
 	e.RateLimited = e.limit.throttled
-	e.Slowdown = func() float64 { return c.batchingSlowness(&e.health) }
+	e.Slowdown = func() float64 { return c.engineSlowdown(e) }
 	return e
 }
 
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -135,6 +135,16 @@
 	return 1
 }
 
+// engineSlowdown returns the processing time of a batching engine relative to the
+// others. The last few streams show that an engine has become slow before its measured
+// speed does.
+func (c *Cell) engineSlowdown(e *endpointState) float64 {
+	if c.pool.MeasuresSpeed() {
+		return max(e.MeasuredSlowdown(), c.batchingSlowness(&e.health))
+	}
+	return c.batchingSlowness(&e.health)
+}
+
 func (h *health) eject(reason EjectReason, now time.Duration) {
 	if h.reason == "" {
 		h.backoff = initialBackoff
@@ -279,6 +289,7 @@
 	if p.Tokens > 1 && p.Elapsed > p.FirstToken {
 		perToken := (p.Elapsed - p.FirstToken).Seconds() / float64(p.Tokens-1)
 		h.tokenTime.Add(perToken)
+		c.pool.RecordProgress(&e.Engine, &g.RequestState, p.Tokens, p.Elapsed-p.FirstToken, now)
 		h.adjustedTokenTime.Add(c.pool.NormalizedTokenTime(&e.Engine, perToken, now-(p.Elapsed-p.FirstToken), now))
 	}
 	if h.reason == EjectedSlow {
--- a/internal/schedule/mechanism.go
+++ b/internal/schedule/mechanism.go
@@ -22,6 +22,8 @@
 	ZoneWeight     = batching.ZoneWeight
 	WaitPatience   = batching.WaitPatience
 	DecodeSlowdown = batching.DecodeSlowdown
+	EngineSpeed    = batching.EngineSpeed
+	InitialDecode  = batching.InitialDecode
 )
 
 // The mechanisms of the queue and of endpoint health.
@@ -45,6 +47,7 @@
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		DecodeEngines, Spacing, Disturbance, Headroom, Fetch, ReadAgain, Home, ZoneWeight, WaitPatience, DecodeSlowdown,
+		EngineSpeed, InitialDecode,
 		SlowEjection, FailedEjection, Ageing, Shedding, TooLate,
 	}
 }
--- a/internal/schedule/status.go
+++ b/internal/schedule/status.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/beechhead/beechhead/internal/batching"
 )
 
 // classCounters counts the requests of a class by outcome.
@@ -32,6 +34,8 @@
 	Classes        []ClassStatus    `json:"classes"`
 	Endpoints      []EndpointStatus `json:"endpoints"`
 	Estimates      EstimateError    `json:"estimates"`
+	// Engines describes the engines that batch; it is absent if there are none.
+	Engines *batching.Status `json:"engines,omitempty"`
 }
 
 // ClassStatus is the state of a class in a cell as shown to operators. Counters
@@ -50,6 +54,8 @@
 	// that of the requests that still wait.
 	LongestWaitMS int64 `json:"longestWaitMs"`
 	OldestWaitMS  int64 `json:"oldestWaitMs"`
+	// Protected is set while long prefills are kept away from the class's streams.
+	Protected bool `json:"protected,omitempty"`
 }
 
 // EndpointStatus is the state of an endpoint as shown to operators.
@@ -68,6 +74,10 @@
 	LimitPerSecond float64 `json:"limitPerSecond,omitempty"`
 	// BetweenTokensMS is the measured time per token; zero means unknown.
 	BetweenTokensMS float64 `json:"betweenTokensMs"`
+	// Slowdown is the processing time of a batching engine relative to one of median
+	// speed; Decode is set if it is reserved for streams that long prefills would delay.
+	Slowdown float64 `json:"slowdown,omitempty"`
+	Decode   bool    `json:"decode,omitempty"`
 }
 
 // Status returns the state of the cell.
@@ -80,6 +90,7 @@
 		Ejections:      c.counters.ejections,
 		SharedFailures: c.counters.sharedFailures,
 		Estimates:      c.estimates.Error(),
+		Engines:        c.pool.Status(),
 	}
 	for _, q := range c.classOrder {
 		s.Classes = append(s.Classes, q.status(now))
@@ -95,11 +106,21 @@
 			Ejected:           e.health.reason,
 			LimitPerSecond:    e.limit.perSecond,
 			BetweenTokensMS:   e.health.tokenTime.Value * 1000,
+			Slowdown:          c.slowdownStatus(e),
+			Decode:            e.Decode,
 		})
 	}
 	return s
 }
 
+// slowdownStatus returns the slowdown of an engine that batches, or zero.
+func (c *Cell) slowdownStatus(e *endpointState) float64 {
+	if e.Memory == 0 {
+		return 0
+	}
+	return e.Slowdown()
+}
+
 func (q *classQueue) status(now time.Duration) ClassStatus {
 	s := ClassStatus{
 		Class:         q.policy.Name,
@@ -112,6 +133,7 @@
 		Cancelled:     q.counters.cancelled,
 		Refused:       maps.Clone(q.counters.refused),
 		LongestWaitMS: q.counters.longestWait.Milliseconds(),
+		Protected:     q.Protected(),
 	}
 	if e := q.oldest.first(); e != nil {
 		s.OldestWaitMS = (now - e.WaitingSince).Milliseconds()
