Carry the estimates of a cell over to the next coordinator's cell

A coordinator that takes a cell over knew the requests that run, but nothing of the engines: it protected no stream and used slow engines like fast ones. It also took the prompts of streams that had begun for prefill to be done.

Streams that had begun elsewhere are no prefill, and do not teach the interference model.

--- a/internal/batching/batching.go
+++ b/internal/batching/batching.go
@@ -47,6 +47,8 @@
 	// InitialDecode reserves decode engines by the gap targets of the classes until
 	// streams have shown what prefills do to them.
 	InitialDecode Mechanism = "initialDecode"
+	// HandedEstimates hands what was measured on to the next coordinator.
+	HandedEstimates Mechanism = "handedEstimates"
 )
 
 // Part is a part of a prompt. Engines cache parts by ID, and skip the prefill
@@ -83,6 +85,9 @@
 	// LongPrefill means that its prefill exceeded the gap limit of protected
 	// streams when it was last checked.
 	LongPrefill bool
+	// Begun means that its first token had been received before it was given to the
+	// engine here, so that the engine has no prefill of it to do.
+	Begun bool
 
 	// prefillCost is the cost of the prefill on the engine, in tokens at the
 	// start of a prompt. reservedMemory is the KV cache reserved for the
--- a/internal/batching/pool.go
+++ b/internal/batching/pool.go
@@ -56,6 +56,9 @@
 	firstLongPrefill time.Duration
 	longPrefillPeak  float64
 	speed            speedEstimates
+	// measuredAt is when a stream was last measured, if hasMeasured.
+	measuredAt  time.Duration
+	hasMeasured bool
 }
 
 // NewPool returns a pool without engines and classes.
--- a/internal/batching/prefill.go
+++ b/internal/batching/prefill.go
@@ -80,32 +80,41 @@
 		return
 	}
 	r := &g.Prompt
-	cached := max(e.parts.Cached(r.Parts), g.FetchedTokens)
-	g.prefillCost = prefillCost(r.Tokens, cached)
-	g.engineIdle = len(e.prefilling) == 0
+	g.mark = streamMark{}
+	if !g.Begun {
+		p.recordPrefill(e, g, now)
+	}
 	g.reservedMemory = unsharedMemory(r)
 	e.reservedMemory += g.reservedMemory
-	e.prefillDoneAt = max(e.prefillDoneAt, now) + p.engineTime(e, g.prefillCost)
-	e.recordPrefill(now, p.engineTime(e, g.prefillCost), r.Tokens)
 	if g.protected = g.Class.protected; g.protected {
 		e.protected++
 	}
-	e.prefillLoad.add(now, time.Duration(interferenceFactor(r.Tokens)*float64(p.engineTime(e, g.prefillCost))))
 	g.sensitivity = g.Class.sensitivity(r)
 	e.sensitivity += g.sensitivity
 	if g.longRunning = isLongRunning(r); g.longRunning {
 		e.longRequests++
 	}
-	g.firstTokenDue = e.prefillDoneAt + p.overhead
-	g.correctionAtGrant = e.correction
-	g.mark = streamMark{}
-	e.prefilling = append(e.prefilling, g)
 	e.parts.Acquire(r.Parts, e.Memory-e.reservedMemory)
 	for _, part := range r.Parts {
 		p.lastUse[part.ID] = now
 	}
 }
 
+// recordPrefill records the prefill of a request that was given to the engine.
+func (p *Pool) recordPrefill(e *Engine, g *RequestState, now time.Duration) {
+	r := &g.Prompt
+	cached := max(e.parts.Cached(r.Parts), g.FetchedTokens)
+	g.prefillCost = prefillCost(r.Tokens, cached)
+	g.engineIdle = len(e.prefilling) == 0
+	took := p.engineTime(e, g.prefillCost)
+	e.prefillDoneAt = max(e.prefillDoneAt, now) + took
+	e.recordPrefill(now, took, r.Tokens)
+	e.prefillLoad.add(now, time.Duration(interferenceFactor(r.Tokens)*float64(took)))
+	g.firstTokenDue = e.prefillDoneAt + p.overhead
+	g.correctionAtGrant = e.correction
+	e.prefilling = append(e.prefilling, g)
+}
+
 // unsharedMemory returns the KV cache that a request needs in addition to the parts
 // of its prompt.
 func unsharedMemory(r *Prompt) int {
--- a/internal/batching/speed.go
+++ b/internal/batching/speed.go
@@ -103,6 +103,10 @@
 	return 1 - float64(slower)/float64(len(s.slowdowns))
 }
 
+// InheritSpeed takes over the speed of the engine that has run on the same hardware
+// before.
+func (e *Engine) InheritSpeed(before *Engine) { e.speed = before.speed }
+
 // mark begins a period of a request's stream.
 func (e *Engine) mark(g *RequestState, events int, elapsed time.Duration) {
 	g.mark = streamMark{set: true, events: events, elapsed: elapsed, prefilled: e.prefilled, running: e.Running}
@@ -124,4 +128,5 @@
 	e.speed.Observe(took, p.speed.work.Predict(work), now)
 	p.speed.work.Observe(work, stat.Seconds(took.Seconds()/e.slowdown))
 	e.mark(g, events, elapsed)
+	p.measuredAt, p.hasMeasured = now, true
 }
--- /dev/null
+++ b/internal/enginespeed/estimates.go
@@ -0,0 +1,41 @@
+package enginespeed
+
+import "time"
+
+// Moments are the weighted sums of a Model, the first of which is that of the weights.
+type Moments [9]float64
+
+// Moments returns the sums of the model.
+func (m *Model) Moments() Moments {
+	return Moments{m.n, m.r, m.p, m.t, m.rr, m.rp, m.pp, m.rt, m.pt}
+}
+
+// Adopt replaces the sums of the model by those of another one if that has more
+// samples. The weight, at most 1, is by how much those samples count.
+func (m *Model) Adopt(s Moments, weight float64) {
+	if weight*s[0] <= m.n {
+		return
+	}
+	for i := range s {
+		s[i] *= weight
+	}
+	*m = Model{n: s[0], r: s[1], p: s[2], t: s[3], rr: s[4], rp: s[5], pp: s[6], rt: s[7], pt: s[8]}
+}
+
+// Observed returns the time that the engine has taken relative to the expected time,
+// and the expected time; zero if it was not observed.
+func (s *Speed) Observed() (ratio float64, expected time.Duration) {
+	if s.expected == 0 {
+		return 0, 0
+	}
+	return s.ratio(), time.Duration(s.expected * float64(time.Second))
+}
+
+// Adopt replaces the estimate by that of another coordinator if that has observed the
+// engine for longer.
+func (s *Speed) Adopt(ratio float64, expected, now time.Duration) {
+	if expected.Seconds() <= s.expected {
+		return
+	}
+	*s = Speed{elapsed: ratio * expected.Seconds(), expected: expected.Seconds(), observedAt: now}
+}
--- a/internal/replay/player.go
+++ b/internal/replay/player.go
@@ -343,8 +343,12 @@
 // handOver has another coordinator take over, with the reports of what waits
 // and runs.
 func (p *player) handOver(discipline schedule.Discipline) {
+	measured, ok := p.cell.Measured()
 	p.cell = schedule.NewCell(p.clock)
 	p.configure(discipline)
+	if ok {
+		p.cell.AdoptMeasured(&measured)
+	}
 	for _, id := range slices.SortedFunc(maps.Keys(p.pending), func(a, b schedule.RequestID) int { return cmp.Compare(a.Sequence, b.Sequence) }) {
 		r := p.pending[id]
 		if r.engine == nil {
--- a/internal/replay/uneven_test.go
+++ b/internal/replay/uneven_test.go
@@ -3,8 +3,10 @@
 import (
 	"reflect"
 	"testing"
+	"time"
 
 	"github.com/beechhead/beechhead/internal/schedule"
+	"github.com/beechhead/beechhead/pkg/table"
 )
 
 // Guards against urgent streams that pause too long beside long prompts where engines
@@ -47,3 +49,22 @@
 		t.Error("speeds are used although no class has a gap target")
 	}
 }
+
+// Guards against a coordinator that takes over under load and delays urgent streams
+// until it has measured the engines again.
+func TestHandedEstimatesServeUrgentStreams(t *testing.T) {
+	const seeds = 2
+	with, without := 0.0, 0.0
+	for seed := range uint64(seeds) {
+		s := scenario(t, "uneven-engines")
+		s.Seed += seed
+		s.Handovers = []table.Duration{table.Duration(6 * time.Second), table.Duration(13 * time.Second), table.Duration(19 * time.Second)}
+		with += Play(s, schedule.ByTier).Class("notice").Share() / seeds
+		s.Disabled = []schedule.Mechanism{schedule.HandedEstimates}
+		without += Play(s, schedule.ByTier).Class("notice").Share() / seeds
+	}
+	if with < without {
+		t.Errorf("urgent streams earned %.3f, %.3f if nothing is handed on", with, without)
+	}
+	t.Logf("urgent streams earned %.3f, %.3f if nothing is handed on", with, without)
+}
--- a/internal/schedule/mechanism.go
+++ b/internal/schedule/mechanism.go
@@ -24,6 +24,8 @@
 	DecodeSlowdown = batching.DecodeSlowdown
 	EngineSpeed    = batching.EngineSpeed
 	InitialDecode  = batching.InitialDecode
+	// HandedEstimates hands what a coordinator has measured on to the next one.
+	HandedEstimates = batching.HandedEstimates
 )
 
 // The mechanisms of the queue and of endpoint health.
@@ -47,7 +49,7 @@
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		DecodeEngines, Spacing, Disturbance, Headroom, Fetch, ReadAgain, Home, ZoneWeight, WaitPatience, DecodeSlowdown,
-		EngineSpeed, InitialDecode,
+		EngineSpeed, InitialDecode, HandedEstimates,
 		SlowEjection, FailedEjection, Ageing, Shedding, TooLate,
 	}
 }
--- a/internal/schedule/replace.go
+++ b/internal/schedule/replace.go
@@ -16,6 +16,7 @@
 			replaced[e] = to
 			to.brittle = e.brittle
 			to.brittle.isReported = false
+			to.InheritSpeed(&e.Engine)
 		}
 	}
 	return replaced
@@ -36,12 +37,9 @@
 }
 
 func (c *Cell) moveGrant(e *entry, to *endpointState, now time.Duration) {
-	prefilling := e.endpoint.EndPrefill(&e.RequestState)
+	e.Begun = !e.endpoint.EndPrefill(&e.RequestState)
 	e.vacate()
 	c.occupy(e, to, now)
-	if !prefilling {
-		to.EndPrefill(&e.RequestState)
-	}
 }
 
 // holderOf returns the endpoint that runs a grant of another coordinator, or nil.
--- a/internal/schedule/request.go
+++ b/internal/schedule/request.go
@@ -151,11 +151,11 @@
 	}, now)
 	e.setClass(q)
 	e.account = q.account(h.Account)
+	e.Begun = h.FirstTokenReceived
 	c.startGrant(e, to, now)
 	e.adopted = true
 	if h.FirstTokenReceived {
 		e.accepted = true
-		to.EndPrefill(&e.RequestState)
 	} else {
 		to.brittle.granted(e.request.ID, now)
 	}
@@ -194,7 +194,7 @@
 		c.recordSuccess(e.endpoint, e.Granted, now)
 		c.recordSpeed(e, Progress{FirstToken: r.FirstToken, Tokens: r.Tokens, Elapsed: r.Duration}, now)
 	}
-	if r.Done {
+	if r.Done && !e.adopted {
 		c.pool.Observe(&e.RequestState, &e.endpoint.Engine, batching.Stream{Events: r.Tokens, FirstToken: r.FirstToken, LongestGap: r.LongestGap})
 	}
 	if r.Done && r.Tokens > 0 {
