--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -72,6 +72,9 @@
 	// last published.
 	pressureCheckedAt time.Time
 	published         map[ID]publishedPressure
+	// estimates limits the estimates that are sent to the next coordinators.
+	estimates        estimateSender
+	estimateCounters EstimateCounters
 	// lastSweep is when the last search for orphaned grants began.
 	lastSweep time.Time
 }
@@ -113,6 +116,7 @@
 		sessions:   map[sessionKey]*Session{},
 		dirty:      map[ID]bool{},
 		published:  map[ID]publishedPressure{},
+		estimates:  estimateSender{sent: map[ID]time.Time{}},
 		OnBatch:    func() {},
 	}
 }
@@ -223,6 +227,7 @@
 	}
 	out := c.step()
 	c.publishPressure(out)
+	c.publishEstimates(out)
 	c.addDueAcks(out)
 	c.mu.Unlock()
 	out.flush()
--- a/internal/cell/session.go
+++ b/internal/cell/session.go
@@ -138,6 +138,7 @@
 // and releases are therefore applied after reservations.
 func (s *Session) apply(req *peerv1.ReservationsRequest) {
 	c := s.c
+	c.adoptEstimates(req.GetEstimates())
 	for _, h := range req.GetHoldings() {
 		cell := c.cell(ID(h.GetCell()))
 		cell.lastReport = s.lastBatch
--- a/internal/cell/status.go
+++ b/internal/cell/status.go
@@ -11,6 +11,8 @@
 // operators.
 type Status struct {
 	Cells []StatusEntry `json:"cells"`
+	// HandedEstimates counts the messages with what coordinators have measured.
+	HandedEstimates EstimateCounters `json:"handedEstimates"`
 }
 
 // StatusEntry is the status of one cell.
@@ -23,7 +25,7 @@
 func (c *Coordinator) Status() Status {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := Status{Cells: []StatusEntry{}}
+	s := Status{Cells: []StatusEntry{}, HandedEstimates: c.estimateCounters}
 	for id, cell := range c.cells {
 		s.Cells = append(s.Cells, StatusEntry{Cell: id, CellStatus: cell.Status()})
 	}
--- a/internal/enginespeed/estimates.go
+++ b/internal/enginespeed/estimates.go
@@ -22,6 +22,9 @@
 	*m = Model{n: s[0], r: s[1], p: s[2], t: s[3], rr: s[4], rp: s[5], pp: s[6], rt: s[7], pt: s[8]}
 }
 
+// MaxObserved is the longest time for which an engine counts as observed; the sums decay.
+const MaxObserved = 10 * time.Minute
+
 // Observed returns the time that the engine has taken relative to the expected time,
 // and the expected time; zero if it was not observed.
 func (s *Speed) Observed() (ratio float64, expected time.Duration) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -47,10 +47,12 @@
 	}
 	g.metrics.Set("hosts.ready", int64(g.view.Ready().Len()))
 	g.metrics.Set("hosts.known", int64(g.view.Hosts().Len()))
-	cells := g.coordinator.Status().Cells
+	coordinated := g.coordinator.Status()
+	cells := coordinated.Cells
 	g.metrics.Set("cells.coordinated", int64(len(cells)))
 	g.metrics.Set("endpoints.limited", limitedEndpoints(cells))
 	g.setHealthGauges(cells)
+	g.setEngineGauges(&coordinated)
 	g.metrics.Set("quarantine.requests", int64(g.suspects.QuarantinedCount()))
 	g.metrics.Set("quarantine.parts", int64(g.parts.QuarantinedCount()))
 	g.metrics.Set("tunnels.open", int64(g.tunnels.Open()))
@@ -79,6 +81,23 @@
 	g.metrics.Set("endpoints.sharedFailures", shared)
 }
 
+// setEngineGauges sets the gauges of engines that batch, and of what coordinators hand
+// on of them.
+func (g *Gateway) setEngineGauges(s *cell.Status) {
+	decode, slowest := 0, 0.0
+	for i := range s.Cells {
+		if engines := s.Cells[i].Engines; engines != nil {
+			decode += engines.DecodeEngines
+			slowest = max(slowest, engines.SlowestDecode)
+		}
+	}
+	g.metrics.Set("engines.decode", int64(decode))
+	g.metrics.Set("engines.slowestDecodePermille", int64(1000*slowest))
+	g.metrics.Set("estimates.sent", s.HandedEstimates.Sent)
+	g.metrics.Set("estimates.adopted", s.HandedEstimates.Adopted)
+	g.metrics.Set("estimates.ignored", s.HandedEstimates.Ignored)
+}
+
 // limitedEndpoints returns how many endpoints of the cells have a rate limit.
 func limitedEndpoints(cells []cell.StatusEntry) (n int64) {
 	for _, one := range cells {
--- a/internal/placement/link.go
+++ b/internal/placement/link.go
@@ -70,14 +70,15 @@
 	l.Link = p.dial(host, func(resp *peerv1.ReservationsResponse) { p.receive(l, resp) })
 	p.links[host.ID] = l
 	delete(p.unsettled, host.ID)
-	p.sendOn(l, p.report(host))
+	p.sendOn(l, p.report(l))
 	go p.watch(l)
 	return l
 }
 
-// report returns a batch with all pending requests of a host.
-func (p *Placer) report(host membership.Host) *peerv1.ReservationsRequest {
-	req := &peerv1.ReservationsRequest{HoldingsComplete: true, Limits: p.limitsForHost(host.ID)}
+// report returns a batch with all pending requests of the host of a link.
+func (p *Placer) report(l *hostLink) *peerv1.ReservationsRequest {
+	host := l.host
+	req := &peerv1.ReservationsRequest{HoldingsComplete: true, Limits: p.limitsForHost(host.ID), Estimates: p.estimatesFor(l)}
 	for _, w := range p.pending {
 		if w.host.ID == host.ID {
 			w.host = host
@@ -216,8 +217,9 @@
 	for _, published := range resp.GetPressures() {
 		p.pressures[cell.ID(published.GetCell())] = pressure{at: p.clock.Now(), tiers: published.GetTiers()}
 	}
+	p.keepEstimates(l, resp.GetEstimates())
 	if resp.GetReset_() {
-		p.sendOn(l, p.report(l.host))
+		p.sendOn(l, p.report(l))
 	}
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -104,6 +104,9 @@
 	unsettled map[membership.HostID]bool
 	pressures map[cell.ID]pressure
 	limits    map[table.EndpointName]observedLimit
+	// estimates holds what coordinators have measured of their cells, for those that
+	// follow them.
+	estimates map[cell.ID]keptEstimates
 	// keepsGone reports whether limits has endpoints that are no longer in the table.
 	keepsGone bool
 	// share is the number of hosts among which the endpoints are divided while
@@ -166,6 +169,7 @@
 		unsettled:            map[membership.HostID]bool{},
 		pressures:            map[cell.ID]pressure{},
 		limits:               map[table.EndpointName]observedLimit{},
+		estimates:            map[cell.ID]keptEstimates{},
 
 		coordinators: map[cell.ID]membership.Host{},
 	}
--- a/internal/placement/reassign.go
+++ b/internal/placement/reassign.go
@@ -127,6 +127,7 @@
 	for _, m := range moves {
 		p.sendReassignment(m)
 	}
+	p.handOnEstimates()
 }
 
 // renumber gives a pending request a new sequence number before it moves. If the
@@ -158,7 +159,7 @@
 		p.sendPending(l, m)
 	}
 	if len(m.reported) > 0 {
-		p.sendOn(l, &peerv1.ReservationsRequest{Reported: m.reported, Limits: p.limitsForHost(m.host.ID)})
+		p.sendOn(l, &peerv1.ReservationsRequest{Reported: m.reported, Limits: p.limitsForHost(m.host.ID), Estimates: p.estimatesFor(l)})
 	}
 }
 
@@ -186,7 +187,7 @@
 	if len(m.moved) == 0 {
 		return
 	}
-	req := &peerv1.ReservationsRequest{Limits: p.limitsForHost(m.host.ID)}
+	req := &peerv1.ReservationsRequest{Limits: p.limitsForHost(m.host.ID), Estimates: p.estimatesFor(l)}
 	for _, w := range m.moved {
 		p.appendPending(req, w)
 	}
