--- a/internal/peer/outbox.go
+++ b/internal/peer/outbox.go
@@ -79,6 +79,7 @@
 		first.Refusals = append(first.Refusals, m.GetRefusals()...)
 		first.Preempts = append(first.Preempts, m.GetPreempts()...)
 		first.Pressures = append(first.Pressures, m.GetPressures()...)
+		first.Estimates = append(first.Estimates, m.GetEstimates()...)
 		first.Acked = max(first.GetAcked(), m.GetAcked())
 		first.Reset_ = first.GetReset_() || m.GetReset_()
 	}
@@ -95,6 +96,7 @@
 		first.Progress = append(first.Progress, m.GetProgress()...)
 		first.Reported = append(first.Reported, m.GetReported()...)
 		first.Limits = append(first.Limits, m.GetLimits()...)
+		first.Estimates = append(first.Estimates, m.GetEstimates()...)
 		first.HoldingsComplete = first.GetHoldingsComplete() || m.GetHoldingsComplete()
 		first.Batch = max(first.GetBatch(), m.GetBatch())
 	}
