--- a/internal/batching/batching.go
+++ b/internal/batching/batching.go
@@ -51,6 +51,14 @@
 	// Completion begins no stream that would end after its caller has left, or make
 	// another one do so.
 	Completion Mechanism = "completion"
+	// EngineSpeed measures the speed of each engine by the work of its streams, and
+	// uses it for the gaps that prefill causes and for the choice of decode engines.
+	EngineSpeed Mechanism = "engineSpeed"
+	// InitialDecode reserves decode engines by the gap targets of the classes until
+	// streams have shown what prefills do to them.
+	InitialDecode Mechanism = "initialDecode"
+	// HandedEstimates hands what was measured on to the next coordinator.
+	HandedEstimates Mechanism = "handedEstimates"
 )
 
 // Part is a part of a prompt. Engines cache parts by ID, and skip the prefill
@@ -93,6 +101,9 @@
 	// LongPrefill means that its prefill exceeded the gap limit of protected
 	// streams when it was last checked.
 	LongPrefill bool
+	// Begun means that its first token had been received before it was given to the
+	// engine here, so that the engine has no prefill of it to do.
+	Begun bool
 
 	// prefillCost is the cost of the prefill on the engine, in tokens at the
 	// start of a prompt. reservedMemory is the KV cache reserved for the
@@ -111,4 +122,6 @@
 	firstTokenDue, correctionAtGrant time.Duration
 	// stream is its progress, if its deadline is known.
 	stream completion.Stream
+	// mark is where the period of the stream that is measured next begins.
+	mark streamMark
 }
--- a/internal/batching/engine.go
+++ b/internal/batching/engine.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/beechhead/beechhead/internal/completion"
+	"github.com/beechhead/beechhead/internal/enginespeed"
 	"github.com/beechhead/beechhead/internal/interference"
 )
 
@@ -75,6 +76,13 @@
 	prefilling []*RequestState
 	// streams are the running requests whose deadlines are known.
 	streams completion.Streams
+	// prefilled is the prefill that the engine has completed, in tokens at the start
+	// of a prompt.
+	prefilled float64
+	// slowdown is the processing time relative to an engine of median speed, as of
+	// the last review; speed has the observations.
+	slowdown float64
+	speed    enginespeed.Speed
 }
 
 // prefillRecord is the prefill of one prompt.
@@ -206,6 +214,10 @@
 
 func (e *Engine) betterForDecode(other *Engine) bool {
 	switch {
+	case e.muchFasterThan(other):
+		return true
+	case other.muchFasterThan(e):
+		return false
 	case e.releasing != other.releasing:
 		return e.releasing
 	case e.longRequests != other.longRequests:
--- a/internal/batching/pool.go
+++ b/internal/batching/pool.go
@@ -22,6 +22,8 @@
 	zoned bool
 	// crossings counts the requests that were sent to other zones.
 	crossings map[CrossingReason]Crossings
+	// hasGapTargets means that some class promises a longest gap.
+	hasGapTargets bool
 
 	// prefillRate is the number of tokens that an engine processes per second
 	// in prefill, overhead the time from the end of prefill to the first token.
@@ -67,6 +69,10 @@
 	lengths          completion.LengthRatio
 	hasIdleEngine    bool
 	lastStreamReview time.Duration
+	speed            speedEstimates
+	// measuredAt is when a stream was last measured, if hasMeasured.
+	measuredAt  time.Duration
+	hasMeasured bool
 }
 
 // NewPool returns a pool without engines and classes.
@@ -80,6 +86,8 @@
 	p.engines, p.classes, p.disabled = engines, classes, disabled
 	p.hasBatching = slices.ContainsFunc(engines, func(e *Engine) bool { return e.Memory > 0 })
 	p.zoned = hasZones(engines)
+	p.hasGapTargets = slices.ContainsFunc(classes, func(q *Class) bool { return q.Pause > 0 })
+	p.reviewSpeeds()
 }
 
 // Batches reports whether some engine batches its requests.
@@ -121,7 +129,7 @@
 	prefill := p.uncachedPrefillTime(r, p.mostCached(r))
 	g.PrefillTime = prefill
 	g.Class.meanPrefill.Add(prefill.Seconds())
-	p.countViolations(prefill, r.Tokens, now)
+	p.countViolations(g.Class, prefill, r.Tokens, now)
 	if !p.exceedsGapLimit(p.typicalRunning(), prefill, r.Tokens) {
 		return
 	}
@@ -144,11 +152,13 @@
 	if e.Memory == 0 || s.LongestGap == 0 {
 		return
 	}
+	prefill := e.longestPrefillSince(g.Granted + s.FirstToken)
+	prefill.Time = p.atMedianSpeed(e, prefill.Time)
 	p.model.Observe(interference.Stream{
 		Events:            s.Events,
-		LongestGap:        s.LongestGap,
+		LongestGap:        p.atMedianSpeed(e, s.LongestGap),
 		Running:           e.Running,
-		ConcurrentPrefill: e.longestPrefillSince(g.Granted + s.FirstToken),
+		ConcurrentPrefill: prefill,
 	})
 }
 
@@ -160,7 +170,7 @@
 	}
 	p.pace.Observe(e.Slowdown()*(to-from).Seconds()/perToken, to-from, e.prefillShare(from, to))
 	step := e.timeWithoutPrefill(perToken, from, to)
-	p.model.ObserveEvent(e.Running, stat.Seconds(step))
+	p.model.ObserveEvent(e.Running, p.atMedianSpeed(e, stat.Seconds(step)))
 	return step / (1 + p.model.SlowdownPerRequest()*float64(e.Running))
 }
 
--- a/internal/batching/prefill.go
+++ b/internal/batching/prefill.go
@@ -80,26 +80,24 @@
 		return
 	}
 	r := &g.Prompt
-	cached := max(e.parts.Cached(r.Parts), g.FetchedTokens)
-	g.prefillCost = prefillCost(r.Tokens, cached)
-	g.engineIdle = len(e.prefilling) == 0
+	g.mark = streamMark{}
+	prefill := time.Duration(0)
+	if g.Begun {
+		g.firstTokenDue = now
+	} else {
+		prefill = p.recordPrefill(e, g, now)
+	}
+	p.recordStream(e, g, prefill, now)
 	g.reservedMemory = unsharedMemory(r)
 	e.reservedMemory += g.reservedMemory
-	e.prefillDoneAt = max(e.prefillDoneAt, now) + p.engineTime(e, g.prefillCost)
-	e.recordPrefill(now, p.engineTime(e, g.prefillCost), r.Tokens)
 	if g.protected = g.Class.protected; g.protected {
 		e.protected++
 	}
-	e.prefillLoad.add(now, time.Duration(interferenceFactor(r.Tokens)*float64(p.engineTime(e, g.prefillCost))))
 	g.sensitivity = g.Class.sensitivity(r)
 	e.sensitivity += g.sensitivity
 	if g.longRunning = isLongRunning(r); g.longRunning {
 		e.longRequests++
 	}
-	g.firstTokenDue = e.prefillDoneAt + p.overhead
-	g.correctionAtGrant = e.correction
-	p.recordStream(e, g, p.engineTime(e, g.prefillCost), now)
-	e.prefilling = append(e.prefilling, g)
 	e.parts.Acquire(r.Parts, e.Memory-e.reservedMemory)
 	for _, part := range r.Parts {
 		p.lastUse[part.ID] = now
@@ -107,6 +105,23 @@
 	p.recordZoneUse(r, now)
 }
 
+// recordPrefill records the prefill of a request that was given to the engine, and returns
+// the time that it takes.
+func (p *Pool) recordPrefill(e *Engine, g *RequestState, now time.Duration) time.Duration {
+	r := &g.Prompt
+	cached := max(e.parts.Cached(r.Parts), g.FetchedTokens)
+	g.prefillCost = prefillCost(r.Tokens, cached)
+	g.engineIdle = len(e.prefilling) == 0
+	took := p.engineTime(e, g.prefillCost)
+	e.prefillDoneAt = max(e.prefillDoneAt, now) + took
+	e.recordPrefill(now, took, r.Tokens)
+	e.prefillLoad.add(now, time.Duration(interferenceFactor(r.Tokens)*float64(took)))
+	g.firstTokenDue = e.prefillDoneAt + p.overhead
+	g.correctionAtGrant = e.correction
+	e.prefilling = append(e.prefilling, g)
+	return took
+}
+
 // unsharedMemory returns the KV cache that a request needs in addition to the parts
 // of its prompt.
 func unsharedMemory(r *Prompt) int {
@@ -126,6 +141,8 @@
 	e.correction += late
 	e.prefillDoneAt += late
 	p.learnPrefill(e, g, now)
+	e.prefilled += g.prefillCost
+	e.mark(g, 1, 0)
 }
 
 // learnPrefill takes a sample of the overhead or the prefill rate from a request
@@ -143,7 +160,11 @@
 		deviation := min(max(took-p.overhead, -most), most)
 		p.overhead += time.Duration(sampleWeight(p.overheadSamples) * float64(deviation))
 	case g.prefillCost >= minRatePrompt && took > p.overhead:
-		rate := g.prefillCost / (took - p.overhead).Seconds() * p.decodeSlowdown(e)
+		if p.MeasuresSpeed() {
+			expected := stat.Seconds(g.prefillCost / p.prefillRate * p.decodeSlowdown(e))
+			e.speed.Observe(took-p.overhead, expected, now)
+		}
+		rate := g.prefillCost / (took - p.overhead).Seconds() * p.decodeSlowdown(e) * p.slowdownOf(e)
 		// A first token right after the overhead, or a very late one, has other
 		// causes than the speed of the prefill, so samples are clamped.
 		rate = min(max(rate, p.prefillRate/maxRateDeviation), p.prefillRate*maxRateDeviation)
--- a/internal/placement/holding_test.go
+++ b/internal/placement/holding_test.go
@@ -18,7 +18,7 @@
 		held.RecordToken()
 		s.run(time.Second)
 		entry.placer.mu.Lock()
-		report := entry.placer.report(held.pending.host)
+		report := entry.placer.report(entry.placer.links[held.pending.host.ID])
 		entry.placer.mu.Unlock()
 		held.Release(released)
 		s.run(100 * time.Millisecond)
--- a/internal/schedule/mechanism.go
+++ b/internal/schedule/mechanism.go
@@ -25,6 +25,10 @@
 	WaitPatience   = batching.WaitPatience
 	DecodeSlowdown = batching.DecodeSlowdown
 	Completion     = batching.Completion
+	EngineSpeed    = batching.EngineSpeed
+	InitialDecode  = batching.InitialDecode
+	// HandedEstimates hands what a coordinator has measured on to the next one.
+	HandedEstimates = batching.HandedEstimates
 )
 
 // The mechanisms of the queue and of endpoint health.
@@ -54,7 +58,7 @@
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		DecodeEngines, Spacing, Disturbance, Headroom, Fetch, ReadAgain, Home, ZoneWeight, TransferCost, ZoneHome, WaitPatience, DecodeSlowdown,
-		Completion,
+		EngineSpeed, InitialDecode, HandedEstimates, Completion,
 		SlowEjection, FailedEjection, Ageing, Shedding, TooLate,
 		EarlyRefusal, ReturnOrder,
 	}
--- a/internal/schedule/status.go
+++ b/internal/schedule/status.go
@@ -42,6 +42,8 @@
 	Estimates      EstimateError    `json:"estimates"`
 	// Crossings counts the requests that were sent to another availability zone.
 	Crossings map[batching.CrossingReason]batching.Crossings `json:"crossings,omitempty"`
+	// Engines describes the engines that batch; it is absent if there are none.
+	Engines *batching.Status `json:"engines,omitempty"`
 }
 
 // ClassStatus is the state of a class in a cell as shown to operators. Counters
@@ -70,6 +72,8 @@
 	// that of the requests that still wait.
 	LongestWaitMS int64 `json:"longestWaitMs"`
 	OldestWaitMS  int64 `json:"oldestWaitMs"`
+	// Protected is set while long prefills are kept away from the class's streams.
+	Protected bool `json:"protected,omitempty"`
 }
 
 // EndpointStatus is the state of an endpoint as shown to operators.
@@ -91,6 +95,10 @@
 	LimitPerSecond float64 `json:"limitPerSecond,omitempty"`
 	// BetweenTokensMS is the measured time per token; zero means unknown.
 	BetweenTokensMS float64 `json:"betweenTokensMs"`
+	// Slowdown is the processing time of a batching engine relative to one of median
+	// speed; Decode is set if it is reserved for streams that long prefills would delay.
+	Slowdown float64 `json:"slowdown,omitempty"`
+	Decode   bool    `json:"decode,omitempty"`
 }
 
 // Status returns the state of the cell.
@@ -104,6 +112,7 @@
 		SharedFailures: c.counters.sharedFailures,
 		Estimates:      c.estimates.Error(),
 		Crossings:      maps.Clone(c.pool.Crossings()),
+		Engines:        c.pool.Status(),
 	}
 	for _, q := range c.classOrder {
 		s.Classes = append(s.Classes, q.status(now))
@@ -120,11 +129,21 @@
 			Ejected:           e.health.reason,
 			LimitPerSecond:    e.limit.perSecond,
 			BetweenTokensMS:   e.health.tokenTime.Value * 1000,
+			Slowdown:          c.slowdownStatus(e),
+			Decode:            e.Decode,
 		})
 	}
 	return s
 }
 
+// slowdownStatus returns the slowdown of an engine that batches, or zero.
+func (c *Cell) slowdownStatus(e *endpointState) float64 {
+	if e.Memory == 0 {
+		return 0
+	}
+	return e.Slowdown()
+}
+
 func (q *classQueue) status(now time.Duration) ClassStatus {
 	s := ClassStatus{
 		Class:          q.policy.Name,
@@ -140,6 +159,7 @@
 		ReturnedOnTime: q.counters.returnedOnTime,
 		ReturnedEarly:  q.counters.returnedEarly,
 		Outlasting:     q.counters.outlasting,
+		Protected:      q.Protected(),
 		LongestWaitMS:  q.counters.longestWait.Milliseconds(),
 	}
 	if e := q.oldest.first(); e != nil {
