Weigh fetches between zones like others, and bytes by a twentieth of the target

Change: fetches between zones cost like others, and bytes at most a twentieth of the target. Requests that wait for half of their caller's time, and those that must run, no longer wait for an engine whose streams bear their prefill, which might never come; what outlasts its caller goes by the fastest engine. The test of large bodies lets the first prompt end, so that its backlog does not decide.

--- a/internal/batching/affinity.go
+++ b/internal/batching/affinity.go
@@ -44,7 +44,6 @@
 // to have cached.
 func (p *Pool) findAffinity(c *Candidate, now time.Duration) {
 	chain, tokens := sharedChain(c.Parts)
-	c.frequent = tokens > 0 && p.isFrequent(chain, c.Zone, now)
 	if tokens <= c.cached || p.isDisabled(Home) {
 		return
 	}
--- a/internal/batching/choice.go
+++ b/internal/batching/choice.go
@@ -68,8 +68,6 @@
 	// have affinity, affinityTokens their size; nil if there are none.
 	affinityEngine *Engine
 	affinityTokens int
-	// frequent means that the parts were requested in the caller's zone lately.
-	frequent bool
 	// transferWait is how much longer it may wait to avoid a transfer between zones.
 	transferWait time.Duration
 	headroom     headroom
@@ -181,7 +179,7 @@
 	if c.headroom.exceededBy(backlog, c.prefillTime) {
 		cost += headroomPenalty.Seconds() * p.prefillRate
 	}
-	cost += prefillCost(c.Tokens, cached) + p.fetchCost(source, e, cached-local, c) + runningWeight*float64(e.Running)
+	cost += prefillCost(c.Tokens, cached) + fetchWeight*float64(cached-local) + runningWeight*float64(e.Running)
 	if !p.isDisabled(ReadAgain) {
 		cost += redundantPrefillWeight * float64(p.recentlyPrefilled(c.Prompt, cached, now))
 	}
--- a/internal/batching/completion.go
+++ b/internal/batching/completion.go
@@ -14,6 +14,9 @@
 // streamReviewInterval is the time between two estimates of the streams' progress.
 const streamReviewInterval = 50 * time.Millisecond
 
+// minSlowdown is the least slowdown of an engine that is expected.
+const minSlowdown = 0.2
+
 // reviewStreams periodically estimates the progress of the streams.
 func (p *Pool) reviewStreams(now time.Duration) {
 	if now-p.lastStreamReview < streamReviewInterval {
@@ -21,13 +24,14 @@
 	}
 	p.lastStreamReview = now
 	pace := p.pace.Pace()
-	p.hasIdleEngine = false
+	p.hasIdleEngine, p.leastSlowdown = false, 1
 	for _, e := range p.engines {
 		if e.Memory == 0 {
 			continue
 		}
-		if e.Running == 0 && e.canDecode(now) {
-			p.hasIdleEngine = true
+		if e.canDecode(now) {
+			p.hasIdleEngine = p.hasIdleEngine || e.Running == 0
+			p.leastSlowdown = min(p.leastSlowdown, e.Slowdown())
 		}
 		e.streams.Advance(pace.Slowed(e.Slowdown()), e.prefillShare(e.streams.AdvancedAt(), now), e.Backlog(now), now)
 	}
@@ -68,12 +72,23 @@
 		return true
 	}
 	prefill := p.engineTime(e, c.prefillTime.Seconds()*p.prefillRate)
-	if !e.streams.Bears(prefill, c.state.Class.Tier) {
+	if !c.state.hasWaitedLong(now) && !e.streams.Bears(prefill, c.state.Class.Tier) {
 		return false
 	}
 	return p.endsBeforeCallerLeaves(c.state, now+backlog+prefill+p.overhead, p.pace.Pace().Slowed(e.Slowdown()))
 }
 
+// hasWaitedLong reports whether a request has waited for half of its caller's time, or must
+// run and has waited for longer than its target. It then no longer waits for an engine
+// whose streams bear its prefill, which may never come.
+func (g *RequestState) hasWaitedLong(now time.Duration) bool {
+	waited := now - g.WaitingSince
+	if g.Deadline == 0 || g.MustRun {
+		return waited > g.Class.Target
+	}
+	return waited > (g.Deadline-g.WaitingSince)/2
+}
+
 // endsBeforeCallerLeaves reports whether a request whose first token is generated at a
 // given time ends in time at a pace. It does if its deadline is unknown or it must run in
 // any case.
@@ -86,13 +101,13 @@
 }
 
 // Outlasts reports whether the response to a waiting request would end too late even if
-// an engine of average speed began with it now and had no prefill. While an engine is
-// idle, none does.
+// the fastest engine began with it now and had no prefill. While an engine is idle, none
+// does.
 func (p *Pool) Outlasts(g *RequestState, now time.Duration) bool {
 	if !p.hasBatching || p.hasIdleEngine || p.isDisabled(Completion) {
 		return false
 	}
-	return !p.endsBeforeCallerLeaves(g, now+p.FirstToken(g), p.pace.Fastest())
+	return !p.endsBeforeCallerLeaves(g, now+p.FirstToken(g), p.pace.Fastest().Slowed(max(p.leastSlowdown, minSlowdown)))
 }
 
 // EndingLate returns the number of streams that are expected to end after their callers
--- a/internal/batching/pool.go
+++ b/internal/batching/pool.go
@@ -65,9 +65,11 @@
 	// pace is how fast engines generate events, lengths relates the lengths of all
 	// responses to the expected ones. hasIdleEngine means that an engine ran nothing at
 	// the last review of the streams.
-	pace             completion.PaceEstimate
-	lengths          completion.LengthRatio
-	hasIdleEngine    bool
+	pace          completion.PaceEstimate
+	lengths       completion.LengthRatio
+	hasIdleEngine bool
+	// leastSlowdown is the slowdown of the fastest engine at that review.
+	leastSlowdown    float64
 	lastStreamReview time.Duration
 	speed            speedEstimates
 	// measuredAt is when a stream was last measured, if hasMeasured.
--- a/internal/batching/transfer.go
+++ b/internal/batching/transfer.go
@@ -23,12 +23,7 @@
 	responseTokenBytes = 8
 	// maxTransferShare is the largest part of the target that a request may wait
 	// longer to avoid the transfer.
-	maxTransferShare = 0.1
-	// zoneFetchFactor is the cost of fetching cached parts from another zone
-	// relative to the own one; rareFetchFactor applies to parts that are requested
-	// rarely in the zone that fetches them.
-	zoneFetchFactor = 2
-	rareFetchFactor = 3
+	maxTransferShare = 0.05
 )
 
 // hasZones reports whether engines of more than one zone accept requests.
@@ -66,22 +61,6 @@
 	return transferTime.Seconds()*p.prefillRate + min(bytes, c.transferWait.Seconds()*p.prefillRate)
 }
 
-// fetchCost returns the cost of fetching cached tokens from another engine. A copy in
-// another zone that is requested rarely there evicts parts that are used more.
-func (p *Pool) fetchCost(source, e *Engine, tokens int, c *Candidate) float64 {
-	if source == nil || tokens <= 0 {
-		return 0
-	}
-	cost := fetchWeight * float64(tokens)
-	if p.crossesZone(source.Zone, e.Zone) && !p.isDisabled(TransferCost) {
-		if c.frequent {
-			return zoneFetchFactor * cost
-		}
-		return rareFetchFactor * cost
-	}
-	return cost
-}
-
 // transferWait returns how much longer a request of the class may wait to avoid a
 // transfer.
 func (q *Class) transferWait() time.Duration {
--- a/internal/batching/transfer_test.go
+++ b/internal/batching/transfer_test.go
@@ -44,7 +44,9 @@
 // Guards against bodies that cross a zone for parts that the own zone could fetch.
 func TestLargeBodyStaysInZone(t *testing.T) {
 	p := zonePool(nil, "x", "y")
-	p.RecordGrant(p.engines[0], zoneRequest("x", 0), 0)
+	first := zoneRequest("x", 0)
+	p.RecordGrant(p.engines[0], first, 0)
+	p.RecordFirstToken(p.engines[0], first, 0)
 	for body, want := range map[int]string{100: "x", 60_000: "y"} {
 		if e := cheapest(p, zoneRequest("y", body)); e.Zone != want {
 			t.Errorf("a body of %d bytes is sent to zone %s, want %s", body, e.Zone, want)
