Refuse early only where a queue stands, and know shared fingerprints

Change: the margin holds for the wait; nothing is refused where nothing waits or where the first token takes a quarter of the target; requests without a body, and those whose fingerprint several requests in the cell have, are decided as before; a restored place is at most half of MaxWait.

Result: tests of schedule, admission and returns pass, among them that callers who repeat at once gain nothing.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -81,7 +81,7 @@
 	case r.Target == 0:
 		return wait > limit
 	case !ok:
-		return wait > limit || r.Waited+wait+r.Lead >= scale(r.Target, q.margin())
+		return wait > limit || r.Waited+wait >= scale(r.Target-r.Lead, q.margin())
 	case r.Waited+wait+r.Lead < r.Target:
 		return wait > limit
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -77,6 +77,15 @@
 // may have run it.
 func (r *Request) repeatable() bool { return r.Kind == catalog.Safe || r.Resumable }
 
+// callerFingerprint returns the fingerprint if it tells callers apart. All requests of an
+// account without a body to one target have the same one.
+func (r *Request) callerFingerprint() uint64 {
+	if len(r.Body) == 0 {
+		return 0
+	}
+	return uint64(r.Fingerprint)
+}
+
 // Sink receives the response for the caller.
 type Sink struct {
 	// Head is called once, before the first call of Body. The length is negative
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -79,7 +79,7 @@
 		Waited:          r.f.BootClock.Now() - r.req.ReceivedAt,
 		StartTimeout:    r.startLimit(),
 		EndTimeout:      r.req.Deadline - r.req.ReceivedAt,
-		Fingerprint:     uint64(r.req.Fingerprint),
+		Fingerprint:     r.req.callerFingerprint(),
 		BodyBytes:       len(r.req.Body),
 		Excluded:        excluded,
 		Attempt:         r.mayHaveRun + r.notRun + len(r.calls) - 1,
--- a/internal/schedule/cell.go
+++ b/internal/schedule/cell.go
@@ -36,8 +36,10 @@
 	pool     *batching.Pool
 	prefixes prefixTable
 
-	entries     map[RequestID]*entry
-	freeEntries []*entry
+	entries map[RequestID]*entry
+	// fingerprints counts the entries by the fingerprint of their request.
+	fingerprints map[uint64]int
+	freeEntries  []*entry
 	// waiting and running count entries. preempting counts the running entries
 	// that are being preempted, agedRunning those that were granted by ageing.
 	waiting, running, preempting, agedRunning int
@@ -78,6 +80,7 @@
 		classes:         map[Class]*classQueue{},
 		endpoints:       map[Endpoint]*endpointState{},
 		entries:         map[RequestID]*entry{},
+		fingerprints:    map[uint64]int{},
 		grantsSinceAged: agedGrantInterval,
 		estimates:       NewEstimator(),
 		meanWork:        stat.Mean{Value: defaultTokens},
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -25,6 +25,9 @@
 
 	// endpoint is set while the entry runs.
 	endpoint *endpointState
+	// returnedEarly reports whether the caller was refused before and has returned before
+	// the time that it was told.
+	returnedEarly bool
 	// adopted reports whether another coordinator issued the grant.
 	adopted bool
 	// accepted reports whether the endpoint has sent the first token.
--- a/internal/schedule/request.go
+++ b/internal/schedule/request.go
@@ -108,6 +108,7 @@
 		work:         estimateWork(r.PromptTokens, r.EstimatedTokens),
 	}
 	c.entries[r.ID] = e
+	c.countFingerprint(r.Fingerprint, 1)
 	return e
 }
 
@@ -115,6 +116,7 @@
 // memory for reuse.
 func (c *Cell) recycle(e *entry) {
 	delete(c.entries, e.request.ID)
+	c.countFingerprint(e.request.Fingerprint, -1)
 	*e = entry{}
 	c.freeEntries = append(c.freeEntries, e)
 }
--- a/internal/schedule/returning.go
+++ b/internal/schedule/returning.go
@@ -24,6 +24,8 @@
 		q.counters.returnedEarly++
 		c.refuseEntry(e, RefusedShed, visit.Due-now)
 		return true
+	case visit.Kind == returns.Early:
+		e.returnedEarly = true
 	case visit.Kind == returns.OnTime:
 		q.counters.returnedOnTime++
 		e.restorePlace(visit.First, now)
@@ -31,7 +33,7 @@
 	}
 	q.arrivals.add(now)
 	queue, ok := c.queueOf(q, now)
-	if !ok || !c.mayRefuseEarly(e) {
+	if !ok || !c.mayRefuseEarly(e) || !c.hasWaiting(q.tier) {
 		return false
 	}
 	queue.Ahead, queue.Heavy = q.ahead(q.accounts[r.Account])
@@ -53,19 +55,34 @@
 	c.recycle(e)
 }
 
+// isShared reports whether several requests with a fingerprint wait or run, so that it does
+// not tell their callers apart. A request counts from its arrival.
+func (c *Cell) isShared(fingerprint uint64) bool { return c.fingerprints[fingerprint] > 1 }
+
+// countFingerprint counts an entry that begins or ends.
+func (c *Cell) countFingerprint(fingerprint uint64, n int) {
+	if fingerprint == 0 {
+		return
+	}
+	if c.fingerprints[fingerprint] += n; c.fingerprints[fingerprint] == 0 {
+		delete(c.fingerprints, fingerprint)
+	}
+}
+
 // visit looks up the caller of a request that is not running anywhere.
 func (c *Cell) visit(r *Request, now time.Duration) returns.Visit {
-	if c.discipline != ByTier || c.isDisabled(ReturnOrder) || r.StartTimeout == 0 || len(r.Excluded) > 0 {
+	if c.discipline != ByTier || c.isDisabled(ReturnOrder) || r.StartTimeout == 0 || len(r.Excluded) > 0 || c.isShared(r.Fingerprint) {
 		return returns.Visit{Kind: returns.First, First: now}
 	}
 	return c.refused.Arrive(returns.Fingerprint(r.Fingerprint), now)
 }
 
 // restorePlace gives an entry the place of its caller's first arrival. The place is at
-// most the MaxWait of the class back, so that the entry does not count as expired.
+// most half the MaxWait of the class back, so that ageing does not prefer the entry to
+// more urgent ones at once.
 func (e *entry) restorePlace(first, now time.Duration) {
 	if limit := e.class.policy.MaxWait; limit > 0 {
-		first = max(first, now-limit)
+		first = max(first, now-limit/2)
 	}
 	since := min(first, e.WaitingSince)
 	away := e.WaitingSince - since
@@ -79,18 +96,26 @@
 
 // recordRefusal records that the caller of an entry is told to return.
 func (c *Cell) recordRefusal(e *entry, retry, now time.Duration) {
-	if c.isDisabled(ReturnOrder) || retry <= 0 {
+	if c.isDisabled(ReturnOrder) || retry <= 0 || e.returnedEarly || c.isShared(e.request.Fingerprint) {
 		return
 	}
 	due := now + c.admissionRequest(e, now).Heeded(retry)
 	c.refused.Refuse(returns.Fingerprint(e.request.Fingerprint), e.WaitingSince, due, now)
 }
 
+// maxLeadDivisor is the part of the target, as a divisor, that the time from a grant to the
+// first token may take where requests are refused early. Where it takes more, requests
+// that hardly wait are about to be late, and a refusal would cost more than it saves.
+const maxLeadDivisor = 4
+
 // mayRefuseEarly reports whether an entry may be refused while its caller could still be
 // served: the caller will be known if it returns, and has not returned already.
 func (c *Cell) mayRefuseEarly(e *entry) bool {
 	r := &e.request
-	return r.StartTimeout > 0 && r.Fingerprint != 0 && r.Version == nil && !e.returned && !c.isDisabled(ReturnOrder)
+	if target := e.class.policy.FirstTokenTarget; target > 0 && c.leadTime(e) > target/maxLeadDivisor {
+		return false
+	}
+	return !c.isShared(r.Fingerprint) && r.StartTimeout > 0 && r.Fingerprint != 0 && r.Version == nil && !e.returned && !c.isDisabled(ReturnOrder)
 }
 
 // leftBehind reports whether a waiting entry can no longer meet its target while first
@@ -139,7 +164,7 @@
 			most = max(most, len(other.entries.items))
 		}
 	}
-	return float64(sum), own >= most/heavyDivisor
+	return float64(sum), own > 0 && own >= most/heavyDivisor
 }
 
 // timeToServe returns how long the waiting requests of a tier take to be granted, as far
