Let the slowest caller go on while it reads and nobody else needs room

The response that needs room could be chosen as the slowest one, however fast its caller reads: with a sole response an engine that sends faster than any caller reads fills the budget, and the only response is then also the slowest. It now waits for what its caller takes, and gives way only after its caller has taken nothing for the settle time, or when another response needs the room. What could not be delivered no longer counts as taken.

A sole caller at 4 MB/s with a limit of 1 MiB receives 8 MiB whole; without the change its Write ends with ErrGaveWay.

--- a/internal/backlog/budget.go
+++ b/internal/backlog/budget.go
@@ -112,20 +112,28 @@
 
 // Reserve adds n bytes to what the response holds. If there is no room, the slowest
 // callers give way; the error is ErrGaveWay if this one has. A positive wait means that
-// nothing was added, since it is not known yet which callers are slow: Reserve must be
-// called again after that time, or once freed is closed.
+// nothing was added, since it is not known yet which callers are slow, or since this one is
+// the slowest but goes on reading: Reserve must be called again after that time, or once
+// freed is closed.
 func (a *Account) Reserve(n Bytes) (wait time.Duration, freed <-chan struct{}, err error) {
 	b := a.budget
 	b.mu.Lock()
 	var slow []*Account
-	for !a.gone && !a.fits(n) && wait == 0 {
+	for !a.gone && !a.fits(n) {
 		var slowest *holding
-		if slowest, wait = chooseSlowest(b.holdings(), b.clock.Now()); slowest != nil {
-			slow = append(slow, b.accounts[slowest])
-			b.accounts[slowest].giveWay()
-		} else if wait == 0 {
+		slowest, wait = chooseSlowest(b.holdings(), b.clock.Now())
+		if slowest == &a.holding {
+			// Its caller makes room itself, and nobody else has asked for that.
+			wait = max(0, settleTime-b.clock.Since(a.takenAt))
+		}
+		if wait > 0 {
+			break
+		}
+		if slowest == nil {
 			break
 		}
+		slow = append(slow, b.accounts[slowest])
+		b.accounts[slowest].giveWay()
 	}
 	switch {
 	case a.gone:
@@ -158,6 +166,7 @@
 func (a *Account) add(n Bytes) {
 	if a.held == 0 {
 		a.behindSince, a.taken = a.budget.clock.Now(), 0
+		a.takenAt = a.behindSince
 	}
 	a.held += n
 	a.budget.held += n
@@ -198,7 +207,10 @@
 	if a.gone {
 		return
 	}
-	a.taken += taken
+	if taken > 0 {
+		a.taken += taken
+		a.takenAt = b.clock.Now()
+	}
 	if a.held -= n; a.held == 0 {
 		b.behind += b.clock.Since(a.behindSince)
 	}
--- a/internal/backlog/choose.go
+++ b/internal/backlog/choose.go
@@ -22,6 +22,8 @@
 	// what its caller has taken since. Both are zero if nothing is held.
 	behindSince time.Time
 	taken       Bytes
+	// takenAt is when the caller took something last, behindSince if it has not since.
+	takenAt time.Time
 }
 
 // likeSpeed is the factor up to which the speeds of two callers are alike.
--- a/internal/backlog/queue.go
+++ b/internal/backlog/queue.go
@@ -67,8 +67,9 @@
 // NewQueue returns an empty queue. Its functions must be set before use.
 func NewQueue(b *Budget) *Queue { return &Queue{budget: b} }
 
-// Write takes over a part of the response. It waits for the caller only if no room is left
-// and it is not known yet which callers are slow.
+// Write takes over a part of the response. It waits for the caller only if no room is left,
+// and it is not known yet which callers are slow or this one is the slowest that goes on
+// reading.
 func (q *Queue) Write(p []byte) error {
 	if q.direct >= 0 && q.direct+len(p) <= directSize {
 		q.direct += len(p)
@@ -148,7 +149,11 @@
 	defer close(idle)
 	for b := q.next(); b != nil; b = q.next() {
 		err := q.Deliver(b.data[:b.size])
-		q.account.Release(blockSize, Bytes(b.size))
+		taken := Bytes(b.size)
+		if err != nil {
+			taken = 0
+		}
+		q.account.Release(blockSize, taken)
 		blocks.Put(b.data)
 		if err != nil {
 			q.fail(err)
--- a/internal/backlog/queue_test.go
+++ b/internal/backlog/queue_test.go
@@ -126,3 +126,72 @@
 		})
 	}
 }
+
+// Guards against a caller that reads well and is ended although nobody else needs room: an
+// engine that sends faster than any caller reads fills the budget, and then the only
+// response is also the slowest.
+func TestSoleCallerNeverGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(bubbleclock.New(), 1<<20)
+		c := &testCaller{pause: 4 * time.Millisecond}
+		q := c.queue(b)
+		data := pattern(8 << 20)
+		for at := 0; at < len(data); at += 64 << 10 {
+			if err := q.Write(data[at : at+64<<10]); err != nil {
+				t.Fatalf("after %d bytes: %v", at, err)
+			}
+		}
+		if err := q.Finish(t.Context(), time.Second); err != nil || !bytes.Equal(c.received, data) {
+			t.Errorf("received %d of %d bytes, %v", len(c.received), len(data), err)
+		}
+		if f := b.Figures(); f.Held != 0 || f.GaveWay != 0 {
+			t.Errorf("figures %+v", f)
+		}
+	})
+}
+
+// Guards against an endpoint that waits for a caller that has stopped reading, and against
+// one that reads on and is kept when a faster one needs the room.
+func TestSlowestGivesWayOnceItStopsOrAnotherNeedsRoom(t *testing.T) {
+	t.Run("stops", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			b := NewBudget(bubbleclock.New(), 8*blockSize)
+			c := &testCaller{pause: -1}
+			q := c.queue(b)
+			began := time.Now()
+			if err := q.Write(pattern(20 * blockSize)); !errors.Is(err, ErrGaveWay) {
+				t.Errorf("error %v, want %v", err, ErrGaveWay)
+			}
+			if took := time.Since(began); took != settleTime {
+				t.Errorf("the endpoint waited for %v, want %v", took, settleTime)
+			}
+			_ = q.Finish(t.Context(), time.Second)
+		})
+	})
+	t.Run("another needs room", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			b := NewBudget(bubbleclock.New(), 32*blockSize)
+			slow := &testCaller{pause: settleTime / 2}
+			fast := &testCaller{pause: time.Millisecond}
+			slowQueue, fastQueue := slow.queue(b), fast.queue(b)
+			var slowErr error
+			var wg sync.WaitGroup
+			wg.Go(func() {
+				slowErr = slowQueue.Write(pattern(100 * blockSize))
+				_ = slowQueue.Finish(t.Context(), time.Second)
+			})
+			time.Sleep(5 * settleTime)
+			data := pattern(2000 * blockSize)
+			if err := fastQueue.Write(data); err != nil {
+				t.Error(err)
+			}
+			if err := fastQueue.Finish(t.Context(), time.Second); err != nil || !bytes.Equal(fast.received, data) {
+				t.Errorf("received %d of %d bytes, %v", len(fast.received), len(data), err)
+			}
+			wg.Wait()
+			if !errors.Is(slowErr, ErrGaveWay) {
+				t.Errorf("the slow caller's response ended with %v, want %v", slowErr, ErrGaveWay)
+			}
+		})
+	})
+}
