End a response for good before its caller's connection is used again

The budget marks a response as gone, unlocks, and only then calls back. Meanwhile its last block could be delivered and Finish return nil, so that Interrupt reset a kept connection on which the next request ran, and a complete response counted as one that gave way. Finish now sets a final state under the queue's lock before it returns nil, after which nothing is called or counted. If the response has failed first, Finish returns that error, and only after Interrupt and OnGiveWay have returned; so does Write. The gateway calls Finish in a deferred function, since forwarding may panic. One callback of TestSlowCallersGiveWayToOthers now counts itself, since the budget no longer counts responses that have become complete; the figure wanted is the same.

The panic has no test.

--- a/internal/backlog/budget.go
+++ b/internal/backlog/budget.go
@@ -89,7 +89,8 @@
 type Account struct {
 	budget *Budget
 	holding
-	// onGiveWay is called once if the response gives way.
+	// onGiveWay is called once if the response gives way. It calls Budget.countGaveWay unless
+	// the response has become complete meanwhile.
 	onGiveWay func(Slowness)
 	gone      bool
 }
@@ -176,12 +177,17 @@
 func (a *Account) giveWay() {
 	b := a.budget
 	a.gone = true
-	b.gaveWay++
 	b.behind += b.clock.Since(a.behindSince)
 	b.release(a.held)
 	delete(b.accounts, &a.holding)
 }
 
+func (b *Budget) countGaveWay() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.gaveWay++
+}
+
 func (b *Budget) holdings() []*holding {
 	all := make([]*holding, 0, len(b.accounts))
 	for h := range b.accounts {
--- a/internal/backlog/budget_test.go
+++ b/internal/backlog/budget_test.go
@@ -84,7 +84,7 @@
 	var gone []int
 	var slow []*Account
 	for i := range 10 {
-		a := b.Open(func(Slowness) { gone = append(gone, i) })
+		a := b.Open(func(Slowness) { gone = append(gone, i); b.countGaveWay() })
 		slow = append(slow, a)
 		for range 8 {
 			if !reserve(t, a, blockSize) {
--- a/internal/backlog/queue.go
+++ b/internal/backlog/queue.go
@@ -23,6 +23,9 @@
 // errStalled reports that a caller has stopped reading a late response.
 var errStalled = errors.New("the caller has stopped reading")
 
+// errFinished is the final state of a response that its caller has taken whole.
+var errFinished = errors.New("the response has ended")
+
 // blocks recycles the memory of what callers have read.
 var blocks = sync.Pool{New: func() any { return new([blockSize]byte) }}
 
@@ -33,11 +36,12 @@
 	// Deliver writes a part of the response to the caller, and waits for it.
 	Deliver func(p []byte) error
 	// Interrupt makes a call of Deliver that waits return. It may be called concurrently,
-	// and more than once.
+	// but neither twice nor after Finish has returned.
 	Interrupt func()
 	// OnBehind is called before something is held for the first time.
 	OnBehind func()
-	// OnGiveWay is called when the caller gives way. The response must be ended then.
+	// OnGiveWay is called when the caller gives way, before Finish returns. The response
+	// must be ended then.
 	OnGiveWay func(Slowness)
 
 	// direct is the number of bytes that were written without being held; -1 once
@@ -55,8 +59,10 @@
 	active bool
 	// delivered counts the blocks that were handed to Deliver.
 	delivered int
-	// err is the first error of the response.
+	// err is the first error of the response, errFinished if it has ended without one.
 	err error
+	// failed is closed when the functions have returned that are called for an error.
+	failed chan struct{}
 }
 
 type block struct {
@@ -65,7 +71,7 @@
 }
 
 // NewQueue returns an empty queue. Its functions must be set before use.
-func NewQueue(b *Budget) *Queue { return &Queue{budget: b} }
+func NewQueue(b *Budget) *Queue { return &Queue{budget: b, failed: make(chan struct{})} }
 
 // Write takes over a part of the response. It waits for the caller only if no room is left,
 // and it is not known yet which callers are slow or this one is the slowest that goes on
@@ -120,7 +126,7 @@
 	for {
 		wait, freed, err := q.account.Reserve(blockSize)
 		if err != nil {
-			return err
+			return q.ended()
 		}
 		if wait == 0 {
 			break
@@ -156,7 +162,7 @@
 		q.account.Release(blockSize, taken)
 		blocks.Put(b.data)
 		if err != nil {
-			q.fail(err)
+			q.fail(err, nil)
 		}
 	}
 }
@@ -177,8 +183,9 @@
 	return b
 }
 
-// fail ends the response: what is held is dropped.
-func (q *Queue) fail(err error) {
+// fail ends the response: what is held is dropped. It calls notify, if that is set. It does
+// nothing if the response has ended before.
+func (q *Queue) fail(err error, notify func()) {
 	q.mu.Lock()
 	if q.err != nil {
 		q.mu.Unlock()
@@ -188,33 +195,67 @@
 	dropped := q.held
 	q.held = nil
 	q.mu.Unlock()
+	defer close(q.failed)
 	for _, b := range dropped {
 		blocks.Put(b.data)
 		q.account.Release(blockSize, 0)
 	}
 	q.Interrupt()
+	if notify != nil {
+		notify()
+	}
 }
 
 func (q *Queue) giveWay(s Slowness) {
-	q.fail(ErrGaveWay)
-	q.OnGiveWay(s)
+	q.fail(ErrGaveWay, func() {
+		q.budget.countGaveWay()
+		q.OnGiveWay(s)
+	})
+}
+
+// ended returns the error of a response whose account is closed. The account of a response
+// that gives way is closed a moment before the response fails.
+func (q *Queue) ended() error {
+	q.mu.Lock()
+	err := q.err
+	q.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	<-q.failed
+	return ErrGaveWay
 }
 
-// state returns the channel that is closed once nothing is held, nil if that is so, the
-// number of delivered blocks, and the first error.
-func (q *Queue) state() (idle chan struct{}, delivered int, err error) {
+// progress returns the channel that is closed once nothing is held, nil if that is so, and
+// the number of delivered blocks.
+func (q *Queue) progress() (idle chan struct{}, delivered int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.active {
 		idle = q.idle
 	}
-	return idle, q.delivered, q.err
+	return idle, q.delivered
+}
+
+// end sets the final state unless the response has failed, and returns the error if it has.
+// A connection may carry another response afterwards, which must not be interrupted.
+func (q *Queue) end() error {
+	q.mu.Lock()
+	err := q.err
+	if err == nil {
+		q.err = errFinished
+	}
+	q.mu.Unlock()
+	if err != nil {
+		<-q.failed
+	}
+	return err
 }
 
 // Finish waits until the caller has taken everything that is held. It returns an error if
 // it has not: since ctx was cancelled, because the caller has left; or since the caller has
 // taken nothing for some time after the deadline, which is due after some time.
-// Nothing is delivered any more when it returns.
+// No function is called any more when it has returned. It must be called only once.
 func (q *Queue) Finish(ctx context.Context, due time.Duration) error {
 	if q.account == nil {
 		return nil
@@ -222,19 +263,19 @@
 	defer q.account.Close()
 	patience := max(due, stallTime)
 	for {
-		idle, before, err := q.state()
+		idle, before := q.progress()
 		if idle == nil {
-			return err
+			return q.end()
 		}
 		timer := q.budget.clock.NewTimer(patience)
 		select {
 		case <-idle:
 		case <-ctx.Done():
-			q.fail(ctx.Err())
+			q.fail(ctx.Err(), nil)
 			<-idle
 		case <-timer.Chan():
-			if _, after, _ := q.state(); after == before {
-				q.fail(errStalled)
+			if _, after := q.progress(); after == before {
+				q.fail(errStalled, nil)
 				<-idle
 			}
 			patience = stallTime
--- a/internal/backlog/queue_test.go
+++ b/internal/backlog/queue_test.go
@@ -195,3 +195,69 @@
 		})
 	})
 }
+
+// Guards against a response that gives way after it has ended with success: its connection is
+// then interrupted while it carries the next response. The choice falls on it while its last
+// block is being delivered, and Finish returns before it is told.
+func TestCompleteResponseNeverGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(bubbleclock.New(), 10*blockSize)
+		c := &testCaller{pause: settleTime + time.Second}
+		q := c.queue(b)
+		q.Interrupt = func() { t.Error("a complete response was interrupted") }
+		q.OnGiveWay = func(Slowness) { t.Error("a complete response gave way") }
+		data := pattern(2 * blockSize)
+		if err := q.Write(data); err != nil {
+			t.Fatal(err)
+		}
+		first := b.Open(func(Slowness) {
+			if err := q.Finish(t.Context(), time.Minute); err != nil || !bytes.Equal(c.received, data) {
+				t.Errorf("received %d of %d bytes, %v", len(c.received), len(data), err)
+			}
+		})
+		reserve(t, first, 2*blockSize)
+		other := b.Open(func(Slowness) {})
+		time.Sleep(settleTime)
+		if !reserve(t, other, 8*blockSize) {
+			t.Error("no room")
+		}
+		other.Close()
+		if f := b.Figures(); f.GaveWay != 0 || f.Held != 0 {
+			t.Errorf("figures %+v", f)
+		}
+	})
+}
+
+// Guards against Interrupt and OnGiveWay that still run when Finish has returned.
+func TestFinishWaitsForTheEndOfGivingWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(bubbleclock.New(), 8*blockSize)
+		c := &testCaller{pause: -1}
+		q := c.queue(b)
+		cut := q.Interrupt
+		interrupted, notified := false, false
+		q.Interrupt = func() {
+			cut()
+			time.Sleep(time.Second)
+			interrupted = true
+		}
+		q.OnGiveWay = func(Slowness) { notified = true }
+		if err := q.Write(pattern(5 * blockSize)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(settleTime)
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			other := b.Open(func(Slowness) {})
+			defer other.Close()
+			reserve(t, other, 3*blockSize)
+		})
+		if err := q.Finish(t.Context(), time.Minute); !errors.Is(err, ErrGaveWay) || !interrupted || !notified {
+			t.Errorf("error %v, interrupted %v, notified %v", err, interrupted, notified)
+		}
+		wg.Wait()
+		if f := b.Figures(); f.GaveWay != 1 {
+			t.Errorf("figures %+v", f)
+		}
+	})
+}
--- a/internal/gateway/slowcallers.go
+++ b/internal/gateway/slowcallers.go
@@ -15,7 +15,7 @@
 
 // forward forwards a request. If the memory of this host is known, what the caller has not
 // read is held for it, and its endpoint is free as soon as it has sent the response.
-func (g *Gateway) forward(w http.ResponseWriter, r *http.Request, req *forward.Request, sink forward.Sink) error {
+func (g *Gateway) forward(w http.ResponseWriter, r *http.Request, req *forward.Request, sink forward.Sink) (err error) {
 	if g.backlog == nil {
 		return g.forwarder.Do(r.Context(), req, sink)
 	}
@@ -31,15 +31,20 @@
 			"heldBytes", int64(s.Held), "takenBytes", int64(s.Taken), "behindMs", s.Behind.Milliseconds())
 	}
 	sink.Body = q.Write
-	err := g.forwarder.Do(ctx, req, sink)
-	due := req.Deadline - g.boot.Now()
-	if err != nil && due <= 0 {
-		// What is held is no complete response, and no longer wanted.
-		cancel()
-	}
-	if finishErr := q.Finish(ctx, due); finishErr != nil && !errors.Is(err, forward.ErrTruncated) {
-		return errors.Wrap(forward.ErrTruncated, finishErr.Error())
-	}
+	returned := false
+	// What uses the connection must have ended when this returns, also after a panic.
+	defer func() {
+		due := req.Deadline - g.boot.Now()
+		if !returned || err != nil && due <= 0 {
+			// What is held is no complete response, and no longer wanted.
+			cancel()
+		}
+		if finishErr := q.Finish(ctx, due); finishErr != nil && !errors.Is(err, forward.ErrTruncated) {
+			err = errors.Wrap(forward.ErrTruncated, finishErr.Error())
+		}
+	}()
+	err = g.forwarder.Do(ctx, req, sink)
+	returned = true
 	return err
 }
 
