Excuse an endpoint only until it has sent data after the hold-up

The longest hold-up was kept for the whole attempt, so that an endpoint that lost a connection long after a slow moment was reported as the caller's fault. It is now forgotten once new data was read that was written later: what the buffers on the way hold comes at once, so that data counts as later when the call has waited longer for data since the hold-up than the recovery from a lost packet takes. The errors of net/http about long lines of chunks counted as lost connections, which a hold-up excuses too; they are wrong answers now.

Endless chunk sizes and extensions after a hold-up: wrong answers, without the change not.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -44,8 +45,11 @@
 	// of comments, since the last event that was neither.
 	repeated, comments int
 	// longestHoldUp is the longest time during which nothing was read from the endpoint,
-	// since the caller was slow.
+	// since the caller was slow. It is reset once data was read that was written later.
 	longestHoldUp time.Duration
+	// awaited is how long the call has waited for data since the last hold-up after which
+	// endpoints cut off a response.
+	awaited time.Duration
 
 	// activity records the activity of the endpoint; nil until the request is sent.
 	activity *activity.Endpoint
@@ -163,6 +167,29 @@
 // read.
 const minCutAfter = time.Second
 
+// drainedAfter is how long a call must have waited for data after a hold-up until what comes
+// was written after it. What the buffers on the way hold comes without a wait, except for the
+// recovery from a lost packet.
+const drainedAfter = minSilence
+
+// endHoldUp forgets hold-ups before the data that was just read, if it was written later: the
+// endpoint has not cut off the response for their sake.
+func (c *call) endHoldUp() {
+	if c.awaited >= drainedAfter {
+		c.longestHoldUp = 0
+	}
+}
+
+// read reads a part of the body, and records how long the call has waited for it.
+func (c *call) read(body io.Reader, p []byte) (int, error) {
+	began := c.run.f.Clock.Now()
+	n, err := body.Read(p)
+	if n > 0 {
+		c.awaited += c.run.f.Clock.Since(began)
+	}
+	return n, err
+}
+
 // isCutForSlowness reports whether the endpoint may have cut off the response since this
 // daemon did not read it.
 func (c *call) isCutForSlowness(e attemptResult) bool {
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -152,3 +152,90 @@
 		t.Errorf("a gap of %v counts as the endpoint's", pause)
 	}
 }
+
+// newTestCall returns the only call of a request for a stream.
+func newTestCall(t *testing.T, f *Forwarder, body func([]byte) error) *call {
+	now := boottime.System{}.Now()
+	r := &run{f: f, sink: Sink{
+		Head: func(int, http.Header, int64) {}, Body: body,
+	}, budget: f.Budget("p"), ended: make(chan *call, 1), began: f.Clock.Now(), req: &Request{
+		ID: "r", Method: http.MethodPost, Target: "/x", Host: "h", Class: "c", Pool: "p",
+		Kind: testKinds["stream"], Attempts: 1, ReceivedAt: now, Deadline: now + time.Minute,
+		MaySend: func() *outcome.Refusal { return nil },
+	}}
+	c := &call{run: r}
+	c.ctx, c.cancel = context.WithCancel(t.Context())
+	r.calls = append(r.calls, c)
+	return c
+}
+
+// Guards against a hold-up that excuses whatever its endpoint does later: the endpoint has
+// gone on after it, and then loses the connection. Events that were written before the end of
+// the hold-up show nothing.
+func TestHoldUpExcusesNothingAfterNewData(t *testing.T) {
+	for name, tt := range map[string]struct {
+		pause time.Duration
+		want  peerv1.ReleaseOutcome
+	}{
+		"written before the end of the hold-up": {0, peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE},
+		"written after it":                      {minCutAfter + 2*drainedAfter, peerv1.ReleaseOutcome_RELEASE_OUTCOME_ENDPOINT_FAILED},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = l.Close() })
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Length: 100000\r\n\r\ndata: x\n\n")
+				time.Sleep(tt.pause)
+				_, _ = io.WriteString(conn, strings.Repeat("data: x\n\n", 1000))
+			}()
+			f := newTestForwarder(&site{urls: []string{"http://" + l.Addr().String()}})
+			heldUp := false
+			c := newTestCall(t, f, func([]byte) error {
+				if !heldUp {
+					heldUp = true
+					time.Sleep(minCutAfter)
+				}
+				return nil
+			})
+			c.do()
+			if c.result.err == nil || c.result.report != tt.want {
+				t.Errorf("result %+v, want %v", c.result, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against endpoints that send lines of chunks without end and count as lost
+// connections, which a hold-up excuses.
+func TestEndlessChunkLinesAreWrongAnswers(t *testing.T) {
+	const start = "HTTP/1.1 200 OK\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, tt := range map[string]struct{ start, part string }{
+		"size":       {start, "0"},
+		"extension":  {start + "1;", "x"},
+		"extensions": {start, "1;abcdefghijklmnopqrstuvwxyz=abcdefghijklmnopqrstuvwxyz\r\nx\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &site{}
+			closed := s.listenEndless(t, tt.start, tt.part)
+			c := newTestCall(t, newTestForwarder(s), func([]byte) error { return nil })
+			c.longestHoldUp = minCutAfter
+			c.do()
+			<-closed
+			if c.result.reason != outcome.ReasonWrongAnswer || c.result.report != peerv1.ReleaseOutcome_RELEASE_OUTCOME_ENDPOINT_FAILED {
+				t.Errorf("result %+v", c.result)
+			}
+		})
+	}
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -192,8 +192,10 @@
 		if err := c.deliver(buf); err != nil {
 			return callerGoneResult(err)
 		}
-		n, err := resp.Body.Read(part)
-		buf = part[:n]
+		n, err := c.read(resp.Body, part)
+		if buf = part[:n]; n > 0 {
+			c.endHoldUp()
+		}
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
@@ -241,7 +243,7 @@
 		return outcome.ReasonCallerGone
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		return outcome.ReasonTruncated
-	case errors.Is(err, http1.ErrForeignResponse), errors.Is(err, http1.ErrTooLong):
+	case errors.Is(err, http1.ErrForeignResponse), errors.Is(err, http1.ErrTooLong), http1.IsEndlessChunkLine(err):
 		return outcome.ReasonWrongAnswer
 	}
 	return outcome.ReasonConnectionLost
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -36,7 +36,7 @@
 	received := false
 	chunk := make([]byte, readSize)
 	for {
-		n, err := resp.Body.Read(chunk)
+		n, err := c.read(resp.Body, chunk)
 		before := len(pending)
 		pending = append(pending, chunk[:n]...)
 		whole := 0
@@ -114,6 +114,7 @@
 	if len(out) == 0 {
 		return nil
 	}
+	c.endHoldUp()
 	return c.write(out)
 }
 
@@ -189,6 +190,9 @@
 	now := r.f.Clock.Now()
 	heldUp := now.Sub(began)
 	c.longestHoldUp = max(c.longestHoldUp, heldUp)
+	if heldUp >= minCutAfter {
+		c.awaited = 0
+	}
 	c.grant.RecordHoldUp(heldUp)
 	c.lastSign = now
 	return err
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -56,6 +56,13 @@
 // ErrTooLong is returned if an endpoint sends more than a response may have at its place.
 var ErrTooLong = errors.New("too many bytes that are no response")
 
+// IsEndlessChunkLine reports whether reading a body has failed since the lines between its
+// chunks are too long.
+func IsEndlessChunkLine(err error) bool {
+	// net/http has no value for the second error.
+	return errors.Is(err, http.ErrLineTooLong) || err != nil && strings.Contains(err.Error(), "too much non-data")
+}
+
 // ErrForeignResponse is returned if only responses to other requests were
 // received.
 var ErrForeignResponse = errors.New("answers of other requests")
