End the wait for room once the caller has left

A write that waits for room took no notice of the request's end, so that the attempt and the slot of its endpoint were held for up to the settle time, or for as long as a sole caller reads slowly. Write now takes a channel that ends the wait, the gateway passes that of the request's context, and a failure of the response ends it as well.

--- a/internal/backlog/queue.go
+++ b/internal/backlog/queue.go
@@ -23,6 +23,9 @@
 // errStalled reports that a caller has stopped reading a late response.
 var errStalled = errors.New("the caller has stopped reading")
 
+// errLeft reports that nobody waits for the response any more.
+var errLeft = errors.New("the caller has left")
+
 // errFinished is the final state of a response that its caller has taken whole.
 var errFinished = errors.New("the response has ended")
 
@@ -75,8 +78,8 @@
 
 // Write takes over a part of the response. It waits for the caller only if no room is left,
 // and it is not known yet which callers are slow or this one is the slowest that goes on
-// reading.
-func (q *Queue) Write(p []byte) error {
+// reading; that wait ends with an error once done is closed or the response fails.
+func (q *Queue) Write(done <-chan struct{}, p []byte) error {
 	if q.direct >= 0 && q.direct+len(p) <= directSize {
 		q.direct += len(p)
 		return q.Deliver(p)
@@ -94,7 +97,7 @@
 		if p = p[n:]; len(p) == 0 {
 			break
 		}
-		if err := q.addBlock(); err != nil {
+		if err := q.addBlock(done); err != nil {
 			return err
 		}
 	}
@@ -121,8 +124,8 @@
 	return n, nil
 }
 
-// addBlock adds an empty block as soon as there is room for it.
-func (q *Queue) addBlock() error {
+// addBlock adds an empty block as soon as there is room for it, unless done is closed before.
+func (q *Queue) addBlock(done <-chan struct{}) error {
 	for {
 		wait, freed, err := q.account.Reserve(blockSize)
 		if err != nil {
@@ -131,9 +134,17 @@
 		if wait == 0 {
 			break
 		}
+		timer := q.budget.clock.NewTimer(wait)
 		select {
 		case <-freed:
-		case <-q.budget.clock.After(wait):
+		case <-timer.Chan():
+		case <-q.failed:
+		case <-done:
+			err = errLeft
+		}
+		timer.Stop()
+		if err != nil {
+			return err
 		}
 	}
 	q.mu.Lock()
--- a/internal/backlog/queue_test.go
+++ b/internal/backlog/queue_test.go
@@ -66,10 +66,10 @@
 		q := c.queue(b)
 		data := pattern(20*blockSize + 5)
 		c.pause = time.Second
-		_ = q.Write(data[:10])
+		_ = q.Write(nil, data[:10])
 		began := clock.Now()
 		for at := 10; at < len(data); at += 3000 {
-			if err := q.Write(data[at:min(at+3000, len(data))]); err != nil {
+			if err := q.Write(nil, data[at:min(at+3000, len(data))]); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -107,7 +107,7 @@
 				b := NewBudget(bubbleclock.New(), 8*blockSize)
 				c := &testCaller{pause: -1}
 				q := c.queue(b)
-				if err := q.Write(pattern(5 * blockSize)); err != nil {
+				if err := q.Write(nil, pattern(5*blockSize)); err != nil {
 					t.Fatal(err)
 				}
 				ctx, cancel := context.WithCancel(t.Context())
@@ -116,7 +116,7 @@
 				if err := q.Finish(ctx, time.Second); !errors.Is(err, tt.want) {
 					t.Errorf("error %v, want %v", err, tt.want)
 				}
-				if err := q.Write([]byte("more")); err == nil {
+				if err := q.Write(nil, []byte("more")); err == nil {
 					t.Error("a response goes on that has ended")
 				}
 				if f := b.Figures(); f.Held != 0 || f.Responses != 0 {
@@ -137,7 +137,7 @@
 		q := c.queue(b)
 		data := pattern(8 << 20)
 		for at := 0; at < len(data); at += 64 << 10 {
-			if err := q.Write(data[at : at+64<<10]); err != nil {
+			if err := q.Write(nil, data[at:at+64<<10]); err != nil {
 				t.Fatalf("after %d bytes: %v", at, err)
 			}
 		}
@@ -159,7 +159,7 @@
 			c := &testCaller{pause: -1}
 			q := c.queue(b)
 			began := time.Now()
-			if err := q.Write(pattern(20 * blockSize)); !errors.Is(err, ErrGaveWay) {
+			if err := q.Write(nil, pattern(20*blockSize)); !errors.Is(err, ErrGaveWay) {
 				t.Errorf("error %v, want %v", err, ErrGaveWay)
 			}
 			if took := time.Since(began); took != settleTime {
@@ -177,12 +177,12 @@
 			var slowErr error
 			var wg sync.WaitGroup
 			wg.Go(func() {
-				slowErr = slowQueue.Write(pattern(100 * blockSize))
+				slowErr = slowQueue.Write(nil, pattern(100*blockSize))
 				_ = slowQueue.Finish(t.Context(), time.Second)
 			})
 			time.Sleep(5 * settleTime)
 			data := pattern(2000 * blockSize)
-			if err := fastQueue.Write(data); err != nil {
+			if err := fastQueue.Write(nil, data); err != nil {
 				t.Error(err)
 			}
 			if err := fastQueue.Finish(t.Context(), time.Second); err != nil || !bytes.Equal(fast.received, data) {
@@ -207,7 +207,7 @@
 		q.Interrupt = func() { t.Error("a complete response was interrupted") }
 		q.OnGiveWay = func(Slowness) { t.Error("a complete response gave way") }
 		data := pattern(2 * blockSize)
-		if err := q.Write(data); err != nil {
+		if err := q.Write(nil, data); err != nil {
 			t.Fatal(err)
 		}
 		first := b.Open(func(Slowness) {
@@ -242,7 +242,7 @@
 			interrupted = true
 		}
 		q.OnGiveWay = func(Slowness) { notified = true }
-		if err := q.Write(pattern(5 * blockSize)); err != nil {
+		if err := q.Write(nil, pattern(5*blockSize)); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(settleTime)
@@ -261,3 +261,41 @@
 		}
 	})
 }
+
+// Guards against a wait for room that goes on although the caller has left or the response
+// has failed, so that its attempt and the endpoint's slot are held meanwhile.
+func TestWaitForRoomEndsWithTheCaller(t *testing.T) {
+	for name, tt := range map[string]struct {
+		end  func(q *Queue, cancel context.CancelFunc)
+		want error
+	}{
+		"left":   {func(_ *Queue, cancel context.CancelFunc) { cancel() }, errLeft},
+		"failed": {func(q *Queue, _ context.CancelFunc) { q.fail(errStalled, nil) }, errStalled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := NewBudget(bubbleclock.New(), 8*blockSize)
+				c := &testCaller{pause: -1}
+				q := c.queue(b)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				const after = settleTime / 4
+				began := time.Now()
+				time.AfterFunc(after, func() { tt.end(q, cancel) })
+				if err := q.Write(ctx.Done(), pattern(20*blockSize)); !errors.Is(err, tt.want) {
+					t.Errorf("error %v, want %v", err, tt.want)
+				}
+				if took := time.Since(began); took != after {
+					t.Errorf("the wait took %v, want %v", took, after)
+				}
+				cancel()
+				if err := q.Finish(ctx, time.Minute); err == nil {
+					t.Error("a truncated response looks complete")
+				}
+				if f := b.Figures(); f.Held != 0 || f.GaveWay != 0 {
+					t.Errorf("figures %+v", f)
+				}
+			})
+		})
+	}
+}
--- a/internal/gateway/slowcallers.go
+++ b/internal/gateway/slowcallers.go
@@ -30,7 +30,7 @@
 		g.logger.Warn("slow caller gave way", "request", req.ID, "class", req.Class, "account", req.Account,
 			"heldBytes", int64(s.Held), "takenBytes", int64(s.Taken), "behindMs", s.Behind.Milliseconds())
 	}
-	sink.Body = q.Write
+	sink.Body = func(p []byte) error { return q.Write(ctx.Done(), p) }
 	returned := false
 	// What uses the connection must have ended when this returns, also after a panic.
 	defer func() {
