Choose who gives way by what callers have taken lately

What a caller had taken since it fell behind includes what the kernel's buffer took at first, so that a caller who has stopped seemed faster than one that reads steadily. The speed is now that since a mark one to two seconds ago, and nothing for a caller that has taken nothing for a second. The cases of TestChooseSlowest now say when their callers took something last; what they want is the same.

A caller that took 10 KB/s and stopped 2 s ago goes before a steady one at 1 KB/s; without the change the steady one goes.

--- a/internal/backlog/budget.go
+++ b/internal/backlog/budget.go
@@ -168,6 +168,7 @@
 	if a.held == 0 {
 		a.behindSince, a.taken = a.budget.clock.Now(), 0
 		a.takenAt = a.behindSince
+		a.older, a.newer = mark{at: a.behindSince}, mark{at: a.behindSince}
 	}
 	a.held += n
 	a.budget.held += n
@@ -214,8 +215,7 @@
 		return
 	}
 	if taken > 0 {
-		a.taken += taken
-		a.takenAt = b.clock.Now()
+		a.take(b.clock.Now(), taken)
 	}
 	if a.held -= n; a.held == 0 {
 		b.behind += b.clock.Since(a.behindSince)
--- a/internal/backlog/budget_test.go
+++ b/internal/backlog/budget_test.go
@@ -8,6 +8,15 @@
 	"github.com/jonboulle/clockwork"
 )
 
+// taking records that the caller has taken some bytes each 100 ms from the time on when it fell
+// behind, until it stopped.
+func taking(h *holding, n Bytes, until time.Time) *holding {
+	for at := h.behindSince; at.Before(until); at = at.Add(100 * time.Millisecond) {
+		h.take(at, n)
+	}
+	return h
+}
+
 // Guards against fast or nearly finished responses that are ended in place of the slowest.
 func TestChooseSlowest(t *testing.T) {
 	now := time.Unix(1000, 0)
@@ -19,26 +28,30 @@
 	}{
 		"nothing is held": {all: []*holding{{number: 1}}},
 		"slowest": {all: []*holding{
-			{number: 1, held: 1000, taken: 4000, behindSince: ago(2 * time.Second)},
-			{number: 2, held: 1000, taken: 400, behindSince: ago(2 * time.Second)},
-			{number: 3, held: 1000, taken: 9000, behindSince: ago(2 * time.Second)},
+			{number: 1, held: 1000, taken: 4000, takenAt: now, behindSince: ago(2 * time.Second)},
+			{number: 2, held: 1000, taken: 400, takenAt: now, behindSince: ago(2 * time.Second)},
+			{number: 3, held: 1000, taken: 9000, takenAt: now, behindSince: ago(2 * time.Second)},
 		}, want: 2},
 		"last of those of a like speed": {all: []*holding{
-			{number: 1, held: 1000, taken: 2000, behindSince: ago(4 * time.Second)},
-			{number: 2, held: 1000, taken: 1100, behindSince: ago(2 * time.Second)},
-			{number: 3, held: 1000, taken: 9000, behindSince: ago(2 * time.Second)},
+			{number: 1, held: 1000, taken: 2000, takenAt: now, behindSince: ago(4 * time.Second)},
+			{number: 2, held: 1000, taken: 1100, takenAt: now, behindSince: ago(2 * time.Second)},
+			{number: 3, held: 1000, taken: 9000, takenAt: now, behindSince: ago(2 * time.Second)},
 		}, want: 2},
 		"stopped, but holds little": {all: []*holding{
 			{number: 1, held: 100, behindSince: ago(time.Minute)},
-			{number: 2, held: 1000, taken: 4000, behindSince: ago(2 * time.Second)},
+			{number: 2, held: 1000, taken: 4000, takenAt: now, behindSince: ago(2 * time.Second)},
 		}, want: 2},
+		"has just stopped, but was faster on average": {all: []*holding{
+			taking(&holding{number: 1, held: 1000, behindSince: ago(10 * time.Second)}, 1000, ago(2*time.Second)),
+			taking(&holding{number: 2, held: 1000, behindSince: ago(10 * time.Second)}, 100, now),
+		}, want: 1},
 		"too early to tell": {all: []*holding{
 			{number: 1, held: 1000, behindSince: ago(settleTime / 4)},
 			{number: 2, held: 1000, behindSince: ago(settleTime / 2)},
 		}, wait: settleTime / 2},
 		"too early to tell of one that holds more": {all: []*holding{
 			{number: 1, held: 9000, behindSince: ago(settleTime / 4)},
-			{number: 2, held: 8000, taken: 1000, behindSince: ago(2 * time.Second)},
+			{number: 2, held: 8000, taken: 1000, takenAt: now, behindSince: ago(2 * time.Second)},
 		}, wait: settleTime - settleTime/4},
 	} {
 		slowest, wait := chooseSlowest(tt.all, now)
--- a/internal/backlog/choose.go
+++ b/internal/backlog/choose.go
@@ -24,14 +24,47 @@
 	taken       Bytes
 	// takenAt is when the caller took something last, behindSince if it has not since.
 	takenAt time.Time
+	// older and newer are the last two marks of what was taken; newer was set at most
+	// markInterval before the caller took something last.
+	older, newer mark
+}
+
+// mark is what a caller had taken at a time.
+type mark struct {
+	at    time.Time
+	taken Bytes
+}
+
+// markInterval is the time between two marks. A speed is that since the last mark of at least
+// this age: what was taken before may have gone into the kernel's buffer rather than to the
+// caller, who may have stopped since.
+const markInterval = settleTime
+
+// take records that the caller has taken n bytes.
+func (h *holding) take(now time.Time, n Bytes) {
+	if now.Sub(h.newer.at) >= markInterval {
+		h.older, h.newer = h.newer, mark{at: now, taken: h.taken}
+	}
+	h.taken += n
+	h.takenAt = now
 }
 
 // likeSpeed is the factor up to which the speeds of two callers are alike.
 const likeSpeed = 2
 
-// speed returns how many bytes per second the caller takes.
+// speed returns how many bytes per second the caller has taken lately.
 func (h *holding) speed(now time.Time) float64 {
-	return float64(h.taken) / now.Sub(h.behindSince).Seconds()
+	if now.Sub(h.takenAt) >= markInterval {
+		return 0
+	}
+	from := h.newer
+	if now.Sub(from.at) < markInterval {
+		from = h.older
+	}
+	if from.at.Before(h.behindSince) {
+		from = mark{at: h.behindSince}
+	}
+	return float64(h.taken-from.taken) / now.Sub(from.at).Seconds()
 }
 
 // chooseSlowest returns the response whose caller gives way first when many callers read
