Read one byte more of error responses

An error response in chunks of exactly 1 MiB counted as one without end, since its end was not read. One byte more tells it from a longer one.

A response of exactly 1 MiB is forwarded whole, without the change it is not; one byte more ends as before.

--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -239,3 +240,27 @@
 		})
 	}
 }
+
+// Guards against an error response of just the size up to which responses are buffered that
+// counts as one without end, since its end was not read.
+func TestLongestErrorResponseIsForwarded(t *testing.T) {
+	for name, tt := range map[string]struct {
+		size  int
+		whole bool
+	}{
+		"longest":  {maxBuffered, true},
+		"too long": {maxBuffered + 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &site{}
+			s.listen(t, fmt.Sprintf("HTTP/1.1 404 Not Found\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", tt.size, strings.Repeat("x", tt.size)))
+			received := 0
+			c := newTestCall(t, newTestForwarder(s), func(p []byte) error { received += len(p); return nil })
+			c.run.req.Kind = testKinds["unsafe"]
+			c.do()
+			if tt.whole && (c.result.err != nil || received != tt.size) || !tt.whole && !errors.Is(c.result.err, errNoEnd) {
+				t.Errorf("%d bytes, result %+v", received, c.result)
+			}
+		})
+	}
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -135,13 +135,14 @@
 // forwardWhole forwards a response that is not a stream.
 func (c *call) forwardWhole(x *http1.Exchange, resp *http.Response) attemptResult {
 	r := c.run
-	body, err := io.ReadAll(io.LimitReader(progressReader{resp.Body, c}, maxBuffered))
+	// Only one byte more tells a response of just this size from a longer one.
+	body, err := io.ReadAll(io.LimitReader(progressReader{resp.Body, c}, maxBuffered+1))
 	if err != nil {
 		return failedResult(readFailureReason(c.ctx, err), err)
 	}
 	a := &response{status: resp.StatusCode, header: resp.Header, body: body}
 	switch {
-	case len(body) < maxBuffered:
+	case len(body) <= maxBuffered:
 	case resp.StatusCode/100 != 2 && resp.ContentLength < 0:
 		return failedResult(outcome.ReasonWrongAnswer, errNoEnd)
 	default:
