--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -135,13 +135,14 @@
 // forwardWhole forwards a response that is not a stream.
 func (c *call) forwardWhole(x *http1.Exchange, resp *http.Response) attemptResult {
 	r := c.run
-	body, err := io.ReadAll(io.LimitReader(progressReader{resp.Body, c}, maxBuffered))
+	// Only one byte more tells a response of just this size from a longer one.
+	body, err := io.ReadAll(io.LimitReader(progressReader{resp.Body, c}, maxBuffered+1))
 	if err != nil {
 		return failedResult(readFailureReason(c.ctx, err), err)
 	}
 	a := &response{status: resp.StatusCode, header: resp.Header, body: body}
 	switch {
-	case len(body) < maxBuffered:
+	case len(body) <= maxBuffered:
 	case resp.StatusCode/100 != 2 && resp.ContentLength < 0:
 		return failedResult(outcome.ReasonWrongAnswer, errNoEnd)
 	default:
@@ -192,8 +193,10 @@
 		if err := c.deliver(buf); err != nil {
 			return callerGoneResult(err)
 		}
-		n, err := resp.Body.Read(part)
-		buf = part[:n]
+		n, err := c.read(resp.Body, part)
+		if buf = part[:n]; n > 0 {
+			c.endHoldUp()
+		}
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
@@ -241,7 +244,7 @@
 		return outcome.ReasonCallerGone
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		return outcome.ReasonTruncated
-	case errors.Is(err, http1.ErrForeignResponse), errors.Is(err, http1.ErrTooLong):
+	case errors.Is(err, http1.ErrForeignResponse), errors.Is(err, http1.ErrTooLong), http1.IsEndlessChunkLine(err):
 		return outcome.ReasonWrongAnswer
 	}
 	return outcome.ReasonConnectionLost
