End the protection at the start when long prompts end

Cause: while no stream has shown what a prefill does, any violation protected a class. The peak of violations only decays and ends at a subnormal number, so where long prompts are rare, one of them reserved nearly all engines for ever.

Change: the threshold is 0.005 instead of zero, and at most maxDecodeShare of the engines are reserved meanwhile.

--- a/internal/batching/class.go
+++ b/internal/batching/class.go
@@ -84,12 +84,12 @@
 
 // protectionThreshold returns the share of delayed streams above which the
 // class's streams are protected. It is lower for a class that is protected
-// already, so that the state does not oscillate, and zero while no stream has shown
+// already, so that the state does not oscillate, and lowest while no stream has shown
 // yet what prefills do to it.
 func (p *Pool) protectionThreshold(q *Class) float64 {
 	switch {
 	case p.isInitial():
-		return 0
+		return initialProtectThreshold
 	case q.protected:
 		return unprotectThreshold
 	}
--- a/internal/batching/decode.go
+++ b/internal/batching/decode.go
@@ -167,7 +167,8 @@
 }
 
 // splitEngines returns how many engines to reserve for decoding when protected
-// streams are separated from long prefills. Each of the two gets at least one.
+// streams are separated from long prefills. Each of the two gets at least one. While
+// no stream has shown that they have to be, the share of the engines is limited.
 //
 // If the recent peaks of both exceed the engines, the present demand is used
 // instead: engines reserved for streams that may return would delay prefills that
@@ -179,7 +180,11 @@
 		long = max(1, p.currentLongPrefill(now)/longPrefillUtilization)
 		streams *= all / (streams + long)
 	}
-	return min(max(int(math.Round(streams)), 1), engines-1)
+	most := engines - 1
+	if p.isInitial() {
+		most = min(most, int(maxDecodeShare*float64(engines)))
+	}
+	return min(max(int(math.Round(streams)), 1), most)
 }
 
 // currentLongPrefill returns the demand for long prefills that arrive and wait,
--- a/internal/batching/protection.go
+++ b/internal/batching/protection.go
@@ -21,6 +21,9 @@
 	// above which a class becomes protected and stays protected, respectively.
 	protectThreshold   = 0.08
 	unprotectThreshold = 0.03
+	// initialProtectThreshold replaces both while the model has no samples. It is not
+	// zero, which a peak that decays never reaches.
+	initialProtectThreshold = 0.005
 )
 
 // reviewProtected determines the protected classes and the lowest gap limit of
--- a/internal/batching/speed_test.go
+++ b/internal/batching/speed_test.go
@@ -112,3 +112,29 @@
 		}
 	}
 }
+
+// Guards against a single long prompt that reserves engines for ever where no further
+// one shows what it does to the streams.
+func TestInitialProtectionEnds(t *testing.T) {
+	p, urgent := newSpeedPool(20)
+	p.model = interference.Model{}
+	prompt := Prompt{Tokens: 600, ResponseTokens: 300}
+	urgent.Running = 400
+	most := 0
+	for now := time.Duration(0); now < 3*time.Minute; now += 50 * time.Millisecond {
+		for range 10 {
+			p.RecordArrival(urgent, &prompt, now)
+		}
+		if now == 150*time.Millisecond {
+			p.RecordPrefillDemand(&RequestState{Class: p.classes[1], Prompt: Prompt{Tokens: 30_000, ResponseTokens: 300}}, now)
+		}
+		p.Review(now)
+		most = max(most, p.decodeEngines)
+		if now >= 30*time.Second && (urgent.protected || p.minGapLimit > 0) {
+			t.Fatalf("protected after %v, %d engines reserved", now, p.decodeEngines)
+		}
+	}
+	if most == 0 || most > 12 {
+		t.Errorf("up to %d of 20 engines were reserved, want 1 to 12", most)
+	}
+}
