Check estimates of other coordinators before adopting them

Cause: whatever a message said was adopted. NaN in a sum, a rate of zero (an absent field) or 1e300 violations a second stayed for good and were handed on again; sums of any weight could not be outweighed; violations counted as present ones whatever their age; messages that name different engines reserved all of them.

Change: sums, rates, times and ratios are checked where they are adopted, and a section that fails is dropped. Sums count at most as a model's own in its steady state. Violations are aged. Messages reserve at most maxDecodeShare of the engines together. A message of negative age is ignored.

--- a/internal/batching/estimates.go
+++ b/internal/batching/estimates.go
@@ -1,6 +1,7 @@
 package batching
 
 import (
+	"math"
 	"time"
 
 	"github.com/beechhead/beechhead/internal/enginespeed"
@@ -20,6 +21,17 @@
 // that the coordinator's own measurements soon outweigh them.
 const maxAdoptedSamples = 100
 
+// Values beyond these are not estimates of any engine, and are not adopted: they would
+// not be forgotten, and be handed on again.
+const (
+	// maxAdoptedRate is in tokens per second.
+	maxAdoptedRate     = 1e8
+	maxAdoptedOverhead = 10 * time.Second
+	maxAdoptedRunTime  = time.Hour
+	// maxAdoptedViolations is in prefills per second.
+	maxAdoptedViolations = 1e5
+)
+
 // Estimates is what a pool has measured.
 type Estimates struct {
 	// Age is the age of the newest measurement.
@@ -79,16 +91,17 @@
 }
 
 // Adopt adopts those of the estimates of another coordinator that have more samples
-// than the pool's own. It reports whether they are recent enough for that.
+// than the pool's own, except what can't be an estimate. It reports whether they are
+// recent enough for that.
 func (p *Pool) Adopt(est *Estimates, now time.Duration) bool {
 	weight := est.weight()
 	if weight == 0 || !p.MeasuresSpeed() || p.isDisabled(HandedEstimates) {
 		return false
 	}
-	if n := adoptedSamples(est.PrefillRateSamples, weight); n > p.prefillRateSamples {
+	if n := adoptedSamples(est.PrefillRateSamples, weight); n > p.prefillRateSamples && stat.InRange(est.PrefillRate, 1, maxAdoptedRate) {
 		p.prefillRate, p.prefillRateSamples = est.PrefillRate, n
 	}
-	if n := adoptedSamples(est.OverheadSamples, weight); n > p.overheadSamples {
+	if n := adoptedSamples(est.OverheadSamples, weight); n > p.overheadSamples && est.Overhead > 0 && est.Overhead <= maxAdoptedOverhead {
 		p.overhead, p.overheadSamples = est.Overhead, n
 	}
 	p.model.Adopt(est.Interference, weight)
@@ -101,20 +114,34 @@
 }
 
 // adoptEngines adopts the speeds of the engines, and which of them were reserved for
-// decoding if none is here.
+// decoding if none is here. A second message reserves no others.
 func (p *Pool) adoptEngines(engines []EngineEstimate, weight float64, now time.Duration) {
 	byName := make(map[string]*Engine, len(p.engines))
 	for _, e := range p.engines {
 		byName[e.Name] = e
 	}
-	reserves := p.decodeEngines == 0
+	reserved := 0
+	for _, e := range p.engines {
+		if e.Decode {
+			reserved++
+		}
+	}
+	most := 0
+	if reserved == 0 {
+		most = max(1, int(maxDecodeShare*float64(len(p.engines))))
+	}
 	for _, est := range engines {
 		e := byName[est.Name]
 		if e == nil {
 			continue
 		}
-		e.speed.Adopt(est.Ratio, time.Duration(weight*float64(est.Observed)), now)
-		e.Decode = e.Decode || reserves && est.Decode
+		// Each stream is observed for at most the window of the sums.
+		observed := min(est.Observed, time.Duration(max(1, e.Concurrency))*enginespeed.Window)
+		e.speed.Adopt(est.Ratio, time.Duration(weight*float64(observed)), now)
+		if est.Decode && !e.Decode && reserved < most {
+			e.Decode = true
+			reserved++
+		}
 	}
 	p.reviewSpeeds()
 }
@@ -131,17 +158,21 @@
 	if weight == 0 || !p.MeasuresSpeed() || p.isDisabled(HandedEstimates) {
 		return
 	}
-	if n := adoptedSamples(est.Runs, weight); n > q.runTime.N {
+	if n := adoptedSamples(est.Runs, weight); n > q.runTime.N && est.RunTime > 0 && est.RunTime <= maxAdoptedRunTime {
 		q.runTime = stat.Mean{Value: est.RunTime.Seconds(), N: n}
 	}
-	if est.Violations > q.violationsPeak {
-		q.violationsPeak, q.protected = est.Violations, q.protected || est.Protected
+	violations := est.Violations * math.Exp(-age.Seconds()/peakDecayTime.Seconds())
+	if violations > q.violationsPeak && stat.InRange(est.Violations, 0, maxAdoptedViolations) {
+		q.violationsPeak, q.protected = violations, q.protected || est.Protected
 	}
 }
 
 // weight returns by how much the samples of the estimates count, from 0 to 1.
 func (est *Estimates) weight() float64 {
-	return min(1, max(0, 1-est.Age.Seconds()/EstimateLifetime.Seconds()))
+	if est.Age < 0 {
+		return 0
+	}
+	return max(0, 1-est.Age.Seconds()/EstimateLifetime.Seconds())
 }
 
 // adoptedSamples returns the number of samples for which an adopted estimate counts.
--- a/internal/cell/estimates.go
+++ b/internal/cell/estimates.go
@@ -170,7 +170,8 @@
 	return message
 }
 
-// measuredFrom returns what a message says; false if it is invalid.
+// measuredFrom returns what a message says; false if it is of another version. Whoever
+// adopts it checks the values.
 func measuredFrom(message *peerv1.CellEstimates) (m *schedule.Measured, ok bool) {
 	m = &schedule.Measured{Estimates: batching.Estimates{
 		Age:                time.Duration(message.GetAgeMs()) * time.Millisecond,
@@ -184,8 +185,7 @@
 		},
 	}}
 	ok = copyMoments(m.Interference.Event[:], message.GetEventMoments()) &&
-		copyMoments(m.Work[:], message.GetWorkMoments()) &&
-		isPositive(m.PrefillRate)
+		copyMoments(m.Work[:], message.GetWorkMoments())
 	for _, e := range message.GetEngines() {
 		m.Engines = append(m.Engines, batching.EngineEstimate{
 			Name:     e.GetEndpoint(),
@@ -195,7 +195,6 @@
 		})
 	}
 	for _, class := range message.GetClasses() {
-		ok = ok && isFinite(class.GetLengthMean()) && isFinite(class.GetLengthVariance()) && isFinite(class.GetViolationsPerSecond())
 		m.Classes = append(m.Classes, schedule.MeasuredClass{
 			Class: schedule.Class(class.GetClass()),
 			ClassEstimate: batching.ClassEstimate{
@@ -212,20 +211,5 @@
 	return m, ok
 }
 
-// copyMoments copies the sums of a regression. It returns false if they are invalid.
-func copyMoments(to, from []float64) bool {
-	if len(from) != len(to) {
-		return false
-	}
-	for _, v := range from {
-		if !isFinite(v) {
-			return false
-		}
-	}
-	copy(to, from)
-	return true
-}
-
-func isPositive(v float64) bool { return v > 0 && isFinite(v) }
-
-func isFinite(v float64) bool { return !math.IsNaN(v) && !math.IsInf(v, 0) }
+// copyMoments copies the sums of a regression. It returns false if their number differs.
+func copyMoments(to, from []float64) bool { return copy(to, from) == len(to) && len(from) == len(to) }
--- a/internal/enginespeed/estimates.go
+++ b/internal/enginespeed/estimates.go
@@ -1,6 +1,20 @@
 package enginespeed
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"github.com/beechhead/beechhead/internal/stat"
+)
+
+const (
+	// maxAdoptedEvent is the longest mean time of an event that is adopted, in seconds.
+	maxAdoptedEvent = 60
+	// maxAdoptedRatio limits the ratios that are adopted in both directions.
+	maxAdoptedRatio = 100
+	// rounding is the relative error of sums.
+	rounding = 1e-6
+)
 
 // Moments are the weighted sums of a Model, the first of which is that of the weights.
 type Moments [9]float64
@@ -11,8 +25,13 @@
 }
 
 // Adopt replaces the sums of the model by those of another one if that has more
-// samples. The weight, at most 1, is by how much those samples count.
+// samples and they can be such sums. The weight, at most 1, is by how much those samples
+// count; they never count more than a model's own.
 func (m *Model) Adopt(s Moments, weight float64) {
+	if !s.isValid() {
+		return
+	}
+	weight *= min(1, 1/(1-sampleDecay)/s[0])
 	if weight*s[0] <= m.n {
 		return
 	}
@@ -35,10 +54,23 @@
 }
 
 // Adopt replaces the estimate by that of another coordinator if that has observed the
-// engine for longer.
+// engine for longer and can be one.
 func (s *Speed) Adopt(ratio float64, expected, now time.Duration) {
-	if expected.Seconds() <= s.expected {
+	if expected.Seconds() <= s.expected || !stat.InRange(ratio, 1.0/maxAdoptedRatio, maxAdoptedRatio) {
 		return
 	}
 	*s = Speed{elapsed: ratio * expected.Seconds(), expected: expected.Seconds(), observedAt: now}
 }
+
+// isValid reports whether samples can have such sums.
+func (s Moments) isValid() bool {
+	for _, v := range s {
+		if !stat.InRange(v, 0, math.MaxFloat64) {
+			return false
+		}
+	}
+	n, r, p, t, rr, rp, pp := s[0], s[1], s[2], s[3], s[4], s[5], s[6]
+	const upTo = 1 + rounding
+	return n > 0 && t > 0 && t <= maxAdoptedEvent*n &&
+		r*r <= upTo*n*rr && p*p <= upTo*n*pp && rp*rp <= upTo*rr*pp
+}
--- a/internal/enginespeed/speed.go
+++ b/internal/enginespeed/speed.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// window is the time constant of the estimate. It spans several stalls of an
+	// Window is the time constant of the estimate. It spans several stalls of an
 	// engine, which last some hundreds of milliseconds.
-	window = 4 * time.Second
+	Window = 4 * time.Second
 	// maxIdle limits the time between two observations that counts for the decay, so
 	// that an engine that runs nothing keeps its estimate.
 	maxIdle = 200 * time.Millisecond
@@ -59,7 +59,7 @@
 		return false
 	}
 	idle := min(max(now-s.observedAt, 0), maxIdle)
-	decay := math.Exp(-idle.Seconds() / window.Seconds())
+	decay := math.Exp(-idle.Seconds() / Window.Seconds())
 	s.elapsed = s.elapsed*decay + expected.Seconds()*s.bounded(ratio)
 	s.expected = s.expected*decay + expected.Seconds()
 	s.observedAt = now
--- a/internal/schedule/measured.go
+++ b/internal/schedule/measured.go
@@ -1,6 +1,12 @@
 package schedule
 
-import "github.com/beechhead/beechhead/internal/batching"
+import (
+	"github.com/beechhead/beechhead/internal/batching"
+	"github.com/beechhead/beechhead/internal/stat"
+)
+
+// maxLogLength limits the logarithm of the length of a response: it is e to the 20.
+const maxLogLength = 20
 
 // Measured is what a cell has measured of its engines and classes. It is handed on to
 // the next coordinator.
@@ -48,9 +54,14 @@
 			continue
 		}
 		c.pool.AdoptClass(&q.Class, class.ClassEstimate, m.Age)
-		if h := c.estimates.classes[class.Class]; class.Lengths > 0 && (h == nil || h.n < class.Lengths) {
+		if h := c.estimates.classes[class.Class]; class.hasLengths() && (h == nil || h.n < class.Lengths) {
 			c.estimates.classes[class.Class] = &history{mean: class.LengthMean, variance: class.LengthVariance, n: class.Lengths}
 		}
 	}
 	return true
 }
+
+// hasLengths reports whether lengths of responses can have such a mean and variance.
+func (m *MeasuredClass) hasLengths() bool {
+	return m.Lengths > 0 && stat.InRange(m.LengthMean, 0, maxLogLength) && stat.InRange(m.LengthVariance, 0, maxLogLength*maxLogLength)
+}
