Guess no run time in small pools

Cause: until 20 requests of a class have ended, they were assumed to run for 2 s at least. In a pool of a few engines the guess reserves one that the others need.

Change: pools of fewer than 8 engines go by what was measured.

--- a/internal/batching/class.go
+++ b/internal/batching/class.go
@@ -65,7 +65,7 @@
 	switch {
 	case q.runTime.N == 0:
 		return initialRunTime.Seconds()
-	case q.runTime.N < minRunTimes && !p.isDisabled(InitialDecode):
+	case q.runTime.N < minRunTimes && len(p.engines) >= minGuessEngines && !p.isDisabled(InitialDecode):
 		return max(initialRunTime.Seconds(), q.runTime.Value)
 	}
 	return q.runTime.Value
--- a/internal/batching/decode.go
+++ b/internal/batching/decode.go
@@ -35,6 +35,9 @@
 	// stream until minRunTimes have completed: the first to complete are the shortest.
 	initialRunTime = 2 * time.Second
 	minRunTimes    = 20
+	// minGuessEngines is the number of engines below which that is not assumed: one
+	// that is reserved too many is a large share of them.
+	minGuessEngines = 8
 	// minStreams is the number of streams below which none are expected: a rate of
 	// arrivals decays and never becomes zero.
 	minStreams = 0.01
--- a/internal/batching/speed_test.go
+++ b/internal/batching/speed_test.go
@@ -206,3 +206,15 @@
 		t.Errorf("ten events are expected to take %v, want 900ms", got)
 	}
 }
+
+// Guards against guesses that reserve most of a small pool: one engine too many is a
+// large share of it.
+func TestSmallPoolsGuessNoRunTime(t *testing.T) {
+	for engines, want := range map[int]float64{2: 0.3, 3: 0.3, 4: 0.3, 6: 0.3, 60: 2} {
+		p, urgent := newSpeedPool(engines)
+		urgent.RecordRunTime(300 * time.Millisecond)
+		if got := p.meanRunTime(urgent); got != want {
+			t.Errorf("%d engines: a run is assumed to take %.1f s, want %.1f s", engines, got, want)
+		}
+	}
+}
