--- a/internal/batching/class.go
+++ b/internal/batching/class.go
@@ -65,7 +65,7 @@
 	switch {
 	case q.runTime.N == 0:
 		return initialRunTime.Seconds()
-	case q.runTime.N < minRunTimes && !p.isDisabled(InitialDecode):
+	case q.runTime.N < minRunTimes && len(p.engines) >= minGuessEngines && !p.isDisabled(InitialDecode):
 		return max(initialRunTime.Seconds(), q.runTime.Value)
 	}
 	return q.runTime.Value
@@ -84,12 +84,12 @@
 
 // protectionThreshold returns the share of delayed streams above which the
 // class's streams are protected. It is lower for a class that is protected
-// already, so that the state does not oscillate, and zero while no stream has shown
+// already, so that the state does not oscillate, and lowest while no stream has shown
 // yet what prefills do to it.
 func (p *Pool) protectionThreshold(q *Class) float64 {
 	switch {
 	case p.isInitial():
-		return 0
+		return initialProtectThreshold
 	case q.protected:
 		return unprotectThreshold
 	}
--- a/internal/batching/decode.go
+++ b/internal/batching/decode.go
@@ -35,6 +35,9 @@
 	// stream until minRunTimes have completed: the first to complete are the shortest.
 	initialRunTime = 2 * time.Second
 	minRunTimes    = 20
+	// minGuessEngines is the number of engines below which that is not assumed: one
+	// that is reserved too many is a large share of them.
+	minGuessEngines = 8
 	// minStreams is the number of streams below which none are expected: a rate of
 	// arrivals decays and never becomes zero.
 	minStreams = 0.01
@@ -167,7 +170,8 @@
 }
 
 // splitEngines returns how many engines to reserve for decoding when protected
-// streams are separated from long prefills. Each of the two gets at least one.
+// streams are separated from long prefills. Each of the two gets at least one. While
+// no stream has shown that they have to be, the share of the engines is limited.
 //
 // If the recent peaks of both exceed the engines, the present demand is used
 // instead: engines reserved for streams that may return would delay prefills that
@@ -179,7 +183,11 @@
 		long = max(1, p.currentLongPrefill(now)/longPrefillUtilization)
 		streams *= all / (streams + long)
 	}
-	return min(max(int(math.Round(streams)), 1), engines-1)
+	most := engines - 1
+	if p.isInitial() {
+		most = min(most, int(maxDecodeShare*float64(engines)))
+	}
+	return min(max(int(math.Round(streams)), 1), most)
 }
 
 // currentLongPrefill returns the demand for long prefills that arrive and wait,
