--- a/internal/batching/speed.go
+++ b/internal/batching/speed.go
@@ -22,6 +22,10 @@
 // estimates.
 const decodeSpeedRatio = 1.4
 
+// maxWorkDeviation limits a sample of the work relative to the expected time. A change
+// that lasts is followed nevertheless.
+const maxWorkDeviation = 2
+
 // streamMark is the state of a stream and its engine at the beginning of a period.
 type streamMark struct {
 	set     bool
@@ -125,8 +129,23 @@
 		Prefill: e.prefilled - m.prefilled,
 	}
 	took := elapsed - m.elapsed
-	e.speed.Observe(took, p.speed.work.Predict(work), now)
-	p.speed.work.Observe(work, stat.Seconds(took.Seconds()/e.slowdown))
+	p.observeWork(e, work, took, now)
 	e.mark(g, events, elapsed)
 	p.measuredAt, p.hasMeasured = now, true
 }
+
+// observeWork records how long an engine has taken for some work. What its speed
+// ignores teaches the model nothing either: in a silence of all engines, every period
+// is an outlier.
+func (p *Pool) observeWork(e *Engine, work enginespeed.Work, took, now time.Duration) {
+	expected := p.speed.work.Predict(work)
+	counted := e.speed.Observe(took, expected, now)
+	atMedian := stat.Seconds(took.Seconds() / e.slowdown)
+	if expected > 0 {
+		if !counted {
+			return
+		}
+		atMedian = min(atMedian, maxWorkDeviation*expected)
+	}
+	p.speed.work.Observe(work, atMedian)
+}
--- a/internal/batching/speed_test.go
+++ b/internal/batching/speed_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/beechhead/beechhead/internal/enginespeed"
 	"github.com/beechhead/beechhead/internal/interference"
 )
 
@@ -139,6 +140,73 @@
 	}
 }
 
+// Guards against taking a silence of all engines for the time that their work needs:
+// afterwards, engines would differ from it by how soon they are observed again.
+func TestSilenceTeachesNoWork(t *testing.T) {
+	p, _ := newSpeedPool(20)
+	for _, e := range p.engines {
+		e.speed = enginespeed.Speed{}
+	}
+	const event = 30 * time.Millisecond
+	now := time.Second
+	// Each engine runs several streams, which report alternately.
+	streams := make([]RequestState, 160)
+	observe := func(silence time.Duration) {
+		for i := range streams {
+			e, g := p.engines[i%len(p.engines)], &streams[i]
+			elapsed := 10*event + silence
+			e.mark(g, 0, 0)
+			p.RecordProgress(e, g, 10, elapsed, now)
+		}
+		p.reviewSpeeds()
+	}
+	for range 20 {
+		now += 10 * event
+		observe(0)
+	}
+	now += 5 * time.Second
+	observe(5 * time.Second)
+	work := enginespeed.Work{Events: 1}
+	if got := p.speed.work.Predict(work); got > event*11/10 {
+		t.Errorf("after a silence of all engines an event is expected to take %v, want %v", got, event)
+	}
+	for range 20 {
+		now += 10 * event
+		observe(0)
+	}
+	for i, e := range p.engines {
+		if e.slowdown != 1 {
+			t.Errorf("the slowdown of engine %d is %.2f", i, e.slowdown)
+		}
+	}
+}
+
+// Guards against never learning that all engines have become slow, as their first
+// periods are ignored and the later ones are limited.
+func TestLastingSlownessOfAllIsLearned(t *testing.T) {
+	p, _ := newSpeedPool(20)
+	work := enginespeed.Work{Events: 10}
+	now := time.Second
+	observe := func(took time.Duration, rounds int) {
+		for range rounds {
+			now += took
+			for _, e := range p.engines {
+				p.observeWork(e, work, took, now)
+			}
+		}
+		p.reviewSpeeds()
+	}
+	for _, e := range p.engines {
+		e.speed = enginespeed.Speed{}
+	}
+	p.reviewSpeeds()
+	observe(300*time.Millisecond, 40)
+	observe(900*time.Millisecond, 100)
+	if got := p.speed.work.Predict(work); got < 800*time.Millisecond || got > time.Second {
+		t.Errorf("ten events are expected to take %v, want 900ms", got)
+	}
+}
+
 // Guards against guesses that reserve most of a small pool: one engine too many is a
 // large share of it.
 func TestSmallPoolsGuessNoRunTime(t *testing.T) {
--- a/internal/enginespeed/speed.go
+++ b/internal/enginespeed/speed.go
@@ -48,20 +48,22 @@
 }
 
 // Observe records that work for which an engine of median speed would have needed
-// the expected time has taken the elapsed time.
-func (s *Speed) Observe(elapsed, expected, now time.Duration) {
+// the expected time has taken the elapsed time. It returns false if that is ignored as
+// an outlier, or if nothing was expected.
+func (s *Speed) Observe(elapsed, expected, now time.Duration) bool {
 	if elapsed <= 0 || expected <= 0 {
-		return
+		return false
 	}
 	ratio := elapsed.Seconds() / expected.Seconds()
 	if s.isOutlier(ratio, now-elapsed, now) {
-		return
+		return false
 	}
 	idle := min(max(now-s.observedAt, 0), maxIdle)
 	decay := math.Exp(-idle.Seconds() / Window.Seconds())
 	s.elapsed = s.elapsed*decay + expected.Seconds()*s.bounded(ratio)
 	s.expected = s.expected*decay + expected.Seconds()
 	s.observedAt = now
+	return true
 }
 
 // isOutlier reports whether a ratio that was observed from begin to now is too far from
