--- a/internal/batching/speed.go
+++ b/internal/batching/speed.go
@@ -103,8 +103,8 @@
 	if len(s.slowdowns) == 0 {
 		return 0
 	}
-	slower, _ := slices.BinarySearch(s.slowdowns, slowdown)
-	return 1 - float64(slower)/float64(len(s.slowdowns))
+	notSlower, _ := slices.BinarySearch(s.slowdowns, slowdown)
+	return 1 - float64(notSlower)/float64(len(s.slowdowns))
 }
 
 // InheritSpeed takes over the speed of the engine that has run on the same hardware
