Run the long replays of the tests in parallel

Cause: the package's tests take 56 s one after the other, and with the race detector on a busy machine more than seven minutes.

Change: the tests that play for seconds run in parallel; they share nothing.

--- a/internal/replay/ageing_test.go
+++ b/internal/replay/ageing_test.go
@@ -9,6 +9,7 @@
 // Guards against ageing that spends scarce slots on requests which are late
 // already, while a burst of long prompts meets few engines.
 func TestAgeingCostsLittleInABurst(t *testing.T) {
+	t.Parallel()
 	const (
 		seeds = 4
 		// slack is what ageing may cost the class that it serves.
--- a/internal/replay/cells_test.go
+++ b/internal/replay/cells_test.go
@@ -33,6 +33,7 @@
 // Guards against requests that are divided among the cells of a pool at random: each
 // cell then reads what another one has cached.
 func TestPromptsThatShareAPrefixMeetInOneCell(t *testing.T) {
+	t.Parallel()
 	const cells = 4
 	var random, byPrefix, byClass []*Scenario
 	for i := range cells {
--- a/internal/replay/overload_test.go
+++ b/internal/replay/overload_test.go
@@ -21,6 +21,7 @@
 // decode so slowly that streams run until their callers leave, and the slots and the
 // decoding are spent in vain.
 func TestGoodputHoldsUnderOverload(t *testing.T) {
+	t.Parallel()
 	const (
 		// kept is the part of the best goodput that must be left.
 		kept = 0.9
@@ -45,6 +46,7 @@
 // engines prompts as if they ran nothing, and the streams on them run until their callers
 // leave.
 func TestStreamsEndInTimeAcrossHandovers(t *testing.T) {
+	t.Parallel()
 	const seeds = 4
 	play := func(disabled ...schedule.Mechanism) (sum ClassResult) {
 		s := overloaded(t, 1.5)
--- a/internal/replay/random_test.go
+++ b/internal/replay/random_test.go
@@ -10,6 +10,7 @@
 // small and large batches, one engine or forty. On each the decisions must earn
 // about what the simplest rule does at least, and on all together clearly more.
 func TestRandomSitesAgainstTheSimplestRule(t *testing.T) {
+	t.Parallel()
 	const (
 		sites = 50
 		// slack is what chance may cost on a single site.
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -94,6 +94,7 @@
 // Guards against long prompts that fill all engines before a burst of urgent
 // streams, while a quarter of the engines is down.
 func TestLongPromptsLeaveUrgentStreamsInTime(t *testing.T) {
+	t.Parallel()
 	s := scenario(t, "long-prompts")
 	const seeds = 3
 	urgent, all := 0.0, 0.0
@@ -116,6 +117,7 @@
 // beside them. Before such reads were kept apart, a third of the quick answers
 // was late that way.
 func TestLongReadsDoNotBreakQuickAnswers(t *testing.T) {
+	t.Parallel()
 	for name, wanted := range map[string]float64{"slow-readers": 0.93, "slow-readers-large": 0.89} {
 		s := scenario(t, name)
 		quick, all := 0.0, 0.0
@@ -151,6 +153,7 @@
 // Guards against bodies that cross availability zones for parts of prompts, though each
 // zone has engines that could serve them.
 func TestFewBytesCrossZones(t *testing.T) {
+	t.Parallel()
 	s := scenario(t, "uneven-engines")
 	const seeds = 4
 	crossed, before, with, without := 0, 0, 0.0, 0.0
@@ -175,6 +178,7 @@
 // of a part with much of the load, for the sake of bytes: each load must earn about as
 // much as where bytes do not count.
 func TestUnevenZones(t *testing.T) {
+	t.Parallel()
 	for name, change := range map[string]func(*Scenario){
 		"a zone loses half of its engines": func(s *Scenario) { s.Crashes = []Crash{{At: s.Duration / 3, For: s.Duration, Count: 10, Zone: 1}} },
 		"callers move to another zone": func(s *Scenario) {
--- a/internal/replay/uneven_test.go
+++ b/internal/replay/uneven_test.go
@@ -13,6 +13,7 @@
 // differ in speed, from the first arrivals on: those with the shortest gap target are
 // kept on fast engines, at no cost for all classes together.
 func TestUnevenEnginesServeUrgentStreams(t *testing.T) {
+	t.Parallel()
 	const (
 		seeds  = 2
 		wanted = 0.95
@@ -54,6 +55,7 @@
 // until it has measured the engines again: three changes must not cost them more than
 // chance does.
 func TestHandedEstimatesServeUrgentStreams(t *testing.T) {
+	t.Parallel()
 	const (
 		seeds = 2
 		slack = 0.02
