--- /dev/null
+++ b/review/tools/cases.go
@@ -0,0 +1,258 @@
+package main
+
+import (
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Doses of the disruptions, none above what the pages name.
+const (
+	// garbleShare is the part of an instance's answers that are spoiled or sent twice.
+	garbleShare = 0.03
+	// shedShare is the part of its requests that an instance sheds.
+	shedShare = 0.4
+	// troubleTime is how long a disruption lasts.
+	troubleTime = 5 * time.Second
+)
+
+// dose counts answers, and says which of them are spoiled.
+type dose struct {
+	mu              sync.Mutex
+	answers, chosen int
+}
+
+// take counts an answer and reports whether it may be spoiled.
+func (d *dose) take(wanted bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.answers++
+	if !wanted || float64(d.chosen+1) > garbleShare*float64(d.answers) {
+		return false
+	}
+	d.chosen++
+	return true
+}
+
+// playCrash has one of three instances of the plain service send, for a few of its answers,
+// bytes that are no response: a status line with the code 000.
+func playCrash(root string, rec *recorder, trouble bool) (int, error) {
+	const faulty = "i-a0"
+	var on atomic.Bool
+	var spoiled dose
+	s, err := newSite(root, rec, 3, 2, 3, func(s *site) {
+		s.byID(faulty).spoil = func(c net.Conn, r *arrived) (done, keep bool) {
+			if !on.Load() || !spoiled.take(true) {
+				return false, false
+			}
+			rec.logf("engine %s spoils its answer to %s", faulty, r.id)
+			_, _ = io.WriteString(c, "HTTP/1.1 000 \r\nContent-Length: 0\r\n\r\n")
+			return true, false
+		}
+	})
+	if s != nil {
+		defer s.close(false)
+	}
+	if err != nil {
+		return cannot, err
+	}
+	callers := newCallers(s)
+	callers.begin(12, "pay", 60*time.Millisecond)
+	callers.begin(12, "look", 60*time.Millisecond)
+	callers.begin(24, "draft", 60*time.Millisecond)
+	time.Sleep(4 * time.Second)
+	on.Store(trouble)
+	time.Sleep(troubleTime)
+	on.Store(false)
+	time.Sleep(3 * time.Second)
+	calls := callers.end()
+	lost, answered := 0, 0
+	for _, one := range calls {
+		if one.status > 0 {
+			answered++
+		}
+		if one.kept && one.closed && one.status == 0 && s.arrivedElsewhere(one.id, faulty) {
+			lost++
+			rec.logf("request %s from a kept connection was passed on to a sound engine and closed without an answer", one.id)
+		}
+	}
+	ends := 0
+	for _, d := range s.daemons {
+		ends += d.endsByItself()
+	}
+	summary(rec, "%d calls, %d answered; %d from kept connections passed on to sound engines and closed without an answer; processes that ended by themselves: %d", len(calls), answered, lost, ends)
+	switch {
+	case answered == 0:
+		return cannot, nil
+	case lost > 3:
+		return broken, nil
+	}
+	return held, nil
+}
+
+// arrivedElsewhere reports whether a request has reached an engine other than the given one.
+func (s *site) arrivedElsewhere(id, faulty string) bool {
+	for _, e := range s.engines {
+		if e.id != faulty && e.arrivedAt(id) {
+			return true
+		}
+	}
+	return false
+}
+
+// repeatDelay is how much later an instance sends an answer for the second time.
+const repeatDelay = 40 * time.Millisecond
+
+// playTwice has two of three instances of the plain service shed a part of their requests,
+// and send a few of these refusals twice, the second time a moment later.
+func playTwice(root string, rec *recorder, trouble bool) (int, error) {
+	var on atomic.Bool
+	s, err := newSite(root, rec, 3, 2, 3, func(s *site) {
+		for _, id := range []string{"i-a0", "i-a1"} {
+			e, repeated := s.byID(id), &dose{}
+			e.refuses = func(*arrived) bool { return on.Load() && rand.Float64() < shedShare }
+			e.after = func(c net.Conn, r *arrived, answer []byte) {
+				if !on.Load() || !repeated.take(r.shed) {
+					return
+				}
+				go func() {
+					time.Sleep(repeatDelay)
+					rec.logf("engine %s conn %d sends its refusal of %s again", e.id, r.conn, r.id)
+					_, _ = c.Write(answer)
+				}()
+			}
+		}
+	})
+	if s != nil {
+		defer s.close(false)
+	}
+	if err != nil {
+		return cannot, err
+	}
+	callers := newCallers(s)
+	callers.begin(30, "pay", 60*time.Millisecond)
+	time.Sleep(3 * time.Second)
+	on.Store(trouble)
+	time.Sleep(troubleTime)
+	on.Store(false)
+	time.Sleep(3 * time.Second)
+	calls := callers.end()
+	twice, refused, answered := 0, 0, 0
+	for _, one := range calls {
+		runs := 0
+		for _, e := range s.engines {
+			runs += e.runsOf(one.id)
+		}
+		if one.status > 0 {
+			answered++
+		}
+		if runs > 1 {
+			twice++
+			rec.logf("request %s has run %d times", one.id, runs)
+		}
+		if (one.status == 503 || one.status == 429) && runs > 0 {
+			refused++
+			rec.logf("request %s has run and was answered %d", one.id, one.status)
+		}
+	}
+	summary(rec, "%d unsafe calls, %d answered; %d ran more than once; %d ran and were refused", len(calls), answered, twice, refused)
+	switch {
+	case answered == 0:
+		return cannot, nil
+	case twice > 0 || refused > 0:
+		return broken, nil
+	}
+	return held, nil
+}
+
+const (
+	// drainTime is drain-ms, extraTime how much longer a leaving engine serves.
+	drainTime = 2 * time.Second
+	extraTime = time.Second
+	// configTime is config-ms.
+	configTime = 2 * time.Second
+)
+
+// playExit has two model engines leave, one after the other: they report draining, serve for
+// drain-ms and a little longer, take no new connections, end what they run, and exit. Their
+// streams have no length. The daemons get SIGHUP meanwhile.
+func playExit(root string, rec *recorder, trouble bool) (int, error) {
+	s, err := newSite(root, rec, 3, 4, 2, func(s *site) {
+		for _, e := range s.engines {
+			if e.service == "llm" {
+				e.unframed, e.events, e.gap = true, 100, 45*time.Millisecond
+			}
+		}
+	})
+	if s != nil {
+		defer s.close(false)
+	}
+	if err != nil {
+		return cannot, err
+	}
+	callers := newCallers(s)
+	callers.begin(120, "draft", 2*time.Second)
+	time.Sleep(8 * time.Second)
+	var hups []time.Time
+	for _, id := range []string{"i-m0", "i-m1"} {
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if trouble {
+				s.release(s.byID(id), drainTime+extraTime)
+			}
+		}()
+		time.Sleep(drainTime + extraTime/2)
+		hups = append(hups, time.Now())
+		for _, d := range s.daemons {
+			d.signal(syscall.SIGHUP)
+		}
+		<-done
+		time.Sleep(3 * time.Second)
+	}
+	calls := callers.end()
+	whole, cut := 0, 0
+	for _, one := range calls {
+		if one.complete {
+			whole++
+			continue
+		}
+		if one.status == 200 && s.sentWhole(one.id) && besideSIGHUP(one, hups) {
+			cut++
+			rec.logf("stream %s was sent whole by its engine and broken off by %s", one.id, one.daemon)
+		}
+	}
+	summary(rec, "%d streams, %d whole; %d beside SIGHUP that were sent whole by their engines and broken off", len(calls), whole, cut)
+	switch {
+	case whole == 0:
+		return cannot, nil
+	case cut > 0:
+		return broken, nil
+	}
+	return held, nil
+}
+
+// besideSIGHUP reports whether a call was sent up to config-ms after a SIGHUP, and ended
+// after it.
+func besideSIGHUP(one *call, hups []time.Time) bool {
+	for _, at := range hups {
+		if one.sent.Before(at.Add(configTime)) && one.ended.After(at) {
+			return true
+		}
+	}
+	return false
+}
+
+// sentWhole reports whether an engine has sent the whole stream.
+func (s *site) sentWhole(id string) bool {
+	for _, e := range s.engines {
+		if e.sentWhole(id) {
+			return true
+		}
+	}
+	return false
+}
