Shed less in the case of the late refusal

Change: the instances shed 0.1 of their requests, and the script counts only TWICE, the rule that the claim names.

--- a/review/tools/cases.go
+++ b/review/tools/cases.go
@@ -15,7 +15,7 @@
 	// garbleShare is the part of an instance's answers that are spoiled or sent twice.
 	garbleShare = 0.03
 	// shedShare is the part of its requests that an instance sheds.
-	shedShare = 0.4
+	shedShare = 0.1
 	// troubleTime is how long a disruption lasts.
 	troubleTime = 5 * time.Second
 )
@@ -163,7 +163,7 @@
 	switch {
 	case answered == 0:
 		return cannot, nil
-	case twice > 0 || refused > 0:
+	case twice > 0:
 		return broken, nil
 	}
 	return held, nil
