Show that taking the last key away opens all routes

Cause: gateway.match asks for no key if the catalog has no accounts. When the operator removes the last account, its key, those removed before and any other are accepted, without an account's name, by all daemons.

--- a/review/tools/cases.go
+++ b/review/tools/cases.go
@@ -4,6 +4,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -256,3 +257,140 @@
 	}
 	return false
 }
+
+const (
+	// revokeTime is revoke-ms.
+	revokeTime = 5 * time.Second
+	otherKey   = "anfqasnmgkcuyj8pjbvk"
+	strayKey   = "zz0strayzz0strayzz0s"
+)
+
+// playKeys has the operator remove two client accounts with their keys, one after the other,
+// while their clients are connected. The second is the last one. A third client uses a key
+// that no configuration has held.
+func playKeys(root string, rec *recorder, trouble bool) (int, error) {
+	account := func(name, key string) any {
+		return map[string]any{"name": name, "api-keys": []any{key}, "priority": 1}
+	}
+	s, err := newSite(root, rec, 3, 2, 3, func(s *site) {
+		s.config["tenants"] = []any{account(tenant, apiKey), account("fida11", otherKey)}
+	})
+	if s != nil {
+		defer s.close(false)
+	}
+	if err != nil {
+		return cannot, err
+	}
+	all := map[string]*callers{}
+	for _, key := range []string{apiKey, otherKey, strayKey} {
+		all[key] = newCallersWith(s, key)
+		all[key].begin(4, "pay", 100*time.Millisecond)
+		all[key].begin(4, "look", 100*time.Millisecond)
+	}
+	// revoked has when the configuration was acknowledged that took a key away; a key
+	// that was never held counts from the start.
+	revoked := map[string]time.Time{strayKey: time.Now().Add(-time.Hour)}
+	configure := func(version int, key string, tenants []any) {
+		s.config["version"], s.config["tenants"] = version, tenants
+		s.store.put("op", "config", s.config)
+		revoked[key] = time.Now()
+		rec.logf("configuration %d is acknowledged; it has taken key %s away", version, key)
+	}
+	time.Sleep(3 * time.Second)
+	configure(9, otherKey, []any{account(tenant, apiKey)})
+	time.Sleep(revokeTime + 3*time.Second)
+	if trouble {
+		configure(12, apiKey, []any{})
+	}
+	time.Sleep(revokeTime + 3*time.Second)
+	ran, served := map[string]int{}, 0
+	for key, clients := range all {
+		for _, one := range clients.end() {
+			at, taken := revoked[key]
+			late := taken && one.sent.After(at.Add(revokeTime))
+			if one.status == 200 && !late {
+				served++
+			}
+			if late && s.hasRun(one.id) {
+				ran[key]++
+				rec.logf("request %s with key %s was sent %.3f s after the configuration without it, and has run", one.id, key, one.sent.Sub(at).Seconds())
+			}
+		}
+	}
+	summary(rec, "%d calls served in time; sent over revoke-ms after the configuration that took their key away, and run: %d with the first key removed, %d with the last; run with a key that no configuration held: %d",
+		served, ran[otherKey], ran[apiKey], ran[strayKey])
+	switch {
+	case served == 0:
+		return cannot, nil
+	case ran[otherKey]+ran[apiKey] > 0:
+		return broken, nil
+	}
+	return held, nil
+}
+
+// hasRun reports whether an engine has run a request.
+func (s *site) hasRun(id string) bool {
+	for _, e := range s.engines {
+		if e.runsOf(id) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// playStranger has another writer put an entry into the list of engines in which most fields
+// are missing. At its address is a server that is no engine and knows none of the paths.
+func playStranger(root string, rec *recorder, trouble bool) (int, error) {
+	s, err := newSite(root, rec, 3, 2, 3, func(s *site) {})
+	if s != nil {
+		defer s.close(false)
+	}
+	if err != nil {
+		return cannot, err
+	}
+	l, err := listen(s.network+".200", portWork)
+	if err != nil {
+		return cannot, err
+	}
+	var received atomic.Int64
+	go serveStranger(l, rec, &received)
+	callers := newCallers(s)
+	callers.begin(15, "pay", 80*time.Millisecond)
+	callers.begin(15, "look", 80*time.Millisecond)
+	time.Sleep(3 * time.Second)
+	if trouble {
+		s.store.put("servers", "other-1", map[string]any{"service": "app", "address": l.Addr().String(), "state": "ready"})
+		rec.logf("another writer has put an entry without zone, version, slots and sequence")
+	}
+	time.Sleep(8 * time.Second)
+	calls := callers.end()
+	denied, answered := 0, 0
+	for _, one := range calls {
+		if one.status == 200 {
+			answered++
+		}
+		switch {
+		case one.status/100 != 4 && one.status/100 != 3, one.status == 408, one.status == 421, one.status == 429:
+		case one.signature == "":
+			denied++
+			rec.logf("request %s is proper and was ended with %d", one.id, one.status)
+		}
+	}
+	summary(rec, "%d calls, %d served; %d proper ones ended with a 3xx or 4xx that is no engine's; %d requests reached the server that is no engine", len(calls), answered, denied, received.Load())
+	switch {
+	case answered == 0:
+		return cannot, nil
+	case float64(denied) > 5+float64(len(calls))/500:
+		return broken, nil
+	}
+	return held, nil
+}
+
+// serveStranger answers each request with 404.
+func serveStranger(l net.Listener, rec *recorder, received *atomic.Int64) {
+	_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		received.Add(1)
+		rec.logf("the server that is no engine gets %s %s id=%s tenant=%s", r.Method, r.URL.Path, r.Header.Get("Beechhead-Request-Id"), r.Header.Get("Beechhead-Tenant-Id"))
+		http.NotFound(w, r)
+	}))
+}
--- a/review/tools/client.go
+++ b/review/tools/client.go
@@ -17,6 +17,8 @@
 // call is one attempt of a client and what came of it.
 type call struct {
 	id, kind, daemon string
+	// key is the API key that is sent.
+	key string
 	// kept is set if the connection had carried an answer before.
 	kept        bool
 	sent, ended time.Time
@@ -32,13 +34,20 @@
 // callers are the clients of a run.
 type callers struct {
 	site *site
+	// key is the API key of these clients.
+	key  string
 	mu   sync.Mutex
 	all  []*call
 	wg   sync.WaitGroup
 	stop chan struct{}
 }
 
-func newCallers(s *site) *callers { return &callers{site: s, stop: make(chan struct{})} }
+func newCallers(s *site) *callers { return newCallersWith(s, apiKey) }
+
+// newCallersWith returns clients with a key of their own.
+func newCallersWith(s *site, key string) *callers {
+	return &callers{site: s, key: key, stop: make(chan struct{})}
+}
 
 // begin starts n clients that send requests of a kind one after the other over kept
 // connections, with a pause in between.
@@ -87,7 +96,7 @@
 			}
 			reader, kept = bufio.NewReader(conn), false
 		}
-		one := &call{id: newID(), kind: kind, daemon: d.name, kept: kept}
+		one := &call{id: newID(), kind: kind, daemon: d.name, kept: kept, key: c.key}
 		keep := c.do(conn, reader, one)
 		c.mu.Lock()
 		c.all = append(c.all, one)
@@ -149,7 +158,7 @@
 		method, body = "GET", ""
 	}
 	fmt.Fprintf(&b, "%s /%s/%s HTTP/1.1\r\nHost: %s\r\nBeechhead-Request-Id: %s\r\nBeechhead-Deadline-Ms: %d\r\nApi-Key: %s\r\n",
-		method, one.kind, one.id, hostName, one.id, deadlines[one.kind].Milliseconds(), apiKey)
+		method, one.kind, one.id, hostName, one.id, deadlines[one.kind].Milliseconds(), one.key)
 	if one.kind == "chat" || one.kind == "draft" {
 		fmt.Fprintf(&b, "Beechhead-Model: m\r\nBeechhead-Token-Usage: 900,120\r\nBeechhead-Prefix-Hash: 5c1e07a2:120,%x:80,%s:700\r\n", rand.UintN(200)+1, one.id)
 	}
@@ -165,7 +174,7 @@
 func (c *callers) do(conn net.Conn, reader *bufio.Reader, one *call) (keep bool) {
 	rec := c.site.rec
 	one.sent = time.Now()
-	rec.logf("client sends %s %s to %s", one.kind, one.id, one.daemon)
+	rec.logf("client sends %s %s to %s with key %s", one.kind, one.id, one.daemon, one.key)
 	defer func() {
 		one.ended = time.Now()
 		rec.logf("client has of %s: status=%d complete=%t closed=%t signature=%q err=%v", one.id, one.status, one.complete, one.closed, one.signature, one.err)
