End only its own request when an attempt panics

Cause: attempts run in goroutines of their own, in internal/forward and internal/dispatch, and nothing recovers a panic there. A panic in a handler of the gateway ended one request, but without an answer, a count or a visible line.

Fix: an attempt that panics ends with a refusal that is true (not run if nothing was sent, else unknown), is counted, logged with its stack and not repeated. The slot is released, the connection closed, and mu is only held under defers. headSent is set once the head was written, so that a panic in Head still gets an answer. Attempts that a panic in the handler leaves in progress may not write any more. Goroutines that serve no single request still end the daemon, since what they share may be damaged.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -154,7 +156,8 @@
 	a.release(o)
 }
 
-func (a *attempt) exchange() error {
+func (a *attempt) exchange() (err error) {
+	defer a.recoverPanic(&err)
 	if a.prepareErr != nil {
 		return outcome.NotRunError(outcome.ReasonBadRequest, a.prepareErr.Error())
 	}
@@ -168,6 +171,24 @@
 	return a.run.content.exchange(a)
 }
 
+// recoverPanic ends an attempt that panics, and its request with it, instead of the daemon.
+// A refusal is not retried: another attempt would panic as well. It must be deferred.
+func (a *attempt) recoverPanic(err *error) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	d := a.run.d
+	d.metrics.Inc("panics")
+	d.Logger.Error("panic", "panic", fmt.Sprint(p), "request", a.run.id, "stack", string(debug.Stack()))
+	if a.began.IsZero() {
+		*err = outcome.NotRunError(outcome.ReasonInternal, "an internal error")
+		return
+	}
+	a.maybeExecuted = true
+	*err = outcome.UnknownError(outcome.ReasonInternal, "an internal error; the request may have been executed")
+}
+
 // tell hands an event to the run, which receives it when it has handled the one
 // before. It returns an error if the attempt was cancelled.
 func (a *attempt) tell(kind eventKind, data []byte) error {
@@ -270,7 +291,7 @@
 		return peerv1.ReleaseOutcome_RELEASE_OUTCOME_DONE
 	}
 	switch reasonOf(err) {
-	case outcome.ReasonCallerGone:
+	case outcome.ReasonCallerGone, outcome.ReasonInternal:
 		return peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE
 	case outcome.ReasonPreempted:
 		return peerv1.ReleaseOutcome_RELEASE_OUTCOME_PREEMPTED
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -114,25 +114,31 @@
 	if c.err = c.reserve(); c.err != nil {
 		return
 	}
-	r := c.run
-	began := r.f.Clock.Now()
+	began := c.run.f.Clock.Now()
 	c.result = c.exchange()
+	report := c.finish(began)
+	if c.activity != nil {
+		c.activity.End()
+	}
+	c.grant.Release(report)
+}
+
+// finish marks the exchange as over and returns the report for the coordinator.
+func (c *call) finish(began time.Time) placement.Report {
+	r := c.run
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	if c.superseded {
 		c.result = c.supersededResult()
 	}
 	c.endLate()
 	c.over = true
-	report := placement.Report{Outcome: c.result.report, Duration: r.f.Clock.Since(began), Tokens: c.events}
-	r.mu.Unlock()
-	if c.activity != nil {
-		c.activity.End()
-	}
-	c.grant.Release(report)
+	return placement.Report{Outcome: c.result.report, Duration: r.f.Clock.Since(began), Tokens: c.events}
 }
 
 // exchange sends the request to the endpoint and forwards the response.
-func (c *call) exchange() attemptResult {
+func (c *call) exchange() (e attemptResult) {
+	defer c.recoverPanic(func(refusal *outcome.Refusal) { e = panickedResult(refusal) })
 	r := c.run
 	endpoint := &c.grant.Endpoint
 	x, err := r.f.Pool.Send(c.ctx, address(endpoint), c.request())
@@ -142,8 +148,10 @@
 	c.via = x.Via()
 	stop := context.AfterFunc(c.ctx, x.Abort)
 	defer stop()
+	// Closes the connection if the exchange has neither finished nor been aborted.
+	defer x.Abort()
 	c.markSent()
-	e := c.readResponse(x)
+	e = c.readResponse(x)
 	if e.err == nil {
 		return e
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -164,15 +164,16 @@
 	if err := c.takeWhole(a); err != nil {
 		return failedResult(outcome.ReasonEndpointFailed, err)
 	}
-	if err := r.forwardResponse(a); err != nil {
+	if err := r.sink.Body(a.body); err != nil {
 		return callerGoneResult(err)
 	}
 	return forwardedResult(resp)
 }
 
-// takeWhole takes a whole response, or returns an error if it must not be forwarded. A
-// failure is kept, in case that no other endpoint answers. So is any response other than
-// events to a stream that has begun, or that another endpoint may still begin.
+// takeWhole forwards the head of a whole response, or returns an error if the response must
+// not be forwarded. A failure is kept, in case that no other endpoint answers. So is any
+// response other than events to a stream that has begun, or that another endpoint may still
+// begin.
 func (c *call) takeWhole(a *response) error {
 	r := c.run
 	r.mu.Lock()
@@ -188,7 +189,7 @@
 	c.takeLead()
 	c.progress()
 	c.writing = true
-	r.headSent = true
+	r.sendHead(a.status, a.header, int64(len(a.body)))
 	return nil
 }
 
@@ -233,8 +234,7 @@
 	}
 	c.progress()
 	c.writing = true
-	r.headSent = true
-	r.sink.Head(a.status, a.header, length)
+	r.sendHead(a.status, a.header, length)
 	return true
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -207,5 +207,6 @@
 	run.budget.Add()
 	defer run.endStreamRecord()
 	defer run.endTrial()
+	defer run.dropCalls()
 	return run.do(ctx)
 }
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -60,6 +61,12 @@
 	return refusal
 }
 
+// sendHead forwards the head of a response.
+func (r *run) sendHead(status int, h http.Header, length int64) {
+	r.sink.Head(status, h, length)
+	r.headSent = true
+}
+
 // forwardResponse forwards a response unchanged. The exception is a status code
 // that callers take to mean that the request was not run: the endpoint has not
 // confirmed that with a header, and callers would repeat a request that may have
@@ -68,7 +75,7 @@
 	if r.f.Protocol.ImpliesNotRun(a.status) {
 		return outcome.UnknownError(outcome.ReasonEndpointFailed, "the endpoint failed the request")
 	}
-	r.sink.Head(a.status, a.header, int64(len(a.body)))
+	r.sendHead(a.status, a.header, int64(len(a.body)))
 	if err := r.sink.Body(a.body); err != nil {
 		return errors.Wrap(ErrTruncated, err.Error())
 	}
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -32,7 +32,8 @@
 
 // reserve reserves a slot on an endpoint that, as far as this daemon knows,
 // accepts work.
-func (c *call) reserve() error {
+func (c *call) reserve() (err error) {
+	defer c.recoverPanic(func(refusal *outcome.Refusal) { err = refusal })
 	r := c.run
 	for {
 		backingOff, _ := r.f.Notices.BackingOff(r.req.Pool)
@@ -44,11 +45,7 @@
 			continue
 		}
 		usable, err := c.accept(grant, len(backingOff))
-		if usable {
-			return nil
-		}
-		grant.Release(placement.Report{Outcome: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE})
-		if err != nil {
+		if usable || err != nil {
 			return err
 		}
 		r.f.Metrics.Inc("places.unusable")
@@ -90,9 +87,14 @@
 	return request
 }
 
-// accept takes a granted slot and reports whether it may be used. It returns an error if
-// the request must not be sent any more.
+// accept takes a granted slot and reports whether it may be used; otherwise the slot is
+// released. It returns an error if the request must not be sent any more.
 func (c *call) accept(grant *placement.Grant, backingOff int) (usable bool, err error) {
+	defer func() {
+		if !usable {
+			grant.Release(placement.Report{Outcome: peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE})
+		}
+	}()
 	r := c.run
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -103,8 +105,8 @@
 		return false, refusal
 	}
 	if r.usable(&grant.Endpoint) {
-		c.grant = grant
 		r.recordPlaced(grant)
+		c.grant = grant
 		return true, nil
 	}
 	if r.excludes(&grant.Endpoint, backingOff) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -83,19 +83,17 @@
 		return failedResult(outcome.ReasonSuperseded, errSuperseded)
 	}
 	c.progress()
-	c.run.sendHead(resp)
+	c.run.sendStreamHead(resp)
 	x.Finish()
 	return forwardedResult(resp)
 }
 
-// sendHead forwards the head of the first response. The events of later ones
+// sendStreamHead forwards the head of the first response. The events of later ones
 // continue that response.
-func (r *run) sendHead(resp *http.Response) {
-	if r.headSent {
-		return
+func (r *run) sendStreamHead(resp *http.Response) {
+	if !r.headSent {
+		r.sendHead(resp.StatusCode, resp.Header, -1)
 	}
-	r.headSent = true
-	r.sink.Head(resp.StatusCode, resp.Header, -1)
 }
 
 // forwardEvents forwards complete events, except those that the caller has
@@ -156,7 +154,7 @@
 		return nil, errSuperseded
 	}
 	c.writing = true
-	r.sendHead(resp)
+	r.sendStreamHead(resp)
 	r.lastEvent = last
 	c.events += count
 	if r.events += count; r.events == count {
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -61,6 +64,8 @@
 	defer g.inProgress.Add(-1)
 	began := g.boot.Now()
 	call := wire.ParseCallerRequest(r.Header)
+	var begun atomic.Bool
+	defer g.recoverPanic(w, call.ID, &begun)
 	config := g.holder.Summary().Config
 	req, refusal := g.admit(w, r, &call, began)
 	if refusal != nil {
@@ -68,7 +73,10 @@
 		return
 	}
 	err := g.forward(w, r, req, forward.Sink{
-		Head: func(status int, h http.Header, length int64) { writeHead(w, status, h, length) },
+		Head: func(status int, h http.Header, length int64) {
+			writeHead(w, status, h, length)
+			begun.Store(true)
+		},
 		Body: func(p []byte) error { return writeBody(w, p) },
 	})
 	if err == nil {
@@ -84,6 +92,24 @@
 	g.refuse(w, r, &call, outcome.FromError(err))
 }
 
+// recoverPanic responds to a request whose handler panics. It must be deferred. If the
+// response has begun, the connection is aborted, so that the response does not look complete.
+func (g *Gateway) recoverPanic(w http.ResponseWriter, id string, begun *atomic.Bool) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if p == http.ErrAbortHandler { //nolint:errorlint // net/http compares it as well
+		panic(p)
+	}
+	g.metrics.Inc("panics")
+	g.logger.Error("panic", "panic", fmt.Sprint(p), "request", id, "stack", string(debug.Stack()))
+	if begun.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	wire.WriteRefusal(w, id, outcome.UnknownError(outcome.ReasonInternal, "an internal error; the request may have been executed"))
+}
+
 // refuse responds to a request that no endpoint has answered.
 func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, call *wire.CallerRequest, refusal *outcome.Refusal) {
 	g.metrics.CountRefusal(refusal.Reason)
