Continue streams without a record only if the store's history has one version

What callers saw: after a restart of all daemons, streams that were taken up were answered 200 and joined from two software versions if the engines had been replaced shortly before. Where one version had served all along, streams that named their first request were all refused. A stream whose route had moved to another pool went on there.

Cause: a daemon took "I have seen one version" for "only one version has served". After a restart nobody has seen what left before; the pool of a route was never asked for.

Fix: the daemons that read the store record each version of a pool and each pool of a route there before they take it over or pass it on. Who is asked to go on with a stream that no host remembers reads the records after the request has arrived. The record precedes the first event and the read follows the request, so that the read has every version at which the stream can have begun.

--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -171,6 +171,11 @@
 // SetConfig applies a document that was current as of a time. Versions never
 // decrease: an older one changes nothing.
 func (h *Holder) SetConfig(c Config, asOf storetime.Instant) error {
+	return h.setConfig(c, asOf, func(*catalog.Catalog) {})
+}
+
+// setConfig is SetConfig. It calls before with a configuration that is about to count.
+func (h *Holder) setConfig(c Config, asOf storetime.Instant, before func(*catalog.Catalog)) error {
 	h.mu.Lock()
 	known := h.config
 	h.mu.Unlock()
@@ -179,6 +184,7 @@
 		if err != nil {
 			return err
 		}
+		before(parsed)
 		h.activate(c, parsed)
 	}
 	h.ConfirmConfig(c.Version, asOf)
--- a/internal/facts/reader.go
+++ b/internal/facts/reader.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/beechhead/beechhead/internal/boottime"
+	"github.com/beechhead/beechhead/internal/catalog"
 	"github.com/beechhead/beechhead/internal/metric"
 	"github.com/beechhead/beechhead/internal/platform"
 	"github.com/beechhead/beechhead/internal/storetime"
@@ -71,6 +72,10 @@
 	// DecodeEndpoint decodes a registration; false if the row is not one of an
 	// endpoint.
 	DecodeEndpoint func(row platform.FeedRow) (Endpoint, bool)
+	// BeforeEndpoints and BeforeConfig are called, if set, with registrations and with a
+	// configuration that are about to count.
+	BeforeEndpoints func(endpoints []Endpoint)
+	BeforeConfig    func(c *catalog.Catalog)
 	// ShouldRead reports whether this daemon is to read the store.
 	ShouldRead func() bool
 	// OnRead is called after each successful read, but between partial responses
@@ -352,7 +357,12 @@
 		r.Holder.ConfirmConfig(r.Holder.Summary().Config, asOf)
 		return
 	}
-	if err := r.Holder.SetConfig(c, asOf); err != nil {
+	before := func(parsed *catalog.Catalog) {
+		if r.BeforeConfig != nil {
+			r.BeforeConfig(parsed)
+		}
+	}
+	if err := r.Holder.setConfig(c, asOf, before); err != nil {
 		t.invalid = true
 		r.Metrics.Inc("facts.configInvalid")
 		r.Logger.Error("configuration not taken", "version", c.Version, "error", err)
--- a/internal/facts/registrations.go
+++ b/internal/facts/registrations.go
@@ -15,6 +15,9 @@
 	for _, row := range n.rows.Rows {
 		rows = append(rows, r.registration(row, n.upTo.Era()))
 	}
+	if r.BeforeEndpoints != nil {
+		r.BeforeEndpoints(rows)
+	}
 	r.Holder.Merge(EndpointUpdate{Endpoints: rows, Whole: n.whole, Position: n.upTo, AsOf: n.asOf()})
 }
 
--- a/internal/facts/versions.go
+++ b/internal/facts/versions.go
@@ -1,6 +1,8 @@
 package facts
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/beechhead/beechhead/internal/storetime"
@@ -59,30 +61,28 @@
 	}
 }
 
-// sole returns the only version that a pool has had since a time; false if it had none
-// or several.
-func (h *versionHistory) sole(pool table.Pool, since storetime.Instant) (version table.SoftwareVersion, ok bool) {
+// since returns the versions that a pool has had since a time, sorted.
+func (h *versionHistory) since(pool table.Pool, since storetime.Instant) []table.SoftwareVersion {
 	found := map[table.SoftwareVersion]bool{}
 	for v := range h.counts {
 		if v.Pool == pool {
-			found[v.Version], version = true, v.Version
+			found[v.Version] = true
 		}
 	}
 	for v, at := range h.left {
 		if v.Pool == pool && at >= since {
-			found[v.Version], version = true, v.Version
+			found[v.Version] = true
 		}
 	}
-	return version, len(found) == 1
+	return slices.Sorted(maps.Keys(found))
 }
 
-// SoleVersion returns the only software version that a pool has had within
-// versionMemory, as far as this daemon or those that it got its endpoints from have
-// seen; false if there was none or several.
-func (h *Holder) SoleVersion(pool table.Pool) (table.SoftwareVersion, bool) {
+// Versions returns the software versions that a pool has had within versionMemory, as far
+// as this daemon or those that it got its endpoints from have seen, sorted.
+func (h *Holder) Versions(pool table.Pool) []table.SoftwareVersion {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.versions.sole(pool, h.now().Add(-versionMemory))
+	return h.versions.since(pool, h.now().Add(-versionMemory))
 }
 
 // LeftVersion is a version that has left a pool, and when.
--- a/internal/gateway/facts.go
+++ b/internal/gateway/facts.go
@@ -102,6 +102,8 @@
 	g.metrics.Inc("store.eras")
 	g.logger.Warn("store came back from a copy", "fromEra", uint64(from), "era", uint64(to), "position", g.holder.Summary().Position.Version())
 	g.selfRegistered.Store(false)
+	g.origins.Forget()
+	g.updateOriginsSoon()
 	if g.duties != nil && g.duties.reporter != nil {
 		g.duties.reporter.BeginEra()
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,7 @@
 	"github.com/beechhead/beechhead/internal/retrybudget"
 	"github.com/beechhead/beechhead/internal/settings"
 	"github.com/beechhead/beechhead/internal/storetime"
+	"github.com/beechhead/beechhead/internal/streamorigin"
 	"github.com/beechhead/beechhead/internal/streamversion"
 	"github.com/beechhead/beechhead/internal/tick"
 	"github.com/beechhead/beechhead/internal/tunnel"
@@ -98,6 +99,11 @@
 	tunnels      *tunnel.Server
 	notices      *forward.Notices
 	streams      *streamversion.Directory
+	// origins records where streams may begin, history reads it.
+	origins *streamorigin.Keeper
+	history *streamorigin.Lookup
+	// originsDue receives a signal when the records must be updated soon.
+	originsDue chan struct{}
 	// duties is nil if there are none.
 	duties *duties
 
@@ -141,6 +147,8 @@
 		draining: make(chan struct{}),
 		busy:     make(chan struct{}, 1),
 
+		originsDue: make(chan struct{}, 1),
+
 		startWait:    defaultStartWait,
 		dialEndpoint: http1.Dial,
 	}
@@ -170,6 +178,7 @@
 	g.buildFacts()
 	g.buildPeers()
 	g.buildStreams()
+	g.buildOrigins()
 	g.buildPlacement()
 	g.buildDuties()
 	g.buildServers()
@@ -305,6 +314,7 @@
 	grp.Go(func() error { g.sync.Run(ctx); return nil })
 	grp.Go(func() error { g.register(ctx); return nil })
 	grp.Go(func() error { g.logMetrics(ctx); return nil })
+	grp.Go(func() error { g.updateOrigins(ctx); return nil })
 	g.duties.run(ctx, grp)
 	grp.Go(func() error {
 		defer cancel()
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -43,32 +43,19 @@
 	return g.streams.Begin(key, version, recordLifetimeFactor*(r.Deadline-r.ReceivedAt))
 }
 
-// lookupVersion returns the version of the stream that a request resumes.
+// lookupVersion returns the version of the stream that a request resumes. Where no host
+// has a record of it, the version is known only if it can't have been another one.
 func (g *Gateway) lookupVersion(ctx context.Context, r *forward.Request) (table.SoftwareVersion, *outcome.Refusal) {
 	if r.Resumes == "" {
-		return g.soleVersion(r)
+		return g.soleVersion(ctx, r)
 	}
 	version, err := g.streams.Lookup(ctx, streamversion.KeyOf(r.Account, r.Pool, r.Resumes))
 	if err == nil {
 		return version, nil
 	}
-	refusal := outcome.NotRunError(outcome.ReasonUnknownVersion, err.Error())
-	if errors.Is(err, streamversion.ErrUnreachable) {
+	version, refusal := g.soleVersion(ctx, r)
+	if refusal != nil && errors.Is(err, streamversion.ErrUnreachable) {
 		refusal.RetryAfter = staleRetryAfter
 	}
-	return "", refusal
-}
-
-// soleVersion returns the version of a stream whose caller does not say which request
-// began it: that of the pool, if it has had no other lately.
-func (g *Gateway) soleVersion(r *forward.Request) (table.SoftwareVersion, *outcome.Refusal) {
-	age, known := g.holder.EndpointsAge()
-	version, sole := g.holder.SoleVersion(r.Pool)
-	if !known || age > staleAfter {
-		return "", staleRefusal(outcome.ReasonUnknownVersion, "the list of endpoints may be out of date")
-	}
-	if !sole || version == "" {
-		return "", outcome.NotRunError(outcome.ReasonUnknownVersion, "the request does not say which one began the stream, and the pool has or had several software versions")
-	}
-	return version, nil
+	return version, refusal
 }
