--- a/internal/httpresponse/httpresponse.go
+++ b/internal/httpresponse/httpresponse.go
@@ -31,7 +31,7 @@
 		}
 	}()
 	for {
-		resp, err := http.ReadResponse(r, req) //nolint:bodyclose // the caller reads the body
+		resp, err := http.ReadResponse(r, req)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/streamorigin/keeper_test.go
+++ b/internal/streamorigin/keeper_test.go
@@ -269,7 +269,7 @@
 				}
 			},
 			"leave": func(t *rapid.T) { present[name.Draw(t, "version")] = false },
-			"update": func(t *rapid.T) {
+			"update": func(*rapid.T) {
 				clock.Advance(time.Minute)
 				for _, k := range keepers {
 					_ = k.Update(context.Background(), list())
