Refuse a take-up at once while the list of endpoints is out of date

A take-up without a record waited for the store's history also while nobody had reached the store for longer than 1.5 s, up to 2 s, with no chance of an answer. It is refused at once then, with a time to come back, as before; else it waits up to 1.5 s.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -33,7 +33,7 @@
 	readIntervalPerHost = 500 * time.Microsecond
 	// maxHistoryWait bounds how long a request that resumes a stream waits for the
 	// history, historyRetryDelay is the delay after a read that failed.
-	maxHistoryWait    = 2 * time.Second
+	maxHistoryWait    = 1500 * time.Millisecond
 	historyRetryDelay = 50 * time.Millisecond
 )
 
@@ -141,18 +141,17 @@
 func (g *Gateway) soleVersion(ctx context.Context, r *forward.Request) (table.SoftwareVersion, *outcome.Refusal) {
 	ctx, cancel := context.WithTimeout(ctx, maxHistoryWait)
 	defer cancel()
-	for {
-		h, err := g.history.History(ctx)
-		age, listed := g.holder.EndpointsAge()
-		if err == nil && listed && age <= staleAfter {
+	for ctx.Err() == nil {
+		if age, listed := g.holder.EndpointsAge(); listed && age > staleAfter {
+			return "", staleRefusal(outcome.ReasonUnknownVersion, "the list of endpoints may be out of date")
+		}
+		if h, err := g.history.History(ctx); err == nil {
 			return g.soleVersionIn(h, r)
 		}
 		g.metrics.Inc("streams.historyAwaited")
 		g.sleep(ctx, historyRetryDelay)
-		if ctx.Err() != nil {
-			return "", staleRefusal(outcome.ReasonUnknownVersion, "the versions that the pool has had can't be read, or the list of endpoints may be out of date")
-		}
 	}
+	return "", staleRefusal(outcome.ReasonUnknownVersion, "the versions that the pool has had can't be read")
 }
 
 // soleVersionIn returns the only version at which a stream can have begun, by the history
