Play restarts of all daemons under streams that are taken up at once

A test for both ends of the fault of joined versions, with three daemons, 60 streams, two restarts of all and callers that take up after 0.1 s. Registering an engine is apart from starting it, so that a test can set it up before requests arrive.

--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -103,6 +103,11 @@
 
 // addEngineOf adds an engine with a software version.
 func (s *testSite) addEngineOf(id, service, version string) {
+	s.registerEngine(s.newEngineOf(id, service, version))
+}
+
+// newEngineOf starts an engine that has not registered.
+func (s *testSite) newEngineOf(id, service, version string) *testEngine {
 	e := &testEngine{Engine: &standin.Engine{ID: id, Slots: 8, Events: 5, Delay: 5 * time.Millisecond}}
 	e.server = httptest.NewServer(e.Engine)
 	s.t.Cleanup(func() { e.server.CloseClientConnections(); e.server.Close() })
@@ -113,9 +118,13 @@
 	e.pool, e.address = service, strings.TrimPrefix(e.server.URL, "http://")
 	e.version = version
 	s.engines[id] = e
+	return e
+}
+
+func (s *testSite) registerEngine(e *testEngine) {
 	entry := standin.NewEntry(e.pool, e.address, false)
-	entry["version"], entry["born"] = version, e.Born()
-	s.store.Put(platform.TableEngines, id, entry)
+	entry["version"], entry["born"] = e.version, e.Born()
+	s.store.Put(platform.TableEngines, e.ID, entry)
 }
 
 func (s *testSite) addDaemon() *testDaemon {
--- a/internal/gateway/streamorigin_test.go
+++ b/internal/gateway/streamorigin_test.go
@@ -3,7 +3,12 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/beechhead/beechhead/platform"
 	"github.com/beechhead/beechhead/platform/standin"
@@ -150,3 +155,113 @@
 		t.Error("the stream did not go on when the store was back")
 	}
 }
+
+// followed is a stream as its caller has followed it over several requests.
+type followed struct {
+	ids    []string
+	events int
+	// resumed reports whether a later request has brought events.
+	resumed bool
+}
+
+// followStream has a caller begin a stream and take it up wherever it breaks off, until it
+// is whole or some time has passed.
+func (s *testSite) followStream(daemons []*testDaemon, n, events int, named bool, until time.Time) (f followed) {
+	for try := 0; f.events < events && time.Now().Before(until); try++ {
+		header := map[string]string{platform.HeaderTokens: "1200,30", platform.HeaderParts: ownPart()}
+		if f.events > 0 {
+			header[platform.HeaderLastEvent] = strconv.Itoa(f.events)
+			if named {
+				header[platform.HeaderResumes] = f.ids[0]
+			}
+		}
+		a := s.call(daemons[(n+try)%len(daemons)], http.MethodPost, "/chat/x", header, "prompt")
+		if got := strings.Count(a.body, "\n\n"); a.status == http.StatusOK && got > 0 {
+			f.resumed = f.resumed || f.events > 0
+			f.events += got
+			f.ids = append(f.ids, a.id)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return f
+}
+
+// replaceAllEngines replaces the registrations of all engines by that of one of another
+// version.
+func (s *testSite) replaceAllEngines(set func(*testEngine)) {
+	s.t.Helper()
+	for id, e := range s.engines {
+		if e.pool == "llm" {
+			s.store.Remove(platform.TableEngines, id)
+		}
+	}
+	version := fmt.Sprintf("v%d", len(s.engines))
+	e := s.newEngineOf("llm-"+version, "llm", version)
+	set(e)
+	s.registerEngine(e)
+}
+
+// Guards against joined streams, and against lost ones where they need not be, while all
+// daemons end again and again and callers take their streams up at once.
+func TestStreamsAcrossRestartsOfAll(t *testing.T) {
+	const (
+		events  = 40
+		callers = 60
+	)
+	for _, tt := range []struct {
+		name            string
+		named, replaced bool
+	}{
+		{"one version, unnamed", false, false},
+		{"one version, named", true, false},
+		{"replaced shortly before, unnamed", false, true},
+		{"replaced shortly before, named", true, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newTestSite(t, 3)
+			setSpeed := func(e *testEngine) { e.Slots, e.Events, e.Delay = 0, events, 25*time.Millisecond }
+			for _, e := range s.engines {
+				setSpeed(e)
+			}
+			until := time.Now().Add(time.Minute)
+			if tt.replaced {
+				// Those that broke off are refused.
+				until = time.Now().Add(6 * time.Second)
+			}
+			results := make([]followed, callers)
+			daemons := slices.Clone(s.daemons)
+			var wg sync.WaitGroup
+			for i := range callers {
+				wg.Go(func() {
+					time.Sleep(time.Duration(i) * 25 * time.Millisecond)
+					results[i] = s.followStream(daemons, i, events, tt.named, until)
+				})
+			}
+			for range 2 {
+				time.Sleep(600 * time.Millisecond)
+				if tt.replaced {
+					s.replaceAllEngines(setSpeed)
+					time.Sleep(300 * time.Millisecond)
+				}
+				s.restartAll()
+			}
+			wg.Wait()
+			whole, resumed := 0, 0
+			for _, f := range results {
+				if f.events == events {
+					whole++
+				}
+				if f.resumed {
+					resumed++
+				}
+				if versions := s.versionsOf(f.ids...); len(versions) > 1 {
+					t.Errorf("stream %v has events of versions %v", f.ids, versions)
+				}
+			}
+			t.Logf("%d of %d streams whole, %d resumed", whole, callers, resumed)
+			if !tt.replaced && (whole != callers || resumed == 0) {
+				t.Errorf("%d of %d streams are whole, %d were resumed", whole, callers, resumed)
+			}
+		})
+	}
+}
