--- a/internal/gateway/streamorigin_test.go
+++ b/internal/gateway/streamorigin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -49,8 +50,8 @@
 	return ids
 }
 
-// takeUpEach has callers take each stream up at some daemon, with the id of its request or
-// without, and returns how many went on. None may have events of two versions.
+// takeUpEach takes each stream up at some daemon, with the id of its request or without, and
+// returns how many went on. None may have events of two versions.
 func (s *testSite) takeUpEach(ids []string, named bool) (continued int) {
 	s.t.Helper()
 	for i, id := range ids {
@@ -126,7 +127,9 @@
 	s.addEngineOf("other-1", "other", standin.SampleVersion)
 	ids := s.beginStreams(6)
 	s.config.Version++
-	s.config.Services = append(s.config.Services, map[string]any{"name": "other", "max-connections": 100, "engine": map[string]any{"slots": 8, "kv-cache-tokens": 100000}})
+	other := maps.Clone(s.config.Services[0])
+	other["name"] = "other"
+	s.config.Services = append(s.config.Services, other)
 	s.config.Routes[0]["service"] = "other"
 	s.putConfig()
 	for _, d := range s.daemons {
@@ -163,7 +166,7 @@
 	resumed bool
 }
 
-// followStream has a caller begin a stream and take it up wherever it breaks off, until it
+// followStream begins a stream as a caller and takes it up wherever it breaks off, until it
 // is whole or some time has passed.
 func (s *testSite) followStream(daemons []*testDaemon, n, events int, named bool, until time.Time) (f followed) {
 	for try := 0; f.events < events && time.Now().Before(until); try++ {
--- a/internal/streamorigin/origin.go
+++ b/internal/streamorigin/origin.go
@@ -22,7 +22,7 @@
 // taken up in that time.
 const Memory = 10 * time.Minute
 
-// kind is what an origin belongs to.
+// kind is the type of an origin.
 type kind string
 
 const (
