Log what was believed about the attempts of a doubtful request

'attempt failed' is left out beyond 40 lines a second and lacks the connection's age, the requests that it had carried and whether the response had an id; skipped responses, data on idle connections and forwarded statuses had no line.

Change: a run keeps a trace of each attempt and writes it in one line when its outcome depends on it: a refusal as not run after the request was sent, a forwarded status that promises it, a request sent again that must not be repeated, skipped responses. Data on an idle connection has a line too. These two messages have a bound of 400 lines a second of their own. No decision changes; http1 reports whether a response states its request.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -35,6 +35,12 @@
 	// via is the address of the daemon through which the request was sent; "" if it
 	// was sent directly.
 	via string
+	// conn is the state of the connection when the request was written. status,
+	// attribution and skipped describe the response; zero if there was none.
+	conn        http1.ConnState
+	status      int
+	attribution http1.Attribution
+	skipped     int
 	// confirmed reports whether a probe has shown that the connection leads to the
 	// process that has registered as the endpoint.
 	confirmed bool
@@ -145,7 +151,7 @@
 	if err != nil {
 		return c.notSent(err)
 	}
-	c.via = x.Via()
+	c.via, c.conn = x.Via(), x.Conn()
 	stop := context.AfterFunc(c.ctx, x.Abort)
 	defer stop()
 	// Closes the connection if the exchange has neither finished nor been aborted.
@@ -215,14 +221,14 @@
 		send.FetchFrom = address(c.grant.FetchFrom)
 	}
 	return &http1.Request{
-		Method:        r.req.Method,
-		Target:        r.req.Target,
-		Host:          r.req.Host,
-		Header:        r.f.Protocol.Header(send),
-		Body:          r.req.Body,
-		Probe:         c.versionProbe(),
-		BeforeWrite:   c.checkWrite,
-		IsOwnResponse: func(h http.Header) bool { return r.f.Protocol.BelongsTo(r.req, h) },
+		Method:      r.req.Method,
+		Target:      r.req.Target,
+		Host:        r.req.Host,
+		Header:      r.f.Protocol.Header(send),
+		Body:        r.req.Body,
+		Probe:       c.versionProbe(),
+		BeforeWrite: c.checkWrite,
+		Attribute:   func(h http.Header) http1.Attribution { return r.f.Protocol.Attribute(r.req, h) },
 	}
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -95,10 +95,11 @@
 func (c *call) readResponse(x *http1.Exchange) attemptResult {
 	r := c.run
 	resp, err := x.Response() //nolint:bodyclose // the exchange manages its connection; closing the body would read it to the end
+	c.attribution, c.skipped = x.Attribution(), x.Skipped()
 	if err != nil {
 		return failedResult(readFailureReason(c.ctx, err), err)
 	}
-	c.responded = true
+	c.responded, c.status = true, resp.StatusCode
 	verdict := r.f.Protocol.ReadHead(resp.StatusCode, resp.Header)
 	c.grant.RecordAnnouncement(verdict.Announcement)
 	r.f.Notices.Record(&c.grant.Endpoint, verdict.Announcement)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -126,8 +126,8 @@
 	Header func(s Attempt) http.Header
 	// ReadHead interprets the head of a response.
 	ReadHead func(status int, h http.Header) ResponseInfo
-	// BelongsTo reports whether a response belongs to the request.
-	BelongsTo func(r *Request, h http.Header) bool
+	// Attribute returns which request a response states that it answers.
+	Attribute func(r *Request, h http.Header) http1.Attribution
 	// ImpliesNotRun reports whether callers conclude from a status code that the
 	// request was not run.
 	ImpliesNotRun func(status int) bool
@@ -208,5 +208,7 @@
 	defer run.endStreamRecord()
 	defer run.endTrial()
 	defer run.dropCalls()
-	return run.do(ctx)
+	err := run.do(ctx)
+	run.recordAttempts(err)
+	return err
 }
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -65,6 +65,7 @@
 func (r *run) sendHead(status int, h http.Header, length int64) {
 	r.sink.Head(status, h, length)
 	r.headSent = true
+	r.promised = r.f.Protocol.ImpliesNotRun(status)
 }
 
 // forwardResponse forwards a response unchanged. The exception is a status code
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -76,6 +76,11 @@
 	// failure is the result of the last attempt that failed and was no hedge, or was sent;
 	// nil if there was none.
 	failure *attemptResult
+	// traces describe the attempts that have ended, for the log.
+	traces []attemptTrace
+	// promised reports whether a response was forwarded whose status callers take to mean
+	// that the request was not run.
+	promised bool
 	// errorResponse is the last error response of an endpoint. It is forwarded
 	// if no later attempt succeeds.
 	errorResponse *response
@@ -139,6 +144,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.calls = slices.DeleteFunc(r.calls, func(other *call) bool { return other == c })
+	r.addTrace(c)
 	if c.err == nil && c.result.err == nil {
 		r.recordAnswered(c)
 		return true, nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -252,6 +252,10 @@
 		BeginStream:   g.beginStream,
 		LookupVersion: g.lookupVersion,
 	}
+	g.forwarder.Pool.OnUnexpectedData = func(address string, c http1.ConnState) {
+		g.metrics.Inc("connections.unexpectedData")
+		g.logger.Info("unexpected data on an idle connection", "address", address, "connAgeMs", c.Age.Milliseconds(), "carried", c.Carried)
+	}
 }
 
 // callerIdle is the idle timeout of callers' connections. It exceeds the
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -32,9 +32,31 @@
 	// connection was opened. If it returns an error, the request is not sent.
 	// BeforeWrite may be nil.
 	BeforeWrite func() error
-	// IsOwnResponse reports whether a response with these headers belongs to
-	// this request. If nil, every response does.
-	IsOwnResponse func(http.Header) bool
+	// Attribute returns which request a response with these headers states that it
+	// answers. If nil, every response answers this one.
+	Attribute func(http.Header) Attribution
+}
+
+// Attribution is the request that a response states that it answers.
+type Attribution string
+
+// The attributions of a response.
+const (
+	// Own means that the response names the request that was sent last on its
+	// connection.
+	Own Attribution = "own"
+	// Foreign means that it names another one.
+	Foreign Attribution = "foreign"
+	// Unstated means that it names none.
+	Unstated Attribution = "unstated"
+)
+
+// attribute returns the attribution of a response to the request.
+func (r *Request) attribute(h http.Header) Attribution {
+	if r.Attribute == nil {
+		return Own
+	}
+	return r.Attribute(h)
 }
 
 const (
@@ -85,6 +107,10 @@
 	// noReuse is set if the connection must not carry another exchange.
 	noReuse  bool
 	finished atomic.Bool
+	// attribution is that of the response, skipped the number of responses to other
+	// requests before it.
+	attribution Attribution
+	skipped     int
 }
 
 // Send writes a request to an address. It tries another connection only as long
@@ -147,6 +173,7 @@
 // write sends the request. It returns false if no byte of it was written.
 func (x *Exchange) write(ctx context.Context, head []byte) bool {
 	body := x.request.Body
+	x.conn.requests++
 	if len(head) > maxInlineBody {
 		// The endpoint's buffer may not take so much.
 		stop := context.AfterFunc(ctx, func() { _ = x.conn.Close() })
@@ -200,9 +227,17 @@
 	}
 }
 
-// Reused reports whether the connection has carried an exchange before this
+// Conn returns the state of the connection when the request was written.
+func (x *Exchange) Conn() ConnState {
+	return ConnState{Age: x.pool.clock.Since(x.conn.openedAt), Carried: x.conn.requests - 1}
+}
+
+// Attribution returns the attribution of the response; empty before Response has returned
 // one.
-func (x *Exchange) Reused() bool { return x.conn.reused }
+func (x *Exchange) Attribution() Attribution { return x.attribution }
+
+// Skipped returns the number of responses to other requests that were skipped.
+func (x *Exchange) Skipped() int { return x.skipped }
 
 // Via returns the address of the daemon that carries the connection; "" if it is
 // a direct one.
@@ -220,13 +255,14 @@
 			x.noReuse = true
 			return nil, err
 		}
-		if x.request.IsOwnResponse == nil || x.request.IsOwnResponse(resp.Header) {
+		if x.attribution = x.request.attribute(resp.Header); x.attribution != Foreign {
 			x.resp = resp
 			return resp, nil
 		}
 		// This is a late response to an earlier request. The next one belongs
 		// to this request, but the connection must not be reused.
 		x.noReuse = true
+		x.skipped++
 		heads := x.conn.allowance
 		x.conn.allowance = maxSkipped
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
@@ -81,12 +82,20 @@
 // exchangeOnce sends one request and returns the body of its response.
 func exchangeOnce(p *Pool, address, id string) (string, error) {
 	x, err := p.Send(context.Background(), address, &Request{
-		Method:        http.MethodPost,
-		Target:        "/a?b=%7c|",
-		Host:          "x.example",
-		Header:        http.Header{"Id": {id}},
-		Body:          []byte(id),
-		IsOwnResponse: func(h http.Header) bool { return h.Get("Id") == "" || h.Get("Id") == id },
+		Method: http.MethodPost,
+		Target: "/a?b=%7c|",
+		Host:   "x.example",
+		Header: http.Header{"Id": {id}},
+		Body:   []byte(id),
+		Attribute: func(h http.Header) Attribution {
+			switch h.Get("Id") {
+			case "":
+				return Unstated
+			case id:
+				return Own
+			}
+			return Foreign
+		},
 	})
 	if err != nil {
 		return "", err
@@ -225,3 +234,42 @@
 		t.Errorf("%d connections are idle, want 2", n)
 	}
 }
+
+// Guards against data on an idle connection that closes it without a trace.
+func TestUnexpectedDataIsReported(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\none"
+	late := make(chan struct{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		_, _ = bufio.NewReader(c).ReadString('\n')
+		_, _ = io.WriteString(c, answer)
+		<-late
+		_, _ = io.WriteString(c, answer)
+	}()
+	p := newTestPool()
+	var reported []ConnState
+	p.OnUnexpectedData = func(_ string, c ConnState) { reported = append(reported, c) }
+	address := l.Addr().String()
+	if _, err := exchangeOnce(p, address, "1"); err != nil {
+		t.Fatal(err)
+	}
+	if !p.Alive(address) {
+		t.Fatal("the connection is not kept")
+	}
+	close(late)
+	for end := time.Now().Add(10 * time.Second); p.Alive(address) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if len(reported) != 1 || reported[0].Carried != 1 {
+		t.Errorf("reported %+v, want a connection that has carried one request", reported)
+	}
+}
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -60,6 +60,9 @@
 	lastSweep time.Time
 	// Opened counts the connections that were opened.
 	Opened atomic.Int64
+	// OnUnexpectedData is called, if set, when an idle connection is closed since the
+	// endpoint has sent something on it. It must be set before the first use.
+	OnUnexpectedData func(address string, c ConnState)
 	// maxIdle bounds the idle connections per address; zero means no bound.
 	maxIdle atomic.Int64
 }
@@ -74,10 +77,22 @@
 	return &Pool{clock: clock, dial: dial, idle: map[string][]*conn{}, lastSweep: clock.Now()}
 }
 
+// ConnState describes a connection at one moment.
+type ConnState struct {
+	// Age is the time since the connection was opened.
+	Age time.Duration
+	// Carried is the number of requests that were written to it before, probes among
+	// them.
+	Carried int
+}
+
 // conn is a connection that carries one exchange at a time.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	reader   *bufio.Reader
+	openedAt time.Time
+	// requests counts the requests that were written, probes among them.
+	requests int
 	// reused is set once the connection has carried an exchange.
 	reused bool
 	// expiresAt is when the connection is closed if it is still idle.
@@ -120,7 +135,7 @@
 		if c == nil {
 			return nil
 		}
-		if p.clock.Now().Before(c.expiresAt) && isIntact(c.Conn) {
+		if p.isUsable(address, c) {
 			c.stopProbes()
 			return c
 		}
@@ -128,6 +143,18 @@
 	}
 }
 
+// isUsable reports whether an idle connection can carry a request.
+func (p *Pool) isUsable(address string, c *conn) bool {
+	if !p.clock.Now().Before(c.expiresAt) {
+		return false
+	}
+	state := idleState(c.Conn)
+	if state == idleHasData && p.OnUnexpectedData != nil {
+		p.OnUnexpectedData(address, ConnState{Age: p.clock.Since(c.openedAt), Carried: c.requests})
+	}
+	return state == idleIntact
+}
+
 func (p *Pool) pop(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -247,7 +274,7 @@
 // newConn counts a new connection and adds its reader.
 func (p *Pool) newConn(c net.Conn) *conn {
 	p.Opened.Add(1)
-	conn := &conn{Conn: c, allowance: -1}
+	conn := &conn{Conn: c, allowance: -1, openedAt: p.clock.Now()}
 	conn.reader = bufio.NewReaderSize(conn, bufferSize)
 	return conn
 }
--- a/internal/http1/probe.go
+++ b/internal/http1/probe.go
@@ -49,6 +49,7 @@
 	_ = c.SetDeadline(time.Now().Add(probeTimeout))
 	c.allowance = maxHead + maxProbeResponse
 	request := &Request{Method: http.MethodGet, Target: p.Target, Host: p.Host}
+	c.requests++
 	if _, err := c.Write(writeHead(request)); err != nil {
 		return probeError(err)
 	}
--- a/internal/logline/limit.go
+++ b/internal/logline/limit.go
@@ -15,8 +15,21 @@
 	sampledPerSecond = 3
 	// maxLinesPerMessage bounds the number of lines with the same message.
 	maxLinesPerMessage = 40
+	// maxEvidenceLines bounds it for messages that show why an outcome was believed.
+	maxEvidenceLines = 400
 )
 
+// evidence are the messages that show why the outcome of a request was believed.
+var evidence = map[string]bool{"attempts": true, "unexpected data on an idle connection": true}
+
+// maxLines returns the bound on the lines with a message, per second.
+func maxLines(message string) int {
+	if evidence[message] {
+		return maxEvidenceLines
+	}
+	return maxLinesPerMessage
+}
+
 // Sampler selects the requests whose routine decisions are logged. It is safe
 // for concurrent use.
 type Sampler struct {
@@ -54,8 +67,8 @@
 	return s.leftOut
 }
 
-// Limiter passes records to the next handler, but at most maxLinesPerMessage
-// per second with the same message. The first line with that message in a later
+// Limiter passes records to the next handler, but at most maxLines per second
+// with the same message. The first line with that message in a later
 // second holds the number of suppressed lines in the attribute leftOutBefore.
 type Limiter struct {
 	slog.Handler
@@ -117,7 +130,7 @@
 	if now := k.clock.Now().Unix(); now != count.second {
 		count.second, count.written = now, 0
 	}
-	if count.written >= maxLinesPerMessage {
+	if count.written >= maxLines(message) {
 		count.leftOut++
 		return 0, false
 	}
