--- a/internal/forward/trace_test.go
+++ b/internal/forward/trace_test.go
@@ -87,7 +87,7 @@
 			f := newTestForwarder(s)
 			f.Protocol.Attribute = attributeByID
 			f.Logger = slog.New(slog.NewJSONHandler(&log, nil))
-			f.Budget = func(table.Pool) Budget { return &fixedBudget{left: tt.budget} }
+			f.Budget = budgetOf(tt.budget)
 			_ = f.Do(t.Context(), unsafeRequest("r"), discardSink())
 			lines := readAttempts(t, log.String())
 			if tt.want == "" {
@@ -108,6 +108,11 @@
 	}
 }
 
+// budgetOf returns a retry budget of n retries for each request.
+func budgetOf(n int) func(table.Pool) Budget {
+	return func(table.Pool) Budget { return &fixedBudget{left: n} }
+}
+
 // discardSink returns a sink for a response that is not looked at.
 func discardSink() Sink {
 	return Sink{Head: func(int, http.Header, int64) {}, Body: func([]byte) error { return nil }}
--- /dev/null
+++ b/internal/forward/unattributed_test.go
@@ -0,0 +1,162 @@
+package forward
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/go-faster/errors"
+
+	"github.com/beechhead/beechhead/internal/catalog"
+	"github.com/beechhead/beechhead/internal/outcome"
+)
+
+// keptEndpoint is an endpoint that serves several requests on a connection.
+type keptEndpoint struct {
+	// answers are the responses to the requests of each connection, in order; {id} stands
+	// for the id of the request.
+	answers []string
+
+	mu       sync.Mutex
+	received []string
+}
+
+// listenKept starts an endpoint whose slots are granted after those of the ones before.
+func (s *site) listenKept(t *testing.T, answers ...string) *keptEndpoint {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	e := &keptEndpoint{answers: answers}
+	s.urls = append(s.urls, "http://"+l.Addr().String())
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(c)
+		}
+	}()
+	return e
+}
+
+func (e *keptEndpoint) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for _, answer := range e.answers {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		id := req.Header.Get("Id")
+		e.mu.Lock()
+		e.received = append(e.received, id)
+		e.mu.Unlock()
+		_, _ = io.WriteString(c, strings.ReplaceAll(answer, "{id}", id))
+	}
+	_, _ = r.ReadByte()
+}
+
+// hasReceived reports whether the endpoint has received a request.
+func (e *keptEndpoint) hasReceived(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, one := range e.received {
+		if one == id {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	keptSuccess  = "HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: 1\r\nContent-Length: 4\r\n\r\ngood"
+	keptStream   = "HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: 1\r\nContent-Length: 16\r\n\r\nid: 1\ndata: ok\n\n"
+	strayRefusal = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	straySuccess = "HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Length: 5\r\n\r\nwrong"
+	strayFailure = "HTTP/1.1 500 Failed\r\nSigned: 1\r\nContent-Length: 5\r\n\r\nwrong"
+	strayMissing = "HTTP/1.1 404 Missing\r\nContent-Length: 5\r\n\r\nwrong"
+)
+
+// Guards against a response that names no request being taken for the answer to the
+// request that waits, on a connection that has carried another one.
+func TestResponsesWithoutRequestIDOnUsedConnections(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		kind catalog.Kind
+		// second is what comes when the second request on a connection was sent.
+		second string
+		// want is the body that its caller receives, or the outcome.
+		want string
+	}{
+		{"refusal before the response", catalog.Unsafe, strayRefusal + keptSuccess, "good"},
+		{"429 before the response", catalog.Unsafe, strings.Replace(strayRefusal, "503", "429", 1) + keptSuccess, "good"},
+		{"421 before the response", catalog.Unsafe, strings.Replace(strayRefusal, "503", "421", 1) + keptSuccess, "good"},
+		{"two refusals before the response", catalog.Unsafe, strayRefusal + strayRefusal + keptSuccess, "good"},
+		{"success before the response", catalog.Unsafe, straySuccess + keptSuccess, "good"},
+		{"failure before the response", catalog.Unsafe, strayFailure + keptSuccess, "good"},
+		{"404 before the response", catalog.Unsafe, strayMissing + keptSuccess, "good"},
+		{"refusal before a stream", catalog.Stream, strayRefusal + keptStream, "id: 1\ndata: ok\n\n"},
+		{"refusal only", catalog.Unsafe, strayRefusal, "unknown"},
+		{"refusal that ends the connection", catalog.Unsafe, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", "unknown"},
+		{"refusal before the response to a safe request", catalog.Safe, strayRefusal + keptSuccess, "good"},
+		{"success before the response to a safe request", catalog.Safe, straySuccess + keptSuccess, "good"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &site{}
+			first := keptSuccess
+			if tt.kind == catalog.Stream {
+				first = keptStream
+			}
+			used := s.listenKept(t, first, tt.second)
+			other := s.listenKept(t, first)
+			f := newTestForwarder(s)
+			f.Protocol.Attribute = attributeByID
+			f.Budget = budgetOf(1)
+			if got := sendKept(t, f, "1", tt.kind); !strings.Contains(first, got) {
+				t.Fatalf("the first caller received %q", got)
+			}
+			s.mu.Lock()
+			s.next = 0
+			s.mu.Unlock()
+			if got := sendKept(t, f, "2", tt.kind); got != tt.want {
+				t.Errorf("the caller received %q, want %q", got, tt.want)
+			}
+			if !used.hasReceived("2") {
+				t.Error("the connection was not used again")
+			}
+			if tt.kind != catalog.Safe && other.hasReceived("2") {
+				t.Error("the request was sent to a second endpoint")
+			}
+		})
+	}
+}
+
+// sendKept sends a request and returns the body that its caller receives, or the outcome.
+func sendKept(t *testing.T, f *Forwarder, id string, kind catalog.Kind) string {
+	t.Helper()
+	r := unsafeRequest(id)
+	if r.Kind = kind; kind == catalog.Safe {
+		r.Attempts = 2
+	}
+	var body strings.Builder
+	err := f.Do(t.Context(), r, Sink{
+		Head: func(int, http.Header, int64) {},
+		Body: func(p []byte) error { body.Write(p); return nil },
+	})
+	switch {
+	case err == nil:
+		return body.String()
+	case errors.Is(err, ErrTruncated):
+		return "broken " + body.String()
+	}
+	return string(outcome.FromError(err).Outcome)
+}
