Believe a response without a request id only if it can't answer another one

Cause: a response without a request id counted as the answer to whatever request waited on its connection. Engines' refusals have no id, and an endpoint may send an extra one at any later time.

Change: http1 decides for attempts, streams, hedges, tunnels and probed requests alike whether a response is the request's own: it names the request, or no request was written to the connection before and nothing follows. Otherwise a repeatable request goes elsewhere; for another one the response with its id is awaited for 1 s, then the outcome is unknown. The connection is closed. So that honest refusals still prove that an unsafe request was not run, such requests use unused connections for 10 s after a refusal without id in their pool.

Why it works: on a connection that has carried nothing there is no other request that a response could answer.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -228,6 +228,8 @@
 		Body:        r.req.Body,
 		Probe:       c.versionProbe(),
 		BeforeWrite: c.checkWrite,
+		Unused:      r.needsUnused(),
+		AwaitOwn:    r.awaitOwn(),
 		Attribute:   func(h http.Header) http1.Attribution { return r.f.Protocol.Attribute(r.req, h) },
 	}
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -96,14 +96,16 @@
 	r := c.run
 	resp, err := x.Response() //nolint:bodyclose // the exchange manages its connection; closing the body would read it to the end
 	c.attribution, c.skipped = x.Attribution(), x.Skipped()
+	if unattributed, ok := errors.Into[*http1.UnattributedError](err); ok && c.ctx.Err() == nil {
+		return c.unattributedResult(unattributed)
+	}
 	if err != nil {
 		return failedResult(readFailureReason(c.ctx, err), err)
 	}
 	c.responded, c.status = true, resp.StatusCode
-	verdict := r.f.Protocol.ReadHead(resp.StatusCode, resp.Header)
-	c.grant.RecordAnnouncement(verdict.Announcement)
-	r.f.Notices.Record(&c.grant.Endpoint, verdict.Announcement)
+	verdict := c.recordAnnouncement(resp.StatusCode, resp.Header)
 	if verdict.NotRun {
+		c.recordRefusal()
 		x.Skip()
 		return attemptResult{
 			err:    errors.Errorf("refused with status %d", resp.StatusCode),
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -186,6 +186,7 @@
 	OnBegun func(r *Request)
 
 	activities activity.Tracker
+	refusals   refusals
 	// firstEvents has how soon the first events of streams come.
 	firstEvents responsetime.Floor
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -76,6 +76,8 @@
 	// failure is the result of the last attempt that failed and was no hedge, or was sent;
 	// nil if there was none.
 	failure *attemptResult
+	// unattributed reports whether a response came that may answer another request.
+	unattributed bool
 	// traces describe the attempts that have ended, for the log.
 	traces []attemptTrace
 	// promised reports whether a response was forwarded whose status callers take to mean
--- a/internal/forward/unattributed_test.go
+++ b/internal/forward/unattributed_test.go
@@ -23,6 +23,15 @@
 
 	mu       sync.Mutex
 	received []string
+	// refuses reports whether the first request of each connection is refused.
+	refuses bool
+}
+
+// refuseNew makes the endpoint refuse the first request of each further connection.
+func (e *keptEndpoint) refuseNew() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refuses = true
 }
 
 // listenKept starts an endpoint whose slots are granted after those of the ones before.
@@ -50,7 +59,13 @@
 func (e *keptEndpoint) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
-	for _, answer := range e.answers {
+	e.mu.Lock()
+	answers := e.answers
+	if e.refuses {
+		answers = []string{strayRefusal}
+	}
+	e.mu.Unlock()
+	for _, answer := range answers {
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
@@ -140,6 +155,31 @@
 	}
 }
 
+// Guards against unsafe requests that end with an unknown outcome while endpoints refuse
+// without a request id: after the first refusal the next one proves that it was not run.
+func TestRefusedUnsafeRequestsAreSentElsewhere(t *testing.T) {
+	s := &site{}
+	refuses := s.listenKept(t, keptSuccess, strayRefusal)
+	s.listenKept(t, keptSuccess, keptSuccess)
+	f := newTestForwarder(s)
+	f.Protocol.Attribute = attributeByID
+	f.Budget = budgetOf(1)
+	for _, tt := range []struct{ id, want string }{{"1", "good"}, {"2", "unknown"}, {"3", "good"}} {
+		if tt.id == "3" {
+			refuses.refuseNew()
+		}
+		s.mu.Lock()
+		s.next = 0
+		s.mu.Unlock()
+		if got := sendKept(t, f, tt.id, catalog.Unsafe); got != tt.want {
+			t.Errorf("request %s: %q, want %q", tt.id, got, tt.want)
+		}
+	}
+	if !refuses.hasReceived("3") {
+		t.Error("the endpoint that refuses has not received the last request")
+	}
+}
+
 // sendKept sends a request and returns the body that its caller receives, or the outcome.
 func sendKept(t *testing.T, f *Forwarder, id string, kind catalog.Kind) string {
 	t.Helper()
--- a/internal/http1/dial_test.go
+++ b/internal/http1/dial_test.go
@@ -33,7 +33,7 @@
 	p.put(address, c, defaultIdleTimeout)
 	check("idle", true)
 	checkTimes(t, c.Conn)
-	if p.take(address) != c {
+	if p.take(address, false) != c {
 		t.Fatal("the connection was not kept")
 	}
 	check("in use again", false)
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -13,7 +13,6 @@
 	"github.com/go-faster/errors"
 
 	"github.com/beechhead/beechhead/internal/endpoint"
-	"github.com/beechhead/beechhead/internal/httpresponse"
 )
 
 // Request is a request to an endpoint.
@@ -26,6 +25,12 @@
 	Body   []byte
 	// NewConnection requires a new connection.
 	NewConnection bool
+	// Unused requires a connection that has carried no request, so that any response on
+	// it answers this one.
+	Unused bool
+	// AwaitOwn is how long the response that names the request is awaited after one that
+	// names none and may answer an earlier request. Zero means not at all.
+	AwaitOwn time.Duration
 	// Probe, if not nil, is sent first on the connection that will carry the request.
 	Probe *Probe
 	// BeforeWrite is called right before the request is written, after the
@@ -37,28 +42,6 @@
 	Attribute func(http.Header) Attribution
 }
 
-// Attribution is the request that a response states that it answers.
-type Attribution string
-
-// The attributions of a response.
-const (
-	// Own means that the response names the request that was sent last on its
-	// connection.
-	Own Attribution = "own"
-	// Foreign means that it names another one.
-	Foreign Attribution = "foreign"
-	// Unstated means that it names none.
-	Unstated Attribution = "unstated"
-)
-
-// attribute returns the attribution of a response to the request.
-func (r *Request) attribute(h http.Header) Attribution {
-	if r.Attribute == nil {
-		return Own
-	}
-	return r.Attribute(h)
-}
-
 const (
 	// maxInlineBody is the maximum size in bytes of a body that is written
 	// before the response is read. A larger body is written concurrently, since
@@ -74,6 +57,8 @@
 	// skipTimeout the time for it if nothing else does.
 	maxSkipped  = 1 << 20
 	skipTimeout = 250 * time.Millisecond
+	// followWait bounds the time for the rest of a response of which a part has come.
+	followWait = 20 * time.Millisecond
 )
 
 // ErrTooLong is returned if an endpoint sends more than a response may have at its place.
@@ -121,7 +106,7 @@
 	head := writeHead(r)
 	fresh := r.NewConnection
 	for {
-		c, err := p.connection(ctx, address, fresh)
+		c, err := p.connection(ctx, address, fresh, r.Unused)
 		if err != nil {
 			return nil, err
 		}
@@ -161,9 +146,9 @@
 	return r.BeforeWrite()
 }
 
-func (p *Pool) connection(ctx context.Context, address string, fresh bool) (*conn, error) {
+func (p *Pool) connection(ctx context.Context, address string, fresh, unused bool) (*conn, error) {
 	if !fresh {
-		if c := p.take(address); c != nil {
+		if c := p.take(address, unused); c != nil {
 			return c, nil
 		}
 	}
@@ -243,36 +228,6 @@
 // a direct one.
 func (x *Exchange) Via() string { return x.conn.via() }
 
-// Response waits for the headers of the response. It skips informational
-// responses and responses that belong to other requests.
-func (x *Exchange) Response() (*http.Response, error) {
-	request := &http.Request{Method: x.request.Method, Header: x.request.Header}
-	x.conn.allowance = maxHead
-	defer func() { x.conn.allowance = -1 }()
-	for range maxForeignResponses + 1 {
-		resp, err := httpresponse.Read(x.conn.reader, request)
-		if err != nil {
-			x.noReuse = true
-			return nil, err
-		}
-		if x.attribution = x.request.attribute(resp.Header); x.attribution != Foreign {
-			x.resp = resp
-			return resp, nil
-		}
-		// This is a late response to an earlier request. The next one belongs
-		// to this request, but the connection must not be reused.
-		x.noReuse = true
-		x.skipped++
-		heads := x.conn.allowance
-		x.conn.allowance = maxSkipped
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, errors.Wrap(err, "pass over an answer")
-		}
-		x.conn.allowance = heads
-	}
-	return nil, ErrForeignResponse
-}
-
 // Skip ends the exchange without its body. The connection is kept if the body is short and
 // comes at once.
 func (x *Exchange) Skip() {
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -128,10 +129,11 @@
 }
 
 // take removes an idle connection to the address that appears intact from the
-// pool and returns it, or nil if there is none.
-func (p *Pool) take(address string) *conn {
+// pool and returns it, or nil if there is none. If unused is set, it takes only
+// connections that have carried no request.
+func (p *Pool) take(address string, unused bool) *conn {
 	for {
-		c := p.pop(address)
+		c := p.pop(address, unused)
 		if c == nil {
 			return nil
 		}
@@ -155,17 +157,17 @@
 	return state == idleIntact
 }
 
-func (p *Pool) pop(address string) *conn {
+func (p *Pool) pop(address string, unused bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !unused || c.requests == 0 {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	list[len(list)-1] = nil
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) put(address string, c *conn, idle time.Duration) {
--- a/internal/http1/probe.go
+++ b/internal/http1/probe.go
@@ -73,7 +73,7 @@
 // Alive reports whether there is an intact idle connection to an address, which
 // shows that the address has a listener.
 func (p *Pool) Alive(address string) bool {
-	c := p.take(address)
+	c := p.take(address, false)
 	if c == nil {
 		return false
 	}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -56,6 +56,7 @@
 	ReasonEndpointFailed  Reason = "endpointFailed"
 	ReasonTruncated       Reason = "truncated"
 	ReasonWrongAnswer     Reason = "wrongAnswer"
+	ReasonUnattributed    Reason = "unattributed"
 	ReasonSilent          Reason = "silent"
 	ReasonSuperseded      Reason = "superseded"
 	ReasonPreempted       Reason = "preempted"
