Refuse chats as not run only by a refusal that can't answer another one

What callers would see: with a table of one's own, a chat of a class that is not idempotent is answered as not run, or sent to a second engine, while the first one runs it.

Change: a refusal that names another request is a wrong response; one that names none on a connection that has carried a chat is ErrUnattributed, an unknown outcome. After a refusal in its pool a chat that is not idempotent uses a new connection for 10 s, as in internal/forward; the memory moves to internal/endpoint.

Measured: TestEveryPointOfFailure/unnamedRefusal/reused=true failed before ('refused') and passes now.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -295,7 +295,7 @@
 		return peerv1.ReleaseOutcome_RELEASE_OUTCOME_CALLER_GONE
 	case outcome.ReasonPreempted:
 		return peerv1.ReleaseOutcome_RELEASE_OUTCOME_PREEMPTED
-	case outcome.ReasonEndpointRefused:
+	case outcome.ReasonEndpointRefused, outcome.ReasonUnattributed:
 		return peerv1.ReleaseOutcome_RELEASE_OUTCOME_REFUSED_BY_ENDPOINT
 	}
 	return peerv1.ReleaseOutcome_RELEASE_OUTCOME_ENDPOINT_FAILED
@@ -315,6 +315,8 @@
 		return outcome.ReasonConnect
 	case errors.Is(err, engine.ErrRefused):
 		return outcome.ReasonEndpointRefused
+	case errors.Is(err, engine.ErrUnattributed):
+		return outcome.ReasonUnattributed
 	case errors.Is(err, engine.ErrTruncated), errors.Is(err, service.ErrTruncated):
 		return outcome.ReasonTruncated
 	case errors.Is(err, engine.ErrWrongResponse), errors.Is(err, engine.ErrMalformed), errors.Is(err, service.ErrWrongResponse):
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -57,8 +57,11 @@
 		Body:          a.body,
 		Idempotent:    r.class.Idempotent,
 		MayRepeat:     r.mayRepeat,
-		NewConnection: a.occasion != inSequence,
+		NewConnection: a.occasion != inSequence || r.needsUnused(),
 	})
+	if errors.Is(err, engine.ErrRefused) || errors.Is(err, engine.ErrUnattributed) {
+		r.d.refusals.Record(r.request.Pool, r.d.clock)
+	}
 	if err != nil {
 		a.maybeExecuted = !errors.Is(err, engine.ErrNotSent) && !errors.Is(err, engine.ErrRefused)
 		return err
@@ -83,6 +86,12 @@
 	}
 }
 
+// needsUnused reports whether the chat must be sent over a connection that has carried
+// none, since a refusal would otherwise leave open whether it was run.
+func (r *chatRun) needsUnused() bool {
+	return !r.class.Idempotent && r.d.refusals.AreExpected(r.request.Pool, r.d.clock)
+}
+
 func (r *chatRun) check(data []byte) error {
 	_, err := engine.ParseChunk(data)
 	return err
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/beechhead/beechhead/internal/activity"
+	"github.com/beechhead/beechhead/internal/endpoint"
 	"github.com/beechhead/beechhead/internal/engine"
 	"github.com/beechhead/beechhead/internal/limit"
 	"github.com/beechhead/beechhead/internal/metric"
@@ -34,6 +35,7 @@
 	suspects *quarantine.List
 	// activities knows which endpoints are silent.
 	activities activity.Tracker
+	refusals   endpoint.Refusals
 	// Logger receives a line for each answer that was waited for. It must be set
 	// before use, or nothing is logged.
 	Logger *slog.Logger
--- a/internal/endpoint/sender.go
+++ b/internal/endpoint/sender.go
@@ -48,6 +48,9 @@
 // discarded.
 type Response struct {
 	*http.Response
+	// Reused reports whether the connection has carried another request before.
+	Reused bool
+
 	conn *conn
 	// cancel ends the remainder of the exchange.
 	cancel context.CancelFunc
@@ -140,7 +143,7 @@
 		cancel()
 		return nil, t, err
 	}
-	return &Response{Response: resp, conn: t.conn, cancel: cancel}, t, nil
+	return &Response{Response: resp, Reused: t.reused, conn: t.conn, cancel: cancel}, t, nil
 }
 
 func (s *Sender) roundTrip(ctx context.Context, r Request, transport *http.Transport, t *connTracker) (*http.Response, error) {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -43,6 +43,9 @@
 	// ErrRefused means that the engine refused the request without processing
 	// it.
 	ErrRefused = errors.New("the engine refused the request")
+	// ErrUnattributed means that a refusal was received that names no request and may
+	// answer an earlier one on its connection.
+	ErrUnattributed = errors.New("a refusal that may answer another request")
 	// ErrTruncated means that the stream ended without its end marker.
 	ErrTruncated = errors.New("the engine's answer is cut off")
 	// ErrWrongResponse means that the response belongs to another request.
@@ -116,7 +119,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "send to engine")
 	}
-	if err := checkResponse(e, r.ID, s.response.Response); err != nil {
+	if err := checkResponse(e, r.ID, s.response); err != nil {
 		s.response.Discard()
 		return nil, err
 	}
@@ -128,13 +131,19 @@
 // open new ones.
 func (c *Client) CloseIdle(e *table.Endpoint) { c.sender.CloseIdle(e.URL) }
 
-func checkResponse(e *table.Endpoint, id string, resp *http.Response) error {
+func checkResponse(e *table.Endpoint, id string, resp *endpoint.Response) error {
+	named := resp.Header.Get(HeaderRequestID)
+	refused := resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable
 	switch {
-	case resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable:
+	case refused && named != "" && named != id:
+		return ErrWrongResponse
+	case refused && named == "" && resp.Reused:
+		return errors.Wrapf(ErrUnattributed, "status %d", resp.StatusCode)
+	case refused:
 		return errors.Wrapf(ErrRefused, "status %d", resp.StatusCode)
 	case resp.StatusCode != http.StatusOK:
 		return errors.Errorf("engine status %d", resp.StatusCode)
-	case e.EchoesID && resp.Header.Get(HeaderRequestID) != id:
+	case e.EchoesID && named != id:
 		return ErrWrongResponse
 	}
 	return nil
--- a/internal/engine/faults_test.go
+++ b/internal/engine/faults_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -30,8 +31,11 @@
 type faultPoint struct {
 	Point standin.BreakPoint `json:"point"`
 	// Error is empty if the response is complete.
-	Error      string `json:"error"`
-	Executions int    `json:"executions"`
+	Error string `json:"error"`
+	// ErrorReused is the error on a connection that has carried a chat before, if it is
+	// another one: a refusal that names no request may be to that chat.
+	ErrorReused string `json:"errorReused"`
+	Executions  int    `json:"executions"`
 }
 
 // A chat request is sent to an engine, and the exchange fails at some point.
@@ -78,8 +82,12 @@
 		b.SetPoint(p.Point)
 	}
 	err = chat(t, client, e, "r-1", p.Point)
-	if got := errorName(err); got != p.Error {
-		t.Errorf("error %q (%v), want %q", got, err, p.Error)
+	want := p.Error
+	if reused {
+		want = cmp.Or(p.ErrorReused, p.Error)
+	}
+	if got := errorName(err); got != want {
+		t.Errorf("error %q (%v), want %q", got, err, want)
 	}
 	if n, _ := b.Counts(); n-before != p.Executions {
 		t.Errorf("executed %d times, want %d", n-before, p.Executions)
@@ -125,7 +133,7 @@
 	}
 	for name, known := range map[string]error{
 		"notSent": engine.ErrNotSent, "refused": engine.ErrRefused,
-		"truncated": engine.ErrTruncated, "wrongAnswer": engine.ErrWrongResponse,
+		"truncated": engine.ErrTruncated, "wrongAnswer": engine.ErrWrongResponse, "unattributed": engine.ErrUnattributed,
 	} {
 		if errors.Is(err, known) {
 			return name
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,6 +15,7 @@
 	"github.com/beechhead/beechhead/internal/activity"
 	"github.com/beechhead/beechhead/internal/boottime"
 	"github.com/beechhead/beechhead/internal/catalog"
+	"github.com/beechhead/beechhead/internal/endpoint"
 	"github.com/beechhead/beechhead/internal/http1"
 	"github.com/beechhead/beechhead/internal/metric"
 	"github.com/beechhead/beechhead/internal/outcome"
@@ -186,7 +187,7 @@
 	OnBegun func(r *Request)
 
 	activities activity.Tracker
-	refusals   refusals
+	refusals   endpoint.Refusals
 	// firstEvents has how soon the first events of streams come.
 	firstEvents responsetime.Floor
 }
--- a/internal/standin/breaking.go
+++ b/internal/standin/breaking.go
@@ -36,6 +36,8 @@
 	// Status500 and Status503 are whole answers.
 	Status500 BreakPoint = "status500"
 	Status503 BreakPoint = "status503"
+	// UnnamedRefusal is a refusal that does not name its request.
+	UnnamedRefusal BreakPoint = "unnamedRefusal"
 	// Status000 and Status999 are whole answers with a status that HTTP does not have.
 	Status000 BreakPoint = "status000"
 	Status999 BreakPoint = "status999"
@@ -186,6 +188,9 @@
 	case Status503:
 		fmt.Fprint(w, "HTTP/1.1 503 Service Unavailable\r\n"+whole)
 		return true
+	case UnnamedRefusal:
+		fmt.Fprint(w, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		return true
 	case Status000, Status999:
 		fmt.Fprint(w, "HTTP/1.1 "+strings.TrimPrefix(string(point), "status")+" \r\n"+whole)
 		return true
