Forward no long failure whose status says that the request was not run

Cause: a response of up to 1 MiB with such a status becomes an unknown outcome, but a longer one was forwarded as it came.

Change: such a response fails the attempt, whatever its length.

Measured: TestLongFailureIsNotForwardedAsNotRun got status 503 before, an unknown outcome now.

--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -264,3 +264,19 @@
 		})
 	}
 }
+
+// Guards against a long failure being forwarded with a status by which its caller concludes
+// that the request, which has run, was not run.
+func TestLongFailureIsNotForwardedAsNotRun(t *testing.T) {
+	s := &site{}
+	s.listenEndless(t, fmt.Sprintf("HTTP/1.1 503 Failed\r\nSigned: 1\r\nContent-Length: %d\r\n\r\n", 2*maxBuffered), "x")
+	f := newTestForwarder(s)
+	status := 0
+	err := f.Do(t.Context(), unsafeRequest("r"), Sink{
+		Head: func(code int, _ http.Header, _ int64) { status = code },
+		Body: func([]byte) error { return nil },
+	})
+	if err == nil || outcome.FromError(err).Outcome != outcome.Unknown || status != 0 {
+		t.Errorf("status %d, error %v, want an unknown outcome", status, err)
+	}
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -157,6 +157,8 @@
 	case len(body) <= maxBuffered:
 	case resp.StatusCode/100 != 2 && resp.ContentLength < 0:
 		return failedResult(outcome.ReasonWrongAnswer, errNoEnd)
+	case r.f.Protocol.ImpliesNotRun(resp.StatusCode):
+		return failedResult(outcome.ReasonEndpointFailed, errors.Errorf("status %d", resp.StatusCode))
 	default:
 		return c.forwardLong(x, resp, a)
 	}
