Forward no success without length that ends before its first byte

Cause: a head that is cut at any byte is an error on every path, but one that is whole and gives no length was forwarded with 'Content-Length: 0' when its connection closed before the first byte. Streams already counted as truncated then.

Change: such a success counts as truncated, so that its outcome is unknown or the request goes elsewhere. An endpoint that has nothing to send says so with a length. HEAD requests are as before.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -39,6 +39,7 @@
 	errUnsigned  = errors.New("a success without the endpoint's signature")
 	errNoContent = errors.New("a status without content in response to a stream request")
 	errNoEnd     = errors.New("an error response without length does not end")
+	errNoBody    = errors.New("a success without length ends before its first byte")
 )
 
 // failedResult returns the result of an attempt that failed after the endpoint
@@ -154,6 +155,8 @@
 	}
 	a := &response{status: resp.StatusCode, header: resp.Header, body: body}
 	switch {
+	case len(body) == 0 && c.mustHaveBody(resp):
+		return failedResult(outcome.ReasonTruncated, errNoBody)
 	case len(body) <= maxBuffered:
 	case resp.StatusCode/100 != 2 && resp.ContentLength < 0:
 		return failedResult(outcome.ReasonWrongAnswer, errNoEnd)
@@ -175,6 +178,12 @@
 	return forwardedResult(resp)
 }
 
+// mustHaveBody reports whether a response without any body is truncated: an endpoint that
+// has nothing to send says so with a length.
+func (c *call) mustHaveBody(resp *http.Response) bool {
+	return resp.StatusCode/100 == 2 && !isFramed(resp) && c.run.req.Method != http.MethodHead
+}
+
 // takeWhole forwards the head of a whole response, or returns an error if the response must
 // not be forwarded. A failure is kept, in case that no other endpoint answers. So is any
 // response other than events to a stream that has begun, or that another endpoint may still
--- a/internal/forward/unattributed_test.go
+++ b/internal/forward/unattributed_test.go
@@ -20,6 +20,8 @@
 	// answers are the responses to the requests of each connection, in order; {id} stands
 	// for the id of the request.
 	answers []string
+	// closes makes the endpoint close a connection after the last response.
+	closes bool
 
 	mu       sync.Mutex
 	received []string
@@ -77,7 +79,9 @@
 		e.mu.Unlock()
 		_, _ = io.WriteString(c, strings.ReplaceAll(answer, "{id}", id))
 	}
-	_, _ = r.ReadByte()
+	if !e.closes {
+		_, _ = r.ReadByte()
+	}
 }
 
 // hasReceived reports whether the endpoint has received a request.
