Ask for keys when the last account was taken away

Cause: requests needed a key only if there were accounts. A list that is there and empty was taken for one that is missing.

Change: the catalog says whether the configuration has a list of accounts, null included; only without one are routes open.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -98,10 +98,24 @@
 	Idle time.Duration
 }
 
+// Access is who may send requests to routes that are not public.
+type Access int
+
+const (
+	// AccessByKey allows requests with a key of an account. If there are no accounts, or
+	// none has a key, it allows none.
+	AccessByKey Access = iota
+	// AccessOpen allows all requests: the configuration has no list of accounts at all.
+	AccessOpen
+)
+
 // Catalog is one version of the configuration. It is immutable after Index.
 type Catalog struct {
-	Version  Version
-	Routes   []Route
+	Version Version
+	Routes  []Route
+	// Access decides whether Accounts matter: an empty list closes all routes that are
+	// not public, a missing one opens them.
+	Access   Access
 	Accounts []Account
 	Pools    []Pool
 	Limits   Limits
@@ -155,8 +169,8 @@
 	return c.byKey[key]
 }
 
-// HasAccounts reports whether requests need an API key.
-func (c *Catalog) HasAccounts() bool { return len(c.Accounts) > 0 }
+// NeedsKey reports whether requests on a route need an API key.
+func (c *Catalog) NeedsKey(r *Route) bool { return !r.Public && c.Access != AccessOpen }
 
 // Pool returns the pool with the given name, or nil.
 func (c *Catalog) Pool(name table.Pool) *Pool { return c.pools[name] }
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -210,7 +210,7 @@
 	if m.route == nil {
 		return m, notFound(ok && age < staleAfter, outcome.ReasonUnknownPath, "no route matches the path")
 	}
-	if m.route.Public || !c.HasAccounts() {
+	if !c.NeedsKey(m.route) {
 		return m, nil
 	}
 	if !ok || age >= g.conf().Gateway.RevokeAfter.Std()-revokeMargin {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -298,6 +298,29 @@
 	s.await("an answer", func() bool { return s.call(d, http.MethodPost, "/pay/x", nil, "").status == http.StatusOK })
 }
 
+// Guards against all routes being opened, to keys that were taken away as well, when the
+// last account is removed.
+func TestRoutesAreClosedWithoutAccounts(t *testing.T) {
+	s := newTestSite(t, 2)
+	for i, tenants := range [][]map[string]any{{}, {{"name": "acme", "api-keys": []string{}}}} {
+		s.config.Version = 11 + i
+		s.config.Tenants = tenants
+		s.putConfig()
+		for _, d := range s.daemons {
+			s.await("the configuration", func() bool { return int(d.g.holder.Summary().Config) == s.config.Version })
+			for _, key := range []string{standin.SampleKey, "key-2", "unknown", ""} {
+				a := s.call(d, http.MethodPost, "/pay/x", map[string]string{platform.HeaderAPIKey: key}, "")
+				if a.status != http.StatusUnauthorized || len(s.runs(a.id)) > 0 {
+					t.Errorf("key %q with accounts %v: status %d, %d runs", key, tenants, a.status, len(s.runs(a.id)))
+				}
+			}
+			if a := s.call(d, http.MethodGet, "/open/x", nil, ""); a.status != http.StatusOK {
+				t.Errorf("a public route: status %d", a.status)
+			}
+		}
+	}
+}
+
 // The store's history is dropped between two reads. The readers must then read
 // the complete tables again.
 func TestDroppedHistory(t *testing.T) {
--- a/internal/gateway/unattributed_test.go
+++ b/internal/gateway/unattributed_test.go
@@ -277,7 +277,7 @@
 	name    string
 	conduct extraConduct
 }{
-	{"none", extraConduct{refuseEvery: 5, refusal: 503}},
+	{"none", extraConduct{extra: extraNone, refuseEvery: 5, refusal: 503}},
 	{"a second refusal at once", extraConduct{extra: extraRefusal, refuseEvery: 5, refusal: 503}},
 	{"a second refusal after 3 ms", extraConduct{extra: extraRefusal, delay: 3 * time.Millisecond, refuseEvery: 5, refusal: 503}},
 	{"a second refusal after 40 ms", extraConduct{extra: extraRefusal, delay: 40 * time.Millisecond, refuseEvery: 5, refusal: 503}},
