Let new connections take the place of idle ones at an endpoint's limit

Cause: requests that need an unused connection open one while the idle list may be full, so that a daemon holds more connections than its share and the endpoint may reset some, with the requests on them.

Change: at the limit the oldest idle connection is closed first.

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -152,6 +152,7 @@
 			return c, nil
 		}
 	}
+	p.makeRoom(address)
 	return p.dialConn(ctx, address)
 }
 
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -170,6 +170,22 @@
 	return nil
 }
 
+// makeRoom closes the oldest idle connection to the address if there are as many as are
+// allowed, so that a new one takes its place and the endpoint's limit is kept.
+func (p *Pool) makeRoom(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	limit := int(p.maxIdle.Load())
+	if limit <= 0 || len(list) < limit {
+		p.mu.Unlock()
+		return
+	}
+	oldest := list[0]
+	p.idle[address] = slices.Delete(list, 0, 1)
+	p.mu.Unlock()
+	_ = oldest.Close()
+}
+
 func (p *Pool) put(address string, c *conn, idle time.Duration) {
 	if idle <= 0 {
 		_ = c.Close()
