Send stray refusals in the soak, and none that names its request

Cause: the stand-in of engines named the request in its refusals, where engines name none, and no fault sent a refusal that answers nothing.

Change: refusals of the stand-in name no request. A fault has instances of a plain service send refusals some time after a quarter of their responses, in half of the runs, drawn apart from the others. The planted error 'nameStray' lets these refusals name the request that waits.

--- a/internal/load/soak.go
+++ b/internal/load/soak.go
@@ -35,7 +35,7 @@
 	Callers     int           `long:"callers" default:"12" description:"Callers"`
 	Length      time.Duration `long:"length" default:"12s" description:"How long faults come"`
 	Keep        bool          `long:"keep" description:"Keep the logs of runs that keep all promises, too"`
-	Plant       string        `long:"plant" choice:"runTwice" choice:"foreign" choice:"runRefused" choice:"unsigned" choice:"hideLimit" choice:"otherTarget" choice:"hideEra" choice:"hideBrittle" choice:"hideBackoff" choice:"hideLeaving" choice:"swallowPath" choice:"hideVersions" choice:"loseStreams" choice:"scatterParts" choice:"forgetKeys" choice:"ignorePriority" choice:"endSilent" choice:"hideMemory" description:"A fault of the stand-ins that breaks a promise; the run must fail"` //nolint:staticcheck // go-flags repeats the tag
+	Plant       string        `long:"plant" choice:"runTwice" choice:"foreign" choice:"runRefused" choice:"unsigned" choice:"hideLimit" choice:"otherTarget" choice:"hideEra" choice:"hideBrittle" choice:"hideBackoff" choice:"hideLeaving" choice:"swallowPath" choice:"hideVersions" choice:"loseStreams" choice:"scatterParts" choice:"forgetKeys" choice:"ignorePriority" choice:"endSilent" choice:"hideMemory" choice:"nameStray" description:"A fault of the stand-ins that breaks a promise; the run must fail"` //nolint:staticcheck // go-flags repeats the tag
 
 	// KnownRed holds the promises that seeds may break, as "SEED:PROMISE".
 	KnownRed []string `long:"known-red" value-name:"SEED:PROMISE" description:"Do not fail if this seed breaks this promise and no other"`
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -547,7 +547,7 @@
 			}
 		}
 	}
-	if n := len(kinds) + len(lastingKinds) + len(announcedKinds) + 5; len(seen) != n {
+	if n := len(kinds) + len(lastingKinds) + len(announcedKinds) + 6; len(seen) != n {
 		t.Errorf("%d of %d kinds are drawn", len(seen), n)
 	}
 }
--- a/internal/soak/ending.go
+++ b/internal/soak/ending.go
@@ -40,6 +40,8 @@
 	plantForeign    = "foreign"
 	plantUnsigned   = "unsigned"
 	plantRunRefused = "runRefused"
+	// plantNameStray has refusals that answer no request name the one that waits.
+	plantNameStray = "nameStray"
 	// plantHideLimit has engines name no limit where they have one.
 	plantHideLimit = "hideLimit"
 	// plantOtherTarget has repeats of a request look like others.
@@ -85,8 +87,10 @@
 	plantHideMemory: {Kind: KindSlowReaders},
 
 	plantIgnorePriority: {Kind: KindConfig},
-	plantEndSilent:      {Kind: KindEnginePause, For: maxPause, Spread: SpreadPool},
-	plantSwallow:        {Kind: KindPathLost, For: maxPathFault, Spread: SpreadZone, Path: paths.PathSwallows},
+	plantNameStray:      {Kind: KindEngineStray, For: 3 * maxFault, Target: 1},
+
+	plantEndSilent: {Kind: KindEnginePause, For: maxPause, Spread: SpreadPool},
+	plantSwallow:   {Kind: KindPathLost, For: maxPathFault, Spread: SpreadZone, Path: paths.PathSwallows},
 }
 
 func (o *Options) smallMemory() bool { return o.SmallMemory || o.Plant == plantIgnorePriority }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -163,6 +163,7 @@
 		KindEngineHang:   {Hang: true},
 		KindEngineCut:    {CutAfter: 5},
 		KindEngineTwice:  {Twice: true},
+		KindEngineStray:  {Stray: true, StrayNamed: r.o.Plant == plantNameStray},
 	}
 	r.must(r.setFaults(f.Target, faults[f.Kind]))
 	time.Sleep(f.For)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -33,12 +33,15 @@
 	// KindStoreCopy makes the store go away for a moment and come back from a copy.
 	KindStoreCopy Kind = "storeCopy"
 
-	KindEngineRefuse  Kind = "engineRefuse"
-	KindEngineFail    Kind = "engineFail"
-	KindEngineHang    Kind = "engineHang"
-	KindEngineReset   Kind = "engineReset"
-	KindEngineCut     Kind = "engineCut"
-	KindEngineTwice   Kind = "engineTwice"
+	KindEngineRefuse Kind = "engineRefuse"
+	KindEngineFail   Kind = "engineFail"
+	KindEngineHang   Kind = "engineHang"
+	KindEngineReset  Kind = "engineReset"
+	KindEngineCut    Kind = "engineCut"
+	KindEngineTwice  Kind = "engineTwice"
+	// KindEngineStray makes an instance of a plain service send refusals that answer no
+	// request.
+	KindEngineStray   Kind = "engineStray"
 	KindEngineSilence Kind = "engineSilence"
 	KindEngineDelay   Kind = "engineDelay"
 	KindEngineDrain   Kind = "engineDrain"
@@ -177,10 +180,33 @@
 	plan = append(plan, pathFaults(seed, daemons, length)...)
 	plan = append(plan, versionRolls(seed, length)...)
 	plan = append(plan, pauseFaults(seed, daemons, engines, length)...)
+	plan = append(plan, strayFaults(seed, engines, length)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
 
+const (
+	// strayShare is how often a run has stray refusals, maxStrays how many times.
+	strayShare = 0.5
+	maxStrays  = 3
+)
+
+// strayFaults draws them apart from the others, which so stay as they are. Instances of a
+// plain service have odd numbers.
+func strayFaults(seed uint64, engines int, length time.Duration) (plan []Fault) {
+	random := rand.New(rand.NewPCG(seed, 10)) //nolint:gosec // a plan
+	if random.Float64() >= strayShare {
+		return nil
+	}
+	for range 1 + random.IntN(maxStrays) {
+		plan = append(plan, Fault{
+			Kind: KindEngineStray, At: time.Duration(random.Int64N(int64(length))), For: maxFault,
+			Target: 1 + 2*random.IntN(engines/2),
+		})
+	}
+	return plan
+}
+
 // lastingShare is how often a run has a fault of each kind that lasts.
 const lastingShare = 0.5
 
--- a/internal/standin/main.go
+++ b/internal/standin/main.go
@@ -87,7 +87,7 @@
 		return err
 	}
 	fmt.Println(l.Addr())
-	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second, ConnState: func(c net.Conn, state http.ConnState) {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second, ConnContext: gatewayform.ConnContext, ConnState: func(c net.Conn, state http.ConnState) {
 		if state == http.StateNew {
 			limitBuffers(c)
 		}
