Keep the body of a response that others follow

A success without id, the first on its connection, that came together with more bytes lost its body while the response with the id was looked for, and was forwarded as an empty one with a length.

Change: a response that is kept is not skipped.

--- a/internal/forward/unattributed_test.go
+++ b/internal/forward/unattributed_test.go
@@ -159,6 +159,31 @@
 	}
 }
 
+// Guards against a response without a request id that loses its body, or gives way to one of
+// another request, when more comes with it on a new connection.
+func TestFollowedResponsesOnNewConnections(t *testing.T) {
+	const unnamed = "HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Length: 4\r\n\r\ngood"
+	for name, tt := range map[string]struct{ answer, want string }{
+		"a refusal follows":                          {unnamed + strayRefusal, "good"},
+		"a success follows":                          {unnamed + straySuccess, "good"},
+		"a response to another request follows":      {unnamed + strings.Replace(straySuccess, "Signed", "Id: else\r\nSigned", 1), "good"},
+		"bytes that are no response follow":          {unnamed + "HTTP", "good"},
+		"the response with the id follows":           {straySuccess + keptSuccess, "good"},
+		"the response with the id follows a refusal": {strayRefusal + keptSuccess, "good"},
+		"a refusal follows a refusal":                {strayRefusal + strayRefusal, "notRun"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &site{}
+			s.listenKept(t, tt.answer)
+			f := newTestForwarder(s)
+			f.Protocol.Attribute = attributeByID
+			if got := sendKept(t, f, "1", catalog.Unsafe); got != tt.want {
+				t.Errorf("the caller received %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
 // Guards against unsafe requests that end with an unknown outcome while endpoints refuse
 // without a request id: after the first refusal the next one proves that it was not run.
 func TestRefusedUnsafeRequestsAreSentElsewhere(t *testing.T) {
--- a/internal/http1/attribution.go
+++ b/internal/http1/attribution.go
@@ -75,6 +75,9 @@
 			}
 		}
 		x.skipped++
+		if resp == a.response {
+			continue
+		}
 		if err := x.skipBody(resp); err != nil {
 			return x.endAwait(&a, errors.Wrap(err, "skip response"))
 		}
