--- a/internal/forward/cuthead_test.go
+++ b/internal/forward/cuthead_test.go
@@ -21,7 +21,7 @@
 	headWithLF     = "HTTP/1.1 200 OK\nId: r\nSigned: 1\n\n"
 )
 
-// received is what a caller has received.
+// received holds the response of a caller.
 type received struct {
 	status int
 	body   strings.Builder
--- a/internal/forward/unattributed_test.go
+++ b/internal/forward/unattributed_test.go
@@ -111,7 +111,7 @@
 	for _, tt := range []struct {
 		name string
 		kind catalog.Kind
-		// second is what comes when the second request on a connection was sent.
+		// second follows the second request on a connection.
 		second string
 		// want is the body that its caller receives, or the outcome.
 		want string
--- a/internal/gateway/unattributed_test.go
+++ b/internal/gateway/unattributed_test.go
@@ -17,7 +17,7 @@
 	"github.com/beechhead/beechhead/platform/standin"
 )
 
-// extra is what a server sends besides the responses to its requests.
+// extra names the responses of a server that answer no request.
 type extra int
 
 const (
@@ -37,7 +37,7 @@
 	extraWork = 10 * time.Millisecond
 )
 
-// extraConduct is how a server refuses requests and sends extra refusals.
+// extraConduct holds the ways in which a server refuses requests and sends extra refusals.
 type extraConduct struct {
 	extra extra
 	delay time.Duration
--- a/internal/http1/attribution.go
+++ b/internal/http1/attribution.go
@@ -85,7 +85,7 @@
 	return x.endAwait(&a, ErrForeignResponse)
 }
 
-// await is what has been received while the response that names the request is awaited.
+// await holds the responses received while the one that names the request is awaited.
 type await struct {
 	begun bool
 	// response is the response if none that names the request follows; nil if there is
