Log each request that is refused as not run, and ids that come again

Nothing in a log could tell apart the four hypotheses about requests that ran although they were refused: refusals of requests that were never sent had a line only up to 40 a second, traces had neither the connection nor the ids that skipped responses named, and a request that arrives twice was not noticed.

Now a digest has the id of each refused request, with the number of endpoints that had received it; traces have the connection's number, bytes written and read, times, and each response with the id that it names; a counter and a line tell of an unsafe request that arrives with the id and content of an earlier one. Nothing is decided by any of it.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"strings"
 	"time"
 
@@ -35,9 +34,14 @@
 	// via is the address of the daemon through which the request was sent; "" if it
 	// was sent directly.
 	via string
-	// conn is the state of the connection when the request was written. status,
-	// attribution and skipped describe the response; zero if there was none.
-	conn        http1.ConnState
+	// conn is the state of the connection when the request was written, sentAfter the
+	// time from the request's arrival to then. bytesWritten and bytesRead are those of the
+	// exchange, heads describes the responses that were received.
+	conn                    http1.ConnState
+	sentAfter               time.Duration
+	bytesWritten, bytesRead int64
+	heads                   []http1.Head
+	// status, attribution and skipped describe the response; zero if there was none.
 	status      int
 	attribution http1.Attribution
 	skipped     int
@@ -151,7 +155,8 @@
 	if err != nil {
 		return c.notSent(err)
 	}
-	c.via, c.conn = x.Via(), x.Conn()
+	c.via, c.conn, c.sentAfter = x.Via(), x.Conn(), r.f.Clock.Since(r.began)
+	defer func() { c.bytesWritten, c.bytesRead = x.Transferred(); c.heads = x.Heads() }()
 	stop := context.AfterFunc(c.ctx, x.Abort)
 	defer stop()
 	// Closes the connection if the exchange has neither finished nor been aborted.
@@ -221,6 +226,7 @@
 		send.FetchFrom = address(c.grant.FetchFrom)
 	}
 	return &http1.Request{
+		ID:          r.req.ID,
 		Method:      r.req.Method,
 		Target:      r.req.Target,
 		Host:        r.req.Host,
@@ -230,7 +236,7 @@
 		BeforeWrite: c.checkWrite,
 		Unused:      r.needsUnused(),
 		AwaitOwn:    r.awaitOwn(),
-		Attribute:   func(h http.Header) http1.Attribution { return r.f.Protocol.Attribute(r.req, h) },
+		NamedID:     r.f.Protocol.NamedID,
 	}
 }
 
@@ -261,6 +267,7 @@
 	c.lastSign = c.sentAt
 	c.activity = r.f.activities.Begin(&c.grant.Endpoint, c.lastSign)
 	r.reached, c.sent = true, true
+	r.sent++
 	if c.hedge {
 		r.f.Metrics.CountRetry(outcome.ReasonSilent)
 	}
--- a/internal/forward/cuthead_test.go
+++ b/internal/forward/cuthead_test.go
@@ -74,7 +74,7 @@
 	s := &site{}
 	s.listen(t, answer)
 	f := newTestForwarder(s)
-	f.Protocol.Attribute = attributeByID
+	f.Protocol.NamedID = namedByID
 	r := unsafeRequest("r")
 	r.Kind = kind
 	if change != nil {
@@ -98,7 +98,7 @@
 			e := s.listenKept(t, first, headWithNone[:n])
 			e.closes = true
 			f := newTestForwarder(s)
-			f.Protocol.Attribute = attributeByID
+			f.Protocol.NamedID = namedByID
 			sendKept(t, f, "q", kind)
 			s.mu.Lock()
 			s.next = 0
@@ -120,7 +120,7 @@
 				silent := s.listenKept(t, "")
 				s.listen(t, headWithNone[:n])
 				f := newTestForwarder(s)
-				f.Protocol.Attribute = attributeByID
+				f.Protocol.NamedID = namedByID
 				f.Budget = budgetOf(1)
 				r := unsafeRequest("r")
 				r.Kind, r.Resumable, r.Attempts = kind, kind == catalog.Stream, 2
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -74,9 +74,9 @@
 	MaySend func() *outcome.Refusal
 }
 
-// repeatable reports whether the request may be sent again although an endpoint
+// Repeatable reports whether the request may be sent again although an endpoint
 // may have run it.
-func (r *Request) repeatable() bool { return r.Kind == catalog.Safe || r.Resumable }
+func (r *Request) Repeatable() bool { return r.Kind == catalog.Safe || r.Resumable }
 
 // callerFingerprint returns the fingerprint if it tells callers apart. All requests of an
 // account without a body to one target have the same one.
@@ -127,8 +127,9 @@
 	Header func(s Attempt) http.Header
 	// ReadHead interprets the head of a response.
 	ReadHead func(status int, h http.Header) ResponseInfo
-	// Attribute returns which request a response states that it answers.
-	Attribute func(r *Request, h http.Header) http1.Attribution
+	// NamedID returns the id of the request that a response names; empty if it names
+	// none. If nil, every response answers the request that was sent last.
+	NamedID func(h http.Header) string
 	// ImpliesNotRun reports whether callers conclude from a status code that the
 	// request was not run.
 	ImpliesNotRun func(status int) bool
@@ -212,5 +213,6 @@
 	defer run.dropCalls()
 	err := run.do(ctx)
 	run.recordAttempts(err)
+	run.countSent(err)
 	return err
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -213,7 +213,6 @@
 	ReadHead: func(_ int, h http.Header) ResponseInfo {
 		return ResponseInfo{NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != ""}
 	},
-	Attribute:     func(*Request, http.Header) http1.Attribution { return http1.Own },
 	ImpliesNotRun: func(status int) bool { return status == http.StatusServiceUnavailable },
 }
 
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -59,6 +59,8 @@
 	// reached reports whether an endpoint has received the request, terminatedEndpoint
 	// whether one has terminated while it ran it, completed whether one has completed it.
 	reached, terminatedEndpoint, completed bool
+	// sent is the number of attempts in which an endpoint has received the request.
+	sent int
 	// headSent reports whether the head of a response was forwarded.
 	headSent bool
 	// lastEvent is the id of the last event that the caller has received.
@@ -250,7 +252,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return obstacleEnded
-	case e.mayHaveRun && !r.req.repeatable():
+	case e.mayHaveRun && !r.req.Repeatable():
 		return obstacleNotRepeatable
 	case errors.As(e.err, new(*outcome.Refusal)):
 		return obstacleRefused
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -37,7 +37,7 @@
 		target = r.req.GapTarget
 	}
 	switch {
-	case !r.req.repeatable() || target == 0:
+	case !r.req.Repeatable() || target == 0:
 		return 0
 	case r.headSent && r.req.Kind != catalog.Stream:
 		return 0
@@ -49,7 +49,7 @@
 
 // mayHedge reports whether a second attempt can become possible at all.
 func (r *run) mayHedge() bool {
-	return r.req.repeatable() && r.req.Attempts > 1 && max(r.req.StartTarget, r.req.GapTarget) > 0
+	return r.req.Repeatable() && r.req.Attempts > 1 && max(r.req.StartTarget, r.req.GapTarget) > 0
 }
 
 // newest returns the latest attempt.
--- a/internal/forward/trace.go
+++ b/internal/forward/trace.go
@@ -20,10 +20,13 @@
 	Via      string             `json:"via,omitempty"`
 	Hedge    bool               `json:"hedge,omitempty"`
 	Sent     bool               `json:"sent"`
-	// ConnAgeMs is the age of the connection, Carried the number of requests that it had
-	// carried before.
+	// Conn is the number of the connection, ConnAgeMs its age, Carried the number of
+	// requests that it had carried before. Written and Read are the bytes of the attempt.
+	Conn      int64 `json:"conn"`
 	ConnAgeMs int64 `json:"connAgeMs"`
 	Carried   int   `json:"carried"`
+	Written   int64 `json:"written"`
+	Read      int64 `json:"read"`
 	Status    int   `json:"status,omitempty"`
 	// Response is the request that the response states that it answers, Skipped the
 	// number of responses to other requests before it.
@@ -32,10 +35,30 @@
 	Reason     outcome.Reason    `json:"reason,omitempty"`
 	MayHaveRun bool              `json:"mayHaveRun"`
 	InProgress bool              `json:"inProgress,omitempty"`
-	// EndedMs is the time from the request's arrival to the end of the attempt.
+	// Heads are the responses that were received, those to other requests included.
+	Heads []headTrace `json:"heads,omitempty"`
+	// SentMs and EndedMs are the times from the request's arrival to when it was written
+	// and to the end of the attempt.
+	SentMs  int64 `json:"sentMs"`
 	EndedMs int64 `json:"endedMs"`
 }
 
+// headTrace describes a response that was received.
+type headTrace struct {
+	Status int `json:"status"`
+	// Names is the id of the request that the response names.
+	Names string `json:"names,omitempty"`
+	// AfterMs is the time since the request was written.
+	AfterMs int64 `json:"afterMs"`
+}
+
+func headTraces(heads []http1.Head) (traces []headTrace) {
+	for _, h := range heads {
+		traces = append(traces, headTrace{Status: h.Status, Names: h.Names, AfterMs: h.At.Milliseconds()})
+	}
+	return traces
+}
+
 // addTrace keeps the trace of an attempt that has ended, if it had a slot. It requires mu.
 func (r *run) addTrace(c *call) {
 	if c.err != nil || len(r.traces) >= maxTraces {
@@ -49,7 +72,8 @@
 	}
 	r.traces = append(r.traces, attemptTrace{
 		Endpoint: c.grant.Endpoint.Name, Via: c.via, Hedge: c.hedge, Sent: c.sent,
-		ConnAgeMs: c.conn.Age.Milliseconds(), Carried: c.conn.Carried,
+		Conn: c.conn.Number, ConnAgeMs: c.conn.Age.Milliseconds(), Carried: c.conn.Carried,
+		Written: c.bytesWritten, Read: c.bytesRead, Heads: headTraces(c.heads), SentMs: c.sentAfter.Milliseconds(),
 		Status: c.status, Response: c.attribution, Skipped: c.skipped,
 		Reason: c.result.reason, MayHaveRun: c.result.mayHaveRun,
 		EndedMs: r.f.Clock.Since(r.began).Milliseconds(),
@@ -86,7 +110,7 @@
 		return doubtForwarded
 	case refused && refusal.Outcome == outcome.NotRun && r.reached:
 		return doubtPromised
-	case sent > 1 && !r.req.repeatable():
+	case sent > 1 && !r.req.Repeatable():
 		return doubtSentAgain
 	case slices.ContainsFunc(r.traces, func(a attemptTrace) bool { return a.Skipped > 0 }):
 		return doubtSkipped
@@ -94,6 +118,16 @@
 	return ""
 }
 
+// countSent sets how many endpoints have received a request that is refused. It must be
+// called without mu.
+func (r *run) countSent(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if refusal, ok := errors.Into[*outcome.Refusal](err); ok {
+		refusal.Sent = r.sent
+	}
+}
+
 // recordAttempts logs the attempts of a request that has ended, if its outcome depends on
 // what was believed about them. It must be called without mu.
 func (r *run) recordAttempts(err error) {
@@ -114,5 +148,5 @@
 	if err != nil {
 		ended = err.Error()
 	}
-	r.f.Logger.Info("attempts", "request", r.req.ID, "class", r.req.Class, "why", why, "repeatable", r.req.repeatable(), "ended", ended, "trace", traces)
+	r.f.Logger.Info("attempts", "request", r.req.ID, "class", r.req.Class, "why", why, "repeatable", r.req.Repeatable(), "ended", ended, "trace", traces)
 }
--- a/internal/forward/trace_test.go
+++ b/internal/forward/trace_test.go
@@ -15,16 +15,8 @@
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
-// attributeByID is the Protocol.Attribute of endpoints that echo the header Id.
-func attributeByID(r *Request, h http.Header) http1.Attribution {
-	switch h.Get("Id") {
-	case "":
-		return http1.Unstated
-	case r.ID:
-		return http1.Own
-	}
-	return http1.Foreign
-}
+// namedByID is the Protocol.NamedID of endpoints that echo the header Id.
+func namedByID(h http.Header) string { return h.Get("Id") }
 
 // attemptsLine is the log line about the attempts of a request.
 type attemptsLine struct {
@@ -85,7 +77,7 @@
 			}
 			var log strings.Builder
 			f := newTestForwarder(s)
-			f.Protocol.Attribute = attributeByID
+			f.Protocol.NamedID = namedByID
 			f.Logger = slog.New(slog.NewJSONHandler(&log, nil))
 			f.Budget = budgetOf(tt.budget)
 			_ = f.Do(t.Context(), unsafeRequest("r"), discardSink())
@@ -100,9 +92,13 @@
 				t.Fatalf("logged %+v, want %s", lines, tt.want)
 			}
 			for i, want := range tt.attempts {
-				if a := lines[0].Trace[i]; a.Response != want || !a.Sent || a.Carried != 0 {
+				a := lines[0].Trace[i]
+				if a.Response != want || !a.Sent || a.Carried != 0 {
 					t.Errorf("attempt %d: %+v, want a response that is %s", i, a, want)
 				}
+				if a.Conn == 0 || a.Written == 0 || a.Read == 0 || len(a.Heads) != a.Skipped+1 {
+					t.Errorf("attempt %d: %+v, want its connection, bytes and heads", i, a)
+				}
 			}
 		})
 	}
--- a/internal/forward/unattributed.go
+++ b/internal/forward/unattributed.go
@@ -16,13 +16,13 @@
 // needsUnused reports whether the request must be sent over a connection that has carried
 // none, since a refusal would otherwise leave open whether it was run. It requires mu.
 func (r *run) needsUnused() bool {
-	return r.unattributed || !r.req.repeatable() && r.f.refusals.AreExpected(r.req.Pool, r.f.Clock)
+	return r.unattributed || !r.req.Repeatable() && r.f.refusals.AreExpected(r.req.Pool, r.f.Clock)
 }
 
 // awaitOwn returns how long the response that names the request is awaited after one that
 // does not. A request that may be repeated is sent elsewhere instead.
 func (r *run) awaitOwn() time.Duration {
-	if r.req.repeatable() {
+	if r.req.Repeatable() {
 		return 0
 	}
 	return ownResponseWait
--- a/internal/forward/unattributed_test.go
+++ b/internal/forward/unattributed_test.go
@@ -138,7 +138,7 @@
 			used := s.listenKept(t, first, tt.second)
 			other := s.listenKept(t, first)
 			f := newTestForwarder(s)
-			f.Protocol.Attribute = attributeByID
+			f.Protocol.NamedID = namedByID
 			f.Budget = budgetOf(1)
 			if got := sendKept(t, f, "1", tt.kind); !strings.Contains(first, got) {
 				t.Fatalf("the first caller received %q", got)
@@ -176,7 +176,7 @@
 			s := &site{}
 			s.listenKept(t, tt.answer)
 			f := newTestForwarder(s)
-			f.Protocol.Attribute = attributeByID
+			f.Protocol.NamedID = namedByID
 			if got := sendKept(t, f, "1", catalog.Unsafe); got != tt.want {
 				t.Errorf("the caller received %q, want %q", got, tt.want)
 			}
@@ -191,7 +191,7 @@
 	refuses := s.listenKept(t, keptSuccess, strayRefusal)
 	s.listenKept(t, keptSuccess, keptSuccess)
 	f := newTestForwarder(s)
-	f.Protocol.Attribute = attributeByID
+	f.Protocol.NamedID = namedByID
 	f.Budget = budgetOf(1)
 	for _, tt := range []struct{ id, want string }{{"1", "good"}, {"2", "unknown"}, {"3", "good"}} {
 		if tt.id == "3" {
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -72,7 +72,7 @@
 		g.refuse(w, r, &call, refusal)
 		return
 	}
-	err := g.forward(w, r, req, forward.Sink{
+	err := g.forwardNoted(w, r, req, forward.Sink{
 		Head: func(status int, h http.Header, length int64) {
 			writeHead(w, status, h, length)
 			begun.Store(true)
@@ -115,6 +115,7 @@
 	g.metrics.CountRefusal(refusal.Reason)
 	g.logger.Info("refused", "request", call.ID, "outcome", refusal.Outcome, "reason", refusal.Reason, "message", refusal.Message,
 		"config", g.holder.Summary().Config, "configAgeMs", g.configAgeMs())
+	g.recordPromise(call.ID, refusal)
 	if refusal.Reason == outcome.ReasonBadRequest || refusal.Reason == outcome.ReasonTooLarge || g.leaving() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,7 @@
 	"github.com/beechhead/beechhead/internal/placement"
 	"github.com/beechhead/beechhead/internal/platform"
 	"github.com/beechhead/beechhead/internal/quarantine"
+	"github.com/beechhead/beechhead/internal/requestid"
 	"github.com/beechhead/beechhead/internal/retrybudget"
 	"github.com/beechhead/beechhead/internal/settings"
 	"github.com/beechhead/beechhead/internal/storetime"
@@ -118,8 +119,12 @@
 	budgets  map[table.Pool]*retrybudget.Budget
 
 	// backlog holds what callers have not read; nil if nothing is held.
-	backlog    *backlog.Budget
-	sampler    *logline.Sampler
+	backlog *backlog.Budget
+	sampler *logline.Sampler
+	// promises logs the ids of all requests that are refused as not run.
+	promises *logline.Digest
+	// recent has the requests that must not be repeated.
+	recent     *requestid.Recent
 	inProgress atomic.Int64
 	callerHTTP *http.Server
 	peerHTTP   *http.Server
@@ -156,6 +161,8 @@
 	g.current.Store(s)
 	g.sampler = logline.NewSampler(g.clock)
 	g.logger = slog.New(logline.NewLimiter(g.clock, logger.Handler())).With("host", s.Host)
+	g.promises = logline.NewDigest(g.clock, g.logger, "refused as not run", "reason")
+	g.recent = requestid.NewRecent(g.clock)
 	if m := s.Gateway.Machine; m != nil && m.MemoryMB > 0 {
 		g.backlog = backlog.NewBudget(g.clock, backlog.Limit(backlog.Bytes(m.MemoryMB*(1<<20))))
 	}
@@ -324,7 +331,9 @@
 		defer cancel()
 		return g.shutDown(ctx)
 	})
-	return grp.Wait()
+	err = grp.Wait()
+	g.promises.Flush()
+	return err
 }
 
 // listen opens the daemon's listeners and starts their servers.
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -44,6 +44,8 @@
 	startCutOff bool
 	// startWait, if positive, is how long requests wait for the start of a daemon.
 	startWait time.Duration
+	// log, if set, receives the logs of the daemons.
+	log *logBuffer
 	// change, if set, changes the settings of each daemon and the document.
 	change func(*settings.Settings, *standin.Document)
 }
@@ -75,7 +77,13 @@
 // newTestSiteWith starts a site with changed settings and document.
 func newTestSiteWith(t *testing.T, n int, change func(*settings.Settings, *standin.Document)) *testSite {
 	t.Helper()
-	s := &testSite{t: t, store: standin.NewStore(), engines: map[string]*testEngine{}, config: standin.SampleDocument(), change: change}
+	return newLoggedTestSite(t, n, nil, change)
+}
+
+// newLoggedTestSite starts a site whose daemons log to a buffer.
+func newLoggedTestSite(t *testing.T, n int, log *logBuffer, change func(*settings.Settings, *standin.Document)) *testSite {
+	t.Helper()
+	s := &testSite{t: t, store: standin.NewStore(), engines: map[string]*testEngine{}, config: standin.SampleDocument(), change: change, log: log}
 	if change != nil {
 		change(&settings.Settings{Gateway: &settings.Gateway{}}, &s.config)
 	}
@@ -153,7 +161,7 @@
 	if s.change != nil {
 		s.change(conf, &standin.Document{Services: []map[string]any{{}}})
 	}
-	d.g = New(conf, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	d.g = New(conf, slog.New(slog.NewJSONHandler(s.logWriter(), nil)))
 	d.path = &enginePath{dial: d.g.dialEndpoint}
 	d.g.dialEndpoint = d.path.Dial
 	if s.startWait > 0 {
@@ -174,6 +182,38 @@
 	return d
 }
 
+// logBuffer keeps the lines of logs. It is safe for concurrent use.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write adds a line.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// lines returns the lines with a message.
+func (b *logBuffer) lines(message string) (lines []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for line := range strings.Lines(b.text.String()) {
+		if strings.Contains(line, `"msg":"`+message+`"`) {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+func (s *testSite) logWriter() io.Writer {
+	if s.log == nil {
+		return io.Discard
+	}
+	return s.log
+}
+
 // await waits until a condition holds. The timeout is generous; it only ends
 // failing tests.
 func (s *testSite) await(what string, condition func() bool) {
--- a/internal/http1/attribution.go
+++ b/internal/http1/attribution.go
@@ -26,12 +26,33 @@
 	Unstated Attribution = "unstated"
 )
 
-// attribute returns the attribution of a response to the request.
-func (r *Request) attribute(h http.Header) Attribution {
-	if r.Attribute == nil {
-		return Own
+// Head describes the head of a response that was received.
+type Head struct {
+	Status int
+	// Names is the id of the request that the response names; empty if it names none.
+	Names string
+	// At is the time from when the request was written.
+	At time.Duration
+}
+
+// attribute returns the attribution of a response, and the id that it names.
+func (r *Request) attribute(h http.Header) (Attribution, string) {
+	if r.NamedID == nil {
+		return Own, r.ID
 	}
-	return r.Attribute(h)
+	switch id := r.NamedID(h); id {
+	case "":
+		return Unstated, ""
+	case r.ID:
+		return Own, id
+	default:
+		return Foreign, id
+	}
+}
+
+// addHead records the head of a response.
+func (x *Exchange) addHead(resp *http.Response, names string) {
+	x.heads = append(x.heads, Head{Status: resp.StatusCode, Names: names, At: x.pool.clock.Since(x.writtenAt)})
 }
 
 // UnattributedError reports that only a response was received that names no request and
@@ -61,7 +82,9 @@
 			x.noReuse = true
 			return x.endAwait(&a, err)
 		}
-		x.attribution = x.request.attribute(resp.Header)
+		var names string
+		x.attribution, names = x.request.attribute(resp.Header)
+		x.addHead(resp, names)
 		if x.isOwn() && !x.isFollowed(resp) {
 			a.response = resp
 			return x.endAwait(&a, nil)
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -17,6 +17,8 @@
 
 // Request is a request to an endpoint.
 type Request struct {
+	// ID is the id by which responses name the request.
+	ID     string
 	Method string
 	// Target is the path and query exactly as the caller sent them.
 	Target string
@@ -37,9 +39,9 @@
 	// connection was opened. If it returns an error, the request is not sent.
 	// BeforeWrite may be nil.
 	BeforeWrite func() error
-	// Attribute returns which request a response with these headers states that it
-	// answers. If nil, every response answers this one.
-	Attribute func(http.Header) Attribution
+	// NamedID returns the id of the request that a response with these headers names;
+	// empty if it names none. If nil, every response answers this one.
+	NamedID func(http.Header) string
 }
 
 const (
@@ -96,6 +98,12 @@
 	// requests before it.
 	attribution Attribution
 	skipped     int
+	// heads describes the responses that were received.
+	heads []Head
+	// state is that of the connection, and writtenAt the time, when the request was about
+	// to be written.
+	state     ConnState
+	writtenAt time.Time
 }
 
 // Send writes a request to an address. It tries another connection only as long
@@ -119,7 +127,7 @@
 			}
 			return nil, err
 		}
-		x := &Exchange{pool: p, address: address, conn: c, request: r}
+		x := &Exchange{pool: p, address: address, conn: c, request: r, state: p.state(c), writtenAt: p.clock.Now()}
 		if x.write(ctx, head) {
 			return x, nil
 		}
@@ -213,11 +221,18 @@
 	}
 }
 
-// Conn returns the state of the connection when the request was written.
-func (x *Exchange) Conn() ConnState {
-	return ConnState{Age: x.pool.clock.Since(x.conn.openedAt), Carried: x.conn.requests - 1}
+// Conn returns the state of the connection when the request was about to be written.
+func (x *Exchange) Conn() ConnState { return x.state }
+
+// Transferred returns the numbers of bytes that have been written to the connection and
+// read from it for the exchange.
+func (x *Exchange) Transferred() (written, read int64) {
+	return x.conn.written.Load() - x.state.Written, x.conn.read.Load() - x.state.Read
 }
 
+// Heads describes the responses that were received, including those to other requests.
+func (x *Exchange) Heads() []Head { return x.heads }
+
 // Attribution returns the attribution of the response; empty before Response has returned
 // one.
 func (x *Exchange) Attribution() Attribution { return x.attribution }
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -82,20 +82,13 @@
 // exchangeOnce sends one request and returns the body of its response.
 func exchangeOnce(p *Pool, address, id string) (string, error) {
 	x, err := p.Send(context.Background(), address, &Request{
-		Method: http.MethodPost,
-		Target: "/a?b=%7c|",
-		Host:   "x.example",
-		Header: http.Header{"Id": {id}},
-		Body:   []byte(id),
-		Attribute: func(h http.Header) Attribution {
-			switch h.Get("Id") {
-			case "":
-				return Unstated
-			case id:
-				return Own
-			}
-			return Foreign
-		},
+		ID:      id,
+		Method:  http.MethodPost,
+		Target:  "/a?b=%7c|",
+		Host:    "x.example",
+		Header:  http.Header{"Id": {id}},
+		Body:    []byte(id),
+		NamedID: func(h http.Header) string { return h.Get("Id") },
 	})
 	if err != nil {
 		return "", err
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -85,6 +85,14 @@
 	// Carried is the number of requests that were written to it before, probes among
 	// them.
 	Carried int
+	// Number counts the connections of the pool from 1 on.
+	Number int64
+	// Written and Read count the bytes that were written to it and read from it.
+	Written, Read int64
+}
+
+func (p *Pool) state(c *conn) ConnState {
+	return ConnState{Age: p.clock.Since(c.openedAt), Carried: c.requests, Number: c.number, Written: c.written.Load(), Read: c.read.Load()}
 }
 
 // conn is a connection that carries one exchange at a time.
@@ -92,6 +100,10 @@
 	net.Conn
 	reader   *bufio.Reader
 	openedAt time.Time
+	// number is the ConnState's.
+	number int64
+	// written and read count the bytes that were written and read.
+	written, read atomic.Int64
 	// requests counts the requests that were written, probes among them.
 	requests int
 	// reused is set once the connection has carried an exchange.
@@ -113,12 +125,20 @@
 		p = p[:min(int64(len(p)), c.allowance)]
 	}
 	n, err = c.Conn.Read(p)
+	c.read.Add(int64(n))
 	if c.allowance > 0 {
 		c.allowance -= int64(n)
 	}
 	return n, endpoint.EndError(c.Conn, err)
 }
 
+// Write writes to the connection.
+func (c *conn) Write(p []byte) (n int, err error) {
+	n, err = c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
 // via returns the address of the daemon that carries the connection; "" if it is
 // a direct one.
 func (c *conn) via() string {
@@ -152,7 +172,7 @@
 	}
 	state := idleState(c.Conn)
 	if state == idleHasData && p.OnUnexpectedData != nil {
-		p.OnUnexpectedData(address, ConnState{Age: p.clock.Since(c.openedAt), Carried: c.requests})
+		p.OnUnexpectedData(address, p.state(c))
 	}
 	return state == idleIntact
 }
@@ -291,8 +311,7 @@
 
 // newConn counts a new connection and adds its reader.
 func (p *Pool) newConn(c net.Conn) *conn {
-	p.Opened.Add(1)
-	conn := &conn{Conn: c, allowance: -1, openedAt: p.clock.Now()}
+	conn := &conn{Conn: c, number: p.Opened.Add(1), allowance: -1, openedAt: p.clock.Now()}
 	conn.reader = bufio.NewReaderSize(conn, bufferSize)
 	return conn
 }
--- a/internal/logline/limit.go
+++ b/internal/logline/limit.go
@@ -20,7 +20,10 @@
 )
 
 // evidence are the messages that show why the outcome of a request was believed.
-var evidence = map[string]bool{"attempts": true, "unexpected data on an idle connection": true}
+var evidence = map[string]bool{
+	"attempts": true, "unexpected data on an idle connection": true, "refused as not run": true,
+	"request id repeated": true,
+}
 
 // maxLines returns the bound on the lines with a message, per second.
 func maxLines(message string) int {
--- a/internal/logline/logline_test.go
+++ b/internal/logline/logline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"log/slog"
 	"os"
@@ -100,3 +101,30 @@
 		logger.Info("placed", "request", "0123456789abcdef", "endpoint", "i-0123456789", "waitMs", 3, "config", 7)
 	}
 }
+
+// Guards against a refusal that no line names because too many others were refused in the
+// same second.
+func TestDigestHasEachItem(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	var b bytes.Buffer
+	d := NewDigest(clock, slog.New(NewLimiter(clock, slog.NewTextHandler(&b, nil))), "refused as not run", "reason")
+	for i := range 3*maxDigestItems + 1 {
+		d.Add([]string{"shed", "queueFull"}[i%2], fmt.Sprintf("<%d>", i))
+	}
+	d.Flush()
+	d.Add("shed", strings.Repeat("x", 10*maxItemSize))
+	d.Flush()
+	d.Flush()
+	text := b.String()
+	for i := range 3*maxDigestItems + 1 {
+		if item := fmt.Sprintf("<%d>", i); strings.Count(text, item) != 1 {
+			t.Errorf("item %s is not logged once", item)
+		}
+	}
+	if n := strings.Count(text, "\n"); n != 8 {
+		t.Errorf("%d lines, want 8", n)
+	}
+	if n := strings.Count(text, "x"); n > maxItemSize+len("a few more") {
+		t.Errorf("an item of %d bytes, at most %d are allowed", n, maxItemSize)
+	}
+}
--- a/internal/logline/trace.go
+++ b/internal/logline/trace.go
@@ -77,7 +77,7 @@
 				continue
 			}
 			switch {
-			case e.Fields["request"] == request, e.Fields["resumes"] == request, e.Fields["fingerprint"] == request:
+			case e.Fields["request"] == request, e.Fields["resumes"] == request, e.Fields["fingerprint"] == request, e.takeItem(request):
 				s.Entries = append(s.Entries, e)
 			case stateChanges[e.Message]:
 				changes = append(changes, e)
@@ -94,6 +94,22 @@
 	return s, nil
 }
 
+// takeItem reports whether the line is a digest that has the request, and drops the others
+// from it then.
+func (e *Entry) takeItem(request string) bool {
+	items, ok := e.Fields[digestItems]
+	if !ok {
+		return false
+	}
+	for item := range strings.FieldsSeq(strings.Trim(items, "[]")) {
+		if id, _, _ := strings.Cut(item, "/"); id == request {
+			e.Fields[digestItems] = item
+			return true
+		}
+	}
+	return false
+}
+
 // addContext adds the state changes around the request, on the hosts that the
 // request's lines name.
 func (s *Trace) addContext(changes []Entry) {
--- a/internal/logline/trace_test.go
+++ b/internal/logline/trace_test.go
@@ -64,3 +64,22 @@
 		t.Errorf("printed %q", b.String())
 	}
 }
+
+// Guards against a refused request whose only line is a digest that is not found.
+func TestReadTraceFindsDigests(t *testing.T) {
+	const log = `{"time":"2026-01-02T03:04:05Z","level":"INFO","msg":"refused as not run","host":"h","reason":"shed","requests":["a/2","ab/1","b"]}
+`
+	for request, want := range map[string]string{"a": "a/2", "b": "b", "ab": "ab/1", "c": ""} {
+		trace, err := ReadTrace(request, strings.NewReader(log))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := ""
+		for _, e := range trace.Entries {
+			got += e.Fields["requests"]
+		}
+		if got != want {
+			t.Errorf("request %s: found %q, want %q", request, got, want)
+		}
+	}
+}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -81,6 +81,8 @@
 	RetryAfter time.Duration
 	// Addresses lists other hosts to try; it may be empty.
 	Addresses []string
+	// Sent is the number of endpoints that have received the request.
+	Sent int
 }
 
 // Error returns the reason and the message.
