Serve a request that must not be repeated once, however often it arrives

What callers may see: a request that must not be repeated arrives at a daemon a second time under its id, since something between them sent it twice. It ran twice, or it ran although the first arrival was refused as not run, which says that it never will. Each arrival was sent once, so no line of the log told of it. That is one of the ways to what users reported; it isn't known to be theirs.

Cause: nothing related two requests with one id.

The content is compared, so that another request under the same id is served.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -72,7 +72,7 @@
 		g.refuse(w, r, &call, refusal)
 		return
 	}
-	err := g.forwardNoted(w, r, req, forward.Sink{
+	err := g.forwardOnce(w, r, req, forward.Sink{
 		Head: func(status int, h http.Header, length int64) {
 			writeHead(w, status, h, length)
 			begun.Store(true)
--- a/internal/gateway/once_test.go
+++ b/internal/gateway/once_test.go
@@ -52,3 +52,51 @@
 		})
 	}
 }
+
+// Guards against a request that must not be repeated and arrives twice under one id: it runs
+// twice, or runs after its caller was told that it never will.
+func TestRequestsThatArriveTwiceRunOnce(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// first are the faults while the request arrives for the first time, status what
+		// its caller gets then, again what it gets the second time; 0 while the first
+		// one is in progress.
+		first  standin.EngineFaults
+		status int
+		again  int
+		runs   int
+	}{
+		{"served", standin.EngineFaults{}, http.StatusOK, http.StatusBadGateway, 1},
+		{"in progress", standin.EngineFaults{Hang: true}, 0, http.StatusBadGateway, 1},
+		{"failed", standin.EngineFaults{Reset: true}, http.StatusBadGateway, http.StatusBadGateway, 1},
+		{"refused", standin.EngineFaults{Refuse: true}, http.StatusServiceUnavailable, http.StatusServiceUnavailable, 0},
+	} {
+		for _, route := range []string{"pay", "draft"} {
+			t.Run(tt.name+"/"+route, func(t *testing.T) {
+				s := newTestSite(t, 1)
+				s.setFaults(tt.first)
+				header := map[string]string{platform.HeaderRequestID: "twice", platform.HeaderDeadline: "1000"}
+				if route == "draft" {
+					header[platform.HeaderParts] = "aa:80,cc:100"
+				}
+				first := make(chan response, 1)
+				go func() { first <- s.call(s.daemons[0], http.MethodPost, "/"+route+"/x", header, "money") }()
+				if tt.status == 0 {
+					s.await("the request runs", func() bool { return len(s.runs("twice")) > 0 })
+				} else if a := <-first; a.status != tt.status {
+					t.Fatalf("status %d, want %d", a.status, tt.status)
+				}
+				s.setFaults(standin.EngineFaults{})
+				if a := s.call(s.daemons[0], http.MethodPost, "/"+route+"/x", header, "money"); a.status != tt.again {
+					t.Errorf("the second time: status %d, want %d", a.status, tt.again)
+				}
+				if runs := len(s.runs("twice")); runs != tt.runs {
+					t.Errorf("%d runs, want %d", runs, tt.runs)
+				}
+				if a := s.call(s.daemons[0], http.MethodPost, "/"+route+"/x", header, "other money"); a.status != http.StatusOK {
+					t.Errorf("another request with the id: status %d, want 200", a.status)
+				}
+			})
+		}
+	}
+}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -68,6 +68,7 @@
 	ReasonRetryBudget     Reason = "retryBudget"
 	ReasonQuarantined     Reason = "quarantined"
 	ReasonUnknownVersion  Reason = "unknownVersion"
+	ReasonRepeatedID      Reason = "repeatedId"
 	ReasonInternal        Reason = "internal"
 )
 
--- a/internal/requestid/recent.go
+++ b/internal/requestid/recent.go
@@ -52,8 +52,7 @@
 
 	mu     sync.Mutex
 	states map[key]State
-	// ended lists the requests in the order in which they have ended. A key that was
-	// served again may be listed twice.
+	// ended lists the requests in the order in which they have ended.
 	ended []ended
 	// forgotten is the number of the first ones that are remembered no more.
 	forgotten int
@@ -65,28 +64,24 @@
 }
 
 // Begin records the begin of a request, and returns what became of the same one before. If
-// that is InProgress or MayHaveRun, the request must not be served, and nothing is
-// recorded; end is nil then. Otherwise end must be called when the request has ended.
-func (r *Recent) Begin(id string, f quarantine.Fingerprint) (before State, end func(mayHaveRun bool)) {
+// there was one, nothing is recorded, and end is nil. Otherwise end must be called when the
+// request has ended, with MayHaveRun or NotRun.
+func (r *Recent) Begin(id string, f quarantine.Fingerprint) (before State, end func(State)) {
 	k := key{id: id, fingerprint: f}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.forget()
-	before = r.states[k]
-	if before == InProgress || before == MayHaveRun {
+	if before = r.states[k]; before != Unknown {
 		return before, nil
 	}
 	r.states[k] = InProgress
-	return before, func(mayHaveRun bool) { r.finish(k, mayHaveRun) }
+	return Unknown, func(s State) { r.finish(k, s) }
 }
 
-func (r *Recent) finish(k key, mayHaveRun bool) {
+func (r *Recent) finish(k key, s State) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.states[k] = NotRun
-	if mayHaveRun {
-		r.states[k] = MayHaveRun
-	}
+	r.states[k] = s
 	r.ended = append(r.ended, ended{key: k, at: r.clock.Now()})
 }
 
@@ -99,9 +94,7 @@
 		if now.Sub(oldest.at) < memory && len(r.ended)-r.forgotten <= maxEnded {
 			break
 		}
-		if r.states[oldest.key] != InProgress {
-			delete(r.states, oldest.key)
-		}
+		delete(r.states, oldest.key)
 		r.forgotten++
 	}
 	if r.forgotten > len(r.ended)/2 {
