Believe no unnamed refusal of endpoints that name what they refuse

What callers may see: a request runs twice, or runs although its caller was told that it did not, when an endpoint sends a refusal that names no request on a new connection and the request's own response later than 20 ms after.

Cause: on a connection that has carried nothing, a response without an id was believed to answer the request whatever was known of the endpoints.

TestUnnamedRefusalsOfEndpointsThatNameThem: three of seven cases failed before (sent to a second endpoint, or refused as not run).

--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -60,7 +60,7 @@
 		NewConnection: a.occasion != inSequence || r.needsUnused(),
 	})
 	if errors.Is(err, engine.ErrRefused) || errors.Is(err, engine.ErrUnattributed) {
-		r.d.refusals.Record(r.request.Pool, r.d.clock)
+		r.d.refusals.Record(r.request.Pool, false, r.d.clock)
 	}
 	if err != nil {
 		a.maybeExecuted = !errors.Is(err, engine.ErrNotSent) && !errors.Is(err, engine.ErrRefused)
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -235,6 +235,7 @@
 		Probe:       c.versionProbe(),
 		BeforeWrite: c.checkWrite,
 		Unused:      r.needsUnused(),
+		MayBeOwn:    r.mayBeOwn,
 		AwaitOwn:    r.awaitOwn(),
 		NamedID:     r.f.Protocol.NamedID,
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -106,7 +106,7 @@
 	c.responded, c.status = true, resp.StatusCode
 	verdict := c.recordAnnouncement(resp.StatusCode, resp.Header)
 	if verdict.NotRun {
-		c.recordRefusal()
+		c.recordRefusal(verdict)
 		x.Skip()
 		return attemptResult{
 			err:    errors.Errorf("refused with status %d", resp.StatusCode),
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -114,6 +114,8 @@
 	// NotRun reports whether the endpoint guarantees that it has not run the
 	// request and will not run it.
 	NotRun bool
+	// OtherProcess reports whether another process than the expected one has responded.
+	OtherProcess bool
 	// Signed reports whether the response carries the endpoint's signature.
 	Signed bool
 	// Announcement holds the endpoint's statements about its use.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -210,8 +210,8 @@
 	Header: func(s Attempt) http.Header {
 		return http.Header{"Id": {s.Request.ID}, "Last": {s.LastEvent}}
 	},
-	ReadHead: func(_ int, h http.Header) ResponseInfo {
-		return ResponseInfo{NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != ""}
+	ReadHead: func(status int, h http.Header) ResponseInfo {
+		return ResponseInfo{NotRun: h.Get("Not-Run") != "", OtherProcess: status == http.StatusMisdirectedRequest, Signed: h.Get("Signed") != ""}
 	},
 	ImpliesNotRun: func(status int) bool { return status == http.StatusServiceUnavailable },
 }
--- a/internal/forward/unattributed.go
+++ b/internal/forward/unattributed.go
@@ -19,6 +19,15 @@
 	return r.unattributed || !r.req.Repeatable() && r.f.refusals.AreExpected(r.req.Pool, r.f.Clock)
 }
 
+// mayBeOwn reports whether a response that names no request may answer this one, if nothing
+// else was sent on its connection. A refusal may not if the endpoints of the pool name the
+// requests that they refuse, unless another process than the expected one has sent it, which
+// has no reason to run the request. It must be called without mu.
+func (r *run) mayBeOwn(status int, h http.Header) bool {
+	verdict := r.f.Protocol.ReadHead(status, h)
+	return r.req.Repeatable() || !verdict.NotRun || verdict.OtherProcess || !r.f.refusals.AreNamed(r.req.Pool, r.f.Clock)
+}
+
 // awaitOwn returns how long the response that names the request is awaited after one that
 // does not. A request that may be repeated is sent elsewhere instead.
 func (r *run) awaitOwn() time.Duration {
@@ -35,7 +44,7 @@
 	verdict := c.recordAnnouncement(e.Status, e.Header)
 	result := failedResult(outcome.ReasonUnattributed, e)
 	if verdict.NotRun {
-		c.recordRefusal()
+		c.recordRefusal(verdict)
 		result.report = peerv1.ReleaseOutcome_RELEASE_OUTCOME_REFUSED_BY_ENDPOINT
 	}
 	c.run.mu.Lock()
@@ -53,9 +62,9 @@
 	return verdict
 }
 
-// recordRefusal records a refusal that does not name its request.
-func (c *call) recordRefusal() {
-	if c.attribution == http1.Unstated {
-		c.run.f.refusals.Record(c.run.req.Pool, c.run.f.Clock)
+// recordRefusal records whether a refusal names its request.
+func (c *call) recordRefusal(verdict ResponseInfo) {
+	if !verdict.OtherProcess {
+		c.run.f.refusals.Record(c.run.req.Pool, c.attribution == http1.Own, c.run.f.Clock)
 	}
 }
--- a/internal/forward/unattributed_test.go
+++ b/internal/forward/unattributed_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -18,7 +19,7 @@
 // keptEndpoint is an endpoint that serves several requests on a connection.
 type keptEndpoint struct {
 	// answers are the responses to the requests of each connection, in order; {id} stands
-	// for the id of the request.
+	// for the id of the request, {pause} for keptPause.
 	answers []string
 	// closes makes the endpoint close a connection after the last response.
 	closes bool
@@ -36,6 +37,13 @@
 	e.refuses = true
 }
 
+// answerWith sets the responses to the requests of further connections.
+func (e *keptEndpoint) answerWith(answers ...string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.answers = answers
+}
+
 // listenKept starts an endpoint whose slots are granted after those of the ones before.
 func (s *site) listenKept(t *testing.T, answers ...string) *keptEndpoint {
 	t.Helper()
@@ -77,7 +85,10 @@
 		e.mu.Lock()
 		e.received = append(e.received, id)
 		e.mu.Unlock()
-		_, _ = io.WriteString(c, strings.ReplaceAll(answer, "{id}", id))
+		for part := range strings.SplitSeq(strings.ReplaceAll(answer, "{id}", id), "{pause}") {
+			_, _ = io.WriteString(c, part)
+			time.Sleep(keptPause)
+		}
 	}
 	if !e.closes {
 		_, _ = r.ReadByte()
@@ -96,7 +107,11 @@
 	return false
 }
 
+// keptPause is longer than the rest of a response is awaited of which a part has come.
+const keptPause = 50 * time.Millisecond
+
 const (
+	namedRefusal = "HTTP/1.1 503 Busy\r\nId: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 	keptSuccess  = "HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: 1\r\nContent-Length: 4\r\n\r\ngood"
 	keptStream   = "HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: 1\r\nContent-Length: 16\r\n\r\nid: 1\ndata: ok\n\n"
 	strayRefusal = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
@@ -209,6 +224,48 @@
 	}
 }
 
+// Guards against a refusal that names no request and is believed on a connection that has
+// carried nothing, though the endpoints name the requests that they refuse: the request runs
+// twice, or its caller is told that it was not run.
+func TestUnnamedRefusalsOfEndpointsThatNameThem(t *testing.T) {
+	const misdirected = "HTTP/1.1 421 Other\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for _, tt := range []struct {
+		name, first, second, want string
+		kind                      catalog.Kind
+	}{
+		{"before the response", namedRefusal, strayRefusal + "{pause}" + keptSuccess, "good", catalog.Unsafe},
+		{"before the stream", namedRefusal, strayRefusal + "{pause}" + keptStream, "id: 1\ndata: ok\n\n", catalog.Stream},
+		{"alone", namedRefusal, strayRefusal, "unknown", catalog.Unsafe},
+		{"of a safe request", namedRefusal, strayRefusal, "elsewhere", catalog.Safe},
+		{"of another process", namedRefusal, misdirected, "elsewhere", catalog.Unsafe},
+		{"of endpoints that never name them", strayRefusal, strayRefusal, "elsewhere", catalog.Unsafe},
+		{"named", namedRefusal, namedRefusal, "elsewhere", catalog.Unsafe},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &site{}
+			refuses := s.listenKept(t, tt.first)
+			elsewhere := s.listenKept(t, strings.Replace(keptSuccess, "4\r\n\r\ngood", "9\r\n\r\nelsewhere", 1))
+			f := newTestForwarder(s)
+			f.Protocol.NamedID = namedByID
+			f.Budget = budgetOf(1)
+			if got := sendKept(t, f, "1", catalog.Unsafe); got != "elsewhere" {
+				t.Fatalf("the first caller received %q", got)
+			}
+			f.Pool.CloseIdleIf(func(string) bool { return true })
+			refuses.answerWith(tt.second)
+			s.mu.Lock()
+			s.next = 0
+			s.mu.Unlock()
+			if got := sendKept(t, f, "2", tt.kind); got != tt.want {
+				t.Errorf("the caller received %q, want %q", got, tt.want)
+			}
+			if elsewhere.hasReceived("2") != (tt.want == "elsewhere") {
+				t.Errorf("sent to another endpoint: %v", elsewhere.hasReceived("2"))
+			}
+		})
+	}
+}
+
 // sendKept sends a request and returns the body that its caller receives, or the outcome.
 func sendKept(t *testing.T, f *Forwarder, id string, kind catalog.Kind) string {
 	t.Helper()
--- a/internal/http1/attribution.go
+++ b/internal/http1/attribution.go
@@ -85,7 +85,7 @@
 		var names string
 		x.attribution, names = x.request.attribute(resp.Header)
 		x.addHead(resp, names)
-		if x.isOwn() && !x.isFollowed(resp) {
+		if x.isOwn(resp) && !x.isFollowed(resp) {
 			a.response = resp
 			return x.endAwait(&a, nil)
 		}
@@ -126,7 +126,7 @@
 	}
 	a.begun = true
 	wait := x.request.AwaitOwn
-	if x.isOwn() {
+	if x.isOwn(resp) {
 		// All of it is in the buffer, since another response follows.
 		body, err := io.ReadAll(resp.Body)
 		if err != nil {
@@ -161,12 +161,14 @@
 }
 
 // isOwn reports whether the response certainly answers this request: it names the request,
-// or it names none and no other request was written to the connection before.
-func (x *Exchange) isOwn() bool {
+// or it names none, may be its response all the same, and no other request was written to
+// the connection before.
+func (x *Exchange) isOwn(resp *http.Response) bool {
 	if x.attribution != Unstated {
 		return x.attribution == Own
 	}
-	return x.conn.requests == 1 && x.skipped == 0
+	mayBeOwn := x.request.MayBeOwn
+	return x.conn.requests == 1 && x.skipped == 0 && (mayBeOwn == nil || mayBeOwn(resp.StatusCode, resp.Header))
 }
 
 // isFollowed reports whether more than a response that names no request has come. An
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -30,6 +30,9 @@
 	// Unused requires a connection that has carried no request, so that any response on
 	// it answers this one.
 	Unused bool
+	// MayBeOwn reports whether a response that names no request may answer this one, if no
+	// other request was sent on its connection. If nil, any may.
+	MayBeOwn func(status int, h http.Header) bool
 	// AwaitOwn is how long the response that names the request is awaited after one that
 	// names none and may answer an earlier request. Zero means not at all.
 	AwaitOwn time.Duration
