Count new registrations when the version of a stream is decided

What callers may see, reported by other operators: one host is out of step for moments while engines of another software version join; streams that have begun there break off, are taken up at that host, and go on at an engine of the version before: events of two versions (ORDER).

It can happen here. Cause: the history in the store has each version before streams begin there, unless the store takes no writes: then the new engines count after 300 ms all the same. A host that is cut off from the others, and does not read registrations itself, knows nothing of the version, and neither does the history that it reads, so that the version before looks like the only one.

Now each read of the history comes with the registrations since the position that the host knows, and their versions count. With an unknown engine that has left, the stream is refused.

Seams for the paths between hosts are new.

Left: the same for routes that move to another pool meanwhile.

--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -105,7 +105,7 @@
 // sendDutyReport sends a datagram to other daemons.
 func (g *Gateway) sendDutyReport(addresses []string, r *peerv1.DutyReport) {
 	if g.beacons != nil && len(addresses) > 0 {
-		_ = g.beacons.Send(addresses, &peerv1.Beacon{Duty: r})
+		_ = g.sendBeacon(addresses, &peerv1.Beacon{Duty: r})
 	}
 }
 
--- a/internal/gateway/facts.go
+++ b/internal/gateway/facts.go
@@ -49,7 +49,7 @@
 		Self:          g.view.Self,
 		Hosts:         g.view.Hosts,
 		Staying:       g.view.Active,
-		Send:          func(addresses []string, b *peerv1.Beacon) error { return g.beacons.Send(addresses, b) },
+		Send:          func(addresses []string, b *peerv1.Beacon) error { return g.sendBeacon(addresses, b) },
 		Fetch:         g.requestFacts,
 		Pick:          rand.IntN,
 		PeersExpected: g.expectsHosts,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,7 @@
 	"github.com/beechhead/beechhead/internal/membership"
 	"github.com/beechhead/beechhead/internal/metric"
 	"github.com/beechhead/beechhead/internal/peer"
+	"github.com/beechhead/beechhead/internal/peer/peerv1"
 	"github.com/beechhead/beechhead/internal/placement"
 	"github.com/beechhead/beechhead/internal/platform"
 	"github.com/beechhead/beechhead/internal/quarantine"
@@ -96,10 +97,14 @@
 	forwarder   *forward.Forwarder
 	// dialEndpoint opens a connection to the address of an endpoint.
 	dialEndpoint func(ctx context.Context, address string) (net.Conn, error)
-	dialer       *tunnel.Dialer
-	tunnels      *tunnel.Server
-	notices      *forward.Notices
-	streams      *streamversion.Directory
+	// dialPeer opens a connection to the peer address of a host; nil means directly.
+	dialPeer func(ctx context.Context, address string) (net.Conn, error)
+	// sendBeacon sends a datagram to the hosts with some peer addresses.
+	sendBeacon func(addresses []string, b *peerv1.Beacon) error
+	dialer     *tunnel.Dialer
+	tunnels    *tunnel.Server
+	notices    *forward.Notices
+	streams    *streamversion.Directory
 	// origins records where streams may begin, history reads it.
 	origins *streamorigin.Keeper
 	history *streamorigin.Lookup
@@ -157,6 +162,7 @@
 		startWait:    defaultStartWait,
 		dialEndpoint: http1.Dial,
 	}
+	g.sendBeacon = func(addresses []string, b *peerv1.Beacon) error { return g.beacons.Send(addresses, b) }
 	g.checks = tick.NewGrid(g.clock)
 	g.current.Store(s)
 	g.sampler = logline.NewSampler(g.clock)
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/beechhead/beechhead/internal/catalog"
 	"github.com/beechhead/beechhead/internal/facts"
 	"github.com/beechhead/beechhead/internal/forward"
@@ -41,13 +43,46 @@
 func (g *Gateway) buildOrigins() {
 	read := func(ctx context.Context) (platform.Rows, error) { return g.store.Snapshot(ctx, wire.TableOrigins) }
 	g.origins = &streamorigin.Keeper{Clock: g.clock, Read: read, Transact: g.store.Transact, Table: wire.TableOrigins, Count: g.metrics.Inc}
-	g.history = &streamorigin.Lookup{Clock: g.clock, Read: read, Interval: func() time.Duration {
+	g.history = &streamorigin.Lookup{Clock: g.clock, Read: read, Unrecorded: g.unrecordedOrigins, Interval: func() time.Duration {
 		return max(minReadInterval, time.Duration(g.view.Hosts().Len())*readIntervalPerHost)
 	}}
 	g.reader.BeforeEndpoints = func(endpoints []facts.Endpoint) { g.recordOrigins(versionOrigins(endpoints)) }
 	g.reader.BeforeConfig = func(c *catalog.Catalog) { g.recordOrigins(routeOrigins(c)) }
 }
 
+// errMayHaveLeft reports that an endpoint which is not known here has left.
+var errMayHaveLeft = errors.New("an unknown endpoint has left")
+
+// unrecordedOrigins returns the versions of endpoints that have registered since this daemon
+// was told last. If the store has taken no writes, others may begin streams there although
+// they are not recorded.
+func (g *Gateway) unrecordedOrigins(ctx context.Context) (origins []streamorigin.Origin, err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrap(err, "read new registrations")
+		}
+	}()
+	known := g.holder.Summary().Position
+	rows, err := g.store.Changes(ctx, wire.TableEngines, known.Version(), 0)
+	switch {
+	case err != nil:
+		return nil, err
+	case rows.More, rows.Version < known.Version(), rows.HasEra && rows.Era != known.Era():
+		return nil, errors.Errorf("the changes after version %d of era %d are not complete", known.Version(), known.Era())
+	}
+	var added []facts.Endpoint
+	for _, row := range rows.Rows {
+		_, isKnown := g.holder.Endpoint(facts.EndpointID(row.Key))
+		if row.Removed && !isKnown {
+			return nil, errors.Wrap(errMayHaveLeft, row.Key)
+		}
+		if e, ok := wire.DecodeEngine(row); ok && !row.Removed {
+			added = append(added, e)
+		}
+	}
+	return versionOrigins(added), nil
+}
+
 // versionOrigins returns the versions at which endpoints may begin streams.
 func versionOrigins(endpoints []facts.Endpoint) (origins []streamorigin.Origin) {
 	seen := map[streamorigin.Origin]bool{}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -37,7 +38,7 @@
 
 // buildPeers creates the peer connections and the heartbeats.
 func (g *Gateway) buildPeers() {
-	g.peers = peer.NewPool(nil, func(*http.Transport) {})
+	g.peers = peer.NewPool(nil, g.setPeerDial)
 	g.heartbeats = &heartbeat.Exchanger{
 		Clock: g.clock,
 		View:  g.view,
@@ -56,6 +57,16 @@
 	}
 }
 
+func (g *Gateway) setPeerDial(t *http.Transport) {
+	direct := t.DialContext
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if g.dialPeer != nil {
+			return g.dialPeer(ctx, address)
+		}
+		return direct(ctx, network, address)
+	}
+}
+
 func (g *Gateway) newPeerServer() *peer.Server {
 	return &peer.Server{
 		Welcome: func() *peerv1.Welcome {
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -60,9 +60,12 @@
 }
 
 type testDaemon struct {
-	ip     string
-	g      *Gateway
-	path   *enginePath
+	ip   string
+	g    *Gateway
+	path *enginePath
+	// peers is the path to the other daemons, store the server of the store for this one.
+	peers  *peerPath
+	store  *httptest.Server
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -144,7 +147,8 @@
 func (s *testSite) startDaemon(i int) *testDaemon {
 	d := &testDaemon{ip: fmt.Sprintf("127.0.0.%d", 11+i), done: make(chan struct{})}
 	store := httptest.NewServer(s.store.HandlerFor(d.ip))
-	s.t.Cleanup(store.Close)
+	d.store = store
+	s.t.Cleanup(func() { store.CloseClientConnections(); store.Close() })
 	at := func(port int) string { return fmt.Sprintf("%s:%d", d.ip, port) }
 	conf := &settings.Settings{
 		Host: fmt.Sprintf("host-%d", i), Region: "r", Zone: "z",
@@ -164,6 +168,7 @@
 	d.g = New(conf, slog.New(slog.NewJSONHandler(s.logWriter(), nil)))
 	d.path = &enginePath{dial: d.g.dialEndpoint}
 	d.g.dialEndpoint = d.path.Dial
+	d.peers = newPeerPath(d.g)
 	if s.startWait > 0 {
 		d.g.startWait = s.startWait
 	}
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -25,7 +25,7 @@
 		Hosts: g.view.Hosts,
 		Send: func(addresses []string, m *peerv1.StreamVersion) {
 			if g.beacons != nil {
-				_ = g.beacons.Send(addresses, &peerv1.Beacon{Stream: m})
+				_ = g.sendBeacon(addresses, &peerv1.Beacon{Stream: m})
 			}
 		},
 		Count: g.metrics.Inc,
--- a/internal/streamorigin/history.go
+++ b/internal/streamorigin/history.go
@@ -42,6 +42,13 @@
 	return h
 }
 
+// add adds origins at which streams may still begin.
+func (h *History) add(origins []Origin) {
+	for _, o := range origins {
+		h.rows[o] = record{Kind: o.kind, Owner: o.owner, Member: o.member, SinceMs: int64(h.now)}
+	}
+}
+
 // Versions returns the software versions at which a pool may have begun streams that may
 // still be taken up, sorted; false if they are not certain.
 func (h *History) Versions(pool table.Pool) ([]table.SoftwareVersion, bool) {
--- a/internal/streamorigin/lookup.go
+++ b/internal/streamorigin/lookup.go
@@ -16,6 +16,9 @@
 	Clock clockwork.Clock
 	// Read returns all rows of the table.
 	Read func(ctx context.Context) (platform.Rows, error)
+	// Unrecorded returns origins at which streams may have begun and that may not be
+	// recorded, as of a moment after the call.
+	Unrecorded func(ctx context.Context) ([]Origin, error)
 	// Interval returns the minimum time between the starts of two reads.
 	Interval func() time.Duration
 
@@ -65,10 +68,16 @@
 	l.mu.Lock()
 	l.next, l.startedAt = nil, l.Clock.Now()
 	l.mu.Unlock()
+	unrecorded, err := l.Unrecorded(ctx)
+	if err != nil {
+		r.err = err
+		return
+	}
 	rows, err := l.Read(ctx)
 	if err != nil {
 		r.err = err
 		return
 	}
 	r.history = NewHistory(rows)
+	r.history.add(unrecorded)
 }
--- a/internal/streamorigin/lookup_test.go
+++ b/internal/streamorigin/lookup_test.go
@@ -11,6 +11,24 @@
 	"github.com/beechhead/beechhead/internal/platform"
 )
 
+func noneUnrecorded(context.Context) ([]Origin, error) { return nil, nil }
+
+// Guards against a version that counts for nothing since the store could not record it.
+func TestHistoryHasUnrecordedOrigins(t *testing.T) {
+	l := &Lookup{
+		Clock: clockwork.NewRealClock(), Interval: func() time.Duration { return 0 },
+		Read:       func(context.Context) (platform.Rows, error) { return platform.Rows{NowMs: 7}, nil },
+		Unrecorded: func(context.Context) ([]Origin, error) { return []Origin{OfVersion("p", "v2")}, nil },
+	}
+	h, err := l.History(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if versions, certain := h.Versions("p"); !certain || len(versions) != 1 || versions[0] != "v2" {
+		t.Errorf("versions %v, certain %v, want v2", versions, certain)
+	}
+}
+
 // Guards against an answer from a read that had started before the request arrived, and
 // against a read for each request.
 func TestReadsStartAfterTheirRequests(t *testing.T) {
@@ -18,7 +36,7 @@
 	clock := clockwork.NewFakeClock()
 	started, finish := make(chan int64), make(chan error)
 	var n int64
-	l := &Lookup{Clock: clock, Interval: func() time.Duration { return interval }, Read: func(context.Context) (platform.Rows, error) {
+	l := &Lookup{Clock: clock, Unrecorded: noneUnrecorded, Interval: func() time.Duration { return interval }, Read: func(context.Context) (platform.Rows, error) {
 		n++
 		rows := platform.Rows{NowMs: n}
 		started <- n
@@ -54,7 +72,7 @@
 	clock := clockwork.NewRealClock()
 	silent := make(chan struct{})
 	var isBack atomic.Bool
-	l := &Lookup{Clock: clock, Interval: func() time.Duration { return 0 }, Read: func(context.Context) (platform.Rows, error) {
+	l := &Lookup{Clock: clock, Unrecorded: noneUnrecorded, Interval: func() time.Duration { return 0 }, Read: func(context.Context) (platform.Rows, error) {
 		<-silent
 		if isBack.Load() {
 			return platform.Rows{NowMs: 7}, nil
