Take the bytes of an attempt before its connection goes on

A trace could count bytes of the next request on the connection: they were read after the connection had gone back to the pool. They are taken before now.

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -107,6 +107,8 @@
 	// to be written.
 	state     ConnState
 	writtenAt time.Time
+	// written and read are the bytes of the exchange, once it has finished.
+	written, read int64
 }
 
 // Send writes a request to an address. It tries another connection only as long
@@ -230,6 +232,9 @@
 // Transferred returns the numbers of bytes that have been written to the connection and
 // read from it for the exchange.
 func (x *Exchange) Transferred() (written, read int64) {
+	if x.written > 0 {
+		return x.written, x.read
+	}
 	return x.conn.written.Load() - x.state.Written, x.conn.read.Load() - x.state.Read
 }
 
@@ -274,6 +279,7 @@
 		x.stopWatch()
 		restoreUserTimeout(x.conn.Conn)
 	}
+	x.written, x.read = x.Transferred()
 	if x.isReusable() {
 		x.pool.put(x.address, x.conn, idleTimeout(x.resp.Header))
 		return
--- a/internal/logline/digest.go
+++ b/internal/logline/digest.go
@@ -21,7 +21,8 @@
 )
 
 // Digest logs the ids of many requests with few lines: all ids of a group that come within
-// digestInterval share one. More about a request may follow its id after a slash. It is safe for concurrent use.
+// digestInterval share one. More about a request may follow its id after a slash. It is safe
+// for concurrent use.
 type Digest struct {
 	clock  clockwork.Clock
 	logger *slog.Logger
