--- a/internal/gateway/faultyengine_test.go
+++ b/internal/gateway/faultyengine_test.go
@@ -117,7 +117,7 @@
 }
 
 // startFaultyEngine starts an engine of the service extra and registers it.
-func (s *testSite) startFaultyEngine(name string, conduct engineConduct, runs *engineRuns) *faultyEngine {
+func (s *testSite) startFaultyEngine(name string, conduct engineConduct, runs *engineRuns) {
 	e := &faultyEngine{engineConduct: conduct, engineRuns: runs, site: s, address: "127.0.0.1:0", done: make(chan struct{})}
 	e.start(name)
 	if e.stand > 0 {
@@ -131,7 +131,6 @@
 		go e.every(e.restart, func() { e.replace(name) })
 	}
 	s.t.Cleanup(func() { close(e.done); e.current().end() })
-	return e
 }
 
 func (e *faultyEngine) every(d time.Duration, do func()) {
