Take no refusal of an earlier attempt for the answer to a later one

What callers saw, by the users' records: requests that must not be repeated ran twice, or ran although they were refused as not run. In all four requests on record a first engine had received the request and not run it. This is the best candidate for their cause; it is not shown to be it.

Cause: a refusal that names its request was believed whichever attempt it answers. A process that has taken the place of another one at its address has two names for a while: it answers 421 to a request for the old one, and is granted the request under its own name once it has registered, mostly on the same connection. A second copy of the 421 then names the request that waits, and is believed while the request runs.

Evidence: TestRepeatedRefusalAnswersNoLaterAttempt fails in four of four cases before, sent elsewhere although it runs.

A further attempt at an address to which the request was sent before takes a connection that has carried nothing: responses to the earlier attempt come on the connection of that one. Other requests keep their connections.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -234,7 +234,7 @@
 		Body:        r.req.Body,
 		Probe:       c.versionProbe(),
 		BeforeWrite: c.checkWrite,
-		Unused:      r.needsUnused(),
+		Unused:      r.needsUnused(address(endpoint)),
 		MayBeOwn:    r.mayBeOwn,
 		AwaitOwn:    r.awaitOwn(),
 		NamedID:     r.f.Protocol.NamedID,
@@ -268,7 +268,7 @@
 	c.lastSign = c.sentAt
 	c.activity = r.f.activities.Begin(&c.grant.Endpoint, c.lastSign)
 	r.reached, c.sent = true, true
-	r.sent++
+	r.sentTo = append(r.sentTo, address(&c.grant.Endpoint))
 	if c.hedge {
 		r.f.Metrics.CountRetry(outcome.ReasonSilent)
 	}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -59,8 +59,8 @@
 	// reached reports whether an endpoint has received the request, terminatedEndpoint
 	// whether one has terminated while it ran it, completed whether one has completed it.
 	reached, terminatedEndpoint, completed bool
-	// sent is the number of attempts in which an endpoint has received the request.
-	sent int
+	// sentTo holds the address of each attempt in which an endpoint has received the request.
+	sentTo []string
 	// headSent reports whether the head of a response was forwarded.
 	headSent bool
 	// lastEvent is the id of the last event that the caller has received.
--- a/internal/forward/trace.go
+++ b/internal/forward/trace.go
@@ -124,7 +124,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if refusal, ok := errors.Into[*outcome.Refusal](err); ok {
-		refusal.Sent = r.sent
+		refusal.Sent = len(r.sentTo)
 	}
 }
 
--- a/internal/forward/unattributed.go
+++ b/internal/forward/unattributed.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/beechhead/beechhead/internal/http1"
@@ -13,10 +14,12 @@
 // awaited after one that may answer another request. The slot stays taken meanwhile.
 const ownResponseWait = time.Second
 
-// needsUnused reports whether the request must be sent over a connection that has carried
-// none, since a refusal would otherwise leave open whether it was run. It requires mu.
-func (r *run) needsUnused() bool {
-	return r.unattributed || !r.req.Repeatable() && r.f.refusals.AreExpected(r.req.Pool, r.f.Clock)
+// needsUnused reports whether the request must be sent to an address over a connection that
+// has carried none, since a refusal would otherwise leave open whether it was run. The id in
+// a response names the request, not the attempt: a refusal of an earlier attempt there may
+// come once more. It requires mu.
+func (r *run) needsUnused(address string) bool {
+	return r.unattributed || slices.Contains(r.sentTo, address) || !r.req.Repeatable() && r.f.refusals.AreExpected(r.req.Pool, r.f.Clock)
 }
 
 // mayBeOwn reports whether a response that names no request may answer this one, if nothing
--- a/internal/forward/unattributed_test.go
+++ b/internal/forward/unattributed_test.go
@@ -24,7 +24,11 @@
 	// closes makes the endpoint close a connection after the last response.
 	closes bool
 
+	// later, if set, are those of all connections but the first.
+	later []string
+
 	mu       sync.Mutex
+	opened   int
 	received []string
 	// refuses reports whether the first request of each connection is refused.
 	refuses bool
@@ -71,6 +75,9 @@
 	r := bufio.NewReader(c)
 	e.mu.Lock()
 	answers := e.answers
+	if e.opened++; e.opened > 1 && e.later != nil {
+		answers = e.later
+	}
 	if e.refuses {
 		answers = []string{strayRefusal}
 	}
--- a/internal/gateway/faultyengine_test.go
+++ b/internal/gateway/faultyengine_test.go
@@ -38,8 +38,8 @@
 	stand time.Duration
 	// slots bounds the requests that run at once; the others wait, up to their deadlines.
 	slots int
-	// restart is the time after which another process takes the place of the engine, every
-	// other time under its id; zero means never.
+	// restart is the time after which another process takes the place of the engine, under
+	// one of two ids in turn; zero means never. Its entry is removed as long after.
 	restart time.Duration
 }
 
@@ -177,7 +177,12 @@
 		id = fmt.Sprintf("%s-%d", name, e.starts)
 	}
 	if id != old.id {
-		e.site.store.Remove(platform.TableEngines, old.id)
+		// Nobody takes the entry of a crashed engine off the list at once.
+		time.AfterFunc(e.restart, func() {
+			if e.current().id != old.id {
+				e.site.store.Remove(platform.TableEngines, old.id)
+			}
+		})
 	}
 	e.start(id)
 }
