Fail if a connection carries a request twice

The play of refusing endpoints counted processes that get a request twice, which is allowed now. What must not be is that one connection carries it twice: its refusals could not be told apart then. That fails the play.

--- a/internal/gateway/faultyengine_test.go
+++ b/internal/gateway/faultyengine_test.go
@@ -47,9 +47,9 @@
 type engineRuns struct {
 	mu   sync.Mutex
 	runs map[string]int
-	// received holds the processes that have received a request, by id; again counts the
-	// requests that one has received twice.
-	received map[string][]*engineProcess
+	// received holds the connections on which a request was received, by id; again counts
+	// the requests that were received twice on one.
+	received map[string][]net.Conn
 	again    int
 	// opened and refused count connections and refusals.
 	opened, refused int
@@ -62,17 +62,17 @@
 }
 
 func newEngineRuns() *engineRuns {
-	return &engineRuns{runs: map[string]int{}, received: map[string][]*engineProcess{}}
+	return &engineRuns{runs: map[string]int{}, received: map[string][]net.Conn{}}
 }
 
-// receive records that a process has received a request.
-func (e *engineRuns) receive(id string, p *engineProcess) {
+// receive records that a request was received on a connection.
+func (e *engineRuns) receive(id string, c net.Conn) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if slices.Contains(e.received[id], p) {
+	if slices.Contains(e.received[id], c) {
 		e.again++
 	}
-	e.received[id] = append(e.received[id], p)
+	e.received[id] = append(e.received[id], c)
 }
 
 func (e *engineRuns) count(n *int) {
@@ -269,7 +269,7 @@
 	}
 	received := time.Now()
 	if req.Method == http.MethodPost {
-		e.receive(id, p)
+		e.receive(id, c)
 	}
 	if req.ContentLength < longBody || rand.Float64() >= e.early {
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
--- a/internal/gateway/refusedagain_test.go
+++ b/internal/gateway/refusedagain_test.go
@@ -204,6 +204,9 @@
 	}
 	p.runs.mu.Lock()
 	defer p.runs.mu.Unlock()
-	t.Logf("%d requests: %d whole, %d refused, %d unknown, %d wrong; %d times a process got a request again; %d refusals of engines, %d connections opened",
-		len(p.statuses), whole, refused, unknown, bad, p.runs.again, p.runs.refused, p.runs.opened)
+	if p.runs.again > 0 {
+		t.Errorf("%d times a connection has carried a request twice, whose refusals can't be told apart", p.runs.again)
+	}
+	t.Logf("%d requests: %d whole, %d refused, %d unknown, %d wrong; %d refusals of engines, %d connections opened",
+		len(p.statuses), whole, refused, unknown, bad, p.runs.refused, p.runs.opened)
 }
