Read the heads of responses that repeat a long request id

Where the configuration allows heads of 128 KiB, a caller whose id has some 100 KiB got 502: its request had run, but the head of the response, in which the endpoint repeats the id, exceeded the 64 KiB that heads of responses may have, whatever the request.

The bound grows by twice the head of the request: endpoints repeat its id, and some derive more from it.

--- a/internal/http1/attribution.go
+++ b/internal/http1/attribution.go
@@ -73,7 +73,7 @@
 // response that names the request follows in time.
 func (x *Exchange) Response() (*http.Response, error) {
 	request := &http.Request{Method: x.request.Method, Header: x.request.Header}
-	x.conn.allowance = maxHead
+	x.conn.allowance = x.maxHead
 	defer func() { x.conn.allowance = -1 }()
 	var a await
 	for range maxForeignResponses + 1 {
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -56,8 +56,10 @@
 	// skipped on one connection.
 	maxForeignResponses = 3
 	// maxHead bounds the heads that are read until that of the response, in bytes: its
-	// own and those of informational responses and of other requests' responses.
-	maxHead = 64 << 10
+	// own and those of informational responses and of other requests' responses. Endpoints
+	// repeat what requests name: maxRepeated is how often.
+	maxHead     = 64 << 10
+	maxRepeated = 2
 	// maxSkipped bounds the body of a response that is skipped, in bytes, and
 	// skipTimeout the time for it if nothing else does.
 	maxSkipped  = 1 << 20
@@ -87,6 +89,8 @@
 	address string
 	conn    *conn
 	request *Request
+	// maxHead bounds the heads until that of the response, in bytes.
+	maxHead int64
 	resp    *http.Response
 	// bodyWritten is closed when the body has been written; nil if it was
 	// written before the response is read.
@@ -132,7 +136,10 @@
 			}
 			return nil, err
 		}
-		x := &Exchange{pool: p, address: address, conn: c, request: r, state: p.state(c), writtenAt: p.clock.Now()}
+		x := &Exchange{
+			pool: p, address: address, conn: c, request: r, maxHead: maxHead + maxRepeated*int64(len(head)),
+			state: p.state(c), writtenAt: p.clock.Now(),
+		}
 		if x.write(ctx, head) {
 			return x, nil
 		}
