Bound what callers make a gateway hold, all connections together

What callers saw: a daemon that ran out of memory and ended, with all of its requests, or one that accepted no connection any more.

Cause: nothing counted what a caller makes a daemon hold before it holds it. net/http has read and parsed the whole head before any handler runs and bounds its bytes, not its lines, of which one of four bytes takes some 30 times that; bodies were kept whole while their requests waited; the addresses of the directory, the readiness check and the metrics took heads of 1 MiB and had no idle timeout; no address bounded its connections, so that none was left for endpoints, the store and other hosts. The limits of the configuration for heads and times were read and not used: a head of 126 KiB was refused with a bare 431 where 128 KiB are allowed.

Change: internal/callerconn accepts the connections of all addresses that callers reach. Each connection counts what it reads, line by line, before net/http sees it, and takes what that will cost from one budget. It follows from the memory of the host: a half of what callers may make the daemon hold is for responses, as before, a quarter for connections, a quarter for requests. When it is used up, requests give way of which little has come lately, the slowest first, then connections whose response nobody reads. If there are none, the one that asks for more is refused as not run, with Retry-After. A request that has come whole, so that an endpoint may have it, does not give way. An eighth is kept for small requests, and one that is alone may take half as much again, so that nothing within the limits is refused in calm. The number of connections is bounded by half of the descriptors; idle ones make place for new ones, the longest idle first.

The head limit and the times of the configuration are used now, 431 and 503 are sent for heads as well, and a caller that reads nothing for 30 s is closed. The buffer of a body is never larger than twice what has come.

Why this and not smaller constants: with a constant a larger crowd ends the process. A bound on lines below the size of a head would refuse legal requests.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -94,6 +94,8 @@
 // Limits bounds what a caller may send; zero means unlimited.
 type Limits struct {
 	HeaderBytes, BodyBytes int64
+	// Header bounds the time for the head of a request.
+	Header time.Duration
 	// Idle is the idle timeout of callers' connections.
 	Idle time.Duration
 }
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -1,14 +1,13 @@
-// Package framing detects requests with conflicting body lengths. net/http
-// accepts such a request by one of the lengths and parses the bytes that follow
-// as the next request, which allows request smuggling.
+// Package framing follows the framing of requests: how much of a stream belongs to heads
+// and bodies, and whether a request has conflicting body lengths. net/http accepts such a
+// request by one of the lengths and parses the bytes that follow as the next request, which
+// allows request smuggling.
 package framing
 
 import (
 	"bytes"
-	"net"
 	"strconv"
 	"strings"
-	"sync/atomic"
 )
 
 // maxLine bounds the part of a line that is kept for parsing, in bytes. The
@@ -28,8 +27,30 @@
 	inTrailer
 )
 
+// Usage counts what a stream consists of.
+type Usage struct {
+	// Lines counts the lines of heads and trailers, Head and Body the bytes. Body includes
+	// the framing of chunks.
+	Lines, Head, Body int64
+	// Requests counts the requests that have come whole.
+	Requests int64
+}
+
 // Scanner parses the framing of a stream of HTTP/1.1 requests.
 type Scanner struct {
+	// HeadLimit bounds the head of a request, and its trailers, in bytes; zero means no
+	// bound.
+	HeadLimit int64
+
+	usage Usage
+	// size counts the bytes of the head, or of the trailers, that is being read.
+	size     int64
+	tooLarge bool
+	request
+}
+
+// request is the part of a Scanner that begins anew with each request.
+type request struct {
 	state state
 	line  []byte
 	// remaining counts the bytes of the body or chunk that have not been read
@@ -48,12 +69,30 @@
 // lengths or with a length that can't be parsed.
 func (s *Scanner) Conflict() bool { return s.bad }
 
+// HeadTooLarge reports whether a head exceeds HeadLimit, or the trailers of a request do.
+func (s *Scanner) HeadTooLarge() bool { return s.tooLarge }
+
+// Usage returns what the stream has consisted of so far.
+func (s *Scanner) Usage() Usage { return s.usage }
+
+// IsBetween reports whether nothing of a further request has come.
+func (s *Scanner) IsBetween() bool { return s.state == inHead && s.size == 0 }
+
+// IsInHead reports whether part of a head has come, but not all of it.
+func (s *Scanner) IsInHead() bool { return s.state == inHead && s.size > 0 }
+
 // Scan processes the next bytes of the stream.
 func (s *Scanner) Scan(b []byte) {
-	for len(b) > 0 && !s.bad {
+	for len(b) > 0 {
+		if s.bad {
+			// net/http may take the rest for anything, at worst for a head.
+			s.countHead(int64(len(b)), int64(bytes.Count(b, []byte{'\n'})))
+			return
+		}
 		switch s.state {
 		case inBody, inChunk:
 			n := min(int64(len(b)), s.remaining)
+			s.usage.Body += n
 			b = b[n:]
 			if s.remaining -= n; s.remaining == 0 {
 				s.endData()
@@ -69,7 +108,7 @@
 		s.state = inChunkEnd
 		return
 	}
-	s.reset()
+	s.endRequest()
 }
 
 // scanLine consumes bytes up to the end of a line, processes the line if it is
@@ -80,6 +119,7 @@
 	if i < 0 {
 		end = len(b)
 	}
+	s.countLine(int64(min(end+1, len(b))), i >= 0)
 	free := maxLine - len(s.line)
 	s.line = append(s.line, b[:min(end, free)]...)
 	if i < 0 {
@@ -91,6 +131,27 @@
 	return b[i+1:]
 }
 
+// countLine counts n bytes of a line.
+func (s *Scanner) countLine(n int64, whole bool) {
+	switch {
+	case s.state != inHead && s.state != inTrailer:
+		s.usage.Body += n
+	case whole:
+		s.countHead(n, 1)
+	default:
+		s.countHead(n, 0)
+	}
+}
+
+func (s *Scanner) countHead(n, lines int64) {
+	s.usage.Head += n
+	s.usage.Lines += lines
+	s.size += n
+	if s.HeadLimit > 0 && s.size > s.HeadLimit {
+		s.tooLarge = true
+	}
+}
+
 func (s *Scanner) processLine(line string) {
 	switch s.state {
 	case inHead:
@@ -101,7 +162,7 @@
 		s.state = inChunkSize
 	case inTrailer:
 		if line == "" {
-			s.reset()
+			s.endRequest()
 		}
 	}
 }
@@ -140,7 +201,7 @@
 	case s.length > 0:
 		s.state, s.remaining = inBody, s.length
 	default:
-		s.reset()
+		s.endRequest()
 	}
 }
 
@@ -151,44 +212,14 @@
 	case err != nil || n < 0:
 		s.bad = true
 	case n == 0:
-		s.state = inTrailer
+		s.state, s.size = inTrailer, 0
 	default:
 		s.state, s.remaining = inChunk, n
 	}
 }
 
-func (s *Scanner) reset() { *s = Scanner{line: s.line[:0]} }
-
-// Conn is a connection that scans the requests read from it.
-type Conn struct {
-	net.Conn
-	scanner  Scanner
-	conflict atomic.Bool
-}
-
-// Read reads from the connection and scans what was read.
-func (c *Conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 && !c.conflict.Load() {
-		c.scanner.Scan(b[:n])
-		if c.scanner.Conflict() {
-			c.conflict.Store(true)
-		}
-	}
-	return n, err
-}
-
-// Conflict reports whether a request with conflicting lengths was read.
-func (c *Conn) Conflict() bool { return c.conflict.Load() }
-
-// Listener accepts connections whose requests are scanned.
-type Listener struct{ net.Listener }
-
-// Accept waits for the next connection and returns it as a *Conn.
-func (l Listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &Conn{Conn: c}, nil
+func (s *Scanner) endRequest() {
+	s.request = request{line: s.line[:0]}
+	s.size = 0
+	s.usage.Requests++
 }
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -77,3 +77,39 @@
 		}
 	})
 }
+
+// Guards against lines and bytes that are not counted, however they come and whatever they
+// are part of.
+func TestUsage(t *testing.T) {
+	for name, tt := range map[string]struct {
+		stream   string
+		want     Usage
+		tooLarge bool
+	}{
+		"head":                    {stream: "GET / HTTP/1.1\r\na:\r\n\r\n", want: Usage{Lines: 3, Head: 22, Requests: 1}},
+		"part of a head":          {stream: "GET / HTTP/1.1\r\na:", want: Usage{Lines: 1, Head: 18}},
+		"body":                    {stream: "P / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", want: Usage{Lines: 3, Head: 35, Body: 3, Requests: 1}},
+		"two requests":            {stream: "G / HTTP/1.1\r\n\r\nG / HTTP/1.1\r\n\r\n", want: Usage{Lines: 4, Head: 32, Requests: 2}},
+		"chunks and trailers":     {stream: "P / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;x\r\nb\r\n0\r\na:b\r\n\r\n", want: Usage{Lines: 5, Head: 51, Body: 11, Requests: 1}},
+		"empty lines":             {stream: "\r\n\r\n\r\n", want: Usage{Lines: 3, Head: 6}},
+		"after a conflict":        {stream: "P / HTTP/1.1\r\nContent-Length: x\r\na:\r\nb:\r\n", want: Usage{Lines: 4, Head: 41}},
+		"head at the limit":       {stream: "G / HTTP/1.1\r\nLong: " + strings.Repeat("l", 76) + "\r\n\r\n", want: Usage{Lines: 3, Head: 100, Requests: 1}},
+		"head over the limit":     {stream: "G / HTTP/1.1\r\nLong: " + strings.Repeat("l", 77) + "\r\n\r\n", want: Usage{Lines: 3, Head: 101, Requests: 1}, tooLarge: true},
+		"trailers over the limit": {stream: "P / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\na:" + strings.Repeat("b", 98) + "\r\n", want: Usage{Lines: 4, Head: 146, Body: 3}, tooLarge: true},
+		"trailers at the limit":   {stream: "P / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\na:" + strings.Repeat("b", 94) + "\r\n\r\n", want: Usage{Lines: 5, Head: 144, Body: 3, Requests: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, step := range []int{1, 3, len(tt.stream)} {
+				s := Scanner{HeadLimit: 100}
+				for rest := tt.stream; rest != ""; {
+					n := min(step, len(rest))
+					s.Scan([]byte(rest[:n]))
+					rest = rest[n:]
+				}
+				if s.Usage() != tt.want || s.HeadTooLarge() != tt.tooLarge {
+					t.Errorf("in steps of %d: %+v, too large %v; want %+v, %v", step, s.Usage(), s.HeadTooLarge(), tt.want, tt.tooLarge)
+				}
+			}
+		})
+	}
+}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"strconv"
@@ -15,9 +13,9 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/beechhead/beechhead/internal/callerconn"
 	"github.com/beechhead/beechhead/internal/catalog"
 	"github.com/beechhead/beechhead/internal/forward"
-	"github.com/beechhead/beechhead/internal/framing"
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/quarantine"
 	"github.com/beechhead/beechhead/pkg/table"
@@ -40,6 +38,9 @@
 	// staleRetryAfter is the Retry-After value when this daemon's facts are too
 	// old; other daemons may have newer ones.
 	staleRetryAfter = 200 * time.Millisecond
+	// overloadedRetryAfter is the Retry-After value when callers make this daemon hold all
+	// that they may.
+	overloadedRetryAfter = time.Second
 	// defaultStartWait is how long a request waits at most for the first
 	// configuration of a daemon that has just started, if that is no more than a
 	// part, startWaitDivisor, of its caller's deadline. A fleet that starts together
@@ -50,13 +51,6 @@
 	defaultDeadline = time.Minute
 )
 
-type connKey struct{}
-
-// withConn adds the connection to the context of its requests.
-func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
 // serveCaller serves one request. It uses no router, since the path must reach
 // the endpoint byte for byte.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
@@ -110,16 +104,24 @@
 	wire.WriteRefusal(w, id, outcome.UnknownError(outcome.ReasonInternal, "an internal error; the request may have been executed"))
 }
 
+// endsConnection has the reasons for which the rest of a request is not read.
+var endsConnection = map[outcome.Reason]bool{
+	outcome.ReasonBadRequest: true,
+	outcome.ReasonTooLarge:   true,
+	outcome.ReasonOverloaded: true,
+}
+
 // refuse responds to a request that no endpoint has answered.
 func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, call *wire.CallerRequest, refusal *outcome.Refusal) {
 	g.metrics.CountRefusal(refusal.Reason)
 	g.logger.Info("refused", "request", call.ID, "outcome", refusal.Outcome, "reason", refusal.Reason, "message", refusal.Message,
 		"config", g.holder.Summary().Config, "configAgeMs", g.configAgeMs())
 	g.recordPromise(call.ID, refusal)
-	if refusal.Reason == outcome.ReasonBadRequest || refusal.Reason == outcome.ReasonTooLarge || g.leaving() {
+	if endsConnection[refusal.Reason] || g.leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	if r.Context().Err() != nil {
+	// A caller that gave way is still there, though net/http takes it for gone.
+	if r.Context().Err() != nil && refusal.Reason != outcome.ReasonOverloaded {
 		panic(http.ErrAbortHandler)
 	}
 	wire.WriteRefusal(w, call.ID, refusal)
@@ -128,7 +130,7 @@
 // admit determines a request's route and account and reads its body. It returns
 // either the request to forward or a refusal.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, call *wire.CallerRequest, began time.Duration) (*forward.Request, *outcome.Refusal) {
-	if c, ok := r.Context().Value(connKey{}).(*framing.Conn); ok && c.Conflict() {
+	if c := callerconn.FromContext(r.Context()); c != nil && c.Conflict() {
 		return nil, outcome.NotRunError(outcome.ReasonBadRequest, "the lengths of a request conflict")
 	}
 	target, path := target(r)
@@ -248,12 +250,12 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	reader := io.Reader(r.Body)
-	if maxBytes > 0 {
-		reader = io.LimitReader(r.Body, maxBytes+1)
-	}
-	body, err := io.ReadAll(reader)
+	body, err := callerconn.ReadBody(r.Body, r.ContentLength, maxBytes)
 	switch {
+	case errors.Is(err, callerconn.ErrGaveWay), errors.Is(err, callerconn.ErrNoRoom):
+		refusal := outcome.NotRunError(outcome.ReasonOverloaded, err.Error())
+		refusal.RetryAfter = overloadedRetryAfter
+		return nil, refusal
 	case err != nil:
 		return nil, outcome.NotRunError(outcome.ReasonBadRequest, "the body does not come whole")
 	case maxBytes > 0 && int64(len(body)) > maxBytes:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,13 +21,13 @@
 	"github.com/beechhead/beechhead/internal/backlog"
 	"github.com/beechhead/beechhead/internal/beacon"
 	"github.com/beechhead/beechhead/internal/boottime"
+	"github.com/beechhead/beechhead/internal/callerconn"
 	"github.com/beechhead/beechhead/internal/cell"
 	"github.com/beechhead/beechhead/internal/cellhost"
 	"github.com/beechhead/beechhead/internal/endpointname"
 	"github.com/beechhead/beechhead/internal/facts"
 	"github.com/beechhead/beechhead/internal/factsync"
 	"github.com/beechhead/beechhead/internal/forward"
-	"github.com/beechhead/beechhead/internal/framing"
 	"github.com/beechhead/beechhead/internal/heartbeat"
 	"github.com/beechhead/beechhead/internal/http1"
 	"github.com/beechhead/beechhead/internal/logline"
@@ -123,6 +123,10 @@
 	budgetMu sync.Mutex
 	budgets  map[table.Pool]*retrybudget.Budget
 
+	// callers bounds the connections of callers and what their requests hold.
+	callers *callerconn.Budget
+	// checkedCallers is when it was last checked which of them take too long.
+	checkedCallers time.Time
 	// backlog holds what callers have not read; nil if nothing is held.
 	backlog *backlog.Budget
 	sampler *logline.Sampler
@@ -169,9 +173,7 @@
 	g.logger = slog.New(logline.NewLimiter(g.clock, logger.Handler())).With("host", s.Host)
 	g.promises = logline.NewDigest(g.clock, g.logger, "refused as not run", "reason")
 	g.recent = requestid.NewRecent(g.clock)
-	if m := s.Gateway.Machine; m != nil && m.MemoryMB > 0 {
-		g.backlog = backlog.NewBudget(g.clock, backlog.Limit(backlog.Bytes(m.MemoryMB*(1<<20))))
-	}
+	g.buildBudgets()
 	g.view = membership.NewView(g.clock, membership.Host{
 		ID:            membership.HostID(s.Host),
 		Incarnation:   membership.NewIncarnation(g.clock.Now().UnixMilli(), rand.Uint64()),
@@ -271,26 +273,8 @@
 	}
 }
 
-// callerIdle is the idle timeout of callers' connections. It exceeds the
-// timeout that operators prescribe for callers, so that the daemon does not
-// close a connection on which a caller is just sending a request.
-const callerIdle = 2 * time.Minute
-
-// Limits of the server for callers.
-const (
-	readHeaderTimeout = 10 * time.Second
-	maxHeaderRead     = 64 << 10
-)
-
 func (g *Gateway) buildServers() {
-	g.callerHTTP = &http.Server{
-		Handler:           http.HandlerFunc(g.serveCaller),
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       callerIdle,
-		MaxHeaderBytes:    maxHeaderRead,
-		ConnContext:       withConn,
-		ErrorLog:          slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug),
-	}
+	g.callerHTTP = g.newCallerServer(http.HandlerFunc(g.serveCaller))
 	g.peerServer = g.newPeerServer()
 	g.peerHTTP = peer.NewHTTPServer(g.tunnels.Wrap(g.peerServer.Handler()), nil)
 	g.peerHTTP.Protocols.SetHTTP1(true) // for tunnels
@@ -351,16 +335,16 @@
 	}{
 		{g.callerHTTP, g.conf().CallerAddress},
 		{g.peerHTTP, g.conf().PeerAddress},
-		{&http.Server{Handler: directory, ReadHeaderTimeout: readHeaderTimeout}, g.conf().Gateway.ReadyAddress},
-		{&http.Server{Handler: directory, ReadHeaderTimeout: readHeaderTimeout}, g.conf().Gateway.DirectoryAddress},
-		{&http.Server{Handler: g.metricsHandler(), ReadHeaderTimeout: readHeaderTimeout}, g.conf().OperatorAddress},
+		{g.newAnswerServer(directory), g.conf().Gateway.ReadyAddress},
+		{g.newAnswerServer(directory), g.conf().Gateway.DirectoryAddress},
+		{g.newAnswerServer(g.metricsHandler()), g.conf().OperatorAddress},
 	} {
 		l, err := net.Listen("tcp", s.address)
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", s.address)
 		}
-		if s.server == g.callerHTTP {
-			l = framing.Listener{Listener: l}
+		if s.server != g.peerHTTP {
+			l = &callerconn.Listener{Listener: l, Budget: g.callers, Costs: callerCosts, HeadLimit: g.headLimit}
 		}
 		grp.Go(func() error { return serve(ctx, s.server, l) })
 	}
@@ -423,4 +407,5 @@
 	g.placer.Tick()
 	g.streams.Refresh()
 	g.leaveTunnels()
+	g.endLateCallers()
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -62,6 +62,7 @@
 	g.metrics.Set("tunnels.open", int64(g.tunnels.Open()))
 	g.metrics.Set("endpoints.cutOff", boolGauge(g.dialer.IsCutOff()))
 	g.metrics.Set("requests.inProgress", g.inProgress.Load())
+	g.setCallerGauges()
 	g.setBacklogGauges()
 	g.metrics.Set("connections.opened", g.forwarder.Pool.Opened.Load())
 	g.metrics.Set("log.requestsLeftOut", g.sampler.LeftOut())
--- a/internal/gateway/slowcallers.go
+++ b/internal/gateway/slowcallers.go
@@ -9,8 +9,8 @@
 	"github.com/go-faster/errors"
 
 	"github.com/beechhead/beechhead/internal/backlog"
+	"github.com/beechhead/beechhead/internal/callerconn"
 	"github.com/beechhead/beechhead/internal/forward"
-	"github.com/beechhead/beechhead/internal/framing"
 )
 
 // forward forwards a request. If the memory of this host is known, what the caller has not
@@ -62,8 +62,8 @@
 
 // callerConn returns the connection of a request; nil if it is not TCP.
 func callerConn(r *http.Request) *net.TCPConn {
-	c, ok := r.Context().Value(connKey{}).(*framing.Conn)
-	if !ok {
+	c := callerconn.FromContext(r.Context())
+	if c == nil {
 		return nil
 	}
 	tcp, _ := c.Conn.(*net.TCPConn)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -78,6 +78,8 @@
 	s.OperatorTLS.check(c, "operatorTls")
 	s.PeerTLS.check(c)
 	s.checkPolicy(c)
+	c.require(s.MemoryMB >= 0, "memoryMb", "%g is negative", s.MemoryMB)
+	c.require(s.Descriptors >= 0, "descriptors", "%d is negative", s.Descriptors)
 	c.require(s.CellSize >= 0, "cellSize", "%d is negative", s.CellSize)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,6 +35,11 @@
 	// PeerTLS makes daemons show each other certificates; all daemons have
 	// it or none.
 	PeerTLS *PeerTLS `json:"peerTls,omitempty"`
+	// MemoryMB is the memory in MiB, Descriptors the number of descriptors that the daemon
+	// may use; zero means those of its process. What callers may make it hold follows from
+	// them.
+	MemoryMB    float64 `json:"memoryMb,omitempty"`
+	Descriptors int     `json:"descriptors,omitempty"`
 	// CellSize bounds the endpoints of a cell; zero is the default.
 	CellSize int `json:"cellSize,omitempty"`
 	// Policy is the way of placing requests; empty is PolicyCells.
@@ -96,3 +101,11 @@
 	s.check(c)
 	return s, c.faults
 }
+
+// Memory returns the memory that the daemon may use, in MiB; zero if the settings name none.
+func (s *Settings) Memory() float64 {
+	if s.Gateway != nil && s.Gateway.Machine != nil && s.Gateway.Machine.MemoryMB > 0 {
+		return s.Gateway.Machine.MemoryMB
+	}
+	return s.MemoryMB
+}
