Let the daemon follow the configuration beside busy callers

What callers saw: 503 for all requests, "the configuration may be out of date", for as long as 400 clients with heads of 32 KiB and an unknown key, or 100 that send requests to the directory without reading the responses, were there.

Cause: with one processor, each connection that always has more to read runs for a whole time slice of 10 ms before the next one does. What follows the configuration is one goroutine among hundreds, and needs several turns for a call to the store that may take 700 ms.

Change: a connection gives up its turn after each part of a request that it has read and after each request, so that a round of all takes some milliseconds.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,6 +85,7 @@
 		conn.account.begin(conn.listener.Opaque)
 	case http.StateIdle:
 		conn.account.finish(!conn.scanner.IsBetween(), conn.scanner.IsInHead())
+		runtime.Gosched()
 	}
 }
 
@@ -184,6 +186,7 @@
 	if err := c.account.receive(progress); err != nil {
 		return 0, c.endRead(err)
 	}
+	runtime.Gosched()
 	return n, err
 }
 
