Keep no ids of requests, however long they are

What callers saw: a daemon that ran out of memory, without any unusual load.

Cause: requests that must not be repeated are remembered for 30 s by their ids, up to 8,192 of them, and an id may be as long as a head.

Change: a hash of 64 bits with a seed that no caller knows takes the place of the id, beside the fingerprint of the request, which is kept as before. Two requests of one account with equal content and different ids are taken for the same one with a probability of 2^-64.

TestLongIDsAreNotKept failed before.

--- a/internal/requestid/recent.go
+++ b/internal/requestid/recent.go
@@ -4,6 +4,7 @@
 package requestid
 
 import (
+	"hash/maphash"
 	"sync"
 	"time"
 
@@ -34,9 +35,10 @@
 	NotRun State = "notRun"
 )
 
-// key names a request. Requests of other content are other ones, whatever their ids.
+// key names a request. Requests of other content are other ones, whatever their ids. An id
+// may be as long as a head, so that only a hash is kept, with a seed that no caller knows.
 type key struct {
-	id          string
+	id          uint64
 	fingerprint quarantine.Fingerprint
 }
 
@@ -49,6 +51,7 @@
 // for concurrent use.
 type Recent struct {
 	clock clockwork.Clock
+	seed  maphash.Seed
 
 	mu     sync.Mutex
 	states map[key]State
@@ -60,14 +63,14 @@
 
 // NewRecent returns an empty memory.
 func NewRecent(clock clockwork.Clock) *Recent {
-	return &Recent{clock: clock, states: map[key]State{}}
+	return &Recent{clock: clock, seed: maphash.MakeSeed(), states: map[key]State{}}
 }
 
 // Begin records the begin of a request, and returns what became of the same one before. If
 // there was one, nothing is recorded, and end is nil. Otherwise end must be called when the
 // request has ended, with MayHaveRun or NotRun.
 func (r *Recent) Begin(id string, f quarantine.Fingerprint) (before State, end func(State)) {
-	k := key{id: id, fingerprint: f}
+	k := key{id: maphash.String(r.seed, id), fingerprint: f}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.forget()
--- a/internal/requestid/recent_test.go
+++ b/internal/requestid/recent_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -50,3 +52,27 @@
 		t.Errorf("%d requests are remembered, at most %d are allowed", n, maxEnded+2)
 	}
 }
+
+// Guards against a memory that grows with the length of ids.
+func TestLongIDsAreNotKept(t *testing.T) {
+	r := NewRecent(clockwork.NewFakeClock())
+	long := strings.Repeat("i", 1<<20)
+	before := heapInUse()
+	for i := range 100 {
+		_, end := r.Begin(fmt.Sprint(i)+long, 1)
+		end(MayHaveRun)
+	}
+	if grown := heapInUse() - before; grown > 10<<20 {
+		t.Errorf("100 ids of 1 MiB take %d bytes", grown)
+	}
+	if before, _ := r.Begin("7"+long, 1); before != MayHaveRun {
+		t.Errorf("state %q of a request with a long id, want %q", before, MayHaveRun)
+	}
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
