Bound the parts of prompts that are remembered

What callers saw: a daemon that ran out of memory while it served prompts with thousands of parts in heads of legal size.

Cause: each part was parsed, told to the coordinator, and remembered there: in the model of the engine's cache, which evicts parts by their tokens, so that parts without tokens stayed for good, and in the record of last uses, which had a bound in time only.

A model of a cache has at most 4,096 parts, the record of last uses 65,536 entries.

The deployments' prompts have up to three parts.

--- a/internal/batching/affinity.go
+++ b/internal/batching/affinity.go
@@ -87,6 +87,6 @@
 		return
 	}
 	if chain, tokens := sharedChain(r.Parts); tokens > 0 {
-		p.lastZoneUse[inZone(chain, r.Zone)] = now
+		remember(p.lastZoneUse, inZone(chain, r.Zone), now)
 	}
 }
--- a/internal/batching/pool.go
+++ b/internal/batching/pool.go
@@ -191,6 +191,20 @@
 	removeOld(p.lastZoneUse, now)
 }
 
+// maxLastUses bounds the parts, and the chains of parts, whose last uses are remembered.
+const maxLastUses = 1 << 16
+
+// remember records a use. If there are too many others, one of them is forgotten.
+func remember[K comparable](lastUse map[K]time.Duration, k K, now time.Duration) {
+	if _, known := lastUse[k]; !known && len(lastUse) >= maxLastUses {
+		for other := range lastUse {
+			delete(lastUse, other)
+			break
+		}
+	}
+	lastUse[k] = now
+}
+
 func removeOld[K comparable](lastUse map[K]time.Duration, now time.Duration) {
 	for k, used := range lastUse {
 		if now-used >= recentUse {
--- a/internal/batching/prefill.go
+++ b/internal/batching/prefill.go
@@ -100,7 +100,7 @@
 	}
 	e.parts.Acquire(r.Parts, e.Memory-e.reservedMemory)
 	for _, part := range r.Parts {
-		p.lastUse[part.ID] = now
+		remember(p.lastUse, part.ID, now)
 	}
 	p.recordZoneUse(r, now)
 }
--- a/internal/batching/prefixcache.go
+++ b/internal/batching/prefixcache.go
@@ -2,6 +2,9 @@
 
 import "container/list"
 
+// maxCachedParts bounds the parts that are remembered of an engine: parts may have no tokens.
+const maxCachedParts = 4096
+
 // PrefixCache models the prefix cache of an engine. Parts that running requests
 // use are never evicted, the others in least-recently-used order. The zero
 // value is an empty cache.
@@ -47,7 +50,7 @@
 }
 
 // Acquire adds a running request as user of the parts of its prompt, and evicts
-// idle parts until the cache fits into room tokens.
+// idle parts until the cache fits into room tokens and maxCachedParts.
 func (l *PrefixCache) Acquire(parts []Part, room int) {
 	if l.idle == nil {
 		l.idle = list.New()
@@ -68,7 +71,7 @@
 			k.element = nil
 		}
 	}
-	for l.tokens > room && l.idle.Len() > 0 {
+	for (l.tokens > room || len(l.byID) > maxCachedParts) && l.idle.Len() > 0 {
 		oldest, _ := l.idle.Remove(l.idle.Front()).(*cachedPart)
 		delete(l.byID, oldest.ID)
 		l.tokens -= oldest.Tokens
