--- a/internal/logline/digest.go
+++ b/internal/logline/digest.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -44,7 +45,8 @@
 func (d *Digest) Add(group, item string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.items[group] = append(d.items[group], item[:min(len(item), maxItemSize)])
+	// A part of a string keeps all of it in memory.
+	d.items[group] = append(d.items[group], strings.Clone(item[:min(len(item), maxItemSize)]))
 	d.n++
 	switch d.n {
 	case 1:
--- a/internal/logline/logline_test.go
+++ b/internal/logline/logline_test.go
@@ -128,3 +128,35 @@
 		t.Errorf("an item of %d bytes, at most %d are allowed", n, maxItemSize)
 	}
 }
+
+// Guards against lines and queues that grow with what callers send.
+func TestLongValuesAreCut(t *testing.T) {
+	var b bytes.Buffer
+	logger := slog.New(slog.NewJSONHandler(&b, &slog.HandlerOptions{ReplaceAttr: CutValue}))
+	logger.Info("refused", "request", strings.Repeat("é", 1<<20), "stack", strings.Repeat("s", 2*maxValueSize), "short", "x")
+	text := b.String()
+	if len(text) > 4*maxValueSize || !strings.Contains(text, "é...\"") {
+		t.Errorf("a line of %d bytes: %s", len(text), text[:min(len(text), 200)])
+	}
+	if !strings.Contains(text, strings.Repeat("s", 2*maxValueSize)) || !strings.Contains(text, `"short":"x"`) {
+		t.Errorf("a short value or a stack was cut: %s", text)
+	}
+
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = r.Close() }()
+	defer func() { _ = w.Close() }()
+	out := NewWriter(w)
+	line := bytes.Repeat([]byte("x"), 32<<10)
+	const lines = 200
+	for range lines {
+		_, _ = out.Write(line)
+	}
+	// The pipe takes 64 KB.
+	if queued := lines - out.Dropped(); queued > (maxQueued+64<<10)/int64(len(line))+1 {
+		t.Errorf("%d lines of %d bytes are queued", queued, len(line))
+	}
+	out.Close(10 * time.Millisecond)
+}
--- a/internal/logline/writer.go
+++ b/internal/logline/writer.go
@@ -11,9 +11,11 @@
 	"time"
 )
 
-// queueCapacity bounds the lines that wait to be written. At a few hundred
-// bytes per line, a full queue holds less than half a megabyte.
-const queueCapacity = 1024
+const (
+	// queueCapacity bounds the lines that wait to be written, maxQueued their bytes.
+	queueCapacity = 1024
+	maxQueued     = 1 << 20
+)
 
 // Writer queues lines for a goroutine that writes them. It is safe for
 // concurrent use.
@@ -24,6 +26,7 @@
 type Writer struct {
 	out     io.Writer
 	lines   chan []byte
+	queued  atomic.Int64
 	dropped atomic.Int64
 	once    sync.Once
 	done    chan struct{}
@@ -38,15 +41,24 @@
 
 // Write queues a line, or drops it if the queue is full. It always succeeds.
 func (w *Writer) Write(line []byte) (int, error) {
-	copied := append([]byte(nil), line...)
+	size := int64(len(line))
+	if w.queued.Add(size) > maxQueued {
+		w.drop(size)
+		return len(line), nil
+	}
 	select {
-	case w.lines <- copied:
+	case w.lines <- append([]byte(nil), line...):
 	default:
-		w.dropped.Add(1)
+		w.drop(size)
 	}
 	return len(line), nil
 }
 
+func (w *Writer) drop(size int64) {
+	w.queued.Add(-size)
+	w.dropped.Add(1)
+}
+
 // Dropped returns the number of lines that were dropped because the queue was
 // full.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
@@ -56,6 +68,7 @@
 	for line := range w.lines {
 		// Errors are ignored: the process that reads the log is gone.
 		_, _ = w.out.Write(line)
+		w.queued.Add(-int64(len(line)))
 	}
 }
 
