Bound what callers make a daemon with its own API hold

What callers saw: the same as with gateways: a daemon that ran out of memory, or without descriptors.

Cause: the own API takes bodies of 8 MiB each in up to 20,000 requests, several copies of each while a chat is parsed, and heads whose size is checked after they were parsed; neither it nor the operators' API bounded its connections.

Change: both addresses accept their connections by internal/callerconn, with one budget from the memory and the descriptors of the process. With TLS the daemon sees no requests in what it reads: heads are then counted by their bytes, at the cost of the shortest lines, and handlers account for heads and bodies themselves; a connection with HTTP/2 takes 32 requests at once.

Crowds over TLS were not played.

--- a/internal/caller/admit.go
+++ b/internal/caller/admit.go
@@ -10,6 +10,7 @@
 
 	"github.com/labstack/echo/v5"
 
+	"github.com/beechhead/beechhead/internal/callerconn"
 	"github.com/beechhead/beechhead/internal/membership"
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/pkg/table"
@@ -20,6 +21,7 @@
 	contextID      = "requestID"
 	contextAccount = "account"
 	contextTable   = "table"
+	contextHolding = "holding"
 )
 
 func requestID(c *echo.Context) string { id, _ := c.Get(contextID).(string); return id }
@@ -32,6 +34,14 @@
 	return t
 }
 
+// holding returns what the request makes the daemon hold.
+func holding(c *echo.Context) *callerconn.Holding {
+	if h, ok := c.Get(contextHolding).(*callerconn.Holding); ok {
+		return h
+	}
+	return &callerconn.Holding{}
+}
+
 // identify gives each request an id, names the host, and refuses headers that
 // are too large. It runs before routing, so that every response has both
 // headers. It turns a panic into a refusal: net/http would close the
@@ -52,21 +62,31 @@
 		h := c.Response().Header()
 		h.Set(HeaderRequestID, id)
 		h.Set(HeaderHost, string(s.View.Self().ID))
-		if headersSize(c.Request()) > maxHeader {
+		size, lines := headersSize(c.Request())
+		if size > maxHeader {
 			return outcome.NotRunError(outcome.ReasonHeadersTooLarge, "the headers exceed 32 KiB")
 		}
+		held := callerconn.NewHolding(c.Request().Context())
+		defer held.Release()
+		if err := held.AddHead(size, lines); err != nil {
+			return outcome.NotRunError(outcome.ReasonOverloaded, err.Error())
+		}
+		c.Set(contextHolding, held)
 		return next(c)
 	}
 }
 
-func headersSize(r *http.Request) int {
-	size := len(r.RequestURI)
+// headersSize returns the size of the headers and of the target, in bytes, and the number of
+// lines.
+func headersSize(r *http.Request) (size, lines int) {
+	size = len(r.RequestURI)
 	for name, values := range r.Header {
 		for _, v := range values {
 			size += len(name) + len(v)
 		}
+		lines += len(values)
 	}
-	return size
+	return size, lines
 }
 
 // admit refuses requests that this host can't accept, and finds the account.
--- a/internal/caller/refuse.go
+++ b/internal/caller/refuse.go
@@ -107,7 +107,7 @@
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
 	}
 	switch refusal.Reason {
-	case outcome.ReasonLeaving, outcome.ReasonBodyTimeout:
+	case outcome.ReasonLeaving, outcome.ReasonBodyTimeout, outcome.ReasonOverloaded:
 		h.Set("Connection", "close")
 	case outcome.ReasonUnauthorized:
 		h.Set("WWW-Authenticate", "Bearer")
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -9,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/labstack/echo/v5"
 
+	"github.com/beechhead/beechhead/internal/callerconn"
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/pkg/table"
 )
@@ -37,11 +37,14 @@
 func (s *Server) readBody(c *echo.Context) ([]byte, error) {
 	rc := http.NewResponseController(c.Response())
 	_ = rc.SetReadDeadline(time.Now().Add(s.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxBody))
+	limited := http.MaxBytesReader(c.Response(), c.Request().Body, maxBody)
+	body, err := callerconn.ReadBody(holding(c).Body(limited), c.Request().ContentLength, maxBody)
 	switch {
 	case err == nil:
 		_ = rc.SetReadDeadline(time.Time{})
 		return body, nil
+	case errors.Is(err, callerconn.ErrGaveWay), errors.Is(err, callerconn.ErrNoRoom):
+		return nil, outcome.NotRunError(outcome.ReasonOverloaded, err.Error())
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, outcome.NotRunError(outcome.ReasonBodyTimeout, "the body did not come in time")
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v5"
 
 	"github.com/beechhead/beechhead/internal/attainment"
+	"github.com/beechhead/beechhead/internal/callerconn"
 	"github.com/beechhead/beechhead/internal/claim"
 	"github.com/beechhead/beechhead/internal/dispatch"
 	"github.com/beechhead/beechhead/internal/membership"
@@ -36,8 +37,10 @@
 	// maxHeader bounds the headers, in bytes. net/http's own limit is higher,
 	// so that the refusal can have the same format as all others; beyond that
 	// limit, net/http responds with a plain 431 and closes the connection.
-	maxHeader         = 32 << 10
-	maxHeaderRead     = 4 * maxHeader
+	maxHeader     = 32 << 10
+	maxHeaderRead = 4 * maxHeader
+	// maxStreams bounds the requests at once on a connection with HTTP/2.
+	maxStreams        = 32
 	maxIdempotencyKey = 255
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
@@ -85,8 +88,16 @@
 	return e
 }
 
-// NewHTTPServer returns a server with limits for slow and oversized requests.
-// It uses TLS if tlsConfig is not nil.
+// Costs is how much a request makes a daemon hold: a chat is parsed, so that there are
+// several copies of its body.
+var Costs = callerconn.Costs{Line: 256, Head: 3, Body: 4}
+
+// HeadLimit returns the bound on the head of a request, in bytes, beyond which no refusal
+// in the format of the others is sent.
+func HeadLimit() int64 { return maxHeaderRead }
+
+// NewHTTPServer returns a server with limits for slow and oversized requests, for
+// connections of a callerconn.Listener. It uses TLS if tlsConfig is not nil.
 func NewHTTPServer(handler http.Handler, tlsConfig *tls.Config) *http.Server {
 	return &http.Server{
 		Handler:           handler,
@@ -94,6 +105,9 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderRead,
+		ConnContext:       callerconn.WithConn,
+		ConnState:         callerconn.OnState,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,7 +15,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/beechhead/beechhead/internal/attainment"
+	"github.com/beechhead/beechhead/internal/backlog"
 	"github.com/beechhead/beechhead/internal/caller"
+	"github.com/beechhead/beechhead/internal/callerconn"
 	"github.com/beechhead/beechhead/internal/cell"
 	"github.com/beechhead/beechhead/internal/cellhost"
 	"github.com/beechhead/beechhead/internal/claim"
@@ -66,6 +68,8 @@
 	limitOwner    *limit.Owner
 	limits        *limit.Limiter
 
+	// callers bounds the connections of callers and operators and what their requests hold.
+	callers      *callerconn.Budget
 	callerHTTP   *http.Server
 	operatorHTTP *http.Server
 	peerHTTP     *http.Server
@@ -168,6 +172,7 @@
 		Drain:   d.drain,
 		Claims:  d.claims,
 	}
+	d.callers = d.newCallerBudget()
 	d.callerHTTP = caller.NewHTTPServer(d.callerHandler.Handler(), d.secrets.CallerTLS.Clone())
 	d.operatorHTTP = caller.NewHTTPServer(operatorHandler.Handler(), d.secrets.OperatorTLS.Clone())
 	d.peerHandler = d.peerServer()
@@ -245,6 +250,8 @@
 		}
 		if s.server == d.peerHTTP {
 			l = d.meter.Listener(control.PeerWire, l)
+		} else {
+			l = &callerconn.Listener{Listener: l, Budget: d.callers, Costs: caller.Costs, HeadLimit: caller.HeadLimit, Opaque: s.server.TLSConfig != nil}
 		}
 		g.Go(func() error { return serve(ctx, s.server, l) })
 	}
@@ -267,6 +274,19 @@
 	return g.Wait()
 }
 
+// newCallerBudget returns the budget of what callers may make this daemon hold.
+func (d *Daemon) newCallerBudget() *callerconn.Budget {
+	memory, descriptors := callerconn.ProcessMemory(), callerconn.ProcessDescriptors()
+	if mb := d.settings.Memory(); mb > 0 {
+		memory = callerconn.Bytes(mb * (1 << 20))
+	}
+	if n := d.settings.Descriptors; n > 0 {
+		descriptors = n
+	}
+	limit, maxConns := callerconn.Divide(callerconn.Bytes(backlog.Limit(backlog.Bytes(memory))), descriptors)
+	return callerconn.NewBudget(d.clock, limit, maxConns)
+}
+
 func serve(ctx context.Context, s *http.Server, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
