Have the runtime keep to the memory that the settings name

With GOGC=50 the heap may grow to one and a half times what is in use, and bursts of garbage, such as the heads of requests that are refused at once, may go beyond that before the next collection ends. If the settings name the memory of the host and the environment has no GOMEMLIMIT, the runtime collects more often when 0.85 of it is used.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -33,16 +34,33 @@
 		fmt.Fprintln(c.out, "the settings are valid")
 		return nil
 	}
+	limitMemory(s)
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	if s.Gateway != nil {
 		return c.serveGateway(stop, s)
 	}
-	d := daemon.New(s, secrets, slog.New(slog.NewJSONHandler(os.Stderr, nil)))
+	d := daemon.New(s, secrets, slog.New(newHandler(os.Stderr)))
 	context.AfterFunc(stop, d.Drain)
 	return d.Run(context.Background())
 }
 
+// memoryShare is the part of the memory named in the settings that the Go runtime aims to
+// stay below; the rest is for the program's text and what the runtime frees late.
+const memoryShare = 0.85
+
+// limitMemory has the Go runtime collect garbage more often when the memory named in the
+// settings is nearly used up, unless the environment has a limit.
+func limitMemory(s *settings.Settings) {
+	if mb := s.Memory(); mb > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(memoryShare * mb * (1 << 20)))
+	}
+}
+
+func newHandler(w io.Writer) slog.Handler {
+	return slog.NewJSONHandler(w, &slog.HandlerOptions{ReplaceAttr: logline.CutValue})
+}
+
 // logFlush bounds the time for the last lines of the log.
 const logFlush = 200 * time.Millisecond
 
@@ -51,7 +69,7 @@
 func (c *serveCommand) serveGateway(stop context.Context, s *settings.Settings) error {
 	out := logline.NewWriter(os.Stdout)
 	defer out.Close(logFlush)
-	g := gateway.New(s, slog.New(slog.NewJSONHandler(out, nil)))
+	g := gateway.New(s, slog.New(newHandler(out)))
 	g.LogDropped = out.Dropped
 	context.AfterFunc(stop, g.Drain)
 	reload := make(chan os.Signal, 1)
