Tell callers whose whole request finds no room to come back

What callers saw: a connection closed without a response, if a small request that came whole in one read found no room, or if its connection gave way to another one in that moment. Such a close promises nothing; the request had not run.

Cause: the connection answered for itself only if it stood within a head. Found by reading the diff; TestNoRoomIsToldToCallers shows it.

Change: a connection knows whether a handler serves its request. If none does, and something of a request has come, it answers 503 with Retry-After itself, and 431 only then: a head of a further request that came along with the end of a body must not be answered in between. Trailers over the limit end their request. When no request gives way, none is looked for during the next 25 ms, since each search goes through all connections.

--- a/internal/callerconn/account.go
+++ b/internal/callerconn/account.go
@@ -28,6 +28,9 @@
 	// blockedTime is how long a write must be in progress until it is clear that nobody
 	// reads the response.
 	blockedTime = 2 * time.Second
+	// chooseInterval is how long no request is looked for that gives way once there was
+	// none.
+	chooseInterval = 25 * time.Millisecond
 )
 
 // account is the part of a budget that one connection uses. Its fields are guarded by
@@ -196,6 +199,13 @@
 // isLate reports whether the connection must end since it took longer than it may.
 func (a *account) isLate() bool { return a.hasGivenWay() && a.late }
 
+// isIdle reports whether nothing of a request has come.
+func (a *account) isIdle() bool {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	return a.stage == idle
+}
+
 // isServing reports whether a request has come whole and is not answered.
 func (a *account) isServing() bool {
 	a.budget.mu.Lock()
@@ -292,7 +302,16 @@
 // frees: the requests that come slowly, the slowest first, then those whose responses nobody
 // reads.
 func (b *Budget) chooseHolders(need Bytes) (victims []*account, freed Bytes) {
-	for _, a := range b.standing(b.clock.Now()) {
+	now := b.clock.Now()
+	if now.Before(b.noneUntil) {
+		return nil, 0
+	}
+	defer func() {
+		if freed == 0 {
+			b.noneUntil = now.Add(chooseInterval)
+		}
+	}()
+	for _, a := range b.standing(now) {
 		if freed >= need {
 			break
 		}
--- a/internal/callerconn/budget.go
+++ b/internal/callerconn/budget.go
@@ -46,6 +46,8 @@
 	// fullSince is when there was no place for a new connection; zero if there was one for
 	// the last.
 	fullSince time.Time
+	// noneUntil is until when no request is looked for that gives way.
+	noneUntil time.Time
 	// held is what the requests hold, ending the part of it that belongs to those which
 	// have given way and not ended yet.
 	held, ending Bytes
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -29,6 +29,9 @@
 	retryAfter = 1
 )
 
+// errTrailersTooLarge reports that the trailers of a request exceed the limit of heads.
+var errTrailersTooLarge = errors.New("the trailers are too large")
+
 // Costs is how much a part of a request makes the daemon hold.
 type Costs struct {
 	// Line is what a line of a head costs, in addition to its bytes.
@@ -82,8 +85,10 @@
 	}
 	switch s {
 	case http.StateActive:
+		conn.active = true
 		conn.account.begin(conn.listener.Opaque)
 	case http.StateIdle:
+		conn.active = false
 		conn.account.finish(!conn.scanner.IsBetween(), conn.scanner.IsInHead())
 		runtime.Gosched()
 	}
@@ -117,8 +122,10 @@
 	net.Conn
 	listener *Listener
 	account  *account
-	// scanner and ended are used by one goroutine at a time, as Read is.
+	// The following are used by one goroutine at a time, as Read is.
 	scanner framing.Scanner
+	// active is set while a handler serves a request, or reads its body.
+	active bool
 	// ended is set when nothing more is to be read.
 	ended    bool
 	conflict atomic.Bool
@@ -157,11 +164,13 @@
 // Read reads from the connection. While a request is served, nothing but one byte of the
 // next one is read.
 func (c *Conn) Read(p []byte) (n int, err error) {
-	if c.ended {
+	switch {
+	case c.ended:
 		return 0, io.EOF
-	}
-	if c.account.hasGivenWay() {
+	case c.account.hasGivenWay():
 		return 0, c.endRead(ErrGaveWay)
+	case c.scanner.HeadTooLarge() && !c.active:
+		return 0, c.refuse(http.StatusRequestHeaderFieldsTooLarge, true)
 	}
 	n, err = c.Conn.Read(p)
 	if n == 0 {
@@ -180,8 +189,10 @@
 		return 0, c.discard()
 	case serving:
 		return n, err
-	case c.scanner.HeadTooLarge():
+	case c.scanner.HeadTooLarge() && !c.active:
 		return 0, c.refuse(http.StatusRequestHeaderFieldsTooLarge, true)
+	case c.scanner.HeadTooLarge() && !progress.whole:
+		return 0, c.endRead(errTrailersTooLarge)
 	}
 	if err := c.account.receive(progress); err != nil {
 		return 0, c.endRead(err)
@@ -221,21 +232,21 @@
 	}
 }
 
-// endRead returns the error of a Read for which there is no room. In a head, no handler can
-// respond.
+// endRead returns the error of a Read for which there is no room. If no handler responds,
+// it does so, unless nothing of a request has come or it has come too slowly.
 func (c *Conn) endRead(cause error) error {
 	c.ended = true
 	switch {
-	case c.scanner.IsInHead() && !c.account.isLate():
-		return c.refuse(http.StatusServiceUnavailable, errors.Is(cause, ErrNoRoom))
-	case c.scanner.IsInHead() || c.scanner.IsBetween():
+	case c.active:
+		return cause
+	case c.account.isLate() || c.account.isIdle():
 		return io.EOF
 	}
-	return cause
+	return c.refuse(http.StatusServiceUnavailable, errors.Is(cause, ErrNoRoom))
 }
 
-// refuse responds to a request whose head has not been read whole. It returns io.EOF, for
-// which net/http sends no response of its own. With linger, the sender may still be sending.
+// refuse responds to a request that no handler serves yet. It returns io.EOF, for which
+// net/http sends no response of its own. With linger, the sender may still be sending.
 func (c *Conn) refuse(status int, linger bool) error {
 	c.ended = true
 	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n", status, http.StatusText(status))
--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -97,6 +97,55 @@
 	}
 }
 
+// Guards against small requests that find no room and whose callers are not told to come
+// back, however they are sent.
+func TestNoRoomIsToldToCallers(t *testing.T) {
+	b := newBudget(1<<20, 16)
+	release := make(chan struct{})
+	address := startServer(t, b, 0, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		if r.URL.Path == "/full" {
+			<-release
+		}
+	})
+	var full []*bufio.Reader
+	var held Bytes
+	for _, size := range []int{430_000, 30_000, 30_000, 30_000} {
+		c, r := dial(t, address)
+		full = append(full, r)
+		fmt.Fprintf(c, "POST /full HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("b", size))
+		held += Bytes(2 * size)
+		for i := 0; b.Figures().Held < held; i++ {
+			if i == 10_000 {
+				t.Fatal("the request does not come whole")
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	for name, request := range map[string]string{
+		"whole":     "GET / HTTP/1.1\r\nHost: a\r\nLong: " + strings.Repeat("l", 3000) + "\r\n\r\n",
+		"body":      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3000\r\n\r\n" + strings.Repeat("b", 3000),
+		"long head": "GET / HTTP/1.1\r\nHost: a\r\nLong: " + strings.Repeat("l", 9000) + "\r\n\r\n",
+	} {
+		c, r := dial(t, address)
+		fmt.Fprint(c, request)
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || !resp.Close {
+			t.Errorf("%s: %v", name, resp)
+		}
+	}
+	close(release)
+	for i, r := range full {
+		if status, _, err := readResponse(r); err != nil || status != http.StatusOK {
+			t.Errorf("request %d that was served: status %d, %v", i, status, err)
+		}
+	}
+}
+
 // Guards against what a request has held being counted after it was answered.
 func TestAnsweredRequestsHoldNothing(t *testing.T) {
 	for _, opaque := range []bool{false, true} {
