--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -31,8 +31,8 @@
 	return l.Addr().String()
 }
 
-func newBudget(limit Bytes, maxConns int) *Budget {
-	return NewBudget(clockwork.NewRealClock(), limit, maxConns)
+func newBudget(maxConns int) *Budget {
+	return NewBudget(clockwork.NewRealClock(), 1<<20, maxConns)
 }
 
 func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
@@ -57,7 +57,7 @@
 
 // Guards against pipelined requests that are taken for more than they are, or dropped.
 func TestPipelinedRequests(t *testing.T) {
-	address := startServer(t, newBudget(1<<20, 4), 1<<10, func(w http.ResponseWriter, r *http.Request) {
+	address := startServer(t, newBudget(4), 1<<10, func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		fmt.Fprintf(w, "%s %s", r.URL.Path, body)
 	})
@@ -80,7 +80,7 @@
 // does not get.
 func TestHeadOverTheLimit(t *testing.T) {
 	const limit = 8 << 10
-	address := startServer(t, newBudget(1<<20, 4), limit, func(http.ResponseWriter, *http.Request) {})
+	address := startServer(t, newBudget(4), limit, func(http.ResponseWriter, *http.Request) {})
 	for size, want := range map[int]int{limit: http.StatusOK, limit + 1: http.StatusRequestHeaderFieldsTooLarge, 1 << 20: http.StatusRequestHeaderFieldsTooLarge} {
 		c, r := dial(t, address)
 		for range 2 { // The second request of a connection is bounded as well.
@@ -100,7 +100,7 @@
 // Guards against small requests that find no room and whose callers are not told to come
 // back, however they are sent.
 func TestNoRoomIsToldToCallers(t *testing.T) {
-	b := newBudget(1<<20, 16)
+	b := newBudget(16)
 	release := make(chan struct{})
 	address := startServer(t, b, 0, func(_ http.ResponseWriter, r *http.Request) {
 		_, _ = io.ReadAll(r.Body)
@@ -149,7 +149,7 @@
 // Guards against what a request has held being counted after it was answered.
 func TestAnsweredRequestsHoldNothing(t *testing.T) {
 	for _, opaque := range []bool{false, true} {
-		b := newBudget(1<<20, 4)
+		b := newBudget(4)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
--- a/internal/crowd/busy_test.go
+++ b/internal/crowd/busy_test.go
@@ -15,7 +15,7 @@
 func TestBusyCrowds(t *testing.T) {
 	play(t, map[string]test{
 		"requests with a key that is not known": {crowd: crowd{clients, 1, whole(20, func(id string) []byte {
-			return append([]byte(strings.Replace(tinyHead(maxHeaderBytes, "look", id, 1), standin.SampleKey, "other", 1)), 'b')
+			return append([]byte(strings.Replace(tinyHead(maxHeaderBytes, id), standin.SampleKey, "other", 1)), 'b')
 		})}},
 		"directory, many requests at once, no answer read": {address: directory, crowd: crowd{100, 3, without(
 			text("GET "+platform.PathResolve+" HTTP/1.1\r\nHost: a\r\n\r\n"),
--- a/internal/crowd/calm_test.go
+++ b/internal/crowd/calm_test.go
@@ -65,7 +65,7 @@
 		long += "Long: " + strings.Repeat("l", size-len(long)-len("Long: \r\n\r\n")) + "\r\n\r\nb"
 		parts := promptParts("parts", 1)
 		for name, request := range map[string]string{
-			"head of tiny lines":   tinyHead(size, "look", "tiny", 1) + "b",
+			"head of tiny lines":   tinyHead(size, "tiny") + "b",
 			"head of one line":     long,
 			"id":                   head("pay", "id"+strings.Repeat("i", size-1024), "Content-Length: 1") + "\r\nb",
 			"parts of a prompt":    string(parts),
@@ -105,7 +105,7 @@
 	s := startSite(t, siteOptions{limits: map[string]any{"max-header-bytes": 4 << 10}})
 	for _, size := range []int{4<<10 + 1, 8 << 10, 256 << 10} {
 		c, r := dial(t, s.callers)
-		if status := exchange(t, c, r, 0, tinyHead(size, "look", "large", 1)); status != http.StatusRequestHeaderFieldsTooLarge {
+		if status := exchange(t, c, r, 0, tinyHead(size, "large")); status != http.StatusRequestHeaderFieldsTooLarge {
 			t.Errorf("status %d of a head of %d bytes", status, size)
 		}
 	}
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -46,9 +46,9 @@
 	}
 }
 
-// tinyHead returns a head of exactly that size made of tiny lines.
-func tinyHead(size int, route, id string, length int) string {
-	h := head(route, id, fmt.Sprintf("Content-Length: %d", length))
+// tinyHead returns a head of exactly that size made of tiny lines. Its body has one byte.
+func tinyHead(size int, id string) string {
+	h := head("look", id, "Content-Length: 1")
 	return h + tinyLines(size-len(h)-2) + "\r\n"
 }
 
--- a/internal/crowd/heads_test.go
+++ b/internal/crowd/heads_test.go
@@ -13,13 +13,13 @@
 func TestCrowdsOfHeads(t *testing.T) {
 	play(t, map[string]test{
 		"tiny lines, whole requests": {crowd: crowd{clients, 1, whole(20, func(id string) []byte {
-			return append([]byte(tinyHead(maxHeaderBytes, "look", id, 1)), 'b')
+			return append([]byte(tinyHead(maxHeaderBytes, id)), 'b')
 		})}},
 		"tiny lines, the body a byte short": {crowd: crowd{clients, 3, partly(func(id string) []byte {
-			return []byte(tinyHead(maxHeaderBytes, "look", id, 1))
+			return []byte(tinyHead(maxHeaderBytes, id))
 		})}},
 		"tiny lines, no end of the head": {crowd: crowd{clients, 3, partly(func(id string) []byte {
-			h := tinyHead(maxHeaderBytes, "look", id, 1)
+			h := tinyHead(maxHeaderBytes, id)
 			return []byte(h[:len(h)-2])
 		})}},
 		"directory, tiny lines": {address: directory, crowd: crowd{100, 3, partly(
