Tell a TLS handshake from the head of a request

What callers saw: with TLS, beside a crowd of bodies that stop a byte short, an ordinary caller's connection was closed during its handshake, five times of five.

Cause: bytes that are encrypted are counted at the cost of the shortest header lines, 67 for one, until a head has been read. The handshake of some 2 KB was counted like that as well, which is more than a small request may hold.

Change: the connection follows the records of TLS (RFC 8446, section 5.1) and counts handshakes by their bytes.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -52,7 +52,7 @@
 	// HeadLimit returns the bound on a head in bytes; zero means no bound. It is not needed
 	// if Opaque is set.
 	HeadLimit func() int64
-	// Opaque means that the bytes are encrypted, so that requests are not seen in them.
+	// Opaque means that the bytes are those of TLS, so that requests are not seen in them.
 	// Handlers then account for them with a Holding.
 	Opaque bool
 }
@@ -124,6 +124,8 @@
 	account  *account
 	// The following are used by one goroutine at a time, as Read is.
 	scanner framing.Scanner
+	// records takes the place of scanner on an opaque connection.
+	records recordScanner
 	// active is set while a handler serves a request, or reads its body.
 	active bool
 	// ended is set when nothing more is to be read.
@@ -180,7 +182,7 @@
 		return 0, err
 	}
 	if c.listener.Opaque {
-		return n, c.receiveOpaque(n, err)
+		return n, c.receiveOpaque(p[:n], err)
 	}
 	serving := c.account.isServing()
 	progress := c.scan(p[:n])
@@ -202,12 +204,14 @@
 }
 
 // receiveOpaque accounts for encrypted bytes that may belong to a head.
-func (c *Conn) receiveOpaque(n int, err error) error {
+func (c *Conn) receiveOpaque(p []byte, err error) error {
+	data := c.records.scan(p)
 	if c.account.isServing() {
 		return err
 	}
-	cost := c.listener.Costs.opaqueHead() * Bytes(n)
-	if receiveErr := c.account.receive(progress{bytes: int64(n), cost: cost, inHead: true}); receiveErr != nil {
+	costs := &c.listener.Costs
+	cost := costs.opaqueHead()*Bytes(data) + costs.Head*Bytes(len(p)-data)
+	if receiveErr := c.account.receive(progress{bytes: int64(len(p)), cost: cost, inHead: true}); receiveErr != nil {
 		c.ended = true
 		return receiveErr
 	}
