Give up turns only beside long and pipelined requests

A connection gave up its turn after each read and each request. It is needed where one always has more to read; a request that comes whole in one read waits anyway. Ordinary requests go without that now.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -89,8 +89,11 @@
 		conn.account.begin(conn.listener.Opaque)
 	case http.StateIdle:
 		conn.active = false
-		conn.account.finish(!conn.scanner.IsBetween(), conn.scanner.IsInHead())
-		runtime.Gosched()
+		more := !conn.scanner.IsBetween()
+		conn.account.finish(more, conn.scanner.IsInHead())
+		if more {
+			runtime.Gosched()
+		}
 	}
 }
 
@@ -199,7 +202,10 @@
 	if err := c.account.receive(progress); err != nil {
 		return 0, c.endRead(err)
 	}
-	runtime.Gosched()
+	if !progress.whole {
+		// Others have their turns between the parts of a long request.
+		runtime.Gosched()
+	}
 	return n, err
 }
 
