Keep review case 7 within the doses, and read TROUBLE in the scripts

Cause: in case 7 the endpoint that ended was the only one, and none of its answers had a length, which is more than the site file has. The scripts left TROUBLE to the program that they start.

Change: one of four endpoints ends, and one answer of over twenty has no length. The scripts hand TROUBLE on as an argument.

--- a/review/tools-2/main.go
+++ b/review/tools-2/main.go
@@ -16,15 +16,15 @@
 	if len(os.Args) == 6 && os.Args[1] == "engine" {
 		runEngine(os.Args[2], os.Args[3], os.Args[4], os.Args[5])
 	}
-	if len(os.Args) != 3 {
-		cannotRun(fmt.Errorf("usage: cases NAME RECORD"))
+	if len(os.Args) != 4 {
+		cannotRun(fmt.Errorf("usage: cases NAME RECORD TROUBLE"))
 	}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		cannotRun(fmt.Errorf("no case %q", os.Args[1]))
 	}
 	log := newRecord(os.Args[2])
-	broken := run(log, os.Getenv("TROUBLE") != "0")
+	broken := run(log, os.Args[3] != "0")
 	for _, line := range broken {
 		log.add("BROKEN", "rule", line)
 		fmt.Println("broken:", line)
--- a/review/tools-2/restart.go
+++ b/review/tools-2/restart.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -80,12 +81,16 @@
 	for {
 		c, err := l.Accept()
 		check(err)
-		go serveUnframed(c, id, born)
+		go serveStreams(c, id, born)
 	}
 }
 
-// serveUnframed serves one connection. A stream has no length: it ends with its connection.
-func serveUnframed(c net.Conn, engineID string, born int64) {
+// unframedID is the request whose answer has no length: it ends with its connection. All
+// other answers are sent in chunks.
+const unframedID = "unframed"
+
+// serveStreams serves one connection.
+func serveStreams(c net.Conn, engineID string, born int64) {
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
 	for {
@@ -109,18 +114,41 @@
 		}
 		pieces := eventsOf(r)
 		fmt.Println("runs", id, pieces)
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nBeechhead-Request-Id: %s\r\nBeechhead-Response-Signature: 3e1b.07.5a2.%s\r\nConnection: close\r\n\r\n", id, id)
+		framing, end := "Transfer-Encoding: chunked", "0\r\n\r\n"
+		if id == unframedID {
+			framing, end = "Connection: close", ""
+		}
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nBeechhead-Request-Id: %s\r\nBeechhead-Response-Signature: 3e1b.07.5a2.%s\r\n%s\r\n\r\n", id, id, framing)
 		for n := 1; n <= pieces; n++ {
 			time.Sleep(piecePause)
-			if _, err := fmt.Fprintf(c, "id: %d\ndata: piece %d\n\n", n, n); err != nil {
+			piece := fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n)
+			if id != unframedID {
+				piece = fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
+			}
+			if _, err := io.WriteString(c, piece); err != nil {
 				return
 			}
 			fmt.Println("sends", id, n)
 		}
-		return
+		if end == "" {
+			return
+		}
+		if _, err := io.WriteString(c, end); err != nil {
+			return
+		}
 	}
 }
 
+const (
+	// engineCount is the number of engines, of which one ends: a quarter of them.
+	engineCount = 4
+	// framedCount is the number of streams that are answered in chunks before, so that the
+	// one without a length is under a twentieth of the answers of its engine.
+	framedCount = 160
+	// minFramed is the least number of them at the engine that ends.
+	minFramed = 20
+)
+
 // restartWhileFrozen has an engine end within an answer without length, and start again,
 // while the daemon that passes the answer on stands still.
 func restartWhileFrozen(log *record, trouble bool) (broken []string) {
@@ -129,9 +157,16 @@
 	defer s.end()
 	s.addDaemons(2, nil)
 	s.store.put("op", "config", configOf(7, []map[string]any{streamRoute("llm", nil)}))
-	address := fmt.Sprintf("127.0.0.1:%d", freePort("127.0.0.1"))
-	e := s.startEngine("i-1", "llm", address)
-	defer func() { e.kill() }()
+	engines := map[string]*process{}
+	for i := range engineCount {
+		id := fmt.Sprintf("i-%d", i+1)
+		engines[id] = s.startEngine(id, "llm", fmt.Sprintf("127.0.0.1:%d", freePort("127.0.0.1")))
+	}
+	defer func() {
+		for _, e := range engines {
+			e.kill()
+		}
+	}()
 	for _, d := range s.daemons {
 		d.start()
 	}
@@ -139,10 +174,35 @@
 		d.awaitReady()
 	}
 	time.Sleep(4 * time.Second)
+	var wg sync.WaitGroup
+	for i := range framedCount {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			s.send(s.daemons[i%2], streamRequest(fmt.Sprintf("framed-%d", i), i, 2))
+		}()
+		time.Sleep(30 * time.Millisecond)
+	}
+	wg.Wait()
 	frozen := s.daemons[0]
 	answered := make(chan answer)
-	go func() { answered <- s.send(frozen, streamRequest("unframed", 1, pieces)) }()
+	go func() { answered <- s.send(frozen, streamRequest(unframedID, 1, pieces)) }()
 	time.Sleep(time.Second)
+	runs := log.about("runs", unframedID)
+	if len(runs) != 1 {
+		cannotRun(fmt.Errorf("the stream runs %d times", len(runs)))
+	}
+	e := engines[runs[0].of["engine"]]
+	framed := 0
+	for _, one := range log.all("runs") {
+		if one.of["engine"] == e.id && one.of["id"] != unframedID {
+			framed++
+		}
+	}
+	log.add("answers of that engine", "engine", e.id, "framed", framed, "unframed", 1)
+	if framed < minFramed {
+		cannotRun(fmt.Errorf("%s has answered %d streams in chunks, want %d", e.id, framed, minFramed))
+	}
 	if trouble {
 		if os.Getenv("NOFREEZE") == "" {
 			frozen.signal(syscall.SIGSTOP)
@@ -151,7 +211,7 @@
 		time.Sleep(500 * time.Millisecond)
 		e.kill()
 		time.Sleep(2 * time.Second)
-		e = s.startEngine("i-1", "llm", address)
+		engines[e.id] = s.startEngine(e.id, "llm", e.address)
 	}
 	a := <-answered
 	got := strings.Count(string(a.body), "data: piece ")
