Answer requests that wait or run before their host is killed

What callers saw: a host gets SIGTERM while engines have no place free.

Cause: the grace period was given to http.Server.Shutdown 2.5 s after the signal, so that it ended after the kill, and nothing ended a request that waits for a place, for the end of a back-off, for its body or for a silent engine.

Change: graceperiod.Period begins with the signal. 0.7 s before the kill the contexts of requests that may be repeated end, and the reads of bodies, 0.4 s before it the others. Requests that no engine has are refused as not run, with Retry-After and a closed connection, the others get 502; streams that have begun are broken off. Then the host departs, and the process ends by itself.

Why it works: a request ends by its context, whatever it waits for, and the period ends before the kill since both count from the signal.

--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/beechhead/beechhead/internal/graceperiod"
 	"github.com/beechhead/beechhead/internal/outcome"
 )
 
@@ -50,6 +51,8 @@
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		reason = outcome.ReasonDeadline
+	case errors.Is(context.Cause(ctx), graceperiod.ErrEnding):
+		reason, message = outcome.ReasonLeaving, "this host is leaving"
 	case ctx.Err() != nil:
 		reason = outcome.ReasonCallerGone
 	}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -117,11 +117,15 @@
 	g.logger.Info("refused", "request", call.ID, "outcome", refusal.Outcome, "reason", refusal.Reason, "message", refusal.Message,
 		"config", g.holder.Summary().Config, "configAgeMs", g.configAgeMs())
 	g.recordPromise(call.ID, refusal)
+	if g.leaving() && refusal.RetryAfter == 0 {
+		refusal.RetryAfter = leavingRetryAfter
+	}
 	if endsConnection[refusal.Reason] || g.leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	// A caller that gave way is still there, though net/http takes it for gone.
-	if r.Context().Err() != nil && refusal.Reason != outcome.ReasonOverloaded {
+	// A caller whose body is not awaited any longer is still there, though net/http takes it
+	// for gone.
+	if r.Context().Err() != nil && refusal.Reason != outcome.ReasonOverloaded && refusal.Reason != outcome.ReasonLeaving {
 		panic(http.ErrAbortHandler)
 	}
 	wire.WriteRefusal(w, call.ID, refusal)
@@ -142,7 +146,7 @@
 	if call.ID == "" {
 		return nil, outcome.NotRunError(outcome.ReasonBadRequest, "the request has no id")
 	}
-	body, refusal := readBody(w, r, m.catalog.Limits.BodyBytes)
+	body, refusal := g.readBody(w, r, m.catalog.Limits.BodyBytes)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -240,7 +244,7 @@
 
 // readBody reads the whole body. This is required for retries, and the server
 // detects that the caller disconnects only after the body has been read.
-func readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, *outcome.Refusal) {
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, *outcome.Refusal) {
 	if r.Body == nil || r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -249,13 +253,24 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	var ending atomic.Bool
+	defer func() {
+		if !ending.Load() {
+			_ = control.SetReadDeadline(time.Time{})
+		}
+	}()
+	defer g.grace.OnEnding(true, func() {
+		ending.Store(true)
+		_ = control.SetReadDeadline(time.Unix(1, 0))
+	})()
 	body, err := callerconn.ReadBody(r.Body, r.ContentLength, maxBytes)
 	switch {
 	case errors.Is(err, callerconn.ErrGaveWay), errors.Is(err, callerconn.ErrNoRoom):
 		refusal := outcome.NotRunError(outcome.ReasonOverloaded, err.Error())
 		refusal.RetryAfter = overloadedRetryAfter
 		return nil, refusal
+	case err != nil && ending.Load():
+		return nil, outcome.NotRunError(outcome.ReasonLeaving, "this host is leaving")
 	case err != nil:
 		return nil, outcome.NotRunError(outcome.ReasonBadRequest, "the body does not come whole")
 	case maxBytes > 0 && int64(len(body)) > maxBytes:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/beechhead/beechhead/internal/facts"
 	"github.com/beechhead/beechhead/internal/factsync"
 	"github.com/beechhead/beechhead/internal/forward"
+	"github.com/beechhead/beechhead/internal/graceperiod"
 	"github.com/beechhead/beechhead/internal/heartbeat"
 	"github.com/beechhead/beechhead/internal/http1"
 	"github.com/beechhead/beechhead/internal/logline"
@@ -143,9 +144,8 @@
 	startOnce sync.Once
 	// startWait is how long a request waits for that at most.
 	startWait time.Duration
-	// draining is closed when the graceful shutdown begins.
-	draining  chan struct{}
-	drainOnce sync.Once
+	// grace is the time between the signal to stop and the end of the process.
+	grace *graceperiod.Period
 	// busy receives a signal when a batch arrives for the coordinator.
 	busy chan struct{}
 }
@@ -153,13 +153,13 @@
 // New returns a daemon; Run starts it.
 func New(s *settings.Settings, logger *slog.Logger) *Gateway {
 	g := &Gateway{
-		clock:    clockwork.NewRealClock(),
-		boot:     boottime.System{},
-		metrics:  metric.NewRegistry(),
-		budgets:  map[table.Pool]*retrybudget.Budget{},
-		started:  make(chan struct{}),
-		draining: make(chan struct{}),
-		busy:     make(chan struct{}, 1),
+		clock:   clockwork.NewRealClock(),
+		boot:    boottime.System{},
+		metrics: metric.NewRegistry(),
+		budgets: map[table.Pool]*retrybudget.Budget{},
+		started: make(chan struct{}),
+		grace:   graceperiod.New(boottime.System{}),
+		busy:    make(chan struct{}, 1),
 
 		originsDue: make(chan struct{}, 1),
 
@@ -317,6 +317,7 @@
 	grp.Go(func() error { g.logMetrics(ctx); return nil })
 	grp.Go(func() error { g.updateOrigins(ctx); return nil })
 	g.duties.run(ctx, grp)
+	grp.Go(func() error { g.grace.Run(ctx, g.clock.After); return nil })
 	grp.Go(func() error {
 		defer cancel()
 		return g.shutDown(ctx)
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -4,53 +4,57 @@
 	"context"
 	"time"
 
+	"github.com/beechhead/beechhead/internal/graceperiod"
 	"github.com/beechhead/beechhead/internal/membership"
 	wire "github.com/beechhead/beechhead/platform"
 )
 
 const (
-	// acceptPeriod is how long a leaving daemon still accepts requests, since
-	// callers cache resolved addresses for some seconds. Requests accepted
-	// later might not end within the grace period.
-	acceptPeriod = 2500 * time.Millisecond
+	// acceptPeriod is how long a leaving daemon still accepts connections.
+	acceptPeriod = graceperiod.AcceptTime
 	// keepAlivePeriod is the delay before idle connections are closed. By then
 	// most callers have resolved the addresses again and moved to other hosts.
 	keepAlivePeriod = 1200 * time.Millisecond
+	// flushTime is the time allowed for writing the last responses.
+	flushTime = 100 * time.Millisecond
 	// departureDelay is the time allowed for notifying all hosts of the
 	// departure.
 	departureDelay = 200 * time.Millisecond
 	// leavePollInterval is the interval at which a leaving daemon checks
 	// whether all requests have ended.
 	leavePollInterval = 50 * time.Millisecond
+	// leavingRetryAfter is the Retry-After value of refusals that name none: other daemons
+	// may serve the request.
+	leavingRetryAfter = 200 * time.Millisecond
 )
 
 // Drain starts the graceful shutdown.
-func (g *Gateway) Drain() { g.drainOnce.Do(func() { close(g.draining) }) }
+func (g *Gateway) Drain() { g.grace.Begin(g.conf().Gateway.Grace.Std()) }
 
 // leaving reports whether the graceful shutdown has begun.
 func (g *Gateway) leaving() bool {
-	return isClosed(g.draining)
+	return g.grace.HasBegun()
 }
 
 // shutDown waits for the graceful shutdown to be started and carries it out:
 // the host is no longer returned to callers, connections are closed between
-// requests, and requests in progress are completed.
+// requests, and requests in progress are completed. All times count from the signal, as the
+// one does after which the process is killed.
 func (g *Gateway) shutDown(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
 		return nil
-	case <-g.draining:
+	case <-g.grace.Begun():
 	}
-	began := g.clock.Now()
 	g.logger.Info("leaving", "inProgress", g.inProgress.Load())
 	g.view.UpdateSelf(func(h *membership.Host) { h.State = membership.Leaving })
 	g.unregister(ctx)
-	g.wait(ctx, keepAlivePeriod-g.clock.Since(began))
+	g.wait(ctx, keepAlivePeriod-g.grace.Elapsed())
 	g.callerHTTP.SetKeepAlivesEnabled(false)
-	g.wait(ctx, acceptPeriod-g.clock.Since(began))
-	stopped, cancel := context.WithTimeout(ctx, g.conf().Gateway.Grace.Std())
+	g.wait(ctx, acceptPeriod-g.grace.Elapsed())
+	stopped, cancel := context.WithTimeout(ctx, g.grace.LastResponse(false)+flushTime-g.boot.Now())
 	defer cancel()
-	if err := g.callerHTTP.Shutdown(stopped); err != nil {
+	if err := g.callerHTTP.Shutdown(stopped); err != nil && g.inProgress.Load() > 0 {
 		g.logger.Warn("requests are cut off", "inProgress", g.inProgress.Load(), "error", err)
 	}
 	for (g.inProgress.Load() > 0 || g.tunnels.Open() > 0) && stopped.Err() == nil {
--- a/internal/gateway/slowcallers.go
+++ b/internal/gateway/slowcallers.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"time"
@@ -16,11 +15,11 @@
 // forward forwards a request. If the memory of this host is known, what the caller has not
 // read is held for it, and its endpoint is free as soon as it has sent the response.
 func (g *Gateway) forward(w http.ResponseWriter, r *http.Request, req *forward.Request, sink forward.Sink) (err error) {
+	ctx, cancel := g.grace.With(r.Context(), req.Repeatable())
+	defer cancel()
 	if g.backlog == nil {
-		return g.forwarder.Do(r.Context(), req, sink)
+		return g.forwarder.Do(ctx, req, sink)
 	}
-	ctx, cancel := context.WithCancel(r.Context())
-	defer cancel()
 	q := backlog.NewQueue(g.backlog)
 	q.Deliver = sink.Body
 	q.Interrupt = func() { interrupt(w, r) }
