Send nothing from a leaving host that would not end in time

What callers saw: in a planned stop of one host, in calm, requests that came late in the grace period were taken, passed on and cut off with the host, among them requests that must not be repeated.

Cause: a request was judged by when its connection was opened or kept, not by when it was there whole, and never by how long it would take.

Change: forward.run.lastStart compares how long the latest responses of a class and size took with what is left of the grace period, before each attempt, right before the write, for a second attempt beside a silent endpoint and for what still waits. Streams that have begun go on. While nothing is known of a class, the 2.5 s after the signal hold, as before.

Why it works: what is sent is expected to end before the host; what is not sent is refused as not run while its caller can go elsewhere.

--- a/internal/crowd/site_test.go
+++ b/internal/crowd/site_test.go
@@ -32,6 +32,7 @@
 type site struct {
 	*process
 	store    *standin.Store
+	engines  []*standin.Engine
 	document standin.Document
 	// The addresses of the daemon.
 	callers, directory, ready, figures string
@@ -72,8 +73,8 @@
 type siteOptions struct {
 	// delay is the time of a request at a plain service.
 	delay time.Duration
-	// limits replace those of the document.
-	limits map[string]any
+	// limits replace those of the document, routes the fields of its routes.
+	limits, routes map[string]any
 }
 
 func startSite(t *testing.T, o siteOptions) *site {
@@ -83,6 +84,11 @@
 		"max-header-bytes": maxHeaderBytes, "max-body-bytes": maxBodyBytes,
 		"header-timeout-ms": headerTimeout.Milliseconds(), "idle-timeout-ms": idleTimeout.Milliseconds(),
 	}
+	for name, value := range o.routes {
+		for _, r := range s.document.Routes {
+			r[name] = value
+		}
+	}
 	for name, value := range o.limits {
 		s.document.Limits[name] = value
 	}
@@ -94,6 +100,7 @@
 		if i%2 == 1 {
 			service, engine.Delay = "app", max(o.delay, engine.Delay)
 		}
+		s.engines = append(s.engines, engine)
 		s.store.Put(platform.TableEngines, engine.ID, standin.NewEntry(service, serve(t, engine), false))
 	}
 	s.start(t, storeAddress)
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -68,8 +68,9 @@
 
 	// grant is the slot; nil before it is reserved.
 	grant *placement.Grant
-	// sent reports whether the endpoint has received the request.
-	sent bool
+	// sent reports whether the endpoint has received the request, writable whether it may
+	// be about to be written.
+	sent, writable bool
 	// events counts the events that this call has forwarded.
 	events int
 	// superseded reports whether another call has gone on in place of this one, which
@@ -335,6 +336,7 @@
 	if e := &c.grant.Endpoint; !r.usable(e) || r.continues() && c.mayBeReplaced() {
 		return errEndpointUnusable
 	}
+	c.writable = true
 	return nil
 }
 
@@ -345,6 +347,9 @@
 	if refusal := r.req.MaySend(); refusal != nil {
 		return refusal
 	}
+	if r.tooLate() {
+		return r.leavingRefusal()
+	}
 	return r.checkQuarantine(mayTry)
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -16,6 +16,7 @@
 	"github.com/beechhead/beechhead/internal/boottime"
 	"github.com/beechhead/beechhead/internal/catalog"
 	"github.com/beechhead/beechhead/internal/endpoint"
+	"github.com/beechhead/beechhead/internal/graceperiod"
 	"github.com/beechhead/beechhead/internal/http1"
 	"github.com/beechhead/beechhead/internal/metric"
 	"github.com/beechhead/beechhead/internal/outcome"
@@ -185,14 +186,19 @@
 	// LookupVersion returns the software version at which the stream began that a
 	// request resumes, or a refusal.
 	LookupVersion func(ctx context.Context, r *Request) (table.SoftwareVersion, *outcome.Refusal)
+	// Grace is the time that is left after the signal to stop; nil if the process is never
+	// killed.
+	Grace *graceperiod.Period
 	// OnBegun is called, if set, when an endpoint has begun to run a request; for
 	// each endpoint if there are several.
 	OnBegun func(r *Request)
 
 	activities activity.Tracker
 	refusals   endpoint.Refusals
-	// firstEvents has how soon the first events of streams come.
+	// firstEvents has how soon the first events of streams come, durations how long
+	// responses take.
 	firstEvents responsetime.Floor
+	durations   responsetime.Durations
 }
 
 // ErrTruncated reports that a response was truncated after its head was forwarded.
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -51,14 +51,17 @@
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		reason = outcome.ReasonDeadline
-	case errors.Is(context.Cause(ctx), graceperiod.ErrEnding):
-		reason, message = outcome.ReasonLeaving, "this host is leaving"
+	case errors.Is(context.Cause(ctx), graceperiod.ErrEnding), ctx.Err() == nil && r.abandoned:
+		reason, message = outcome.ReasonLeaving, leavingMessage
 	case ctx.Err() != nil:
 		reason = outcome.ReasonCallerGone
 	}
 	if r.mayHaveRun > 0 {
 		return outcome.UnknownError(reason, message)
 	}
+	if reason == outcome.ReasonLeaving {
+		return r.leavingRefusal()
+	}
 	refusal := outcome.NotRunError(reason, message)
 	refusal.RetryAfter = defaultRetryAfter
 	return refusal
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -82,6 +82,9 @@
 	unattributed bool
 	// traces describe the attempts that have ended, for the log.
 	traces []attemptTrace
+	// abandoned reports whether the time has passed until which the request might have been
+	// sent, since this daemon is leaving.
+	abandoned bool
 	// promised reports whether a response was forwarded whose status callers take to mean
 	// that the request was not run.
 	promised bool
@@ -104,8 +107,13 @@
 	}
 	timer := r.f.Clock.NewTimer(r.untilSilent())
 	defer timer.Stop()
+	leaving, lastStart := r.f.Grace.Begun(), (<-chan time.Time)(nil)
 	for {
 		select {
+		case <-leaving:
+			leaving, lastStart = nil, r.f.Clock.After(r.untilLastStart())
+		case <-lastStart:
+			r.abandonUnsent()
 		case c := <-r.ended:
 			if done, err := r.end(ctx, c); done {
 				return err
@@ -121,6 +129,9 @@
 func (r *run) begin(ctx context.Context) *outcome.Refusal {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.tooLate() {
+		return r.leavingRefusal()
+	}
 	if refusal := r.checkQuarantine(true); refusal != nil {
 		return refusal
 	}
@@ -243,6 +254,7 @@
 	obstacleQuarantined   obstacle = "quarantined"
 	obstacleBudget        obstacle = "retryBudget"
 	obstacleShared        obstacle = "sharedSilence"
+	obstacleLeaving       obstacle = "leaving"
 )
 
 // retryObstacle returns why the request must not be sent to another endpoint after
@@ -258,6 +270,8 @@
 		return obstacleRefused
 	case r.headSent && r.req.Kind != catalog.Stream:
 		return obstacleBegun
+	case r.tooLate():
+		return obstacleLeaving
 	}
 	if why := r.attemptObstacle(); why != "" {
 		return why
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -124,6 +124,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return obstacleEnded
+	case r.tooLate():
+		return obstacleLeaving
 	case !long && r.f.activities.IsShared(r.req.Pool, r.f.Clock.Now()):
 		return obstacleShared
 	case r.tried || r.checkQuarantine(false) != nil:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -258,6 +258,7 @@
 		PathLost:  g.dialer.IsLost,
 		Notices:   g.notices,
 		Budget:    g.retryBudget,
+		Grace:     g.grace,
 		OnBegun:   func(r *forward.Request) { g.countBegun(r.Account) },
 
 		Quarantine: g.suspects,
--- a/internal/gateway/graceperiod_test.go
+++ b/internal/gateway/graceperiod_test.go
@@ -164,6 +164,57 @@
 // routesOfKinds has a route of each kind of request.
 var routesOfKinds = []string{"pay", "look", "draft", "chat"}
 
+// Guards against requests whose last byte comes so late in the grace period that they can't
+// end in it, and that are sent to an engine all the same.
+func TestLateRequestsAreRefused(t *testing.T) {
+	s, leaving := newLeavingSite(t, 1)
+	for _, e := range s.engines {
+		e.Events, e.Delay = 10, 200*time.Millisecond
+		if e.pool == "app" {
+			e.Delay = 2 * time.Second
+		}
+	}
+	var wg sync.WaitGroup
+	for range 6 {
+		for _, route := range routesOfKinds {
+			wg.Go(func() {
+				if a := s.longCall(leaving, route); a.status != http.StatusOK {
+					t.Errorf("%s before the signal: status %d, %v", route, a.status, a.err)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	early, late := map[string]*slowCaller{}, map[string]*slowCaller{}
+	for _, route := range routesOfKinds {
+		early[route] = s.newSlowCaller(leaving, route)
+		late[route] = s.newSlowCaller(leaving, route)
+	}
+	s.await("requests read", func() bool { return leaving.g.inProgress.Load() == int64(2*len(routesOfKinds)) })
+	go leaving.leave()
+	s.await("leaving", leaving.g.leaving)
+	for _, c := range early {
+		c.finish()
+	}
+	time.Sleep(2600 * time.Millisecond)
+	for _, c := range late {
+		c.finish()
+	}
+	for route, c := range early {
+		if a := c.response(); a.err != nil || a.status != http.StatusOK {
+			t.Errorf("%s right after the signal: status %d, %v", route, a.status, a.err)
+		}
+	}
+	for route, c := range late {
+		a := c.response()
+		s.wantRefused(route+" late", a)
+		if a.header.Get("Connection") != "close" {
+			t.Errorf("%s late: the connection is kept", route)
+		}
+	}
+	<-leaving.done
+}
+
 // Guards against a request whose body is still incomplete when its host ends, and that gets
 // no response.
 func TestIncompleteRequestsAreRefusedBeforeTheirHostEnds(t *testing.T) {
