Bound what all responses hold before they are forwarded

What callers saw: endpoints that send a part of a response and then nothing more make the daemon run out of memory, and the requests of all others end with it.

Cause: a whole response is held up to 1 MiB until it is complete, and so is an event; services with a table of one's own up to 64 MiB. Each was bounded by itself, and nothing bounded all of them together.

Change: responseroom.Room accounts for these buffers. A success without room is forwarded as it comes, as long ones always were; a failure ends its attempt. Of events, and of responses of a table of one's own, the largest gives way.

Why it works: the sum is bounded, whatever the number of endpoints and requests; what gives way holds the most, which a sound response seldom does.

--- a/internal/crowd/site_test.go
+++ b/internal/crowd/site_test.go
@@ -73,6 +73,10 @@
 type siteOptions struct {
 	// delay is the time of a request at a plain service.
 	delay time.Duration
+	// without is a service that has no sound endpoints. entries are registered beside those
+	// of the others.
+	without string
+	entries map[string]map[string]any
 	// limits replace those of the document, routes the fields of its routes.
 	limits, routes map[string]any
 }
@@ -100,9 +104,15 @@
 		if i%2 == 1 {
 			service, engine.Delay = "app", max(o.delay, engine.Delay)
 		}
+		if service == o.without {
+			continue
+		}
 		s.engines = append(s.engines, engine)
 		s.store.Put(platform.TableEngines, engine.ID, standin.NewEntry(service, serve(t, engine), false))
 	}
+	for id, entry := range o.entries {
+		s.store.Put(platform.TableEngines, id, entry)
+	}
 	s.start(t, storeAddress)
 	return s
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -35,6 +35,7 @@
 	"github.com/beechhead/beechhead/internal/placement"
 	"github.com/beechhead/beechhead/internal/platform"
 	"github.com/beechhead/beechhead/internal/quarantine"
+	"github.com/beechhead/beechhead/internal/responseroom"
 	"github.com/beechhead/beechhead/internal/service"
 	"github.com/beechhead/beechhead/internal/settings"
 	"github.com/beechhead/beechhead/internal/tablesync"
@@ -145,7 +146,10 @@
 
 func (d *Daemon) buildServers() {
 	sender := endpoint.NewSender(endpoint.NewTransport())
-	dispatcher := dispatch.NewDispatcher(d.clock, d.limits, d.placer, engine.NewClient(sender), service.NewClient(sender), d.suspects, d.metrics)
+	engines, services := engine.NewClient(sender), service.NewClient(sender)
+	held := int(d.maxHeld())
+	engines.Room, services.Room = responseroom.New(held), responseroom.New(held)
+	dispatcher := dispatch.NewDispatcher(d.clock, d.limits, d.placer, engines, services, d.suspects, d.metrics)
 	dispatcher.Logger = d.logger
 	dispatcher.OtherEndpoints = d.otherEndpoints
 	d.callerHandler = &caller.Server{
@@ -276,17 +280,23 @@
 
 // newCallerBudget returns the budget of what callers may make this daemon hold.
 func (d *Daemon) newCallerBudget() *callerconn.Budget {
-	memory, descriptors := callerconn.ProcessMemory(), callerconn.ProcessDescriptors()
-	if mb := d.settings.Memory(); mb > 0 {
-		memory = callerconn.Bytes(mb * (1 << 20))
-	}
+	descriptors := callerconn.ProcessDescriptors()
 	if n := d.settings.Descriptors; n > 0 {
 		descriptors = n
 	}
-	limit, maxConns := callerconn.Divide(callerconn.Bytes(backlog.Limit(backlog.Bytes(memory))), descriptors)
+	limit, maxConns := callerconn.Divide(d.maxHeld(), descriptors)
 	return callerconn.NewBudget(d.clock, limit, maxConns)
 }
 
+// maxHeld returns how much callers may make this daemon hold.
+func (d *Daemon) maxHeld() callerconn.Bytes {
+	memory := callerconn.ProcessMemory()
+	if mb := d.settings.Memory(); mb > 0 {
+		memory = callerconn.Bytes(mb * (1 << 20))
+	}
+	return callerconn.Bytes(backlog.Limit(backlog.Bytes(memory)))
+}
+
 func serve(ctx context.Context, s *http.Server, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/beechhead/beechhead/internal/endpoint"
+	"github.com/beechhead/beechhead/internal/responseroom"
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
@@ -57,6 +58,9 @@
 // Client calls engines. It is safe for concurrent use.
 type Client struct {
 	sender *endpoint.Sender
+	// Room bounds what events hold until they are complete; nil means no bound. It must be
+	// set before use.
+	Room *responseroom.Room
 }
 
 // NewClient returns a client.
@@ -85,6 +89,8 @@
 	events   *eventReader
 	// cancel ends the stream.
 	cancel context.CancelFunc
+	// holding accounts for the largest event.
+	holding *responseroom.Holding
 
 	// endMarkerSeen is set once the end marker was read.
 	endMarkerSeen bool
@@ -123,7 +129,9 @@
 		s.response.Discard()
 		return nil, err
 	}
+	s.holding = c.Room.Open(s.cancel)
 	s.events = newEventReader(s.response.Body)
+	s.events.hasRoom = s.holding.Resize
 	return s, nil
 }
 
@@ -169,6 +177,7 @@
 // Close ends the stream. If the end marker was not read yet, it closes the
 // connection, which cancels the request at the engine.
 func (s *Stream) Close() {
+	s.holding.Close()
 	if s.endMarkerSeen {
 		go s.drain()
 		return
--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"github.com/go-faster/errors"
+
+	"github.com/beechhead/beechhead/internal/responseroom"
 )
 
 // maxEventSize bounds an event of a stream, in bytes.
@@ -23,16 +25,34 @@
 	data []byte
 	// started is set once the first line was read.
 	started bool
+	// hasRoom reports whether there is room for so many bytes without an event; nil if there
+	// always is. unread are the bytes that were read since the last event, most is the largest
+	// number of them: the buffers do not shrink.
+	hasRoom      func(size int) bool
+	unread, most int
+	source       io.Reader
+}
+
+// Read reads from the response for the scanner.
+func (r *eventReader) Read(p []byte) (int, error) {
+	n, err := r.source.Read(p)
+	if r.unread += n; r.unread > r.most && r.hasRoom != nil {
+		if r.most = r.unread; !r.hasRoom(r.most) {
+			return 0, errors.Wrap(ErrMalformed, responseroom.ErrNoRoom.Error())
+		}
+	}
+	return n, err
 }
 
 // maxWithoutData bounds the lines without data between two events, in bytes.
 const maxWithoutData = maxEventSize
 
 func newEventReader(r io.Reader) *eventReader {
-	s := bufio.NewScanner(r)
-	s.Buffer(make([]byte, 0, 4096), maxEventSize)
-	s.Split(scanCompleteLines)
-	return &eventReader{scanner: s}
+	events := &eventReader{source: r}
+	events.scanner = bufio.NewScanner(events)
+	events.scanner.Buffer(make([]byte, 0, 4096), maxEventSize)
+	events.scanner.Split(scanCompleteLines)
+	return events
 }
 
 // scanCompleteLines splits like bufio.ScanLines, but returns an error for a
@@ -73,6 +93,7 @@
 			continue
 		}
 		if len(r.data) > 0 {
+			r.unread = 0
 			// Each data line has added a line feed to the buffer.
 			return r.data[:len(r.data)-1], nil
 		}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/beechhead/beechhead/internal/httpresponse"
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/peer/peerv1"
+	"github.com/beechhead/beechhead/internal/responseroom"
 )
 
 const (
@@ -23,8 +24,8 @@
 	// terminationTime is how long a process that terminates may take to close its
 	// connections and its listener, in any order.
 	terminationTime = 20 * time.Millisecond
-	// longPart is the size in bytes of the parts in which the rest of a long response is
-	// forwarded.
+	// longPart is the maximum size in bytes of the parts in which the rest of a long response
+	// is forwarded.
 	longPart = 64 << 10
 )
 
@@ -148,22 +149,26 @@
 // forwardWhole forwards a response that is not a stream.
 func (c *call) forwardWhole(x *http1.Exchange, resp *http.Response) attemptResult {
 	r := c.run
+	holding := r.hold(r.f.Wholes, nil)
 	// Only one byte more tells a response of just this size from a longer one.
-	body, err := io.ReadAll(io.LimitReader(progressReader{resp.Body, c}, maxBuffered+1))
-	if err != nil {
+	body, err := holding.ReadAll(progressReader{resp.Body, c}, maxBuffered+1)
+	noRoom := errors.Is(err, responseroom.ErrNoRoom)
+	if err != nil && !noRoom {
 		return failedResult(readFailureReason(c.ctx, err), err)
 	}
 	a := &response{status: resp.StatusCode, header: resp.Header, body: body}
 	switch {
 	case len(body) == 0 && c.mustHaveBody(resp):
 		return failedResult(outcome.ReasonTruncated, errNoBody)
-	case len(body) <= maxBuffered:
+	case len(body) <= maxBuffered && !noRoom:
 	case resp.StatusCode/100 != 2 && resp.ContentLength < 0:
 		return failedResult(outcome.ReasonWrongAnswer, errNoEnd)
+	case noRoom && resp.StatusCode/100 == 5:
+		return failedResult(outcome.ReasonEndpointFailed, errors.Errorf("status %d, %v", resp.StatusCode, err))
 	case r.f.Protocol.ImpliesNotRun(resp.StatusCode):
 		return failedResult(outcome.ReasonEndpointFailed, errors.Errorf("status %d", resp.StatusCode))
 	default:
-		return c.forwardLong(x, resp, a)
+		return c.forwardLong(x, resp, a, holding)
 	}
 	x.Finish()
 	if err := c.checkEnd(resp); err != nil {
@@ -207,16 +212,21 @@
 	return nil
 }
 
-// forwardLong forwards a response that is too long to be buffered.
-func (c *call) forwardLong(x *http1.Exchange, resp *http.Response, a *response) attemptResult {
+// forwardLong forwards a response that is too long to be buffered, or for which there is no
+// room. Nothing of it is held longer than until it is forwarded.
+func (c *call) forwardLong(x *http1.Exchange, resp *http.Response, a *response, holding *responseroom.Holding) attemptResult {
 	if !c.takeLeadWith(a, resp.ContentLength) {
 		return failedResult(outcome.ReasonSuperseded, errSuperseded)
 	}
-	buf, part := a.body, make([]byte, longPart)
+	buf, part := a.body, []byte(nil)
 	for {
 		if err := c.deliver(buf); err != nil {
 			return callerGoneResult(err)
 		}
+		if part == nil {
+			part = shrink(a.body, holding)
+			a.body = nil
+		}
 		n, err := c.read(resp.Body, part)
 		if buf = part[:n]; n > 0 {
 			c.endHoldUp()
@@ -238,6 +248,15 @@
 	}
 }
 
+// shrink returns a buffer for the parts of a response whose first part has been forwarded.
+func shrink(first []byte, holding *responseroom.Holding) []byte {
+	if cap(first) <= longPart {
+		return first[:cap(first)]
+	}
+	holding.Resize(longPart)
+	return make([]byte, longPart)
+}
+
 // takeLeadWith forwards the head of a response and reports whether the call leads.
 func (c *call) takeLeadWith(a *response, length int64) bool {
 	r := c.run
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -22,6 +22,7 @@
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/placement"
 	"github.com/beechhead/beechhead/internal/quarantine"
+	"github.com/beechhead/beechhead/internal/responseroom"
 	"github.com/beechhead/beechhead/internal/responsetime"
 	"github.com/beechhead/beechhead/pkg/table"
 )
@@ -189,6 +190,9 @@
 	// Grace is the time that is left after the signal to stop; nil if the process is never
 	// killed.
 	Grace *graceperiod.Period
+	// Wholes bounds what whole responses hold before they are forwarded, Events what events
+	// do; nil means no bound.
+	Wholes, Events *responseroom.Room
 	// OnBegun is called, if set, when an endpoint has begun to run a request; for
 	// each endpoint if there are several.
 	OnBegun func(r *Request)
@@ -218,6 +222,7 @@
 	run.budget.Add()
 	defer run.endStreamRecord()
 	defer run.endTrial()
+	defer run.closeHoldings()
 	defer run.dropCalls()
 	err := run.do(ctx)
 	run.recordAttempts(err)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -12,6 +12,7 @@
 	"github.com/beechhead/beechhead/internal/catalog"
 	"github.com/beechhead/beechhead/internal/outcome"
 	"github.com/beechhead/beechhead/internal/quarantine"
+	"github.com/beechhead/beechhead/internal/responseroom"
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
@@ -85,6 +86,9 @@
 	// abandoned reports whether the time has passed until which the request might have been
 	// sent, since this daemon is leaving.
 	abandoned bool
+	// holdings account for the buffers of responses until the request has ended: that of a
+	// failure is kept in case that no other endpoint answers.
+	holdings []*responseroom.Holding
 	// promised reports whether a response was forwarded whose status callers take to mean
 	// that the request was not run.
 	promised bool
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -25,6 +25,7 @@
 var (
 	errPartialEvent = errors.New("the stream ends within an event")
 	errNoEvent      = errors.New("the stream ends with its connection before any event")
+	errNoRoom       = errors.New("no room for an event without end")
 	errEventless    = errors.New("the stream goes on without a new event")
 )
 
@@ -32,13 +33,18 @@
 // truncated event is never forwarded, so that the stream can be continued with
 // this event at another endpoint.
 func (c *call) forwardStream(x *http1.Exchange, resp *http.Response) attemptResult {
+	holding := c.run.hold(c.run.f.Events, x.Abort)
+	defer holding.Close()
 	var pending []byte
 	received := false
 	chunk := make([]byte, readSize)
 	for {
 		n, err := c.read(resp.Body, chunk)
 		before := len(pending)
-		pending = append(pending, chunk[:n]...)
+		var hasRoom bool
+		if pending, hasRoom = holding.Append(pending, chunk[:n]); !hasRoom || holding.HasGivenWay() {
+			return failedResult(outcome.ReasonWrongAnswer, errNoRoom)
+		}
 		whole := 0
 		if mayEndEvent(pending, before) {
 			whole = completeEvents(pending)
@@ -53,7 +59,7 @@
 			case err != nil:
 				return callerGoneResult(err)
 			}
-			pending = append(pending[:0], pending[whole:]...)
+			pending = holding.Discard(pending, whole)
 		}
 		switch {
 		case errors.Is(err, io.EOF) && !received && !isFramed(resp):
--- a/internal/gateway/callerlimits.go
+++ b/internal/gateway/callerlimits.go
@@ -8,6 +8,7 @@
 	"github.com/beechhead/beechhead/internal/backlog"
 	"github.com/beechhead/beechhead/internal/callerconn"
 	"github.com/beechhead/beechhead/internal/catalog"
+	"github.com/beechhead/beechhead/internal/responseroom"
 )
 
 // Limits for callers where the configuration names none.
@@ -60,6 +61,7 @@
 	if known {
 		g.backlog = backlog.NewBudget(g.clock, total-requests)
 	}
+	g.wholes, g.events = responseroom.New(int(total)), responseroom.New(int(total))
 }
 
 // newCallerServer returns a server for callers. callerconn bounds heads and the time for
@@ -121,6 +123,16 @@
 	g.callers.EndLate(t)
 }
 
+// setRoomGauges sets the gauges of what responses hold before they are forwarded.
+func (g *Gateway) setRoomGauges() {
+	for name, room := range map[string]*responseroom.Room{"responses": g.wholes, "events": g.events} {
+		f := room.Figures()
+		g.metrics.Set(name+".heldBytes", int64(f.Held))
+		g.metrics.Set(name+".gaveWay", f.GaveWay)
+		g.metrics.Set(name+".noRoom", f.Refused)
+	}
+}
+
 // setCallerGauges sets the gauges of what callers hold.
 func (g *Gateway) setCallerGauges() {
 	f := g.callers.Figures()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,7 @@
 	"github.com/beechhead/beechhead/internal/platform"
 	"github.com/beechhead/beechhead/internal/quarantine"
 	"github.com/beechhead/beechhead/internal/requestid"
+	"github.com/beechhead/beechhead/internal/responseroom"
 	"github.com/beechhead/beechhead/internal/retrybudget"
 	"github.com/beechhead/beechhead/internal/settings"
 	"github.com/beechhead/beechhead/internal/storetime"
@@ -130,7 +131,9 @@
 	checkedCallers time.Time
 	// backlog holds what callers have not read; nil if nothing is held.
 	backlog *backlog.Budget
-	sampler *logline.Sampler
+	// wholes bounds what whole responses hold before they are forwarded, events what events do.
+	wholes, events *responseroom.Room
+	sampler        *logline.Sampler
 	// promises logs the ids of all requests that are refused as not run.
 	promises *logline.Digest
 	// recent has the requests that must not be repeated.
@@ -259,6 +262,8 @@
 		Notices:   g.notices,
 		Budget:    g.retryBudget,
 		Grace:     g.grace,
+		Wholes:    g.wholes,
+		Events:    g.events,
 		OnBegun:   func(r *forward.Request) { g.countBegun(r.Account) },
 
 		Quarantine: g.suspects,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -63,6 +63,7 @@
 	g.metrics.Set("endpoints.cutOff", boolGauge(g.dialer.IsCutOff()))
 	g.metrics.Set("requests.inProgress", g.inProgress.Load())
 	g.setCallerGauges()
+	g.setRoomGauges()
 	g.setBacklogGauges()
 	g.metrics.Set("connections.opened", g.forwarder.Pool.Opened.Load())
 	g.metrics.Set("log.requestsLeftOut", g.sampler.LeftOut())
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -4,13 +4,13 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/beechhead/beechhead/internal/endpoint"
+	"github.com/beechhead/beechhead/internal/responseroom"
 	"github.com/beechhead/beechhead/pkg/table"
 )
 
@@ -71,7 +71,10 @@
 type Client struct {
 	sender *endpoint.Sender
 	// maxBody bounds the body of a response, in bytes.
-	maxBody int64
+	maxBody int
+	// Room bounds what responses hold until they are complete; nil means no bound. It must
+	// be set before use.
+	Room *responseroom.Room
 }
 
 // NewClient returns a client.
@@ -94,7 +97,9 @@
 	if r.OnBegun != nil {
 		r.OnBegun()
 	}
-	return c.readResponse(e, r.ID, response)
+	holding := c.Room.Open(cancel)
+	defer holding.Close()
+	return c.readResponse(e, r.ID, response, holding)
 }
 
 // CloseIdle closes the idle connections to a service, so that the next requests
@@ -119,7 +124,7 @@
 }
 
 // readResponse validates the response and reads its body.
-func (c *Client) readResponse(e *table.Endpoint, id string, response *endpoint.Response) (*Response, error) {
+func (c *Client) readResponse(e *table.Endpoint, id string, response *endpoint.Response, holding *responseroom.Holding) (*Response, error) {
 	if e.EchoesID && response.Header.Get(headerRequestID) != id {
 		response.Discard()
 		return nil, ErrWrongResponse
@@ -128,17 +133,19 @@
 		response.Discard()
 		return nil, errors.Wrap(ErrTruncated, "neither Content-Length nor chunks")
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, c.maxBody+1))
-	if err != nil {
-		response.Discard()
-		return nil, errors.Wrap(ErrTruncated, err.Error())
+	body, err := holding.ReadAll(response.Body, c.maxBody+1)
+	if err == nil && len(body) <= c.maxBody {
+		response.Close()
+		return &Response{Status: response.StatusCode, Header: EndToEnd(response.Header), Body: body}, nil
 	}
-	if int64(len(body)) > c.maxBody {
-		response.Discard()
+	response.Discard()
+	switch {
+	case err == nil:
 		return nil, ErrTooLarge
+	case errors.Is(err, responseroom.ErrNoRoom), holding.HasGivenWay():
+		return nil, errors.Wrap(ErrTooLarge, responseroom.ErrNoRoom.Error())
 	}
-	response.Close()
-	return &Response{Status: response.StatusCode, Header: EndToEnd(response.Header), Body: body}, nil
+	return nil, errors.Wrap(ErrTruncated, err.Error())
 }
 
 // hasVerifiableLength reports whether truncation of the body can be detected.
