Lend slow callers the memory that requests do not use

What callers saw: slow readers lose their responses although the daemon has memory left, since the limit was divided between responses and requests.

Cause: each half is rarely full when the other one is.

Change: what connections and requests leave of their part counts for responses that wait for slow callers. It is taken back at the next tick: the slowest of these callers give way.

--- a/internal/backlog/budget.go
+++ b/internal/backlog/budget.go
@@ -41,6 +41,10 @@
 type Budget struct {
 	clock clockwork.Clock
 	limit Bytes
+	// Lent returns what others leave of their part of the memory, which responses may hold
+	// beyond the limit until it is taken back; nil means nothing. It must be set before use,
+	// and must not call the budget.
+	Lent func() Bytes
 
 	mu   sync.Mutex
 	held Bytes
@@ -149,21 +153,52 @@
 	}
 	now := b.clock.Now()
 	b.mu.Unlock()
-	for _, one := range slow {
-		one.onGiveWay(Slowness{Held: one.held, Taken: one.taken, Behind: now.Sub(one.behindSince)})
-	}
+	notify(slow, now)
 	return wait, freed, err
 }
 
 // fits reports whether there is room for n more bytes of the response.
 func (a *Account) fits(n Bytes) bool {
-	limit := a.budget.limit
+	limit := a.budget.available()
 	if a.held+n > smallHolding {
 		limit -= limit / reserveShare
 	}
 	return a.budget.held+n <= limit
 }
 
+// available returns how much responses may hold now.
+func (b *Budget) available() Bytes {
+	if b.Lent == nil {
+		return b.limit
+	}
+	return b.limit + max(0, b.Lent())
+}
+
+// TakeBack makes the slowest callers give way while responses hold more than they may, since
+// others need what they had lent.
+func (b *Budget) TakeBack() {
+	b.mu.Lock()
+	var slow []*Account
+	for b.held > b.available() {
+		slowest, _ := chooseSlowest(b.holdings(), b.clock.Now())
+		if slowest == nil {
+			break
+		}
+		slow = append(slow, b.accounts[slowest])
+		b.accounts[slowest].giveWay()
+	}
+	now := b.clock.Now()
+	b.mu.Unlock()
+	notify(slow, now)
+}
+
+// notify tells responses that they have given way. It must be called without mu.
+func notify(slow []*Account, now time.Time) {
+	for _, one := range slow {
+		one.onGiveWay(Slowness{Held: one.held, Taken: one.taken, Behind: now.Sub(one.behindSince)})
+	}
+}
+
 func (a *Account) add(n Bytes) {
 	if a.held == 0 {
 		a.behindSince, a.taken = a.budget.clock.Now(), 0
--- a/internal/backlog/budget_test.go
+++ b/internal/backlog/budget_test.go
@@ -161,3 +161,41 @@
 		t.Error("freed was not closed")
 	}
 }
+
+// Guards against memory that others have lent and need, and that is not taken back, or is from
+// callers that are not the slowest.
+func TestLentMemoryIsTakenBack(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := NewBudget(clock, 100*blockSize)
+	lent := Bytes(100 * blockSize)
+	b.Lent = func() Bytes { return lent }
+	var gone []string
+	open := func(name string) *Account {
+		a := b.Open(func(Slowness) { gone = append(gone, name) })
+		if wait, _, err := a.Reserve(80 * blockSize); wait > 0 || err != nil {
+			t.Fatalf("%s: wait %v, %v", name, wait, err)
+		}
+		return a
+	}
+	fast, slow := open("fast"), open("slow")
+	for range 40 {
+		clock.Advance(100 * time.Millisecond)
+		fast.Release(0, blockSize)
+		slow.Release(0, blockSize/16)
+	}
+	b.TakeBack()
+	if len(gone) != 0 {
+		t.Errorf("%v gave way though nothing is needed", gone)
+	}
+	lent = 0
+	b.TakeBack()
+	if len(gone) != 1 || gone[0] != "slow" || b.Figures().Held != 80*blockSize {
+		t.Errorf("%v gave way, %d bytes are held", gone, b.Figures().Held)
+	}
+	lent = -1000 * blockSize
+	b.TakeBack()
+	if len(gone) != 1 {
+		t.Errorf("%v gave way for a debt of others", gone)
+	}
+	fast.Close()
+}
--- a/internal/callerconn/budget.go
+++ b/internal/callerconn/budget.go
@@ -87,6 +87,13 @@
 	return f
 }
 
+// Unused returns how much more connections and requests may hold.
+func (b *Budget) Unused() Bytes {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.limit - b.held + Bytes(b.maxConns-len(b.accounts))*connCost
+}
+
 // open returns the account of a new connection; nil if there is no place for it. It waits for
 // a place while it is not known yet which requests come slowly. end is called when the
 // connection must end, at most once and with the budget locked.
--- a/internal/callerconn/budget_test.go
+++ b/internal/callerconn/budget_test.go
@@ -219,3 +219,18 @@
 		}
 	}
 }
+
+// Guards against memory that connections need and that is lent all the same.
+func TestUnused(t *testing.T) {
+	const limit, maxConns = 1 << 20, 4
+	b := NewBudget(clockwork.NewFakeClock(), limit, maxConns)
+	before := b.Unused()
+	a := b.open(func(bool) {})
+	if got := b.Unused(); before != limit+maxConns*connCost || got != before-connCost {
+		t.Errorf("%d bytes are unused beside a connection, %d before", got, before)
+	}
+	a.close()
+	if got := b.Unused(); got != before {
+		t.Errorf("%d bytes are unused afterwards, want %d", got, before)
+	}
+}
--- a/internal/gateway/callerlimits.go
+++ b/internal/gateway/callerlimits.go
@@ -60,6 +60,7 @@
 	g.callers = callerconn.NewBudget(g.clock, limit, maxConns)
 	if known {
 		g.backlog = backlog.NewBudget(g.clock, total-requests)
+		g.backlog.Lent = func() backlog.Bytes { return backlog.Bytes(g.callers.Unused()) }
 	}
 	g.wholes, g.events = responseroom.New(int(total)), responseroom.New(int(total))
 }
@@ -99,6 +100,13 @@
 	return defaultHeadLimit
 }
 
+// takeBackLent ends responses for slow callers that use memory which other callers need now.
+func (g *Gateway) takeBackLent() {
+	if g.backlog != nil {
+		g.backlog.TakeBack()
+	}
+}
+
 // endLateCallers ends the connections of callers that take longer than they may.
 func (g *Gateway) endLateCallers() {
 	now := g.clock.Now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -415,4 +415,5 @@
 	g.streams.Refresh()
 	g.leaveTunnels()
 	g.endLateCallers()
+	g.takeBackLent()
 }
