Keep a long failure out of a stream that has begun

What callers saw: nothing that was reported; found by reading. A stream whose endpoint is lost is continued at another one. If that one answers with a failure of over 1 MiB that has a length, the caller gets a second head and the failure's body as a part of its stream, and a complete end. With the bound on all responses a shorter failure would do as well.

Cause: a response that is not held whole is forwarded as it comes, without asking whether a stream has begun; takeWhole asks that only of those that are held.

Change: a stream's response that is not events and does not fit ends its attempt. Beside it: the times of failures do not count for how long responses take, and a grace period under 5 s closes listeners in its first half, as work of unknown length is only begun then.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -163,8 +163,9 @@
 	case len(body) <= maxBuffered && !noRoom:
 	case resp.StatusCode/100 != 2 && resp.ContentLength < 0:
 		return failedResult(outcome.ReasonWrongAnswer, errNoEnd)
-	case noRoom && resp.StatusCode/100 == 5:
-		return failedResult(outcome.ReasonEndpointFailed, errors.Errorf("status %d, %v", resp.StatusCode, err))
+	case r.req.Kind == catalog.Stream, noRoom && resp.StatusCode/100 == 5:
+		// It may not become a part of a stream, and another endpoint may still answer.
+		return failedResult(outcome.ReasonEndpointFailed, errors.Errorf("status %d with a long body", resp.StatusCode))
 	case r.f.Protocol.ImpliesNotRun(resp.StatusCode):
 		return failedResult(outcome.ReasonEndpointFailed, errors.Errorf("status %d", resp.StatusCode))
 	default:
--- a/internal/forward/leaving_test.go
+++ b/internal/forward/leaving_test.go
@@ -35,7 +35,7 @@
 		// want counts from the signal; zero means no limit.
 		want time.Duration
 	}{
-		"nothing is known":             {kind: catalog.Unsafe, deadline: time.Minute, want: graceperiod.AcceptTime},
+		"nothing is known":             {kind: catalog.Unsafe, deadline: time.Minute, want: 2500 * time.Millisecond},
 		"its deadline comes first":     {kind: catalog.Unsafe, deadline: 7 * time.Second},
 		"unsafe, the longest counts":   {kind: catalog.Unsafe, took: seconds(1, 1, 1, 1, 1, 3), deadline: time.Minute, want: 4600 * time.Millisecond},
 		"safe, half of them count":     {kind: catalog.Safe, took: seconds(1, 1, 1, 1, 1, 3), deadline: time.Minute, want: 6300 * time.Millisecond},
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -53,7 +53,9 @@
 	case e.unframed:
 		go r.f.recheckUnframed(r.req, grant.Endpoint)
 	}
-	r.f.durations.Observe(r.req.Class, r.req.OutputTokens, r.f.Clock.Since(c.sentAt))
+	if r.completed {
+		r.f.durations.Observe(r.req.Class, r.req.OutputTokens, r.f.Clock.Since(c.sentAt))
+	}
 	took := r.f.Clock.Since(r.began)
 	r.f.Metrics.ObserveClass("answer.ms", string(r.req.Class), took.Milliseconds())
 	pause, at := grant.LongestPause()
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// acceptPeriod is how long a leaving host accepts connections.
+const acceptPeriod = 2500 * time.Millisecond
+
 // Guards against a leaving host that ends a response, its own or one that it carries for
 // another host, whose engine is silent for longer than requests are accepted.
 func TestLeavingHostWaitsForSilentEngines(t *testing.T) {
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -4,14 +4,11 @@
 	"context"
 	"time"
 
-	"github.com/beechhead/beechhead/internal/graceperiod"
 	"github.com/beechhead/beechhead/internal/membership"
 	wire "github.com/beechhead/beechhead/platform"
 )
 
 const (
-	// acceptPeriod is how long a leaving daemon still accepts connections.
-	acceptPeriod = graceperiod.AcceptTime
 	// keepAlivePeriod is the delay before idle connections are closed. By then
 	// most callers have resolved the addresses again and moved to other hosts.
 	keepAlivePeriod = 1200 * time.Millisecond
@@ -51,7 +48,7 @@
 	g.unregister(ctx)
 	g.wait(ctx, keepAlivePeriod-g.grace.Elapsed())
 	g.callerHTTP.SetKeepAlivesEnabled(false)
-	g.wait(ctx, acceptPeriod-g.grace.Elapsed())
+	g.wait(ctx, g.grace.AcceptTime()-g.grace.Elapsed())
 	stopped, cancel := context.WithTimeout(ctx, g.grace.LastResponse(false)+flushTime-g.boot.Now())
 	defer cancel()
 	if err := g.callerHTTP.Shutdown(stopped); err != nil && g.inProgress.Load() > 0 {
--- a/internal/graceperiod/graceperiod.go
+++ b/internal/graceperiod/graceperiod.go
@@ -12,11 +12,9 @@
 	"github.com/beechhead/beechhead/internal/boottime"
 )
 
-// AcceptTime is how long after the signal work may begin of which it is not known how long
-// it takes: callers cache resolved addresses for some seconds.
-const AcceptTime = 2500 * time.Millisecond
-
 const (
+	// acceptTime is the longest AcceptTime: callers cache resolved addresses for some seconds.
+	acceptTime = 2500 * time.Millisecond
 	// writeTime is kept free at the end of the period, to respond to requests that may not
 	// be repeated and still run.
 	writeTime = 400 * time.Millisecond
@@ -120,12 +118,16 @@
 	return p.began + p.length - min(reserve, p.length/maxShare)
 }
 
+// AcceptTime returns how long after the signal work may begin of which it is not known how
+// long it takes: not in the second half of the period. The period must have begun.
+func (p *Period) AcceptTime() time.Duration { return min(acceptTime, p.length/2) }
+
 // LastStart returns the latest time since the machine's start at which work may begin that
-// is expected to take some time. If that is not known, it may begin until AcceptTime, but not
-// in the second half of the period. The period must have begun.
+// is expected to take some time. If that is not known, it may begin until AcceptTime. The
+// period must have begun.
 func (p *Period) LastStart(repeatable bool, expected time.Duration, known bool) time.Duration {
 	if !known {
-		return p.began + min(AcceptTime, p.length/2)
+		return p.began + p.AcceptTime()
 	}
 	return p.LastResponse(repeatable) - expected
 }
--- a/internal/graceperiod/graceperiod_test.go
+++ b/internal/graceperiod/graceperiod_test.go
@@ -66,6 +66,9 @@
 func TestShortPeriod(t *testing.T) {
 	p := New(&boottime.Fake{})
 	p.Begin(time.Second)
+	if p.AcceptTime() != 500*time.Millisecond {
+		t.Errorf("work begins until %v after the signal", p.AcceptTime())
+	}
 	if first, last := p.LastResponse(true), p.LastResponse(false); first < 700*time.Millisecond || last < first {
 		t.Errorf("requests end %v and %v after the signal", first, last)
 	}
