Break off a stream whose engine was replaced before its end was seen

What callers saw: a stream without a length ends as complete after a part of its events.

Cause: such a response counts as complete if its address takes connections, whichever process listens there.

Change: forward.isReplaced asks the address for its report. A start time other than the registered one means that the engine has terminated.

Why it works: a process that has ended never reports again, and the next one has a later start time, however long the host was paused.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -84,10 +84,34 @@
 		return errEndpointTerminated
 	case refused:
 		return errMayHaveTerminated
+	case c.isReplaced():
+		return errEndpointTerminated
 	}
 	return nil
 }
 
+// isReplaced reports whether another process has taken the place of the endpoint, as far as
+// that is known: it may have started while this daemon was paused.
+func (c *call) isReplaced() (replaced bool) {
+	r := c.run
+	if r.req.Kind != catalog.Stream || r.f.Protocol.ReportTarget == "" {
+		return false
+	}
+	e := &c.grant.Endpoint
+	_ = r.f.Pool.Ask(c.ctx, address(e), &http1.Probe{
+		Target: r.f.Protocol.ReportTarget,
+		Host:   r.req.Host,
+		Accept: func(status int, h http.Header, body []byte) error {
+			same, known := r.f.Protocol.ReadReport(e, status, h, body)
+			if replaced = known && !same; replaced {
+				return errEndpointTerminated
+			}
+			return nil
+		},
+	})
+	return replaced
+}
+
 // allowsContent reports whether a response with a successful status may have content.
 func allowsContent(status int) bool {
 	return status != http.StatusNoContent && status != http.StatusResetContent
--- a/internal/http1/probe.go
+++ b/internal/http1/probe.go
@@ -70,6 +70,24 @@
 	return p.Accept(resp.StatusCode, resp.Header, body)
 }
 
+// Ask sends a probe on a connection to an address that has carried no request, so that its
+// response answers no other one, and keeps the connection for the next request. It returns the error of Accept, or one that is an ErrNotSent if there is no
+// response.
+func (p *Pool) Ask(ctx context.Context, address string, probe *Probe) error {
+	c, err := p.connection(ctx, address, false, true)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	if err := probe.play(c); err != nil {
+		_ = c.Close()
+		return err
+	}
+	p.put(address, c, defaultIdleTimeout)
+	return nil
+}
+
 // Alive reports whether there is an intact idle connection to an address, which
 // shows that the address has a listener.
 func (p *Pool) Alive(address string) bool {
